--- /dev/null
+++ b/sequoiawind/agent.py
@@ -0,0 +1,278 @@
+"""The agent: the only way to one target.
+
+It admits or refuses each attempt, queues it fairly, passes it to the target,
+and keeps the chunks for a while, so that a router whose connection broke can
+resume.  It holds the index of the engine's cache and decides on draining.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from functools import partial
+
+import attrs
+
+from sequoiawind import defaults, invariants, messages, prefix
+from sequoiawind.admission import FairQueue, Job
+from sequoiawind.cache_index import CacheIndex
+from sequoiawind.ports import Call, Clock, Sink, TargetPort
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
+from sequoiawind.wire import Attempt, Ended, LoadReport
+
+
+@attrs.define(kw_only=True)
+class Relay:
+    """One attempt at the agent; the sink of the call to the target."""
+
+    agent: "Agent"
+    attempt: Attempt
+    # The router's side; None while no router is connected.
+    sink: Sink | None
+    chain: list[int]
+    job: Job | None = None
+    call: Call | None = None
+    # Chunks by index, kept for a resume.
+    chunks: dict[int, bytes] = attrs.field(factory=dict)
+    end: Ended | None = None
+
+    def started(self, load: LoadReport) -> None:
+        """The target has taken the attempt."""
+
+    def chunk(self, attempt_id: str, index: int, data: bytes) -> None:
+        """Pass a chunk on, unless it belongs to another attempt."""
+        if attempt_id != self.attempt.attempt_id or self.end is not None:
+            self.agent.on_event("foreign_chunk")
+            return
+        if not self.chunks:
+            self.agent.queue.first_token(attempt_id)
+        self.chunks[index] = data
+        if self.sink is not None:
+            self.sink.chunk(attempt_id, index, data)
+
+    def ended(self, ended: Ended) -> None:
+        """Note the end, and pass it on."""
+        if self.end is not None:
+            return
+        load = self.agent.load()
+        self.end = attrs.evolve(ended, load=load)
+        self.agent.finished(self)
+        if self.sink is not None:
+            self.sink.ended(self.end)
+
+
+@attrs.define(kw_only=True)
+class AgentCall:
+    """A router's hold on an attempt at the agent."""
+
+    agent: "Agent"
+    relay: Relay
+
+    def cancel(self) -> None:
+        """Stop the attempt: its caller has gone."""
+        self.agent.cancel(self.relay)
+
+    def detach(self) -> None:
+        """Note that the router's connection broke; it may resume."""
+        self.agent.detach(self.relay)
+
+
+@attrs.define(kw_only=True)
+class Agent:
+    """Admission, fair queue, cache index and draining for one target."""
+
+    target: str
+    # The target's own address.
+    address: str
+    port: TargetPort
+    clock: Clock
+    # "engine" or "plain".
+    service: str = "engine"
+    block_bytes: int = defaults.ENGINE_BLOCK_BYTES
+    queue: FairQueue = attrs.field(factory=FairQueue)
+    index: CacheIndex = attrs.field(factory=CacheIndex)
+    # Weights version that the target was last seen to serve.
+    version: str = ""
+    draining: str = ""
+    relays: OrderedDict[str, Relay] = attrs.field(factory=OrderedDict)
+    # Called with the name of each event, for metrics.
+    on_event: Callable[[str], None] = attrs.field(default=lambda name: None)
+    ticking: bool = False
+
+    def open(self, address: str, attempt: Attempt, sink: Sink) -> AgentCall:
+        """Admit an attempt, refuse it, or resume an earlier one."""
+        if attempt.resume_of:
+            return self.resume(attempt, sink)
+        relay = Relay(agent=self, attempt=attempt, sink=sink, chain=[])
+        call = AgentCall(agent=self, relay=relay)
+        refusal = self.refusal(attempt)
+        if refusal is None:
+            refusal = self.enqueue(relay)
+        if refusal is not None:
+            self.on_event(f"refused_{refusal.reason.value}")
+            relay.end = Ended(failure=refusal, load=self.load())
+            sink.ended(relay.end)
+            return call
+        self.relays[attempt.attempt_id] = relay
+        sink.started(self.load())
+        self.queue.start_ready(self.clock.seconds())
+        self.keep_ticking()
+        return call
+
+    def refusal(self, attempt: Attempt) -> Failure | None:
+        """Return why an attempt cannot be queued, if it cannot."""
+        if self.draining:
+            return not_run(Reason.DRAINING, messages.DRAINING)
+        if attempt.target != self.target:
+            return not_run(Reason.NO_TARGET, messages.NO_TARGET)
+        if attempt.attempt_id in self.relays:
+            return may_have_run(Reason.BAD_REQUEST, "attempt id repeated")
+        return None
+
+    def enqueue(self, relay: Relay) -> Failure | None:
+        """Put an attempt into the queue, or return why it is refused."""
+        invariants.drained_idle(bool(self.draining), self.target)
+        attempt = relay.attempt
+        now_s = self.clock.seconds()
+        prompt_tokens, hit_tokens = self.measure(relay, now_s)
+        # A warm prefix is worth waiting for as long as recomputing it
+        # elsewhere would take, times the route's patience.
+        warm_s = hit_tokens / self.queue.prefill_tokens_per_s
+        job = Job(
+            name=attempt.attempt_id,
+            account=attempt.account,
+            weight=attempt.weight,
+            priority=attempt.priority,
+            prefill_tokens=prompt_tokens - hit_tokens,
+            decode_tokens=attempt.max_tokens,
+            max_wait_s=attempt.max_wait_s + attempt.patience * warm_s,
+            start=partial(self.start, relay),
+        )
+        relay.job = job
+        return self.queue.offer(job, now_s)
+
+    def measure(self, relay: Relay, now_s: float) -> tuple[int, int]:
+        """Return an attempt's prompt tokens, and how many are cached."""
+        if self.service != "engine":
+            return 0, 0
+        attempt = relay.attempt
+        text = (attempt.prompt + attempt.partial).encode()
+        relay.chain = prefix.chain(
+            attempt.cache_salt, text, self.block_bytes, len(text)
+        )
+        hits = self.index.hit_blocks(relay.chain, now_s)
+        hit_tokens = hits * self.block_bytes // defaults.BYTES_PER_TOKEN
+        return prefix.tokens(text), hit_tokens
+
+    def start(self, relay: Relay) -> None:
+        """Send an attempt to the target."""
+        until_s = self.clock.seconds() + defaults.EXPECTED_BLOCK_S
+        self.index.expect(relay.chain, until_s)
+        relay.call = self.port.open(self.address, relay.attempt, relay)
+
+    def finished(self, relay: Relay) -> None:
+        """Free an attempt's slot and start the next."""
+        now_s = self.clock.seconds()
+        self.queue.finish(relay.attempt.attempt_id, now_s)
+        self.clock.callLater(
+            defaults.RESUME_KEEP_S,
+            self.relays.pop,
+            relay.attempt.attempt_id,
+            None,
+        )
+        # The next start waits until the end has been passed on.
+        self.clock.callLater(0, self.start_ready)
+
+    def start_ready(self) -> None:
+        """Start what the queue allows."""
+        self.queue.start_ready(self.clock.seconds())
+
+    def resume(self, attempt: Attempt, sink: Sink) -> AgentCall:
+        """Deliver the rest of an attempt whose connection broke."""
+        relay = self.relays.get(attempt.resume_of)
+        if relay is None:
+            gone = may_have_run(Reason.CONNECTION_LOST, "nothing to resume")
+            empty = Relay(agent=self, attempt=attempt, sink=sink, chain=[])
+            empty.end = Ended(failure=gone, load=self.load())
+            sink.ended(empty.end)
+            return AgentCall(agent=self, relay=empty)
+        self.on_event("resumed")
+        relay.sink = sink
+        sink.started(self.load())
+        for index in sorted(relay.chunks):
+            if index >= attempt.start_index:
+                sink.chunk(attempt.resume_of, index, relay.chunks[index])
+        if relay.end is not None:
+            sink.ended(relay.end)
+        return AgentCall(agent=self, relay=relay)
+
+    def cancel(self, relay: Relay) -> None:
+        """End an attempt that nobody waits for."""
+        relay.sink = None
+        if relay.end is not None:
+            return
+        self.on_event("cancelled")
+        was_queued = relay.job is not None and self.queue.withdraw(relay.job)
+        if relay.call is not None:
+            relay.call.cancel()
+        verdict = not_run if was_queued else may_have_run
+        relay.ended(Ended(failure=verdict(Reason.CANCELLED, "cancelled")))
+
+    def detach(self, relay: Relay) -> None:
+        """Keep an attempt for a while without a router."""
+        relay.sink = None
+        if relay.end is None and self.service == "engine":
+            self.clock.callLater(
+                defaults.RESUME_GRACE_S, self.cancel_orphan, relay
+            )
+
+    def cancel_orphan(self, relay: Relay) -> None:
+        """Cancel an attempt that no router has resumed."""
+        if relay.sink is None:
+            self.cancel(relay)
+
+    def drain(self, because: str) -> None:
+        """Take no new work; what is queued or running goes on."""
+        self.draining = because
+
+    def admit(self) -> None:
+        """Take work again."""
+        self.draining = ""
+
+    def is_idle(self) -> bool:
+        """Whether no attempt is queued or running."""
+        return not self.queue.running and self.queue.queued == 0
+
+    def load(self) -> LoadReport:
+        """Return the report that rides on answers."""
+        return LoadReport(
+            target=self.target,
+            incarnation=self.index.incarnation,
+            wait_s=round(self.queue.wait_s(), 4),
+            queued=self.queue.queued,
+            running=len(self.queue.running),
+            draining=bool(self.draining),
+            version=self.version,
+        )
+
+    def keep_ticking(self) -> None:
+        """Look after waiting attempts while there are any."""
+        if not self.ticking:
+            self.ticking = True
+            self.clock.callLater(defaults.AGENT_TICK_S, self.tick)
+
+    def tick(self) -> None:
+        """Refuse the attempts that have waited longer than allowed."""
+        now_s = self.clock.seconds()
+        slack_s = defaults.MAX_QUEUE_WAIT_S
+        for job in self.queue.overdue(now_s, slack_s):
+            relay = self.relays.get(job.name)
+            if relay is not None:
+                wait_s = self.queue.wait_s()
+                late = not_run(
+                    Reason.QUEUE_TOO_LONG, messages.QUEUE_TOO_LONG, wait_s
+                )
+                relay.ended(Ended(failure=late))
+        self.index.forget_expected(now_s)
+        self.queue.start_ready(now_s)
+        self.ticking = False
+        if not self.is_idle():
+            self.keep_ticking()
--- /dev/null
+++ b/sequoiawind/blackboard.py
@@ -0,0 +1,104 @@
+"""The blackboard: what one process knows, shared by its controllers.
+
+Controllers read and write it and never call each other.  Each field names
+its one writer.
+"""
+
+from collections import OrderedDict
+
+import attrs
+
+from sequoiawind import config_fold, defaults, invariants
+from sequoiawind.config_fold import Folded
+from sequoiawind.lifecycle import Phase
+from sequoiawind.limits import AccountLimits
+from sequoiawind.members import Members
+from sequoiawind.retries import RetryBudgets
+from sequoiawind.sharing import SharingTracker
+from sequoiawind.state import Account, Operator, State
+
+
+@attrs.define(kw_only=True)
+class RequestNote:
+    """What `explain request` tells of a request."""
+
+    request_id: str
+    account: str
+    route: str
+    kind: str
+    began_s: float
+    state: str = "running"
+    verdict: str = ""
+    reason: str = ""
+    # Targets tried, in order.
+    path: list[str] = attrs.field(factory=list)
+    depth_blocks: int = 0
+    holders: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    first_chunk_s: float = -1.0
+    ended_s: float = -1.0
+
+
+@attrs.define(kw_only=True)
+class Blackboard:
+    """The knowledge of one process."""
+
+    # Written by the configuration follower.
+    folded: Folded = attrs.field(factory=Folded)
+    # When the configuration was last known to be current, in seconds.
+    config_checked_s: float = -1.0
+    # Written by the exchanges and the VM list's watcher.
+    members: Members = attrs.field(factory=Members)
+    # Written by the router.
+    limits: AccountLimits = attrs.field(factory=AccountLimits)
+    budgets: RetryBudgets = attrs.field(factory=RetryBudgets)
+    sharing: SharingTracker = attrs.field(factory=SharingTracker)
+    requests: OrderedDict[str, RequestNote] = attrs.field(factory=OrderedDict)
+    # Written by the lifecycle.
+    phase: Phase = attrs.field(factory=Phase)
+    # Token digests to accounts and operators, as of `indexed_revision`.
+    accounts_by_digest: dict[str, Account] = attrs.field(factory=dict)
+    operators_by_digest: dict[str, Operator] = attrs.field(factory=dict)
+
+    @property
+    def state(self) -> State:
+        """The configuration in force."""
+        return self.folded.state
+
+    def put_config(self, folded: Folded) -> None:
+        """Put a newer configuration in force.
+
+        Raises:
+          InvariantError: The configuration is older than the one in force.
+        """
+        old = self.folded.state
+        invariants.revision_forward(old.revision, folded.state.revision)
+        self.folded = folded
+        if folded.state is old:
+            return
+        self.accounts_by_digest = {
+            account.token_digest: account
+            for account in folded.state.accounts.values()
+        }
+        self.operators_by_digest = {
+            operator.token_digest: operator
+            for operator in folded.state.operators.values()
+        }
+
+    def offer_config(self, folded: Folded) -> bool:
+        """Take a configuration from elsewhere if it is newer."""
+        if folded.next_offset <= self.folded.next_offset:
+            return False
+        self.put_config(folded)
+        return True
+
+    def note_request(self, note: RequestNote) -> None:
+        """Keep a note of a request, and forget the oldest."""
+        self.requests[note.request_id] = note
+        while len(self.requests) > defaults.EXPLAIN_KEEP:
+            self.requests.popitem(last=False)
+
+    def snapshot(self) -> str:
+        """Return a snapshot of the configuration."""
+        return config_fold.snapshot(self.folded)
--- /dev/null
+++ b/sequoiawind/claims.py
@@ -0,0 +1,207 @@
+"""Claims of idempotency keys, as a fold over a claim stream.
+
+The first claim of a key in offset order wins it for good, unless its own
+claimant releases it.  There is no lease and no takeover: a claimant that was
+paused can be late but never second.
+"""
+
+import hashlib
+from collections import OrderedDict
+from functools import singledispatch
+from typing import Final
+
+import attrs
+from xxhash import xxh3_64_intdigest
+
+from sequoiawind import defaults, wire
+
+# How long a claim is kept, by the log's clock: a key may still be accepted
+# until its largest age, and clocks may differ by the skew on both sides.
+CLAIM_KEPT_S: Final = defaults.KEY_MAX_AGE_S + 3 * defaults.KEY_MAX_SKEW_S
+
+
+@attrs.frozen(kw_only=True)
+class Claim:
+    """A request for the right to send the action of a key."""
+
+    claim_id: str
+    # Account and idempotency key, joined.
+    key: str
+    # SHA-256 of the request, to refuse a key used for another request.
+    digest: str
+    kind: str
+    owner: str
+    request_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Release:
+    """The claimant's proof that it has not sent and never will."""
+
+    claim_id: str
+    key: str
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """What became of the action."""
+
+    claim_id: str
+    key: str
+    # False if the action may have run without an answer.
+    known: bool
+    reply: wire.Reply | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Settle:
+    """An operator's finding about a key whose outcome was unknown."""
+
+    key: str
+    ran: bool
+    actor: str
+    because: str
+
+
+ClaimNode = Claim | Release | Outcome | Settle
+
+NODES: Final[dict[str, type[ClaimNode]]] = {
+    "claim": Claim,
+    "release": Release,
+    "outcome": Outcome,
+    "settle": Settle,
+}
+VERBS: Final = {node: verb for verb, node in NODES.items()}
+
+
+@attrs.frozen(kw_only=True)
+class ClaimRecord:
+    """A claim node as it stands in its stream."""
+
+    verb: str
+    body: dict[str, object]
+    v: int = defaults.RECORD_VERSION
+
+
+@attrs.define(kw_only=True)
+class Entry:
+    """What is known of one key."""
+
+    claim: Claim
+    offset: int
+    time_s: float
+    outcome: Outcome | None = None
+    settled: Settle | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the key has neither an outcome nor been settled."""
+        return self.outcome is None and self.settled is None
+
+    @property
+    def is_stuck(self) -> bool:
+        """Whether only an operator can say what became of the key."""
+        unknown = self.outcome is not None and not self.outcome.known
+        return unknown and self.settled is None
+
+
+@attrs.define(kw_only=True)
+class ClaimTable:
+    """The fold of one claim stream."""
+
+    next_offset: int = 0
+    # Keys in the order in which they were claimed.
+    entries: OrderedDict[str, Entry] = attrs.field(factory=OrderedDict)
+    # Claims released, or abandoned before they reached the log.
+    released: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
+
+    def fold(self, offset: int, time_s: float, data: str) -> None:
+        """Take in one more record; skip one that cannot be read."""
+        self.next_offset = offset + 1
+        self.expire(time_s)
+        node = parse_node(data)
+        if node is not None:
+            apply(node, self, offset, time_s)
+
+    def expire(self, now_s: float) -> None:
+        """Forget claims whose keys are refused for their age."""
+        oldest_s = now_s - CLAIM_KEPT_S
+        while self.entries:
+            entry = next(iter(self.entries.values()))
+            if entry.time_s >= oldest_s:
+                break
+            self.entries.popitem(last=False)
+        while self.released:
+            released_s = next(iter(self.released.values()))
+            if released_s >= oldest_s:
+                break
+            self.released.popitem(last=False)
+
+
+def parse_node(data: str) -> ClaimNode | None:
+    """Return the node in a record, or None if no process can read it."""
+    try:
+        record = wire.decode(data, ClaimRecord)
+        kind = NODES.get(record.verb)
+        if kind is None or record.v != defaults.RECORD_VERSION:
+            return None
+        return wire.from_builtins(record.body, kind)
+    except wire.WireError:
+        return None
+
+
+def make_record(node: ClaimNode) -> str:
+    """Return the stored form of a node."""
+    record = ClaimRecord(verb=VERBS[type(node)], body=wire.to_builtins(node))
+    return wire.encode(record).decode()
+
+
+@singledispatch
+def apply(node: object, table: ClaimTable, offset: int, time_s: float) -> None:
+    """Change a table by one node."""
+    raise TypeError(f"no rule for {type(node).__name__}")
+
+
+@apply.register
+def _(node: Claim, table: ClaimTable, offset: int, time_s: float) -> None:
+    if node.claim_id in table.released or node.key in table.entries:
+        return
+    table.entries[node.key] = Entry(claim=node, offset=offset, time_s=time_s)
+
+
+@apply.register
+def _(node: Release, table: ClaimTable, offset: int, time_s: float) -> None:
+    table.released[node.claim_id] = time_s
+    entry = table.entries.get(node.key)
+    if entry and entry.is_open and entry.claim.claim_id == node.claim_id:
+        del table.entries[node.key]
+
+
+@apply.register
+def _(node: Outcome, table: ClaimTable, offset: int, time_s: float) -> None:
+    entry = table.entries.get(node.key)
+    if entry is None or entry.claim.claim_id != node.claim_id:
+        return
+    if entry.outcome is None or not entry.outcome.known:
+        entry.outcome = node
+
+
+@apply.register
+def _(node: Settle, table: ClaimTable, offset: int, time_s: float) -> None:
+    entry = table.entries.get(node.key)
+    if entry is None or entry.settled is not None:
+        return
+    if entry.outcome is None or not entry.outcome.known:
+        entry.settled = node
+
+
+def stream_of(key: str, streams: int = defaults.CLAIM_STREAMS) -> str:
+    """Return the claim stream of a key."""
+    number = xxh3_64_intdigest(key.encode()) % streams
+    return f"{defaults.CLAIM_STREAM_PREFIX}{number}"
+
+
+def request_digest(method: str, path: str, body: str) -> str:
+    """Return a digest that tells different requests of one key apart."""
+    joined = "\x1f".join((method, path, body))
+    return hashlib.sha256(joined.encode()).hexdigest()
--- /dev/null
+++ b/sequoiawind/config_follower.py
@@ -0,0 +1,176 @@
+"""Following the configuration, and submitting commands to it.
+
+A process starts from whichever answers first, a peer or the log, and then
+reads the log's tail.  A command counts as accepted only after this process
+has read its own record back and folded it as accepted.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+from expression import Error, Ok, Result
+
+from sequoiawind import config_fold, defaults, messages, timing
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.commands import Command
+from sequoiawind.config_fold import Decision
+from sequoiawind.ports import Clock, LogPort, LogRecord
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
+
+
+@attrs.define(kw_only=True)
+class ConfigFollower:
+    """Keeps a blackboard's configuration current."""
+
+    board: Blackboard
+    log: LogPort
+    clock: Clock
+    random: random.Random
+    # Returns the time since the epoch in seconds, as the log stamps records.
+    wall: Callable[[], float]
+    retention_s: float = defaults.LOG_RETENTION_S
+    poll_s: float = defaults.CONFIG_POLL_S
+    is_stopped: bool = False
+    is_reading: bool = False
+    # When the last snapshot seen was made, in the log's time.
+    snapshot_time_s: float = -1.0
+    # Offset that the last snapshot seen covers.
+    snapshot_offset: int = 0
+    # Log time of the last record folded.
+    last_record_s: float = -1.0
+    # Called after each change of the configuration.
+    on_change: Callable[[], None] = attrs.field(default=lambda: None)
+
+    async def run(self) -> None:
+        """Poll until stopped.
+
+        Jitter spreads the polls of many daemons over the period.
+        """
+        while not self.is_stopped:
+            await self.catch_up()
+            await self.snapshot_if_due()
+            pause_s = timing.jittered(
+                self.poll_s, defaults.CONFIG_POLL_JITTER, self.random
+            )
+            await timing.sleep(self.clock, pause_s)
+
+    async def catch_up(self) -> Result[int, Failure]:
+        """Fold all that the log holds."""
+        while True:
+            start = self.board.folded.next_offset
+            page = await self.log.read(
+                defaults.CONFIG_STREAM, start, defaults.READ_LIMIT
+            )
+            if page.is_error():
+                return Error(page.error)
+            if page.ok.first > self.board.folded.next_offset:
+                found = await self.take_snapshot()
+                if found.is_error():
+                    return found
+                if self.board.folded.next_offset < page.ok.first:
+                    return Error(
+                        not_run(Reason.NO_CONFIGURATION, "no snapshot reaches")
+                    )
+                continue
+            self.fold_records(page.ok.records)
+            if self.board.folded.next_offset >= page.ok.end:
+                self.board.config_checked_s = self.clock.seconds()
+                return Ok(self.board.folded.next_offset)
+
+    def fold_records(self, records: list[LogRecord]) -> None:
+        """Fold the records that are next, and put the result in force."""
+        folded = self.board.folded
+        revision = folded.state.revision
+        for record in records:
+            if record.offset != folded.next_offset:
+                continue
+            folded = config_fold.fold(folded, record.offset, record.data)
+            self.last_record_s = record.time_s
+        # Another reader may have been faster while this one waited.
+        if folded.next_offset < self.board.folded.next_offset:
+            return
+        self.board.put_config(folded)
+        if folded.state.revision != revision:
+            self.on_change()
+
+    async def take_snapshot(self) -> Result[int, Failure]:
+        """Take the newest readable snapshot in the log."""
+        start = 0
+        while True:
+            page = await self.log.read(
+                defaults.SNAPSHOT_STREAM, start, defaults.READ_LIMIT
+            )
+            if page.is_error():
+                return Error(page.error)
+            for record in page.ok.records:
+                self.see_snapshot(record)
+            start = max(page.ok.first, start + len(page.ok.records))
+            if start >= page.ok.end:
+                return Ok(self.board.folded.next_offset)
+
+    def see_snapshot(self, record: LogRecord) -> None:
+        """Take one snapshot if it is newer than what is in force."""
+        folded = config_fold.restore(record.data)
+        if folded is None:
+            return
+        self.snapshot_time_s = record.time_s
+        self.snapshot_offset = folded.next_offset
+        if self.board.offer_config(folded):
+            self.on_change()
+
+    async def snapshot_if_due(self) -> None:
+        """Append a snapshot before the retention takes what it covers.
+
+        Processes may race; their snapshots of one offset are equal.
+        """
+        if self.last_record_s < 0.0:
+            return
+        if not self.is_snapshot_due():
+            return
+        await self.take_snapshot()
+        if not self.is_snapshot_due():
+            return
+        result = await self.log.append(
+            defaults.SNAPSHOT_STREAM, [self.board.snapshot()]
+        )
+        if result.is_ok():
+            await self.take_snapshot()
+
+    def is_snapshot_due(self) -> bool:
+        """Whether the newest snapshot is too old."""
+        limit_s = self.retention_s * defaults.SNAPSHOT_SHARE_OF_RETENTION
+        if self.snapshot_time_s < 0.0:
+            return True
+        return self.wall() - self.snapshot_time_s > limit_s
+
+    async def submit(
+        self, command: Command, actor: str, based_on: int = -1
+    ) -> Result[Decision, Failure]:
+        """Append a command and learn what became of it.
+
+        Args:
+          command: The command.
+          actor: Who gave it.
+          based_on: The revision it was based on; -1 for any.
+
+        Returns:
+          The decision of the fold; or a failure, whose verdict says whether
+          the command may still come into force.
+        """
+        command_id = f"{self.random.getrandbits(96):024x}"
+        record = config_fold.make_record(command_id, actor, command, based_on)
+        appended = await self.log.append(defaults.CONFIG_STREAM, [record])
+        if appended.is_error() and appended.error.verdict.value == "not_run":
+            return Error(
+                not_run(Reason.LOG_UNAVAILABLE, messages.LOG_NOT_TAKEN, 1.0)
+            )
+        for _ in range(defaults.CLAIM_READ_ATTEMPTS):
+            if (await self.catch_up()).is_ok():
+                decision = self.board.folded.decision(command_id)
+                if decision is not None:
+                    return Ok(decision)
+            await timing.sleep(self.clock, defaults.CLAIM_READ_PAUSE_S)
+        return Error(
+            may_have_run(Reason.LOG_UNAVAILABLE, messages.LOG_UNKNOWN, 1.0)
+        )
--- /dev/null
+++ b/sequoiawind/defaults.py
@@ -0,0 +1,101 @@
+"""Default values and fixed bounds, each with its unit in the name.
+
+Settings override the defaults; the bounds are part of the protocol between
+daemons and are the same everywhere.
+"""
+
+from typing import Final
+
+# Prompts.
+PLACEMENT_BLOCK_BYTES: Final = 1024
+ENGINE_BLOCK_BYTES: Final = 256
+BYTES_PER_TOKEN: Final = 4
+MAX_CHAIN_BLOCKS: Final = 256
+
+# Requests.
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+MAX_HEADER_BYTES: Final = 16 * 1024
+BODY_TIMEOUT_S: Final = 10.0
+IDLE_TIMEOUT_S: Final = 60.0
+REQUEST_DEADLINE_S: Final = 60.0
+DEFAULT_MAX_TOKENS: Final = 64
+MAX_ATTEMPTS: Final = 8
+MAX_REORDERED_CHUNKS: Final = 64
+MIN_RETRY_AFTER_S: Final = 1.0
+MAX_RETRY_AFTER_S: Final = 60.0
+START_TIMEOUT_S: Final = 2.0
+CHUNK_TIMEOUT_S: Final = 10.0
+
+# Retry budget: retries allowed for each first attempt, and the reserve.
+RETRY_RATIO: Final = 0.2
+RETRY_RESERVE: Final = 10.0
+BACKOFF_BASE_S: Final = 0.02
+BACKOFF_CAP_S: Final = 1.0
+
+# Ejection of failing targets.
+EJECT_AFTER_FAILURES: Final = 3
+EJECT_BASE_S: Final = 1.0
+EJECT_CAP_S: Final = 30.0
+MAX_EJECTED_SHARE: Final = 0.5
+LIST_DISTRUST_SHARE: Final = 0.5
+
+# Placement.
+WALK_LENGTH: Final = 4
+PREFIX_COUNTERS: Final = 20_000
+SHARING_WINDOW_S: Final = 30.0
+SHARED_SIGHTINGS: Final = 2
+HOT_RATE_PER_S: Final = 4.0
+HOT_HYSTERESIS: Final = 0.5
+MAX_HOLDERS: Final = 4
+FALLBACK_DEPTH_BLOCKS: Final = 8
+
+# Agent.
+MAX_QUEUE: Final = 256
+MAX_RUNNING: Final = 24
+MAX_PREFILL_AHEAD_TOKENS: Final = 4096
+PREFILL_TOKENS_PER_S: Final = 10_000.0
+PATIENCE: Final = 1.0
+MAX_INDEX_BLOCKS: Final = 24_000
+EVENTS_POLL_S: Final = 0.1
+# How long to count on blocks of a prompt that has been sent to the engine.
+EXPECTED_BLOCK_S: Final = 3.0
+RESUME_GRACE_S: Final = 2.0
+RESUME_KEEP_S: Final = 10.0
+AGENT_TICK_S: Final = 0.1
+BASE_WAIT_S: Final = 0.05
+MAX_QUEUE_WAIT_S: Final = 5.0
+LOAD_REPORT_LIFETIME_S: Final = 2.0
+
+# Configuration and the log.
+CONFIG_STREAM: Final = "config"
+SNAPSHOT_STREAM: Final = "config-snapshots"
+CLAIM_STREAM_PREFIX: Final = "claims-"
+CLAIM_STREAMS: Final = 8
+READ_LIMIT: Final = 1000
+CONFIG_POLL_S: Final = 1.0
+CONFIG_POLL_JITTER: Final = 0.2
+LOG_TIMEOUT_S: Final = 1.0
+LOG_RETENTION_S: Final = 86_400.0
+SNAPSHOT_SHARE_OF_RETENTION: Final = 0.4
+MAX_RECORDS_PER_APPEND: Final = 500
+RECORD_VERSION: Final = 1
+
+# Idempotency keys.
+KEY_MAX_AGE_S: Final = 3_600.0
+KEY_MAX_SKEW_S: Final = 60.0
+CLAIM_SEND_WINDOW_S: Final = 30.0
+CLAIM_READ_ATTEMPTS: Final = 5
+CLAIM_READ_PAUSE_S: Final = 0.2
+OUTBOX_RETRY_S: Final = 0.5
+MAX_OUTBOX: Final = 10_000
+
+# Membership.
+VM_LIST_POLL_S: Final = 2.0
+PEER_TIMEOUT_S: Final = 1.0
+LIMIT_SHARE_PERIOD_S: Final = 1.0
+
+# Shutdown.
+BALANCER_WAIT_S: Final = 1.0
+
+# Recent requests that `explain request` can look up.
+EXPLAIN_KEEP: Final = 2_000
--- /dev/null
+++ b/sequoiawind/engine_model.py
@@ -0,0 +1,387 @@
+"""A model of a model engine: the stand-in that routing is measured against.
+
+Continuous batching with chunked prefill: each step computes a bounded number
+of prompt tokens and one token of every sequence in decode.  Prompt blocks are
+cached in limited memory and evicted least recently used first.  The model
+runs on any clock.  It asserts that no cached block of another salt (account,
+model, adapter and weights version) is used.
+"""
+
+import random
+from collections import OrderedDict
+from functools import partial
+
+import attrs
+from xxhash import xxh3_64_intdigest
+
+from sequoiawind import (
+    defaults,
+    invariants,
+    messages,
+    openai_format,
+    prefix,
+)
+from sequoiawind.cache_index import CacheEvent, CacheEvents, CacheList
+from sequoiawind.ports import Call, Clock, Sink
+from sequoiawind.verdict import Reason, may_have_run, not_run
+from sequoiawind.wire import Attempt, Ended, LoadReport, Usage
+
+
+@attrs.frozen(kw_only=True)
+class EngineParameters:
+    """Speeds and sizes of an engine."""
+
+    cache_blocks: int = 3000
+    block_bytes: int = defaults.ENGINE_BLOCK_BYTES
+    step_base_s: float = 0.010
+    prefill_token_s: float = 50e-6
+    decode_sequence_s: float = 0.4e-3
+    prefill_per_step: int = 384
+    max_batch: int = 32
+    event_lag_s: float = 0.1
+    # Share of cache events lost.
+    event_loss: float = 0.0
+    events_kept: int = 2000
+    load_time_s: float = 5.0
+    checks_fencing: bool = True
+
+
+@attrs.define(kw_only=True)
+class Generation:
+    """One sequence that the engine computes."""
+
+    attempt: Attempt
+    sink: Sink
+    chain: list[int]
+    hit_blocks: int
+    prefill_left: int
+    prompt_tokens: int
+    seed: int
+    next_index: int
+    block_salt: str
+
+
+@attrs.define(kw_only=True)
+class EngineCall:
+    """Lets the caller cancel a generation."""
+
+    engine: "EngineModel"
+    generation: Generation
+
+    def cancel(self) -> None:
+        """Stop computing the sequence."""
+        self.engine.cancel(self.generation)
+
+
+@attrs.define(kw_only=True)
+class NoCall:
+    """A call that has ended already."""
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+
+@attrs.define(kw_only=True)
+class EngineModel:
+    """An engine; implements the target side of `TargetPort`."""
+
+    name: str
+    clock: Clock
+    random: random.Random
+    parameters: EngineParameters = attrs.field(factory=EngineParameters)
+    version: str = ""
+    starts: int = 0
+    is_down: bool = False
+    loading: bool = False
+    fencing: int = -1
+    cache: OrderedDict[int, str] = attrs.field(factory=OrderedDict)
+    waiting: list[Generation] = attrs.field(factory=list)
+    batch: list[Generation] = attrs.field(factory=list)
+    is_stepping: bool = False
+    events: list[tuple[float, CacheEvent]] = attrs.field(factory=list)
+    next_sequence: int = 0
+    # Totals, for measurements.
+    prompt_tokens: int = 0
+    computed_tokens: int = 0
+    generated_tokens: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Changes with every restart."""
+        return f"{self.name}#{self.starts}"
+
+    def open(self, address: str, attempt: Attempt, sink: Sink) -> Call:
+        """Start a sequence."""
+        if self.is_down:
+            refusal = not_run(Reason.CONNECT_FAILED, messages.CONNECT_FAILED)
+            sink.ended(Ended(failure=refusal))
+            return NoCall()
+        if attempt.version != self.version or self.loading:
+            refusal = not_run(Reason.WRONG_WEIGHTS, messages.WRONG_WEIGHTS)
+            sink.ended(Ended(failure=refusal, load=self.load()))
+            return NoCall()
+        generation = self.make_generation(attempt, sink)
+        self.waiting.append(generation)
+        self.waiting.sort(key=lambda item: -item.attempt.priority)
+        sink.started(self.load())
+        self.wake()
+        return EngineCall(engine=self, generation=generation)
+
+    def make_generation(self, attempt: Attempt, sink: Sink) -> Generation:
+        """Return the sequence of an attempt."""
+        text = (attempt.prompt + attempt.partial).encode()
+        chain = prefix.chain(
+            attempt.cache_salt,
+            text,
+            self.parameters.block_bytes,
+            self.parameters.cache_blocks,
+        )
+        return Generation(
+            attempt=attempt,
+            sink=sink,
+            chain=chain,
+            hit_blocks=0,
+            prefill_left=-1,
+            prompt_tokens=prefix.tokens(text),
+            seed=xxh3_64_intdigest(attempt.prompt.encode()),
+            next_index=attempt.start_index,
+            block_salt=attempt.cache_salt,
+        )
+
+    def load(self) -> LoadReport:
+        """Return the engine's own load report."""
+        return LoadReport(
+            target=self.name,
+            incarnation=self.incarnation,
+            queued=len(self.waiting),
+            running=len(self.batch),
+            version=self.version,
+        )
+
+    def cancel(self, generation: Generation) -> None:
+        """Drop a sequence."""
+        if generation in self.waiting:
+            self.waiting.remove(generation)
+        if generation in self.batch:
+            self.batch.remove(generation)
+
+    def wake(self) -> None:
+        """Start stepping if there is work."""
+        if self.is_stepping or not (self.waiting or self.batch):
+            return
+        self.is_stepping = True
+        self.fill_batch()
+        plan = self.plan_prefill()
+        step_s = self.step_time_s(sum(plan))
+        self.clock.callLater(step_s, self.finish_step, plan, self.starts)
+
+    def fill_batch(self) -> None:
+        """Move waiting sequences into the batch."""
+        while self.waiting and len(self.batch) < self.parameters.max_batch:
+            generation = self.waiting.pop(0)
+            self.look_up(generation)
+            self.batch.append(generation)
+
+    def look_up(self, generation: Generation) -> None:
+        """Find a sequence's cached prefix."""
+        hits = 0
+        for block in generation.chain:
+            salt = self.cache.get(block)
+            if salt is None:
+                break
+            invariants.block_usable(salt, generation.block_salt, block)
+            self.cache.move_to_end(block)
+            hits += 1
+        # The last token is always computed, to yield the first new one.
+        cached = hits * self.parameters.block_bytes // defaults.BYTES_PER_TOKEN
+        cached = min(cached, generation.prompt_tokens - 1)
+        generation.hit_blocks = hits
+        generation.prefill_left = generation.prompt_tokens - cached
+        self.prompt_tokens += generation.prompt_tokens
+        self.computed_tokens += generation.prefill_left
+
+    def plan_prefill(self) -> list[int]:
+        """Return how many prompt tokens each sequence computes this step."""
+        budget = self.parameters.prefill_per_step
+        plan: list[int] = []
+        for generation in self.batch:
+            tokens = min(generation.prefill_left, budget)
+            plan.append(tokens)
+            budget -= tokens
+        return plan
+
+    def step_time_s(self, prefill_tokens: int) -> float:
+        """Return how long a step takes."""
+        decoding = sum(1 for item in self.batch if item.prefill_left == 0)
+        return (
+            self.parameters.step_base_s
+            + prefill_tokens * self.parameters.prefill_token_s
+            + decoding * self.parameters.decode_sequence_s
+        )
+
+    def finish_step(self, plan: list[int], starts: int) -> None:
+        """Yield the tokens of a step and begin the next."""
+        if starts != self.starts:
+            return
+        self.is_stepping = False
+        for generation, tokens in zip(list(self.batch), plan, strict=False):
+            if generation not in self.batch:
+                continue
+            self.advance(generation, tokens)
+        self.wake()
+
+    def advance(self, generation: Generation, tokens: int) -> None:
+        """Advance one sequence by one step."""
+        if generation.prefill_left > 0:
+            generation.prefill_left -= tokens
+            if generation.prefill_left > 0:
+                return
+            self.store(generation)
+        self.emit_token(generation)
+
+    def emit_token(self, generation: Generation) -> None:
+        """Yield one token, and the end after the last one."""
+        attempt = generation.attempt
+        index = generation.next_index
+        if index < attempt.max_tokens:
+            self.generated_tokens += 1
+            generation.next_index += 1
+            text = token_text(generation.seed, index)
+            data = openai_format.token_chunk(
+                attempt.path, attempt.request_id, attempt.model, text
+            )
+            generation.sink.chunk(attempt.attempt_id, index, data)
+        if generation.next_index >= attempt.max_tokens:
+            self.finish(generation)
+
+    def finish(self, generation: Generation) -> None:
+        """Yield the last chunks and end the sequence."""
+        if generation not in self.batch:
+            return
+        self.batch.remove(generation)
+        attempt = generation.attempt
+        cached = generation.hit_blocks * self.parameters.block_bytes
+        usage = Usage(
+            prompt_tokens=generation.prompt_tokens,
+            cached_tokens=min(
+                cached // defaults.BYTES_PER_TOKEN,
+                generation.prompt_tokens - 1,
+            ),
+            completion_tokens=attempt.max_tokens,
+        )
+        last = openai_format.last_chunk(
+            attempt.path, attempt.request_id, attempt.model, usage
+        )
+        sink = generation.sink
+        sink.chunk(attempt.attempt_id, generation.next_index, last)
+        sink.chunk(
+            attempt.attempt_id, generation.next_index + 1, openai_format.DONE
+        )
+        sink.ended(Ended(usage=usage, load=self.load()))
+
+    def store(self, generation: Generation) -> None:
+        """Cache the blocks of a computed prompt, evicting the oldest."""
+        stored: list[int] = []
+        removed: list[int] = []
+        for block in generation.chain:
+            if block in self.cache:
+                self.cache.move_to_end(block)
+                continue
+            self.cache[block] = generation.block_salt
+            stored.append(block)
+            if len(self.cache) > self.parameters.cache_blocks:
+                removed.append(self.cache.popitem(last=False)[0])
+        if stored or removed:
+            self.publish(tuple(stored), tuple(removed))
+
+    def publish(
+        self, stored: tuple[int, ...], removed: tuple[int, ...]
+    ) -> None:
+        """Append a cache event; some are lost."""
+        sequence = self.next_sequence
+        self.next_sequence += 1
+        if self.random.random() < self.parameters.event_loss:
+            return
+        event = CacheEvent(sequence=sequence, stored=stored, removed=removed)
+        self.events.append((self.clock.seconds(), event))
+        del self.events[: -self.parameters.events_kept]
+
+    def events_after(self, sequence: int) -> CacheEvents:
+        """Return the events from a sequence number on, as they lag."""
+        visible_s = self.clock.seconds() - self.parameters.event_lag_s
+        return CacheEvents(
+            incarnation=self.incarnation,
+            events=tuple(
+                event
+                for time_s, event in self.events
+                if event.sequence >= sequence and time_s <= visible_s
+            ),
+        )
+
+    def cache_list(self) -> CacheList:
+        """Return all cached blocks."""
+        return CacheList(
+            incarnation=self.incarnation,
+            next_sequence=self.next_sequence,
+            blocks=tuple(self.cache),
+        )
+
+    def crash(self, down_s: float = 0.0) -> None:
+        """Lose everything; come back empty as a new incarnation."""
+        lost = self.waiting + self.batch
+        self.restart_empty()
+        self.is_down = down_s > 0.0
+        failure = may_have_run(Reason.TARGET_LOST, messages.TARGET_LOST)
+        for generation in lost:
+            generation.sink.ended(Ended(failure=failure))
+        if self.is_down:
+            self.clock.callLater(down_s, self.come_up)
+
+    def restart_empty(self) -> None:
+        """Drop all state of this incarnation."""
+        self.starts += 1
+        self.waiting, self.batch, self.events = [], [], []
+        self.cache.clear()
+        self.next_sequence = 0
+        self.is_stepping = False
+
+    def come_up(self) -> None:
+        """Serve again."""
+        self.is_down = False
+
+    def order_version(self, version: str, fencing: int) -> bool:
+        """Load other weights; whether the order was taken.
+
+        An engine that checks fencing refuses a number below the largest one
+        it has seen.
+        """
+        if self.is_down:
+            return False
+        if self.parameters.checks_fencing and fencing < self.fencing:
+            return False
+        self.fencing = max(fencing, self.fencing)
+        if version == self.version:
+            return True
+        self.crash()
+        self.loading = True
+        finish = partial(self.finish_load, version, self.starts)
+        self.clock.callLater(self.parameters.load_time_s, finish)
+        return True
+
+    def finish_load(self, version: str, starts: int) -> None:
+        """Serve the weights that were loaded."""
+        if starts == self.starts:
+            self.version = version
+            self.loading = False
+
+
+def token_text(seed: int, index: int) -> str:
+    """Return the token at an index of the answer to a prompt."""
+    value = xxh3_64_intdigest(index.to_bytes(4, "little"), seed=seed)
+    return f"{value & 0xFFFFFF:x}"[-3:].rjust(3, "0") + " "
+
+
+def expected_answer(prompt: str, max_tokens: int) -> str:
+    """Return the whole answer to a prompt, to check what a caller got."""
+    seed = xxh3_64_intdigest(prompt.encode())
+    return "".join(token_text(seed, index) for index in range(max_tokens))
--- /dev/null
+++ b/sequoiawind/exchange.py
@@ -0,0 +1,387 @@
+"""One request of one caller, through as many attempts as it takes.
+
+An exchange walks the targets in placement order, passes the chunks of the
+answer on in order, resumes or continues a broken answer, and ends exactly
+once: with the whole answer, or with a failure whose verdict covers all its
+attempts.
+"""
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+import attrs
+
+from sequoiawind import defaults, invariants, messages, openai_format, retries
+from sequoiawind.chunk_order import ChunkOrder
+from sequoiawind.members import Members
+from sequoiawind.placement import Candidate
+from sequoiawind.ports import Call, Clock, TargetPort, Timer
+from sequoiawind.retries import RetryBudgets
+from sequoiawind.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
+from sequoiawind.wire import Attempt, Ended, LoadReport
+
+# Failures of the connection between router and agent, after which the agent
+# may still hold the answer.
+RESUMABLE = frozenset(
+    {Reason.CONNECTION_LOST, Reason.CHUNK_MISSING, Reason.CHUNK_TIMEOUT}
+)
+# Failures that speak against the target itself.
+TARGET_FAULTS = frozenset(
+    {
+        Reason.CONNECT_FAILED,
+        Reason.CONNECTION_LOST,
+        Reason.START_TIMEOUT,
+        Reason.CHUNK_TIMEOUT,
+        Reason.TARGET_ERROR,
+        Reason.TARGET_LOST,
+    }
+)
+
+
+class CallerSink(Protocol):
+    """The caller's side of an exchange."""
+
+    def chunk(self, data: bytes) -> None:
+        """The next chunk of the answer."""
+
+    def ended(self, ended: Ended) -> None:
+        """The answer is whole, or has failed; called once."""
+
+
+@attrs.define(kw_only=True)
+class Surroundings:
+    """What the exchanges of one router share."""
+
+    clock: Clock
+    random: random.Random
+    port: TargetPort
+    members: Members
+    budgets: RetryBudgets
+    # Called with the reason of each retry, for metrics.
+    on_retry: Callable[[Reason], None] = attrs.field(
+        default=lambda reason: None
+    )
+
+
+@attrs.define(kw_only=True)
+class AttemptSink:
+    """Receives one attempt of an exchange."""
+
+    exchange: "Exchange"
+    attempt: Attempt
+    candidate: Candidate
+    call: Call | None = None
+    timer: Timer | None = None
+    has_started: bool = False
+    # Whether anything has arrived since the timer was set.
+    is_heard: bool = False
+    is_over: bool = False
+
+    def started(self, load: LoadReport) -> None:
+        """The agent has admitted the attempt."""
+        if self.is_over:
+            return
+        self.has_started = True
+        self.exchange.around.members.report(
+            load, self.exchange.around.clock.seconds()
+        )
+        self.watch(self.exchange.chunk_timeout_s, Reason.CHUNK_TIMEOUT)
+
+    def chunk(self, attempt_id: str, index: int, data: bytes) -> None:
+        """Take a chunk, unless it belongs to another attempt."""
+        own_id = self.attempt.resume_of or self.attempt.attempt_id
+        if self.is_over or attempt_id != own_id:
+            self.exchange.foreign_chunks += 1
+            return
+        self.is_heard = True
+        self.exchange.take_chunk(index, data)
+
+    def ended(self, ended: Ended) -> None:
+        """Note the end of the attempt."""
+        if self.is_over:
+            return
+        self.close()
+        if ended.load is not None:
+            now_s = self.exchange.around.clock.seconds()
+            self.exchange.around.members.report(ended.load, now_s)
+        self.exchange.attempt_ended(self, ended)
+
+    def watch(self, timeout_s: float, reason: Reason) -> None:
+        """End the attempt if nothing more is heard in time."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = self.exchange.around.clock.callLater(
+            timeout_s, self.timed_out, reason
+        )
+
+    def timed_out(self, reason: Reason) -> None:
+        """End an attempt that was silent for too long."""
+        if self.is_over:
+            return
+        if self.is_heard:
+            self.is_heard = False
+            self.watch(self.exchange.chunk_timeout_s, reason)
+            return
+        text = messages.START_TIMEOUT
+        if reason is Reason.CHUNK_TIMEOUT:
+            text = messages.CHUNK_TIMEOUT
+        elif self.call is not None:
+            self.call.cancel()
+        self.ended(Ended(failure=may_have_run(reason, text)))
+
+    def close(self) -> None:
+        """Take nothing more from this attempt."""
+        self.is_over = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.exchange.around.members.of(self.candidate.name).open_attempts -= 1
+
+
+@attrs.define(kw_only=True)
+class Exchange:
+    """A request on its way."""
+
+    around: Surroundings
+    caller: CallerSink
+    # What every attempt has in common.
+    template: Attempt
+    is_idempotent: bool
+    # Targets to try, in order.
+    candidates: list[Candidate]
+    # Longest wait once no target takes the request at once, in seconds.
+    queue_wait_s: float = defaults.MAX_QUEUE_WAIT_S
+    # Wait accepted at a target that should hold the prefix, in seconds.
+    home_wait_s: float = defaults.BASE_WAIT_S
+    holders: int = 1
+    start_timeout_s: float = defaults.START_TIMEOUT_S
+    chunk_timeout_s: float = defaults.CHUNK_TIMEOUT_S
+    order: ChunkOrder = attrs.field(factory=ChunkOrder)
+    # Places in `candidates` still to be tried without queueing.
+    position: int = 0
+    attempts: int = 0
+    retried: int = 0
+    # The targets tried, in order.
+    path: list[str] = attrs.field(factory=list)
+    # Whether some attempt may have run.
+    is_tainted: bool = False
+    foreign_chunks: int = 0
+    # Waits that refusing targets reported, by place in `candidates`.
+    refused_waits_s: dict[int, float] = attrs.field(factory=dict)
+    has_queued: bool = False
+    resumed_at: int = -1
+    current: AttemptSink | None = None
+    deadline: Timer | None = None
+    deadline_at_s: float = 0.0
+    is_finished: bool = False
+
+    def start(self) -> None:
+        """Make the first attempt."""
+        clock = self.around.clock
+        self.deadline_at_s = clock.seconds() + self.template.deadline_s
+        self.deadline = clock.callLater(
+            self.template.deadline_s, self.deadline_passed
+        )
+        self.order.request_id = self.template.request_id
+        self.around.budgets.earn(self.template.account)
+        self.next_target(None)
+
+    def next_target(self, failure: Failure | None) -> None:
+        """Try the next target, or give up."""
+        if self.is_finished:
+            return
+        if self.attempts >= defaults.MAX_ATTEMPTS:
+            self.give_up(failure)
+        elif self.position < len(self.candidates):
+            place = self.position
+            self.position += 1
+            wait_s = defaults.BASE_WAIT_S
+            if place < self.holders:
+                wait_s = self.home_wait_s
+            self.open(self.candidates[place], wait_s)
+        elif self.refused_waits_s and not self.has_queued:
+            self.has_queued = True
+            place = min(
+                self.refused_waits_s, key=self.refused_waits_s.__getitem__
+            )
+            self.open(self.candidates[place], self.queue_wait_s)
+        else:
+            self.give_up(failure)
+
+    def open(self, candidate: Candidate, max_wait_s: float) -> None:
+        """Open an attempt at a target."""
+        order = self.order
+        left_s = self.deadline_at_s - self.around.clock.seconds()
+        attempt = attrs.evolve(
+            self.template,
+            attempt_id=self.new_id(),
+            target=candidate.name,
+            max_wait_s=min(max_wait_s, left_s),
+            deadline_s=left_s,
+            start_index=order.expected,
+            partial=openai_format.joined_text(self.template.path, order.passed),
+        )
+        order.forget_early()
+        self.send(candidate, attempt)
+
+    def send(self, candidate: Candidate, attempt: Attempt) -> None:
+        """Send an attempt to a target's agent."""
+        if not self.is_idempotent and not attempt.resume_of:
+            invariants.not_repeated(
+                1 + int(self.is_tainted), self.template.request_id
+            )
+        self.attempts += 1
+        self.path.append(candidate.name)
+        sink = AttemptSink(exchange=self, attempt=attempt, candidate=candidate)
+        self.current = sink
+        self.around.members.of(candidate.name).open_attempts += 1
+        sink.watch(self.start_timeout_s, Reason.START_TIMEOUT)
+        sink.call = self.around.port.open(candidate.address, attempt, sink)
+
+    def new_id(self) -> str:
+        """Return a new attempt id."""
+        return f"{self.around.random.getrandbits(64):016x}"
+
+    def take_chunk(self, index: int, data: bytes) -> None:
+        """Pass on the chunks that are next in order."""
+        if self.is_finished:
+            return
+        for ready in self.order.take(index, data):
+            self.caller.chunk(ready)
+
+    def attempt_ended(self, sink: AttemptSink, ended: Ended) -> None:
+        """Decide what follows an attempt."""
+        if self.is_finished:
+            return
+        name = sink.candidate.name
+        if ended.failure is None and self.is_answered(ended):
+            self.around.members.succeeded(name)
+            self.finish(ended)
+            return
+        failure = ended.failure or may_have_run(
+            Reason.CHUNK_MISSING, messages.CHUNK_MISSING
+        )
+        self.note_failure(sink, failure, ended.load)
+        if self.can_resume(sink, failure):
+            self.resume(sink)
+        elif not retries.may_retry(failure, self.is_idempotent):
+            self.give_up(failure)
+        else:
+            self.retry(sink, failure)
+
+    def is_answered(self, ended: Ended) -> bool:
+        """Whether the whole answer has arrived."""
+        return ended.reply is not None or self.order.is_whole
+
+    def note_failure(
+        self, sink: AttemptSink, failure: Failure, load: LoadReport | None
+    ) -> None:
+        """Keep what a failure says of the request and of the target."""
+        now_s = self.around.clock.seconds()
+        if failure.verdict is not Verdict.NOT_RUN:
+            self.is_tainted = True
+        if failure.reason in TARGET_FAULTS:
+            self.around.members.failed(sink.candidate.name, now_s)
+        if failure.reason in retries.SPILL_REASONS:
+            place = self.candidates.index(sink.candidate)
+            if failure.reason is Reason.QUEUE_TOO_LONG:
+                self.refused_waits_s[place] = failure.retry_after_s or 0.0
+
+    def can_resume(self, sink: AttemptSink, failure: Failure) -> bool:
+        """Whether the agent may still deliver the rest of the answer."""
+        if not sink.has_started or failure.reason not in RESUMABLE:
+            return False
+        if sink.attempt.method:
+            return False
+        # One resume without progress shows that the next is futile.
+        return self.order.expected > self.resumed_at
+
+    def resume(self, sink: AttemptSink) -> None:
+        """Ask the same agent for the rest of the answer."""
+        self.resumed_at = self.order.expected
+        self.around.on_retry(Reason.CONNECTION_LOST)
+        attempt = attrs.evolve(
+            sink.attempt,
+            resume_of=sink.attempt.resume_of or sink.attempt.attempt_id,
+            attempt_id=self.new_id(),
+            start_index=self.order.expected,
+        )
+        self.order.forget_early()
+        self.send(sink.candidate, attempt)
+
+    def retry(self, sink: AttemptSink, failure: Failure) -> None:
+        """Go on at the next target, within the budgets."""
+        self.around.on_retry(failure.reason)
+        if failure.reason in retries.SPILL_REASONS:
+            self.next_target(failure)
+            return
+        if not self.around.budgets.spend(self.template.account):
+            self.give_up(attrs.evolve(failure, reason=Reason.RETRY_BUDGET))
+            return
+        self.retried += 1
+        if self.position >= len(self.candidates):
+            # A failure, unlike a refusal, may not come again.
+            self.position = 0
+        pause_s = retries.backoff_s(self.retried, self.around.random)
+        self.around.clock.callLater(pause_s, partial(self.next_target, failure))
+
+    def give_up(self, failure: Failure | None) -> None:
+        """End with a failure whose verdict covers all attempts."""
+        last = failure or not_run(Reason.NO_TARGET, messages.NO_TARGET)
+        verdict = last.verdict
+        if self.is_tainted:
+            verdict = Verdict.MAY_HAVE_RUN
+        waits_s = [*self.refused_waits_s.values(), last.retry_after_s or 0.0]
+        retry_after_s = max(defaults.MIN_RETRY_AFTER_S, min(waits_s))
+        self.finish(
+            Ended(
+                failure=attrs.evolve(
+                    last,
+                    verdict=verdict,
+                    retry_after_s=min(
+                        retry_after_s, defaults.MAX_RETRY_AFTER_S
+                    ),
+                )
+            )
+        )
+
+    def deadline_passed(self) -> None:
+        """End a request that took too long."""
+        if self.is_finished:
+            return
+        was_open = self.current is not None and not self.current.is_over
+        verdict = may_have_run if was_open else not_run
+        self.cancel_current()
+        self.give_up(verdict(Reason.DEADLINE, messages.DEADLINE))
+
+    def cancel(self) -> None:
+        """End a request whose caller has gone."""
+        if self.is_finished:
+            return
+        self.cancel_current()
+        self.finish(
+            Ended(failure=may_have_run(Reason.CANCELLED, messages.CANCELLED))
+        )
+
+    def cancel_current(self) -> None:
+        """Cancel the attempt under way."""
+        sink = self.current
+        if sink is None or sink.is_over:
+            return
+        sink.close()
+        if sink.call is not None:
+            sink.call.cancel()
+
+    def finish(self, ended: Ended) -> None:
+        """End the exchange."""
+        self.is_finished = True
+        if self.deadline is not None and self.deadline.active():
+            self.deadline.cancel()
+        self.caller.ended(ended)
--- /dev/null
+++ b/sequoiawind/limits.py
@@ -0,0 +1,148 @@
+"""Request rate and concurrency limits by client account.
+
+Each router admits its share of an account's limit.  Shares follow demand:
+routers tell each other the demand they see, and a router's share is its part
+of the sum.  With ``n`` routers the sum of the shares is at most 1 while all
+hear each other; after a change of demand the excess lasts until the next
+exchange, so an account can exceed its rate by at most the limit times the
+share that moved, for one exchange period.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+from sequoiawind import defaults, messages
+from sequoiawind.state import Account
+from sequoiawind.verdict import Failure, Reason, not_run
+
+
+@attrs.define(kw_only=True)
+class Usage:
+    """What one account uses at one router."""
+
+    # Requests that may start now.
+    tokens: float
+    # When `tokens` was last brought up to date, in seconds.
+    updated_s: float
+    open_requests: int = 0
+    # Requests seen since the last exchange, admitted or not.
+    seen: int = 0
+    # Requests a second, averaged over exchanges.
+    demand: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class PeerDemand:
+    """The demand last heard from another router."""
+
+    heard_s: float
+    demand: Mapping[str, float]
+
+
+@attrs.define(kw_only=True)
+class AccountLimits:
+    """Enforces the limits of all accounts at one router."""
+
+    period_s: float = defaults.LIMIT_SHARE_PERIOD_S
+    usage: dict[str, Usage] = attrs.field(factory=dict)
+    peers: dict[str, PeerDemand] = attrs.field(factory=dict)
+    # Routers in the settings, this one included.
+    routers: int = 1
+
+    def admit(self, account: Account, now_s: float) -> Failure | None:
+        """Admit a request, or return why it is refused.
+
+        An admitted request must be ended with `release`.
+        """
+        usage = self.refill(account, now_s)
+        usage.seen += 1
+        share = self.share(account.name, now_s)
+        if usage.open_requests >= max(1.0, account.concurrency * share):
+            return not_run(
+                Reason.CONCURRENCY_LIMIT,
+                messages.CONCURRENCY_LIMIT,
+                defaults.MIN_RETRY_AFTER_S,
+            )
+        if usage.tokens < 1.0:
+            rate = max(account.rate_per_s * share, 1e-3)
+            wait_s = (1.0 - usage.tokens) / rate
+            return not_run(
+                Reason.RATE_LIMIT,
+                messages.RATE_LIMIT,
+                min(
+                    max(wait_s, defaults.MIN_RETRY_AFTER_S),
+                    defaults.MAX_RETRY_AFTER_S,
+                ),
+            )
+        usage.tokens -= 1.0
+        usage.open_requests += 1
+        return None
+
+    def release(self, account: str) -> None:
+        """End a request that was admitted."""
+        usage = self.usage.get(account)
+        if usage is not None and usage.open_requests > 0:
+            usage.open_requests -= 1
+
+    def refill(self, account: Account, now_s: float) -> Usage:
+        """Return an account's usage with the tokens due by now."""
+        usage = self.usage.get(account.name)
+        rate = account.rate_per_s * self.share(account.name, now_s)
+        burst = max(1.0, rate)
+        if usage is None:
+            usage = Usage(tokens=burst, updated_s=now_s)
+            self.usage[account.name] = usage
+        elapsed_s = max(0.0, now_s - usage.updated_s)
+        usage.tokens = min(burst, usage.tokens + elapsed_s * rate)
+        usage.updated_s = now_s
+        return usage
+
+    def share(self, account: str, now_s: float) -> float:
+        """Return the part of an account's limit that this router gives.
+
+        A router that has heard nobody lately takes an equal part, so that a
+        partition or a herd of restarts cannot multiply the limit.
+        """
+        heard = self.heard_demand(account, now_s)
+        usage = self.usage.get(account)
+        mine = usage.demand if usage else 0.0
+        equal = 1.0 / max(1, self.routers)
+        if heard is None:
+            return equal
+        total = mine + heard
+        if total <= 0.0:
+            return equal
+        # A floor lets a router without demand yet admit its first requests.
+        floor = equal * 0.1
+        return floor + (1.0 - floor * self.routers) * mine / total
+
+    def heard_demand(self, account: str, now_s: float) -> float | None:
+        """Return the demand of the other routers; None if one is silent."""
+        if len(self.peers) < self.routers - 1:
+            return None
+        total = 0.0
+        for peer in self.peers.values():
+            if now_s - peer.heard_s > 5 * self.period_s:
+                return None
+            total += peer.demand.get(account, 0.0)
+        return total
+
+    def exchange(self) -> dict[str, float]:
+        """End a period and return the demand by account to tell peers."""
+        told: dict[str, float] = {}
+        for name, usage in list(self.usage.items()):
+            rate = usage.seen / self.period_s
+            usage.demand += 0.5 * (rate - usage.demand)
+            usage.seen = 0
+            if usage.demand > 0.01:
+                told[name] = round(usage.demand, 2)
+            elif usage.open_requests == 0:
+                del self.usage[name]
+        return told
+
+    def hear(
+        self, router: str, demand: Mapping[str, float], now_s: float
+    ) -> None:
+        """Take in what another router told."""
+        self.peers[router] = PeerDemand(heard_s=now_s, demand=demand)
--- /dev/null
+++ b/sequoiawind/log_model.py
@@ -0,0 +1,145 @@
+"""A model of the platform's append-only log: the stand-in for tests.
+
+Streams with offsets, limited retention, a cap on appends a second, outages,
+slowness, and answers lost after the write took effect.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import TypeVar
+
+import attrs
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from sequoiawind import defaults
+from sequoiawind.ports import Clock, LogPage, LogRecord
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
+
+T = TypeVar("T")
+
+
+@attrs.define(kw_only=True)
+class LogStream:
+    """The records of one stream that are still kept."""
+
+    first: int = 0
+    records: list[LogRecord] = attrs.field(factory=list)
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+
+@attrs.define(kw_only=True)
+class LogModel:
+    """The log; faults are switched by its attributes."""
+
+    clock: Clock
+    random: random.Random
+    retention_s: float = defaults.LOG_RETENTION_S
+    appends_per_s: float = 300.0
+    # Time added to a record's stamp, as the epoch.
+    epoch_s: float = 0.0
+    is_down: bool = False
+    # Delay of every answer, in seconds.
+    latency_s: float = 0.002
+    # Share of appends whose answer is lost after they took effect.
+    lost_answers: float = 0.0
+    streams: dict[str, LogStream] = attrs.field(factory=dict)
+    appends: int = 0
+    reads: int = 0
+    tokens: float = 300.0
+    tokens_at_s: float = 0.0
+
+    def append(
+        self, stream: str, records: Sequence[str]
+    ) -> Deferred[Result[int, Failure]]:
+        """Append records, as far as the log is up and under its cap."""
+        return self.later(partial(self.append_now, stream, list(records)))
+
+    def read(
+        self, stream: str, start: int, limit: int
+    ) -> Deferred[Result[LogPage, Failure]]:
+        """Read records from an offset on."""
+        return self.later(partial(self.read_now, stream, start, limit))
+
+    def later(
+        self, action: Callable[[], Result[T, Failure]]
+    ) -> Deferred[Result[T, Failure]]:
+        """Do something after the log's latency."""
+        done: Deferred[Result[T, Failure]] = Deferred()
+
+        def act() -> None:
+            if not done.called:
+                done.callback(action())
+
+        self.clock.callLater(self.latency_s, act)
+        return done
+
+    def append_now(
+        self, stream: str, records: list[str]
+    ) -> Result[int, Failure]:
+        """Append at once."""
+        if self.is_down:
+            return Error(may_have_run(Reason.LOG_UNAVAILABLE, "outage"))
+        if not self.take_token():
+            return Error(not_run(Reason.LOG_UNAVAILABLE, "throttled", 1.0))
+        kept = self.stream(stream)
+        offset = kept.end
+        time_s = self.epoch_s + self.clock.seconds()
+        for position, data in enumerate(records):
+            kept.records.append(
+                LogRecord(offset=offset + position, time_s=time_s, data=data)
+            )
+        self.appends += 1
+        if self.random.random() < self.lost_answers:
+            return Error(may_have_run(Reason.LOG_UNAVAILABLE, "answer lost"))
+        return Ok(offset)
+
+    def take_token(self) -> bool:
+        """Whether the cap allows one more append."""
+        now_s = self.clock.seconds()
+        gained = (now_s - self.tokens_at_s) * self.appends_per_s
+        self.tokens = min(self.appends_per_s, self.tokens + gained)
+        self.tokens_at_s = now_s
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def read_now(
+        self, stream: str, start: int, limit: int
+    ) -> Result[LogPage, Failure]:
+        """Read at once."""
+        if self.is_down:
+            return Error(not_run(Reason.LOG_UNAVAILABLE, "outage"))
+        self.reads += 1
+        kept = self.stream(stream)
+        self.expire(kept)
+        position = max(0, start - kept.first)
+        return Ok(
+            LogPage(
+                records=kept.records[position : position + limit],
+                first=kept.first,
+                end=kept.end,
+            )
+        )
+
+    def stream(self, name: str) -> LogStream:
+        """Return a stream, made on first use."""
+        return self.streams.setdefault(name, LogStream())
+
+    def expire(self, kept: LogStream) -> None:
+        """Drop the records older than the retention."""
+        oldest_s = self.epoch_s + self.clock.seconds() - self.retention_s
+        count = 0
+        while count < len(kept.records) and (
+            kept.records[count].time_s < oldest_s
+        ):
+            count += 1
+        if count:
+            del kept.records[:count]
+            kept.first += count
--- /dev/null
+++ b/sequoiawind/openai_format.py
@@ -0,0 +1,187 @@
+"""The OpenAI wire format for completions: chunks, whole answers, errors.
+
+Source: the public OpenAI API reference, "Chat Completions" and
+"Completions".  Routers assemble whole answers and shape errors; the engine
+stand-in makes chunks.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, Final
+
+import msgspec
+
+from sequoiawind.verdict import Failure
+from sequoiawind.wire import Usage
+
+CHAT_PATH: Final = "/v1/chat/completions"
+TEXT_PATH: Final = "/v1/completions"
+MODELS_PATH: Final = "/v1/models"
+DONE: Final = b"[DONE]"
+# The time in answers is that of the format's first version, so that answers
+# of one request are equal wherever they are computed.
+CREATED: Final = 0
+
+Json = dict[str, Any]
+
+encode = msgspec.json.encode
+decode = msgspec.json.decode
+
+
+def prompt_of(path: str, body: Mapping[str, Any]) -> str | None:
+    """Return the prompt text of a request; None if it has none."""
+    if path == TEXT_PATH:
+        prompt = body.get("prompt")
+        return prompt if isinstance(prompt, str) else None
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return None
+    parts: list[str] = []
+    for message in messages:
+        if not isinstance(message, dict):
+            return None
+        content = message.get("content")
+        if not isinstance(content, str):
+            return None
+        parts.append(f"<{message.get('role', 'user')}>{content}")
+    return "".join(parts)
+
+
+def token_chunk(path: str, request_id: str, model: str, text: str) -> bytes:
+    """Return the chunk that carries one token."""
+    return encode(chunk(path, request_id, model, text, None))
+
+
+def last_chunk(path: str, request_id: str, model: str, usage: Usage) -> bytes:
+    """Return the chunk that ends an answer and carries its usage."""
+    body = chunk(path, request_id, model, "", "stop")
+    body["usage"] = usage_json(usage)
+    return encode(body)
+
+
+def chunk(
+    path: str, request_id: str, model: str, text: str, finish: str | None
+) -> Json:
+    """Return a chunk of a streamed answer."""
+    choice: Json = {"index": 0, "finish_reason": finish}
+    if path == CHAT_PATH:
+        choice["delta"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": f"cmpl-{request_id}",
+        "object": object_name(path, is_chunk=True),
+        "created": CREATED,
+        "model": model,
+        "choices": [choice],
+    }
+
+
+def object_name(path: str, is_chunk: bool) -> str:
+    """Return the `object` field of an answer or chunk."""
+    if path == TEXT_PATH:
+        return "text_completion"
+    return "chat.completion.chunk" if is_chunk else "chat.completion"
+
+
+def text_of(path: str, data: bytes) -> str:
+    """Return the text that a chunk carries."""
+    if data == DONE:
+        return ""
+    choice = decode(data)["choices"][0]
+    if path == CHAT_PATH:
+        text = choice["delta"].get("content") or ""
+    else:
+        text = choice.get("text") or ""
+    return str(text)
+
+
+def joined_text(path: str, chunks: Sequence[bytes]) -> str:
+    """Return the text of consecutive chunks."""
+    return "".join(text_of(path, data) for data in chunks)
+
+
+def whole_answer(path: str, chunks: Sequence[bytes]) -> bytes:
+    """Assemble the chunks of an answer into one JSON body."""
+    bodies = [data for data in chunks if data != DONE]
+    last = decode(bodies[-1])
+    text = joined_text(path, bodies)
+    choice: Json = {"index": 0, "finish_reason": "stop", "logprobs": None}
+    if path == CHAT_PATH:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return encode(
+        {
+            "id": last["id"],
+            "object": object_name(path, is_chunk=False),
+            "created": CREATED,
+            "model": last["model"],
+            "choices": [choice],
+            "usage": last.get("usage") or usage_json(Usage()),
+        }
+    )
+
+
+def usage_of(data: bytes) -> Usage | None:
+    """Return the usage in a chunk; None if it carries none."""
+    if b'"usage"' not in data:
+        return None
+    body = decode(data).get("usage")
+    if not body:
+        return None
+    details = body.get("prompt_tokens_details") or {}
+    return Usage(
+        prompt_tokens=int(body.get("prompt_tokens", 0)),
+        cached_tokens=int(details.get("cached_tokens", 0)),
+        completion_tokens=int(body.get("completion_tokens", 0)),
+    )
+
+
+def usage_json(usage: Usage) -> Json:
+    """Return the usage block of an answer."""
+    return {
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+    }
+
+
+def error_body(failure: Failure) -> bytes:
+    """Return the error body that the stock client understands."""
+    return encode(
+        {
+            "error": {
+                "message": failure.detail or failure.reason.value,
+                "type": error_type(failure.http_status),
+                "param": None,
+                "code": failure.reason.value,
+                "verdict": failure.verdict.value,
+            }
+        }
+    )
+
+
+def error_type(status: int) -> str:
+    """Return the error class of an HTTP status."""
+    if status == 401:
+        return "authentication_error"
+    if status == 429:
+        return "rate_limit_error"
+    if status < 500:
+        return "invalid_request_error"
+    return "server_error"
+
+
+def models_body(models: Sequence[str]) -> bytes:
+    """Return the answer to a request for the list of models."""
+    data = [
+        {
+            "id": model,
+            "object": "model",
+            "created": CREATED,
+            "owned_by": "sequoiawind",
+        }
+        for model in models
+    ]
+    return encode({"object": "list", "data": data})
--- /dev/null
+++ b/sequoiawind/plain_model.py
@@ -0,0 +1,93 @@
+"""A model of a plain service: the stand-in that counts its executions.
+
+It serves bookings and registrations, which take effect once per call, and
+status reads.  It does nothing against repeats, so that a repeat shows.
+"""
+
+from collections import Counter
+from functools import partial
+
+import attrs
+
+from sequoiawind import messages, openai_format
+from sequoiawind.engine_model import NoCall
+from sequoiawind.ports import Call, Clock, Sink
+from sequoiawind.verdict import Reason, may_have_run, not_run
+from sequoiawind.wire import Attempt, Ended, LoadReport, Reply
+
+
+@attrs.define(kw_only=True)
+class PlainModel:
+    """A plain service; implements the target side of `TargetPort`."""
+
+    name: str
+    clock: Clock
+    work_time_s: float = 0.02
+    starts: int = 0
+    is_down: bool = False
+    # Executions by account and idempotency key, and by request id.
+    by_key: Counter[str] = attrs.field(factory=Counter)
+    by_request: Counter[str] = attrs.field(factory=Counter)
+    open_sinks: list[Sink] = attrs.field(factory=list)
+
+    def open(self, address: str, attempt: Attempt, sink: Sink) -> Call:
+        """Take a call, and execute it after a while."""
+        if self.is_down:
+            down = not_run(Reason.CONNECT_FAILED, messages.CONNECT_FAILED)
+            sink.ended(Ended(failure=down))
+            return NoCall()
+        self.open_sinks.append(sink)
+        sink.started(LoadReport(target=self.name))
+        self.clock.callLater(
+            self.work_time_s / 2,
+            partial(self.execute, self.starts, attempt, sink),
+        )
+        return NoCall()
+
+    def execute(self, starts: int, attempt: Attempt, sink: Sink) -> None:
+        """Do the work; the answer follows a little later."""
+        if starts != self.starts:
+            return
+        self.by_request[attempt.request_id] += 1
+        if attempt.idempotency_key:
+            key = f"{attempt.account}/{attempt.idempotency_key}"
+            self.by_key[key] += 1
+        self.clock.callLater(
+            self.work_time_s / 2,
+            partial(self.answer, self.starts, attempt, sink),
+        )
+
+    def answer(self, starts: int, attempt: Attempt, sink: Sink) -> None:
+        """Answer a call."""
+        if starts != self.starts:
+            return
+        self.open_sinks.remove(sink)
+        sink.ended(Ended(reply=self.reply(attempt)))
+
+    def reply(self, attempt: Attempt) -> Reply:
+        """Return the reply to an executed call."""
+        body = {
+            "request": attempt.request_id,
+            "path": attempt.path,
+            "served_by": self.name,
+        }
+        return Reply(
+            status=200,
+            content_type="application/json",
+            body=openai_format.encode(body).decode(),
+        )
+
+    def crash(self, down_s: float = 0.0) -> None:
+        """Break all calls; what was executed stays executed."""
+        self.starts += 1
+        self.is_down = down_s > 0.0
+        lost, self.open_sinks = self.open_sinks, []
+        for sink in lost:
+            failure = may_have_run(Reason.TARGET_LOST, messages.TARGET_LOST)
+            sink.ended(Ended(failure=failure))
+        if self.is_down:
+            self.clock.callLater(down_s, self.come_up)
+
+    def come_up(self) -> None:
+        """Serve again."""
+        self.is_down = False
--- /dev/null
+++ b/sequoiawind/retries.py
@@ -0,0 +1,77 @@
+"""Retries: which are allowed, how many, and after what pause.
+
+A failure that is not proved ``NOT_RUN`` is retried only if the kind is
+idempotent.  Budgets by account and by target keep retries from multiplying
+an overload: each first attempt earns a fraction of a retry.
+"""
+
+import random
+from typing import Final
+
+import attrs
+
+from sequoiawind import defaults
+from sequoiawind.verdict import Failure, Reason, Verdict
+
+# Refusals after which the next target may well accept; they cost the target
+# almost nothing and are bounded by the walk, so they need no budget.
+SPILL_REASONS: Final = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.QUEUE_TOO_LONG,
+        Reason.DRAINING,
+        Reason.SHUTTING_DOWN,
+        Reason.WRONG_WEIGHTS,
+    }
+)
+
+
+@attrs.define(kw_only=True)
+class Budget:
+    """Retries available to one account or target."""
+
+    available: float = defaults.RETRY_RESERVE
+
+
+@attrs.define(kw_only=True)
+class RetryBudgets:
+    """Budgets by name; accounts and targets share the name space."""
+
+    ratio: float = defaults.RETRY_RATIO
+    reserve: float = defaults.RETRY_RESERVE
+    budgets: dict[str, Budget] = attrs.field(factory=dict)
+
+    def earn(self, *names: str) -> None:
+        """Count a first attempt."""
+        for name in names:
+            budget = self.budgets.setdefault(name, Budget())
+            budget.available = min(self.reserve, budget.available + self.ratio)
+
+    def spend(self, *names: str) -> bool:
+        """Take one retry from each budget, or none if one is empty."""
+        budgets = [self.budgets.setdefault(name, Budget()) for name in names]
+        if any(budget.available < 1.0 for budget in budgets):
+            return False
+        for budget in budgets:
+            budget.available -= 1.0
+        return True
+
+
+def may_retry(failure: Failure, is_idempotent: bool) -> bool:
+    """Whether a failure's request may be sent again."""
+    if failure.reason is Reason.CANCELLED:
+        return False
+    if failure.verdict is Verdict.NOT_RUN:
+        return True
+    return is_idempotent
+
+
+def backoff_s(attempt: int, source: random.Random) -> float:
+    """Return the pause before a retry, in seconds, with full jitter.
+
+    Args:
+      attempt: 1 for the first retry.
+      source: Random numbers.
+    """
+    ceiling_s = defaults.BACKOFF_BASE_S * 2 ** min(attempt - 1, 16)
+    return source.uniform(0.0, min(ceiling_s, defaults.BACKOFF_CAP_S))
--- /dev/null
+++ b/sequoiawind/router.py
@@ -0,0 +1,390 @@
+"""The router: one caller's request from arrival to its answer.
+
+It authenticates, matches a route, enforces limits, claims keys of requests
+that must not repeat, chooses the targets and starts an exchange.  It knows
+no transport; ``router_http`` gives it requests and takes its chunks.
+"""
+
+import hashlib
+import hmac
+import random
+from collections.abc import Callable
+
+import attrs
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+from xxhash import xxh3_64_intdigest
+
+from sequoiawind import (
+    claims,
+    defaults,
+    keys,
+    messages,
+    openai_format,
+    placement,
+    prefix,
+)
+from sequoiawind.blackboard import Blackboard, RequestNote
+from sequoiawind.claimant import Claimant
+from sequoiawind.claims import Claim
+from sequoiawind.exchange import CallerSink, Exchange, Surroundings
+from sequoiawind.state import Account, Kind, Operator, Policy, Pool, Route
+from sequoiawind.verdict import Failure, Reason, Verdict, not_run
+from sequoiawind.wire import Attempt, Ended, Usage
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """A caller's request, freed of its transport."""
+
+    request_id: str
+    token: str
+    path: str
+    method: str = "POST"
+    content_type: str = "application/json"
+    # Model engines: what the body asks for.
+    model: str = ""
+    prompt: str = ""
+    max_tokens: int = defaults.DEFAULT_MAX_TOKENS
+    # Plain services: the body as sent.
+    body: str = ""
+    idempotency_key: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """A request with what the configuration says about it."""
+
+    request: CallerRequest
+    account: Account
+    route: Route
+    kind: Kind
+    pool: Pool
+    policy: Policy
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the request may be repeated."""
+        return self.kind.repeat == "idempotent"
+
+
+@attrs.define(kw_only=True)
+class Handling:
+    """A request that the router is working on; a sink of its exchange."""
+
+    router: "Router"
+    plan: Plan
+    caller: CallerSink
+    note: RequestNote
+    claim: Claim | None = None
+    exchange: Exchange | None = None
+    is_cancelled: bool = False
+    is_ended: bool = False
+
+    def chunk(self, data: bytes) -> None:
+        """Pass a chunk on to the caller."""
+        if self.note.first_chunk_s < 0.0:
+            self.note.first_chunk_s = self.router.around.clock.seconds()
+        self.caller.chunk(data)
+
+    def ended(self, ended: Ended) -> None:
+        """End the exchange's part, then the claim's, then the request."""
+        if self.claim is None:
+            self.finish(ended)
+            return
+        Deferred.fromCoroutine(self.close_claim(self.claim, ended))
+
+    async def close_claim(self, claim: Claim, ended: Ended) -> None:
+        """Record what became of a claimed action, and end the request."""
+        claimant = self.router.claimant
+        if ended.reply is not None:
+            claimant.record_outcome(claim, ended.reply)
+        elif ended.failure and ended.failure.verdict is Verdict.NOT_RUN:
+            await claimant.release(claim)
+        else:
+            claimant.record_outcome(claim, None)
+        self.finish(ended)
+
+    def finish(self, ended: Ended) -> None:
+        """Give the caller the end of the request."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.router.finished(self, ended)
+        self.caller.ended(ended)
+
+    def cancel(self) -> None:
+        """The caller has gone.
+
+        An action that must not repeat goes on, so that its outcome is
+        recorded and a repeat of the request gets it.
+        """
+        self.is_cancelled = True
+        if self.plan.is_idempotent and self.exchange is not None:
+            self.exchange.cancel()
+
+
+@attrs.define(kw_only=True)
+class Router:
+    """Decides about requests; shared by all connections of a process."""
+
+    board: Blackboard
+    around: Surroundings
+    claimant: Claimant
+    random: random.Random
+    # Returns the time since the epoch in seconds.
+    wall: Callable[[], float]
+    open_requests: int = 0
+    # Called with the note and end of each request, for metrics and logs.
+    on_end: Callable[[RequestNote, Ended], None] = attrs.field(
+        default=lambda note, ended: None
+    )
+    on_refusal: Callable[[Failure], None] = attrs.field(
+        default=lambda failure: None
+    )
+
+    def submit(
+        self, request: CallerRequest, caller: CallerSink
+    ) -> Result[Handling, Failure]:
+        """Start a request, or return why it is refused.
+
+        A refusal is final and proved not to have run.
+        """
+        planned = self.plan(request)
+        if planned.is_error():
+            self.on_refusal(planned.error)
+            return Error(planned.error)
+        plan = planned.ok
+        now_s = self.around.clock.seconds()
+        refusal = self.board.limits.admit(plan.account, now_s)
+        if refusal is not None:
+            self.on_refusal(refusal)
+            return Error(refusal)
+        handling = Handling(
+            router=self,
+            plan=plan,
+            caller=caller,
+            note=RequestNote(
+                request_id=request.request_id,
+                account=plan.account.name,
+                route=plan.route.name,
+                kind=plan.kind.name,
+                began_s=now_s,
+            ),
+        )
+        self.open_requests += 1
+        self.board.note_request(handling.note)
+        if plan.is_idempotent:
+            self.start(handling)
+        else:
+            Deferred.fromCoroutine(self.claim_and_start(handling))
+        return Ok(handling)
+
+    def plan(self, request: CallerRequest) -> Result[Plan, Failure]:
+        """Find what the configuration says about a request."""
+        if self.board.phase.is_leaving:
+            return Error(
+                not_run(Reason.SHUTTING_DOWN, messages.SHUTTING_DOWN, 1.0)
+            )
+        if self.board.folded.next_offset == 0:
+            return Error(
+                not_run(Reason.NO_CONFIGURATION, messages.NO_CONFIGURATION, 1.0)
+            )
+        account = self.authenticate(request.token)
+        if account is None:
+            return Error(
+                not_run(Reason.UNAUTHENTICATED, messages.UNAUTHENTICATED)
+            )
+        state = self.board.state
+        route = self.match(request)
+        kind = state.kinds.get(route.kind) if route else None
+        pool = state.pools.get(route.pool) if route else None
+        if route is None or kind is None or pool is None:
+            return Error(not_run(Reason.NO_ROUTE, messages.NO_ROUTE))
+        if kind.repeat == "never":
+            key = keys.check_key(request.idempotency_key, self.wall())
+            if key.is_error():
+                return Error(key.error)
+        policy = state.policies.get(route.policy) or Policy(name="default")
+        return Ok(
+            Plan(
+                request=request,
+                account=account,
+                route=route,
+                kind=kind,
+                pool=pool,
+                policy=policy,
+            )
+        )
+
+    def authenticate(self, token: str) -> Account | None:
+        """Return the account of a bearer token."""
+        digest = token_digest(token)
+        account = self.board.accounts_by_digest.get(digest)
+        if account is None:
+            return None
+        # The look-up is by digest; the comparison is in constant time.
+        if not hmac.compare_digest(account.token_digest, digest):
+            return None
+        return account
+
+    def authenticate_operator(self, token: str) -> Operator | None:
+        """Return the operator of a bearer token."""
+        digest = token_digest(token)
+        operator = self.board.operators_by_digest.get(digest)
+        if operator is None:
+            return None
+        if not hmac.compare_digest(operator.token_digest, digest):
+            return None
+        return operator
+
+    def match(self, request: CallerRequest) -> Route | None:
+        """Return the route of a request, the longest path first."""
+        matching = [
+            route
+            for route in self.board.state.routes.values()
+            if path_matches(route.path, request.path)
+            and (not route.model or route.model == request.model)
+        ]
+        if not matching:
+            return None
+        return max(matching, key=lambda item: (len(item.path), item.name))
+
+    async def claim_and_start(self, handling: Handling) -> None:
+        """Claim a request's key, and start it if the claim won."""
+        request = handling.plan.request
+        checked = keys.check_key(request.idempotency_key, self.wall())
+        if checked.is_error():
+            handling.finish(Ended(failure=checked.error))
+            return
+        claim = self.claimant.make_claim(
+            f"{handling.plan.account.name}/{checked.ok}",
+            claims.request_digest(request.method, request.path, request.body),
+            handling.plan.kind.name,
+            request.request_id,
+        )
+        won = await self.claimant.acquire(claim)
+        if won.is_error():
+            handling.finish(Ended(failure=won.error))
+            return
+        if won.ok is not None:
+            handling.note.state = "repeated"
+            handling.finish(Ended(reply=won.ok))
+            return
+        handling.claim = claim
+        self.start(handling)
+
+    def start(self, handling: Handling) -> None:
+        """Start the exchange of a request."""
+        exchange = self.make_exchange(handling)
+        handling.exchange = exchange
+        handling.note.path = exchange.path
+        exchange.start()
+
+    def make_exchange(self, handling: Handling) -> Exchange:
+        """Choose the targets of a request."""
+        plan = handling.plan
+        request = plan.request
+        now_s = self.around.clock.seconds()
+        candidates = self.board.members.candidates(
+            self.board.state, plan.pool.name, now_s
+        )
+        salt = prefix.cache_salt(
+            plan.account.name, plan.pool.model, "", plan.pool.version
+        )
+        waits_s = self.board.members.waits_s(candidates, now_s)
+        home_wait_s = defaults.BASE_WAIT_S
+        if plan.pool.service == "engine":
+            chain = prefix.chain(salt, request.prompt.encode())
+            seed = xxh3_64_intdigest(salt.encode())
+            chosen = self.board.sharing.choose(chain, now_s, seed)
+            holders = min(chosen.holders, plan.policy.max_holders)
+            walk = placement.walk(chosen.key, holders, candidates, waits_s)
+            handling.note.depth_blocks = chosen.depth
+            handling.note.holders = holders
+        else:
+            holders = len(candidates)
+            key = xxh3_64_intdigest(request.request_id.encode())
+            walk = placement.walk(key, holders, candidates, waits_s)
+            home_wait_s = plan.kind.max_wait_s
+        timeout_s = defaults.CHUNK_TIMEOUT_S
+        if plan.pool.service != "engine":
+            timeout_s = plan.kind.deadline_s
+        return Exchange(
+            around=self.around,
+            caller=handling,
+            template=self.template(plan, salt),
+            is_idempotent=plan.is_idempotent,
+            candidates=walk,
+            queue_wait_s=plan.kind.max_wait_s,
+            home_wait_s=home_wait_s,
+            holders=holders,
+            chunk_timeout_s=timeout_s,
+        )
+
+    def template(self, plan: Plan, salt: str) -> Attempt:
+        """Return what every attempt of a request has in common."""
+        request = plan.request
+        is_engine = plan.pool.service == "engine"
+        return Attempt(
+            attempt_id="",
+            request_id=request.request_id,
+            account=plan.account.name,
+            kind=plan.kind.name,
+            target="",
+            priority=plan.kind.priority,
+            weight=plan.account.weight,
+            patience=plan.policy.patience,
+            deadline_s=plan.kind.deadline_s,
+            model=plan.pool.model,
+            version=plan.pool.version,
+            cache_salt=salt,
+            prompt=request.prompt if is_engine else "",
+            max_tokens=request.max_tokens if is_engine else 0,
+            method="" if is_engine else request.method,
+            path=request.path,
+            content_type=request.content_type,
+            body="" if is_engine else request.body,
+            idempotency_key=request.idempotency_key or "",
+        )
+
+    def finished(self, handling: Handling, ended: Ended) -> None:
+        """Account for the end of a request."""
+        self.open_requests -= 1
+        self.board.limits.release(handling.plan.account.name)
+        note = handling.note
+        note.ended_s = self.around.clock.seconds()
+        if handling.exchange is not None and handling.exchange.order.passed:
+            usage = usage_of(handling.exchange.order.passed)
+            note.prompt_tokens = usage.prompt_tokens
+            note.cached_tokens = usage.cached_tokens
+        if ended.failure is None:
+            note.verdict = Verdict.DONE.value
+        else:
+            note.verdict = ended.failure.verdict.value
+            note.reason = ended.failure.reason.value
+            self.on_refusal(ended.failure)
+        if note.state == "running":
+            note.state = "ended"
+        self.on_end(note, ended)
+
+
+def token_digest(token: str) -> str:
+    """Return the digest by which a bearer token is kept."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def path_matches(route_path: str, path: str) -> bool:
+    """Whether a route's path covers a request's path."""
+    if not route_path:
+        return False
+    return path == route_path or path.startswith(route_path.rstrip("/") + "/")
+
+
+def usage_of(chunks: list[bytes]) -> Usage:
+    """Return the usage that the last chunks of an answer carry."""
+    for data in reversed(chunks[-2:]):
+        usage = openai_format.usage_of(data)
+        if usage is not None:
+            return usage
+    return Usage()
--- /dev/null
+++ b/sequoiawind/state.py
@@ -0,0 +1,146 @@
+"""The configuration: what operators have set, as one immutable value.
+
+A :class:`State` maps table names to objects by name.  Only ``config_fold``
+makes new states.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from sequoiawind import defaults
+
+
+@attrs.frozen(kw_only=True)
+class Account:
+    """A client account."""
+
+    name: str
+    # SHA-256 of the bearer token, in hexadecimal.
+    token_digest: str = ""
+    # Share of a target under contention, relative to other accounts.
+    weight: float = 1.0
+    rate_per_s: float = 1000.0
+    concurrency: int = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Operator:
+    """A person or program that may ask and command."""
+
+    name: str
+    token_digest: str = ""
+    # "viewer" asks, "operator" also commands.
+    role: str = "viewer"
+
+
+@attrs.frozen(kw_only=True)
+class Kind:
+    """A kind of request: its priority and whether it may be repeated."""
+
+    name: str
+    priority: int = 5
+    # "idempotent" or "never".
+    repeat: str = "idempotent"
+    deadline_s: float = defaults.REQUEST_DEADLINE_S
+    # Longest wait in a queue before the request is refused, in seconds.
+    max_wait_s: float = defaults.MAX_QUEUE_WAIT_S
+
+
+@attrs.frozen(kw_only=True)
+class Pool:
+    """Targets that serve the same requests."""
+
+    name: str
+    # "engine" or "plain".
+    service: str = "engine"
+    model: str = ""
+    # Weights version that the pool's targets should serve.
+    version: str = ""
+    # Weight loads at once.
+    load_slots: int = 2
+
+
+@attrs.frozen(kw_only=True)
+class Target:
+    """A model engine or plain service, behind its agent."""
+
+    name: str
+    pool: str = ""
+    # Address of the agent, as host:port.
+    agent: str = ""
+    domain: str = ""
+    vm: str = ""
+    # Why an operator drains the target; empty while it is admitted.
+    drained: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Policy:
+    """How a route weighs latency against recomputation."""
+
+    name: str
+    # Wait accepted for a warm target, as a multiple of the time that
+    # recomputing the missed prefix elsewhere would take.
+    patience: float = defaults.PATIENCE
+    max_holders: int = defaults.MAX_HOLDERS
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Sends requests of a path, and model if any, to a pool."""
+
+    name: str
+    path: str = ""
+    model: str = ""
+    pool: str = ""
+    kind: str = ""
+    policy: str = ""
+
+
+Entry = Account | Operator | Kind | Pool | Target | Policy | Route
+
+TABLES: Final[Mapping[str, type[Entry]]] = {
+    "accounts": Account,
+    "operators": Operator,
+    "kinds": Kind,
+    "pools": Pool,
+    "targets": Target,
+    "policies": Policy,
+    "routes": Route,
+}
+
+# Fields that name an entry of another table.
+REFERENCES: Final[Mapping[str, Mapping[str, str]]] = {
+    "targets": {"pool": "pools"},
+    "routes": {"pool": "pools", "kind": "kinds", "policy": "policies"},
+}
+
+CHOICES: Final[Mapping[tuple[str, str], frozenset[str]]] = {
+    ("operators", "role"): frozenset({"viewer", "operator"}),
+    ("kinds", "repeat"): frozenset({"idempotent", "never"}),
+    ("pools", "service"): frozenset({"engine", "plain"}),
+}
+
+
+@attrs.frozen(kw_only=True)
+class State:
+    """The configuration as of one offset of its stream."""
+
+    # Offset of the last record that changed the state; -1 before the first.
+    revision: int = -1
+    accounts: Mapping[str, Account] = attrs.field(factory=dict)
+    operators: Mapping[str, Operator] = attrs.field(factory=dict)
+    kinds: Mapping[str, Kind] = attrs.field(factory=dict)
+    pools: Mapping[str, Pool] = attrs.field(factory=dict)
+    targets: Mapping[str, Target] = attrs.field(factory=dict)
+    policies: Mapping[str, Policy] = attrs.field(factory=dict)
+    routes: Mapping[str, Route] = attrs.field(factory=dict)
+
+    def table(self, name: str) -> Mapping[str, Entry]:
+        """Return a table by its name; KeyError if there is none."""
+        if name not in TABLES:
+            raise KeyError(name)
+        table: Mapping[str, Entry] = getattr(self, name)
+        return table
--- /dev/null
+++ b/sequoiawind/verdict.py
@@ -0,0 +1,134 @@
+"""Outcomes of a request: whether it may have run, and why it stopped.
+
+Every hop reports a :class:`Verdict`.  A hop that cannot prove that a request
+was not run says ``MAY_HAVE_RUN``; only ``NOT_RUN`` may be sent elsewhere for
+every kind of request.
+"""
+
+import enum
+from typing import Final
+
+import attrs
+
+
+class Verdict(enum.Enum):
+    """Whether a request has taken effect at its target."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reason(enum.Enum):
+    """Why a request was refused or an attempt was retried.
+
+    Each member is a label of the refusal and retry counters.
+    """
+
+    # The caller's fault.
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NO_ROUTE = "no_route"
+    KEY_MISSING = "key_missing"
+    KEY_MALFORMED = "key_malformed"
+    KEY_TOO_OLD = "key_too_old"
+    KEY_IN_FUTURE = "key_in_future"
+    KEY_REUSED = "key_reused"
+    # Limits.
+    RATE_LIMIT = "rate_limit"
+    CONCURRENCY_LIMIT = "concurrency_limit"
+    QUEUE_FULL = "queue_full"
+    QUEUE_TOO_LONG = "queue_too_long"
+    RETRY_BUDGET = "retry_budget"
+    # State of the system.
+    NO_CONFIGURATION = "no_configuration"
+    NO_TARGET = "no_target"
+    DRAINING = "draining"
+    SHUTTING_DOWN = "shutting_down"
+    WRONG_WEIGHTS = "wrong_weights"
+    LOG_UNAVAILABLE = "log_unavailable"
+    CLAIM_LOST = "claim_lost"
+    CLAIM_OPEN = "claim_open"
+    CLAIM_EXPIRED = "claim_expired"
+    # Failures of calls.
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    START_TIMEOUT = "start_timeout"
+    CHUNK_TIMEOUT = "chunk_timeout"
+    CHUNK_MISSING = "chunk_missing"
+    TARGET_ERROR = "target_error"
+    TARGET_LOST = "target_lost"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    SETTLED = "settled"
+
+
+# The HTTP status that tells a caller of each reason; 503 where absent.
+HTTP_STATUS: Final[dict[Reason, int]] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.NO_ROUTE: 404,
+    Reason.KEY_MISSING: 400,
+    Reason.KEY_MALFORMED: 400,
+    Reason.KEY_TOO_OLD: 400,
+    Reason.KEY_IN_FUTURE: 400,
+    Reason.KEY_REUSED: 422,
+    Reason.RATE_LIMIT: 429,
+    Reason.CONCURRENCY_LIMIT: 429,
+    Reason.CLAIM_LOST: 409,
+    Reason.CLAIM_OPEN: 409,
+    Reason.SETTLED: 409,
+    Reason.CONNECTION_LOST: 502,
+    Reason.TARGET_ERROR: 502,
+    Reason.TARGET_LOST: 502,
+    Reason.CHUNK_MISSING: 502,
+    Reason.CHUNK_TIMEOUT: 504,
+    Reason.DEADLINE: 504,
+}
+
+DEFAULT_HTTP_STATUS: Final = 503
+
+
+@attrs.frozen(kw_only=True)
+class Failure:
+    """A request or call that did not end with a whole answer."""
+
+    verdict: Verdict
+    reason: Reason
+    # A sentence for people; never parsed.
+    detail: str = ""
+    # When the caller should come back, in seconds; None if it should not.
+    retry_after_s: float | None = None
+
+    @property
+    def http_status(self) -> int:
+        """The HTTP status code that stands for this failure."""
+        return HTTP_STATUS.get(self.reason, DEFAULT_HTTP_STATUS)
+
+
+def not_run(
+    reason: Reason, detail: str = "", retry_after_s: float | None = None
+) -> Failure:
+    """Return a failure that is proved not to have run."""
+    return Failure(
+        verdict=Verdict.NOT_RUN,
+        reason=reason,
+        detail=detail,
+        retry_after_s=retry_after_s,
+    )
+
+
+def may_have_run(
+    reason: Reason, detail: str = "", retry_after_s: float | None = None
+) -> Failure:
+    """Return a failure whose request may have taken effect."""
+    return Failure(
+        verdict=Verdict.MAY_HAVE_RUN,
+        reason=reason,
+        detail=detail,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/sequoiawind/wire.py
@@ -0,0 +1,140 @@
+"""Messages between the daemons, and their JSON encoding.
+
+The classes are plain data.  ``encode`` and ``decode`` are the only places
+where a message meets bytes; a malformed message is a :class:`Failure`-free
+``WireError``, which every receiver turns into a refusal.
+"""
+
+from typing import Any, TypeVar
+
+import attrs
+import msgspec
+
+from sequoiawind.verdict import Failure
+
+T = TypeVar("T")
+
+
+class WireError(ValueError):
+    """A message that does not have the form its receiver expects."""
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """A target's state, as its agent knows it; rides on every answer."""
+
+    target: str = ""
+    # Incarnation of the target; changes when it restarts.
+    incarnation: str = ""
+    # Estimated wait before new work would start, in seconds.
+    wait_s: float = 0.0
+    queued: int = 0
+    running: int = 0
+    draining: bool = False
+    version: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Usage:
+    """Token counts of an answer."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Reply:
+    """A whole HTTP reply of a plain service."""
+
+    status: int
+    content_type: str
+    body: str
+
+
+@attrs.frozen(kw_only=True)
+class Attempt:
+    """One try of one request at one target."""
+
+    attempt_id: str
+    request_id: str
+    account: str
+    kind: str
+    target: str
+    # Scheduling: larger priorities go first; weight is the account's share.
+    priority: int = 5
+    weight: float = 1.0
+    # Refuse rather than queue for longer than this, in seconds.
+    max_wait_s: float = 0.0
+    # How much longer than recomputing its missed prefix a request may queue.
+    patience: float = 1.0
+    # Time left for the whole request, in seconds.
+    deadline_s: float = 60.0
+    # Model engines only.
+    model: str = ""
+    version: str = ""
+    cache_salt: str = ""
+    prompt: str = ""
+    max_tokens: int = 0
+    # First chunk wanted; the chunks before it are in `partial`.
+    start_index: int = 0
+    partial: str = ""
+    # Resume the chunks of this attempt instead of starting a new one.
+    resume_of: str = ""
+    # Plain services only.
+    method: str = ""
+    path: str = ""
+    content_type: str = ""
+    body: str = ""
+    idempotency_key: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Ended:
+    """The end of an attempt: an answer or a failure, never both."""
+
+    failure: Failure | None = None
+    reply: Reply | None = None
+    usage: Usage = attrs.field(factory=Usage)
+    load: LoadReport | None = None
+
+
+def encode(message: object) -> bytes:
+    """Return the JSON encoding of a message."""
+    return msgspec.json.encode(message)
+
+
+def decode(data: bytes | str, kind: type[T]) -> T:
+    """Decode JSON into a message of the given class.
+
+    Args:
+      data: UTF-8 JSON.
+      kind: The class expected.
+
+    Returns:
+      The message.
+
+    Raises:
+      WireError: The data is not JSON, or not of that class.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        raise WireError(str(error)) from error
+
+
+def to_builtins(message: object) -> Any:
+    """Return a message as plain dictionaries, lists and scalars."""
+    return msgspec.to_builtins(message)
+
+
+def from_builtins(value: object, kind: type[T]) -> T:
+    """Convert plain dictionaries and lists into a message.
+
+    Raises:
+      WireError: The value does not have that form.
+    """
+    try:
+        return msgspec.convert(value, type=kind)
+    except msgspec.MsgspecError as error:
+        raise WireError(str(error)) from error
