Thin path as separate processes

Change: HTTP servers and clients, settings, logs, metrics, the operators' language, five console programs, stand-ins over HTTP and the demo script. Conclusion: the path stands; routing quality is not yet measured.

--- /dev/null
+++ b/sequoiawind/command_line.py
@@ -0,0 +1,51 @@
+"""What the console programs' command lines have in common."""
+
+import argparse
+import sys
+from typing import Final, NoReturn, TypeVar
+
+from expression import Result
+
+from sequoiawind import VERSION
+from sequoiawind.settings import Fault
+
+T = TypeVar("T")
+
+# Exit status for a wrong command line or wrong settings.
+EXIT_USAGE: Final = 2
+
+
+def parser(name: str, purpose: str) -> argparse.ArgumentParser:
+    """Return a parser with the options that every program has."""
+    made = argparse.ArgumentParser(prog=name, description=purpose)
+    made.add_argument(
+        "--version", action="version", version=f"{name} {VERSION}"
+    )
+    return made
+
+
+def daemon_parser(name: str, purpose: str) -> argparse.ArgumentParser:
+    """Return the parser of a program that reads a settings file."""
+    made = parser(name, purpose)
+    made.add_argument("settings", help="the settings file, in TOML")
+    made.add_argument(
+        "--check-settings",
+        action="store_true",
+        help="check the settings file and exit",
+    )
+    return made
+
+
+def settings_or_exit(loaded: Result[T, list[Fault]]) -> T:
+    """Return checked settings, or name their faults and exit."""
+    if loaded.is_ok():
+        return loaded.ok
+    for fault in loaded.error:
+        print(fault, file=sys.stderr)
+    sys.exit(EXIT_USAGE)
+
+
+def fail(text: str) -> NoReturn:
+    """Print an error and exit."""
+    print(text, file=sys.stderr)
+    sys.exit(1)
--- a/sequoiawind/config_fold.py
+++ b/sequoiawind/config_fold.py
@@ -265,6 +265,11 @@
         body = wire.decode(data, Snapshot)
     except wire.WireError:
         return None
+    return checked(body)
+
+
+def checked(body: "Snapshot") -> Folded | None:
+    """Return the state in a decoded snapshot; None if it is damaged."""
     if body.v != defaults.RECORD_VERSION:
         return None
     if digest(body.folded.state) != body.digest:
--- /dev/null
+++ b/sequoiawind/http_client.py
@@ -0,0 +1,233 @@
+"""HTTP clients of the daemons: JSON calls and streamed attempts.
+
+A call that failed before its connection was open is proved not to have run;
+any later failure may have run.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeVar
+
+import attrs
+import treq
+from expression import Error, Ok, Result
+from treq.client import HTTPClient
+from twisted.internet import defer, error
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.client import Agent as WebAgent
+from twisted.web.client import HTTPConnectionPool, PartialDownloadError
+from twisted.web.http_headers import Headers
+
+from sequoiawind import defaults, messages, sse, timing, wire
+from sequoiawind.http_server import SECRET_HEADER, reactor
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
+
+T = TypeVar("T")
+
+POOL_SIZE: Final = 64
+CONNECT_TIMEOUT_S: Final = 1.0
+
+# Errors raised before a connection was open, so before anything was sent.
+NOT_SENT: Final = (
+    error.ConnectError,
+    error.DNSLookupError,
+    error.ConnectionRefusedError,
+)
+
+
+def make_client() -> HTTPClient:
+    """Return a client with a pool of kept connections.
+
+    A request is never repeated by the client itself: whether it may be is
+    for the callers to decide.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = POOL_SIZE
+    pool.retryAutomatically = False
+    web_agent: Any = WebAgent(
+        reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool
+    )
+    return HTTPClient(web_agent)
+
+
+@attrs.define(kw_only=True)
+class JsonClient:
+    """Calls between processes, with JSON bodies."""
+
+    client: HTTPClient
+    secret: str = ""
+    timeout_s: float = defaults.PEER_TIMEOUT_S
+
+    async def call(
+        self, method: str, url: str, kind: type[T], body: object = None
+    ) -> Result[T, Failure]:
+        """Call a process.
+
+        Args:
+          method: The HTTP method.
+          url: Where to call.
+          kind: The class of the answer.
+          body: The message to send; None for no body.
+
+        Returns:
+          The answer, or why there is none.
+        """
+        data = b"" if body is None else wire.encode(body)
+        headers = Headers({SECRET_HEADER: [self.secret]})
+        sent = self.client.request(method, url, data=data, headers=headers)
+        try:
+            response = await timing.with_timeout(sent, self.timeout_s, reactor)
+            reading = treq.content(response)
+            content = await timing.with_timeout(
+                reading, self.timeout_s, reactor
+            )
+        except NOT_SENT as problem:
+            return Error(not_run(Reason.CONNECT_FAILED, str(problem)))
+        except Exception as problem:
+            # Whatever broke the call, the other side may have acted on it.
+            return Error(may_have_run(Reason.CONNECTION_LOST, repr(problem)))
+        if response.code >= 400:
+            return Error(error_of(response.code, content))
+        try:
+            return Ok(wire.decode(content, kind))
+        except wire.WireError as problem:
+            return Error(may_have_run(Reason.TARGET_ERROR, str(problem)))
+
+
+def error_of(status: int, content: bytes) -> Failure:
+    """Return the failure in an error reply."""
+    try:
+        return wire.decode(content, Failure)
+    except wire.WireError:
+        text = content[:200].decode("utf-8", "replace")
+        return may_have_run(Reason.TARGET_ERROR, f"status {status}: {text}")
+
+
+class StreamReceiver(Protocol):
+    """Hands the body of a response on as it arrives."""
+
+    def __init__(
+        self,
+        on_data: Callable[[bytes], None],
+        on_lost: Callable[[], None],
+    ) -> None:
+        """Note where to hand data and the end."""
+        self.on_data = on_data
+        self.on_lost = on_lost
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Hand data on."""
+        self.on_data(data)
+
+    def connectionLost(  # noqa: N802
+        self, reason: TwistedFailure = connectionDone
+    ) -> None:
+        """Hand the end on."""
+        self.on_lost()
+
+    def abort(self) -> None:
+        """Close the connection."""
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+
+@attrs.define(kw_only=True, eq=False)
+class EventCall:
+    """A request whose answer is a stream of events.
+
+    Exactly one of `on_refused` and `on_lost` is called at the end, unless
+    the call was cancelled.
+    """
+
+    client: HTTPClient
+    url: str
+    body: bytes
+    headers: Mapping[str, str]
+    on_event: Callable[[sse.Event], None]
+    # Called with the failure of a request that got no event stream.
+    on_refused: Callable[[Failure], None]
+    # Called when the stream has ended.
+    on_lost: Callable[[], None]
+    # Called with the response's headers, before the first event.
+    on_headers: Callable[[Any], None] = attrs.field(
+        default=lambda headers: None
+    )
+    reader: sse.EventReader = attrs.field(factory=sse.EventReader)
+    request: Deferred[Any] | None = None
+    receiver: StreamReceiver | None = None
+    is_over: bool = False
+
+    def start(self) -> None:
+        """Send the request."""
+        self.request = self.client.request(
+            "POST",
+            self.url,
+            data=self.body,
+            headers=Headers(
+                {name: [value] for name, value in self.headers.items()}
+            ),
+            unbuffered=True,
+        )
+        self.request.addCallbacks(self.answered, self.failed)
+
+    def answered(self, response: Any) -> None:
+        """Take the response's head."""
+        if self.is_over:
+            response.deliverBody(Protocol())
+            return
+        if response.code != 200:
+            Deferred.fromCoroutine(self.refused(response))
+            return
+        self.on_headers(response.headers)
+        self.receiver = StreamReceiver(self.received, self.lost)
+        response.deliverBody(self.receiver)
+
+    async def refused(self, response: Any) -> None:
+        """Take a reply that is not an event stream."""
+        try:
+            content = await treq.content(response)
+        except (error.ConnectionClosed, PartialDownloadError):
+            content = b""
+        self.end(error_of(response.code, content))
+
+    def failed(self, failure: TwistedFailure) -> None:
+        """Take the failure of the request itself."""
+        if failure.check(*NOT_SENT):
+            text = messages.CONNECT_FAILED
+            self.end(not_run(Reason.CONNECT_FAILED, text))
+        elif not failure.check(defer.CancelledError):
+            text = messages.CONNECTION_LOST
+            self.end(may_have_run(Reason.CONNECTION_LOST, text))
+
+    def end(self, failure: Failure) -> None:
+        """End the call with a failure."""
+        if not self.is_over:
+            self.is_over = True
+            self.on_refused(failure)
+
+    def received(self, data: bytes) -> None:
+        """Take a part of the stream."""
+        try:
+            for event in self.reader.feed(data):
+                if self.is_over:
+                    return
+                self.on_event(event)
+        except (sse.SseError, wire.WireError) as problem:
+            self.cancel()
+            self.on_refused(may_have_run(Reason.TARGET_ERROR, str(problem)))
+
+    def lost(self) -> None:
+        """Take the end of the stream."""
+        if not self.is_over:
+            self.is_over = True
+            self.on_lost()
+
+    def cancel(self) -> None:
+        """Close the connection; nothing more is delivered."""
+        self.is_over = True
+        if self.receiver is not None:
+            self.receiver.abort()
+        elif self.request is not None:
+            self.request.cancel()
--- /dev/null
+++ b/sequoiawind/http_server.py
@@ -0,0 +1,148 @@
+"""What the daemons' HTTP servers have in common.
+
+Bodies, headers and the time to send them are bounded, so that one caller
+cannot hold resources that others need.
+"""
+
+import hmac
+from typing import Any, Final
+
+import klein
+from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IListeningPort
+from twisted.web import http, server
+
+from sequoiawind import defaults
+from sequoiawind.options import Address
+
+SECRET_HEADER: Final = "X-Sequoiawind-Secret"
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+VERDICT_HEADER: Final = "X-Sequoiawind-Verdict"
+ATTEMPTS_HEADER: Final = "X-Sequoiawind-Attempts"
+CACHED_HEADER: Final = "X-Sequoiawind-Cached-Tokens"
+KEY_HEADER: Final = "Idempotency-Key"
+JSON_TYPE: Final = "application/json"
+
+# The reactor's type cannot be expressed without a plugin for its interfaces.
+reactor: Any = default_reactor
+
+
+class BoundedRequest(server.Request):
+    """A request whose body is bounded in size and time."""
+
+    body_timer: Any = None
+    body_bytes: int = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse a body that is announced as too large."""
+        if length is not None and length > defaults.MAX_BODY_BYTES:
+            self.refuse_body(http.REQUEST_ENTITY_TOO_LARGE)
+            return
+        server.Request.gotLength(self, length)
+        if length is None or length > 0:
+            self.body_timer = reactor.callLater(
+                defaults.BODY_TIMEOUT_S,
+                self.refuse_body,
+                http.REQUEST_TIMEOUT,
+            )
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Refuse a body that grows too large."""
+        self.body_bytes += len(data)
+        if self.body_bytes > defaults.MAX_BODY_BYTES:
+            self.refuse_body(http.REQUEST_ENTITY_TOO_LARGE)
+            return
+        if self.content is not None:
+            server.Request.handleContentChunk(self, data)
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Begin the request once its body has arrived."""
+        self.stop_body_timer()
+        server.Request.requestReceived(self, command, path, version)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Forget the body's timer with the connection."""
+        self.stop_body_timer()
+        server.Request.connectionLost(self, reason)
+
+    def stop_body_timer(self) -> None:
+        """Stop waiting for the body."""
+        if self.body_timer is not None and self.body_timer.active():
+            self.body_timer.cancel()
+
+    def refuse_body(self, status: int) -> None:
+        """Answer at once and close the connection."""
+        self.stop_body_timer()
+        channel: Any = self.channel
+        if channel is None:
+            return
+        text = b"HTTP/1.1 %d %s\r\nConnection: close\r\n" % (
+            status,
+            http.RESPONSES.get(status, b"refused"),
+        )
+        channel.transport.write(text + b"Content-Length: 0\r\n\r\n")
+        channel.loseConnection()
+
+
+def listen(app: klein.Klein, address: Address) -> IListeningPort:
+    """Serve an application at an address; port 0 takes a free one."""
+    site = server.Site(
+        app.resource(),
+        requestFactory=BoundedRequest,
+        timeout=defaults.IDLE_TIMEOUT_S,
+    )
+    site.displayTracebacks = False
+    port: IListeningPort = reactor.listenTCP(
+        address.port, site, interface=address.host
+    )
+    return port
+
+
+def header(request: server.Request, name: str) -> str:
+    """Return a header of a request; empty if it has none."""
+    value: str | None = request.getHeader(name)
+    return value or ""
+
+
+def bearer_token(request: server.Request) -> str:
+    """Return the bearer token of a request; empty if it has none."""
+    scheme, _, token = header(request, "Authorization").partition(" ")
+    if scheme.lower() != "bearer":
+        return ""
+    return token.strip()
+
+
+def has_secret(request: server.Request, secret: str) -> bool:
+    """Whether a request comes from a process of the system."""
+    sent = header(request, SECRET_HEADER).encode()
+    return hmac.compare_digest(sent, secret.encode())
+
+
+def body_of(request: server.Request) -> bytes:
+    """Return the body of a request."""
+    if request.content is None:
+        return b""
+    data: bytes = request.content.read()
+    return data
+
+
+def json_reply(
+    request: server.Request, body: bytes, status: int = http.OK
+) -> bytes:
+    """Set the headers of a JSON reply and return its body."""
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", JSON_TYPE)
+    return body
+
+
+def ended(request: server.Request) -> Deferred[None]:
+    """Return a Deferred that fires when a request's connection is done.
+
+    It fires with None whether the reply was finished or the peer has gone.
+    """
+    done: Deferred[None] = request.notifyFinish()
+    done.addErrback(lambda failure: None)
+    return done
--- /dev/null
+++ b/sequoiawind/language.py
@@ -0,0 +1,289 @@
+"""The operators' query and command language: from text to nodes.
+
+``parse`` turns a statement into a node: a query of this module or a command
+of ``commands``.  A statement that cannot be parsed yields an error that
+points at the place in the text.
+"""
+
+from importlib import resources
+from typing import Any, Final
+
+import attrs
+import lark
+from expression import Error, Ok, Result
+
+from sequoiawind import commands
+from sequoiawind.commands import Value
+
+ENTITY_TABLES: Final = {
+    "target": "targets",
+    "account": "accounts",
+    "operator": "operators",
+    "route": "routes",
+    "pool": "pools",
+    "kind": "kinds",
+    "policy": "policies",
+}
+
+
+@attrs.frozen(kw_only=True)
+class Condition:
+    """A test of one field of a row."""
+
+    field: str
+    operator: str
+    value: Value
+
+
+@attrs.frozen(kw_only=True)
+class Show:
+    """Show the rows of a table."""
+
+    table: str
+    where: tuple[Condition, ...] = ()
+    count_by: str = ""
+    order_by: str = ""
+    is_descending: bool = False
+    limit: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class ExplainRequest:
+    """Show what became of a request, and why."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class SettleKey:
+    """Record what an operator found out about a stuck key."""
+
+    key: str
+    ran: bool
+    because: str
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """A command, with the revision it is based on."""
+
+    command: commands.Command
+    # -1 for any.
+    based_on: int = -1
+
+
+Statement = Show | ExplainRequest | SettleKey | Change
+
+
+@attrs.frozen(kw_only=True)
+class SyntaxFault:
+    """A place where a statement cannot be understood."""
+
+    text: str
+    # Column of the fault, from 1.
+    column: int
+    expected: str
+
+    def __str__(self) -> str:
+        """Return the text with a mark below the fault."""
+        mark = " " * (self.column - 1) + "^"
+        return f"{self.text}\n{mark}\nexpected {self.expected}"
+
+
+def make_parser() -> lark.Lark:
+    """Return the parser of the grammar that ships with the package."""
+    grammar = (
+        resources.files("sequoiawind")
+        .joinpath("language.lark")
+        .read_text(encoding="utf-8")
+    )
+    return lark.Lark(grammar, parser="lalr", lexer="contextual")
+
+
+def parse(text: str) -> Result[Statement, SyntaxFault]:
+    """Parse one statement."""
+    line = " ".join(text.split())
+    try:
+        tree = PARSER.parse(line)
+        statement: Statement = Nodes().transform(tree)
+    except lark.UnexpectedInput as fault:
+        return Error(syntax_fault(line, fault))
+    return Ok(statement)
+
+
+def syntax_fault(line: str, fault: lark.UnexpectedInput) -> SyntaxFault:
+    """Return where and why a statement could not be parsed."""
+    names: set[str] = set()
+    column = fault.column
+    if isinstance(fault, lark.UnexpectedCharacters):
+        names = fault.allowed or names
+    elif isinstance(fault, lark.UnexpectedToken):
+        names = fault.accepts or fault.expected
+        if fault.token.type == "$END":
+            column = len(line) + 1
+    expected = ", ".join(sorted(readable(name) for name in names))
+    return SyntaxFault(
+        text=line, column=column, expected=expected or "nothing more"
+    )
+
+
+def readable(terminal: str) -> str:
+    """Return how a message names a terminal of the grammar."""
+    names = {
+        "TABLE": "a table",
+        "ENTITY": "target, account, operator, route, pool, kind or policy",
+        "FIELD": "a field",
+        "WORD": "a word",
+        "NUMBER": "a number",
+        "STRING": "a text in quotes",
+        "INT": "a whole number",
+        "SIGNED_INT": "a whole number",
+        "OPERATOR": "a comparison",
+        "FINDING": "ran or not run",
+        "DIRECTION": "asc or desc",
+        "$END": "the end",
+        "EQUAL": "=",
+        "COMMA": ",",
+    }
+    return names.get(terminal, terminal.lower())
+
+
+class Nodes(lark.Transformer[lark.Token, Any]):
+    """Builds nodes from the parse tree; a method for each rule."""
+
+    def start(self, items: list[Any]) -> Any:
+        """Return the statement."""
+        return items[0]
+
+    def name(self, items: list[lark.Token]) -> str:
+        """Return a name, freed of its quotes."""
+        return str(items[0]).strip('"')
+
+    def value(self, items: list[lark.Token]) -> Value:
+        """Return a value by the look of it."""
+        token = items[0]
+        if token.type == "NUMBER":
+            return float(token) if "." in token else int(token)
+        if token.type == "WORD" and token.lower() in ("true", "false"):
+            return token.lower() == "true"
+        return str(token).strip('"')
+
+    def condition(self, items: list[Any]) -> Condition:
+        """Return a condition."""
+        return Condition(
+            field=str(items[0]), operator=str(items[1]), value=items[2]
+        )
+
+    def where(self, items: list[Condition]) -> dict[str, Any]:
+        """Return the conditions."""
+        return {"where": tuple(items)}
+
+    def count_by(self, items: list[lark.Token]) -> dict[str, Any]:
+        """Return the field to count by."""
+        return {"count_by": str(items[0])}
+
+    def order_by(self, items: list[lark.Token]) -> dict[str, Any]:
+        """Return the order."""
+        is_descending = len(items) > 1 and items[1].lower() == "desc"
+        return {"order_by": str(items[0]), "is_descending": is_descending}
+
+    def limit(self, items: list[lark.Token]) -> dict[str, Any]:
+        """Return the limit."""
+        return {"limit": int(items[0])}
+
+    def show(self, items: list[Any]) -> Show:
+        """Return a query."""
+        clauses: dict[str, Any] = {}
+        for clause in items[1:]:
+            clauses |= clause
+        return Show(table=str(items[0]).lower(), **clauses)
+
+    def explain(self, items: list[str]) -> ExplainRequest:
+        """Return a question about a request."""
+        return ExplainRequest(request_id=items[0])
+
+    def because(self, items: list[lark.Token]) -> dict[str, Any]:
+        """Return a reason."""
+        return {"because": str(items[0]).strip('"')}
+
+    def based_on(self, items: list[lark.Token]) -> dict[str, Any]:
+        """Return a revision."""
+        return {"based_on": int(items[0])}
+
+    def assignment(self, items: list[Any]) -> tuple[str, Value]:
+        """Return a field and its value."""
+        return str(items[0]), items[1]
+
+    def drain(self, items: list[Any]) -> Change:
+        """Return a drain."""
+        clauses = merged(items[1:])
+        because = clauses.pop("because", "")
+        node = commands.Drain(target=items[0], because=because)
+        return Change(command=node, **clauses)
+
+    def admit(self, items: list[Any]) -> Change:
+        """Return an admission."""
+        node = commands.Admit(target=items[0])
+        return Change(command=node, **merged(items[1:]))
+
+    def reprioritise(self, items: list[Any]) -> Change:
+        """Return a change of priority."""
+        node = commands.Set(
+            table="kinds",
+            name=items[0],
+            field="priority",
+            value=int(items[1]),
+        )
+        return Change(command=node, **merged(items[2:]))
+
+    def set(self, items: list[Any]) -> Change:
+        """Return a change of a field."""
+        node = commands.Set(
+            table=ENTITY_TABLES[items[1].lower()],
+            name=items[2],
+            field=str(items[0]),
+            value=items[3],
+        )
+        return Change(command=node, **merged(items[4:]))
+
+    def create(self, items: list[Any]) -> Change:
+        """Return a creation."""
+        pairs = [item for item in items[2:] if isinstance(item, tuple)]
+        clauses = [item for item in items[2:] if isinstance(item, dict)]
+        node = commands.Create(
+            table=ENTITY_TABLES[items[0].lower()],
+            name=items[1],
+            fields=dict(pairs),
+        )
+        return Change(command=node, **merged(clauses))
+
+    def delete(self, items: list[Any]) -> Change:
+        """Return a deletion."""
+        node = commands.Delete(
+            table=ENTITY_TABLES[items[0].lower()], name=items[1]
+        )
+        return Change(command=node, **merged(items[2:]))
+
+    def load(self, items: list[Any]) -> Change:
+        """Return an order to load weights."""
+        node = commands.Load(version=items[0], pool=items[1])
+        return Change(command=node, **merged(items[2:]))
+
+    def settle(self, items: list[Any]) -> SettleKey:
+        """Return an operator's finding about a key."""
+        return SettleKey(
+            key=items[0],
+            ran=items[1].lower() == "ran",
+            because=items[2]["because"],
+        )
+
+
+def merged(clauses: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return clauses as one dictionary."""
+    result: dict[str, Any] = {}
+    for clause in clauses:
+        result |= clause
+    return result
+
+
+PARSER: Final = make_parser()
--- a/sequoiawind/lifecycle.py
+++ b/sequoiawind/lifecycle.py
@@ -1,7 +1,8 @@
-"""The life of a daemon: starting, serving, draining, stopped.
+"""The life of a daemon: starting, serving, leaving, draining, stopped.
 
-A state machine makes the order of the steps explicit: a daemon that drains
-never serves again, and it stops only when nothing is in flight.
+A state machine makes the order of the steps explicit: a daemon that leaves is
+no longer ready but takes work until the balancer has noticed, one that drains
+takes none, and it stops only when nothing is in flight.
 """
 
 from collections.abc import Callable
@@ -20,6 +21,9 @@
     def shut_down(self) -> None:
         """The daemon has been told to stop."""
 
+    def balancer_noticed(self) -> None:
+        """The balancer sends nothing more."""
+
     def idle(self) -> None:
         """Nothing is in flight."""
 
@@ -38,14 +42,15 @@
         return self.name == "serving"
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether the daemon has been told to stop."""
+    def is_closed(self) -> bool:
+        """Whether new work is refused."""
         return self.name in ("draining", "stopped")
 
 
 builder = TypeMachineBuilder(Lifecycle, Phase)
 starting = builder.state("starting")
 serving = builder.state("serving")
+leaving = builder.state("leaving")
 draining = builder.state("draining")
 stopped = builder.state("stopped")
 
@@ -55,8 +60,13 @@
     phase.name = "serving"
 
 
-@starting.upon(Lifecycle.shut_down).to(draining)
-@serving.upon(Lifecycle.shut_down).to(draining)
+@starting.upon(Lifecycle.shut_down).to(leaving)
+@serving.upon(Lifecycle.shut_down).to(leaving)
+def _(lifecycle: Lifecycle, phase: Phase) -> None:
+    phase.name = "leaving"
+
+
+@leaving.upon(Lifecycle.balancer_noticed).to(draining)
 def _(lifecycle: Lifecycle, phase: Phase) -> None:
     phase.name = "draining"
 
@@ -68,13 +78,23 @@
 
 
 # Events that change nothing in these states.
-serving.upon(Lifecycle.ready).loop().returns(None)
-starting.upon(Lifecycle.idle).loop().returns(None)
-serving.upon(Lifecycle.idle).loop().returns(None)
-draining.upon(Lifecycle.ready).loop().returns(None)
-draining.upon(Lifecycle.shut_down).loop().returns(None)
-stopped.upon(Lifecycle.ready).loop().returns(None)
-stopped.upon(Lifecycle.shut_down).loop().returns(None)
-stopped.upon(Lifecycle.idle).loop().returns(None)
+for _state, _event in (
+    (starting, Lifecycle.balancer_noticed),
+    (starting, Lifecycle.idle),
+    (serving, Lifecycle.ready),
+    (serving, Lifecycle.balancer_noticed),
+    (serving, Lifecycle.idle),
+    (leaving, Lifecycle.ready),
+    (leaving, Lifecycle.shut_down),
+    (leaving, Lifecycle.idle),
+    (draining, Lifecycle.ready),
+    (draining, Lifecycle.shut_down),
+    (draining, Lifecycle.balancer_noticed),
+    (stopped, Lifecycle.ready),
+    (stopped, Lifecycle.shut_down),
+    (stopped, Lifecycle.balancer_noticed),
+    (stopped, Lifecycle.idle),
+):
+    _state.upon(_event).loop().returns(None)
 
 make_lifecycle = builder.build()
--- /dev/null
+++ b/sequoiawind/load_main.py
@@ -0,0 +1,72 @@
+"""The program `sequoiawind-load`: load, experiments and proofs."""
+
+import argparse
+import sys
+from typing import Any, Final
+
+import attrs
+from twisted.internet.defer import Deferred
+
+from sequoiawind import command_line, http_client, http_server, workload
+from sequoiawind.http_load import LoadRun
+
+PURPOSE: Final = "Load routers, compare policies, and look for faults."
+
+
+def main() -> None:
+    """Run the program."""
+    args = make_parser().parse_args()
+    if args.action == "run":
+        sys.exit(run_load(args))
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = command_line.parser("sequoiawind-load", PURPOSE)
+    actions = parser.add_subparsers(dest="action", required=True)
+    run = actions.add_parser("run", help="send a workload to routers")
+    run.add_argument("--router", action="append", required=True)
+    run.add_argument(
+        "--deployment", choices=sorted(workload.DEPLOYMENTS), required=True
+    )
+    run.add_argument("--model", required=True)
+    run.add_argument("--rate", type=float, help="requests a second")
+    run.add_argument("--seconds", type=float, default=10.0)
+    run.add_argument("--seed", type=int, default=1)
+    return parser
+
+
+def run_load(args: argparse.Namespace) -> int:
+    """Send a workload and print what was measured."""
+    shape = workload.DEPLOYMENTS[args.deployment]
+    if args.rate:
+        shape = attrs.evolve(shape, rate_per_s=args.rate)
+    prompts = workload.Workload(
+        deployment=shape, seed=args.seed, duration_s=args.seconds
+    ).prompts()
+    load = LoadRun(
+        client=http_client.make_client(),
+        routers=args.router,
+        model=args.model,
+    )
+    finished = run_in_reactor(load.run(prompts))
+    print("\n".join(finished.lines()))
+    return 1 if finished.wrong else 0
+
+
+def run_in_reactor(coroutine: Any) -> Any:
+    """Run a coroutine in the reactor and return its result."""
+    outcome: list[Any] = []
+
+    def keep(result: Any) -> None:
+        outcome.append(result)
+        http_server.reactor.stop()
+
+    def start() -> None:
+        Deferred.fromCoroutine(coroutine).addBoth(keep)
+
+    http_server.reactor.callWhenRunning(start)
+    http_server.reactor.run()
+    if hasattr(outcome[0], "raiseException"):
+        outcome[0].raiseException()
+    return outcome[0]
--- /dev/null
+++ b/sequoiawind/logs.py
@@ -0,0 +1,37 @@
+"""Structured logging of the daemons."""
+
+import logging
+import sys
+
+import structlog
+
+from sequoiawind.options import LogsOptions
+
+
+def configure(options: LogsOptions) -> None:
+    """Set up structlog for this process; lines go to standard error."""
+    level = logging.getLevelNamesMapping()[options.level.upper()]
+    renderer: structlog.typing.Processor
+    if options.format == "json":
+        renderer = structlog.processors.JSONRenderer()
+    else:
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def get(daemon: str) -> structlog.typing.FilteringBoundLogger:
+    """Return the logger of a daemon."""
+    logger: structlog.typing.FilteringBoundLogger = structlog.get_logger(
+        daemon=daemon
+    )
+    return logger
--- a/sequoiawind/memory_network.py
+++ b/sequoiawind/memory_network.py
@@ -94,7 +94,10 @@
         def act() -> None:
             callable(*args, **kw)
 
-        return self.clock.callLater(delay, self.node.run, self.node.epoch, act)
+        timer: Timer = self.clock.callLater(
+            delay, self.node.run, self.node.epoch, act
+        )
+        return timer
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/messages.py
+++ b/sequoiawind/messages.py
@@ -46,3 +46,9 @@
 LOG_UNKNOWN: Final = (
     "the log's answer was lost; look at the configuration before repeating"
 )
+BODY_NOT_UTF8: Final = "the request's body is not UTF-8"
+NO_STATEMENT: Final = "the body has no text in `statement`"
+NO_MODEL: Final = "`model` must be a string"
+NO_PROMPT: Final = "`prompt` or `messages` must hold text"
+BAD_MAX_TOKENS: Final = "`max_tokens` must be a whole number from 1 to {limit}"
+ONE_CHOICE: Final = "only one choice (`n` = 1) is supported"
--- /dev/null
+++ b/sequoiawind/metrics.py
@@ -0,0 +1,141 @@
+"""The daemons' metrics, for Prometheus."""
+
+import attrs
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from sequoiawind.verdict import Reason
+
+FIRST_CHUNK_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.7,
+    1.1,
+    2.0,
+    4.0,
+    8.0,
+)
+
+
+@attrs.define(kw_only=True)
+class RouterMetrics:
+    """Metrics of a router."""
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    requests: Counter = attrs.field(init=False)
+    refusals: Counter = attrs.field(init=False)
+    retries: Counter = attrs.field(init=False)
+    claims: Counter = attrs.field(init=False)
+    first_chunk: Histogram = attrs.field(init=False)
+    prompt_tokens: Counter = attrs.field(init=False)
+    cached_tokens: Counter = attrs.field(init=False)
+    open_requests: Gauge = attrs.field(init=False)
+    revision: Gauge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the metrics, with every reason's counter at zero."""
+        registry = self.registry
+        self.requests = Counter(
+            "sequoiawind_requests",
+            "Requests ended, by kind and verdict.",
+            ["kind", "verdict"],
+            registry=registry,
+        )
+        self.refusals = Counter(
+            "sequoiawind_refusals",
+            "Requests ended without a whole answer, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+        self.retries = Counter(
+            "sequoiawind_retries",
+            "Attempts that followed a failed one, by its reason.",
+            ["reason"],
+            registry=registry,
+        )
+        for reason in Reason:
+            self.refusals.labels(reason.value)
+            self.retries.labels(reason.value)
+        self.claims = Counter(
+            "sequoiawind_claim_steps",
+            "Steps of claims of idempotency keys.",
+            ["step"],
+            registry=registry,
+        )
+        self.first_chunk = Histogram(
+            "sequoiawind_first_chunk_seconds",
+            "Time from a request's arrival to its first chunk.",
+            ["kind"],
+            buckets=FIRST_CHUNK_BUCKETS_S,
+            registry=registry,
+        )
+        self.prompt_tokens = Counter(
+            "sequoiawind_prompt_tokens",
+            "Prompt tokens of answered requests.",
+            registry=registry,
+        )
+        self.cached_tokens = Counter(
+            "sequoiawind_cached_tokens",
+            "Prompt tokens that engines had cached.",
+            registry=registry,
+        )
+        self.open_requests = Gauge(
+            "sequoiawind_open_requests",
+            "Requests under way.",
+            registry=registry,
+        )
+        self.revision = Gauge(
+            "sequoiawind_config_revision",
+            "Revision of the configuration in force.",
+            registry=registry,
+        )
+
+
+@attrs.define(kw_only=True)
+class AgentMetrics:
+    """Metrics of an agent."""
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    events: Counter = attrs.field(init=False)
+    queued: Gauge = attrs.field(init=False)
+    running: Gauge = attrs.field(init=False)
+    blocks: Gauge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the metrics."""
+        registry = self.registry
+        self.events = Counter(
+            "sequoiawind_agent_events",
+            "Attempts refused (by reason), resumed, cancelled; foreign chunks.",
+            ["event"],
+            registry=registry,
+        )
+        for reason in Reason:
+            self.events.labels(f"refused_{reason.value}")
+        self.queued = Gauge(
+            "sequoiawind_agent_queued", "Attempts queued.", registry=registry
+        )
+        self.running = Gauge(
+            "sequoiawind_agent_running",
+            "Attempts at the target.",
+            registry=registry,
+        )
+        self.blocks = Gauge(
+            "sequoiawind_agent_cached_blocks",
+            "Blocks in the cache index.",
+            registry=registry,
+        )
+
+
+def render(registry: CollectorRegistry) -> bytes:
+    """Return all metrics in Prometheus' text format."""
+    return generate_latest(registry)
--- a/sequoiawind/plain_model.py
+++ b/sequoiawind/plain_model.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from sequoiawind import messages, openai_format
+from sequoiawind import messages, openai_format, wire
 from sequoiawind.engine_model import NoCall
 from sequoiawind.ports import Call, Clock, Sink
 from sequoiawind.verdict import Reason, may_have_run, not_run
@@ -74,7 +74,7 @@
         return Reply(
             status=200,
             content_type="application/json",
-            body=openai_format.encode(body).decode(),
+            body=wire.encode_body(openai_format.encode(body)),
         )
 
     def crash(self, down_s: float = 0.0) -> None:
--- a/sequoiawind/rig.py
+++ b/sequoiawind/rig.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, TypeVar
 
 import attrs
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -182,7 +182,7 @@
 
     def plan(self, request: CallerRequest) -> Result[Plan, Failure]:
         """Find what the configuration says about a request."""
-        if self.board.phase.is_leaving:
+        if self.board.phase.is_closed:
             return Error(
                 not_run(Reason.SHUTTING_DOWN, messages.SHUTTING_DOWN, 1.0)
             )
--- /dev/null
+++ b/sequoiawind/router_http.py
@@ -0,0 +1,343 @@
+"""The router's HTTP interface: callers, operators, peers and metrics."""
+
+import random
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
+import klein
+from twisted.internet.defer import Deferred
+from twisted.web import http, server
+
+from sequoiawind import (
+    defaults,
+    http_server,
+    messages,
+    metrics,
+    openai_format,
+    sse,
+    wire,
+)
+from sequoiawind.admin import Admin
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.metrics import RouterMetrics
+from sequoiawind.ports import Clock
+from sequoiawind.router import CallerRequest, Handling, Router
+from sequoiawind.verdict import Failure, Reason, Verdict, not_run
+from sequoiawind.wire import Ended
+
+MAX_TOKENS: Final = 8192
+
+
+@attrs.define(kw_only=True, eq=False)
+class Caller:
+    """Writes an answer to a caller's connection."""
+
+    request: server.Request
+    request_id: str
+    path: str
+    is_streamed: bool
+    handling: Handling | None = None
+    chunks: list[bytes] = attrs.field(factory=list)
+    has_begun: bool = False
+    is_over: bool = False
+
+    def chunk(self, data: bytes) -> None:
+        """Write a chunk, or keep it for a whole answer."""
+        if self.is_over:
+            return
+        if not self.is_streamed:
+            self.chunks.append(data)
+            return
+        if not self.has_begun:
+            self.begin(http.OK, sse.CONTENT_TYPE)
+        self.request.write(sse.data_event(data))
+
+    def ended(self, ended: Ended) -> None:
+        """End the answer."""
+        if self.is_over:
+            return
+        self.is_over = True
+        if ended.failure is not None:
+            self.fail(ended.failure)
+        elif ended.reply is not None:
+            reply = ended.reply
+            self.begin(reply.status, reply.content_type, Verdict.DONE)
+            self.request.write(wire.decode_body(reply.body))
+        elif not self.is_streamed:
+            self.write_whole()
+        self.request.finish()
+
+    def write_whole(self) -> None:
+        """Write an answer that was not to be streamed."""
+        usage = openai_format.usage_of(self.chunks[-2])
+        if usage is not None:
+            cached = str(usage.cached_tokens)
+            self.request.setHeader(http_server.CACHED_HEADER, cached)
+        self.begin(http.OK, http_server.JSON_TYPE, Verdict.DONE)
+        self.request.write(openai_format.whole_answer(self.path, self.chunks))
+
+    def fail(self, failure: Failure) -> None:
+        """Write an error: as the reply, or as the last event of a stream."""
+        body = openai_format.error_body(failure)
+        if self.has_begun:
+            self.request.write(sse.data_event(body))
+            return
+        if failure.retry_after_s is not None:
+            seconds = str(max(1, round(failure.retry_after_s)))
+            self.request.setHeader("Retry-After", seconds)
+        self.begin(failure.http_status, http_server.JSON_TYPE, failure.verdict)
+        self.request.write(body)
+
+    def begin(
+        self, status: int, content_type: str, verdict: Verdict | None = None
+    ) -> None:
+        """Write the reply's head."""
+        self.has_begun = True
+        self.request.setResponseCode(status)
+        self.request.setHeader("Content-Type", content_type)
+        self.request.setHeader(http_server.REQUEST_ID_HEADER, self.request_id)
+        exchange = self.handling.exchange if self.handling else None
+        if exchange is not None:
+            attempts = str(exchange.attempts)
+            self.request.setHeader(http_server.ATTEMPTS_HEADER, attempts)
+        if verdict is not None:
+            self.request.setHeader(http_server.VERDICT_HEADER, verdict.value)
+
+    def gone(self) -> None:
+        """The caller's connection is lost."""
+        if self.is_over:
+            return
+        self.is_over = True
+        if self.handling is not None:
+            self.handling.cancel()
+
+
+@attrs.define(kw_only=True)
+class RouterHttp:
+    """Serves a router."""
+
+    router: Router
+    admin: Admin
+    board: Blackboard
+    metrics: RouterMetrics
+    clock: Clock
+    random: random.Random
+    secret: str
+
+    def app(self) -> klein.Klein:
+        """Return the application."""
+        app = klein.Klein()
+        app.route("/v1/models", methods=["GET"])(self.models)
+        for path in (openai_format.CHAT_PATH, openai_format.TEXT_PATH):
+            app.route(path, methods=["POST"])(self.completion)
+        app.route("/admin/statements", methods=["POST"])(self.statement)
+        app.route("/peer/report", methods=["GET"])(self.report)
+        app.route("/peer/config", methods=["GET"])(self.config)
+        app.route("/peer/demand", methods=["POST"])(self.demand)
+        app.route("/metrics", methods=["GET"])(self.show_metrics)
+        app.route("/healthz", methods=["GET"])(self.health)
+        app.route("/readyz", methods=["GET"])(self.ready)
+        app.route("/", branch=True)(self.plain)
+        return app
+
+    def new_request_id(self, request: server.Request) -> str:
+        """Return the caller's request id, or a new one."""
+        sent = http_server.header(request, http_server.REQUEST_ID_HEADER)
+        if sent and len(sent) <= 64 and sent.isascii() and sent.isprintable():
+            return sent
+        return f"{self.random.getrandbits(64):016x}"
+
+    def models(self, request: server.Request) -> bytes:
+        """List the models that have a route."""
+        if self.router.authenticate(http_server.bearer_token(request)) is None:
+            failure = not_run(Reason.UNAUTHENTICATED, messages.UNAUTHENTICATED)
+            return self.refuse(request, failure)
+        names = {
+            route.model
+            for route in self.board.state.routes.values()
+            if route.model
+        }
+        body = openai_format.models_body(sorted(names))
+        return http_server.json_reply(request, body)
+
+    def refuse(self, request: server.Request, failure: Failure) -> bytes:
+        """Answer a request that gets no further."""
+        self.router.on_refusal(failure)
+        caller = Caller(
+            request=request,
+            request_id=self.new_request_id(request),
+            path="",
+            is_streamed=False,
+        )
+        caller.fail(failure)
+        return b""
+
+    def completion(self, request: server.Request) -> Deferred[None] | bytes:
+        """Answer a prompt."""
+        body = json_object(http_server.body_of(request))
+        path = request.path.decode()
+        if body is None:
+            failure = not_run(Reason.BAD_REQUEST, messages.BODY_NOT_JSON)
+            return self.refuse(request, failure)
+        fault = completion_fault(path, body)
+        if fault:
+            failure = not_run(Reason.BAD_REQUEST, fault)
+            return self.refuse(request, failure)
+        kept = {name: value for name, value in body.items() if name != "prompt"}
+        caller_request = CallerRequest(
+            request_id=self.new_request_id(request),
+            token=http_server.bearer_token(request),
+            path=path,
+            model=body["model"],
+            prompt=openai_format.prompt_of(path, body) or "",
+            max_tokens=wanted_tokens(body),
+            body=openai_format.encode(kept).decode(),
+            idempotency_key=request.getHeader(http_server.KEY_HEADER),
+        )
+        return self.submit(request, caller_request, bool(body.get("stream")))
+
+    def plain(self, request: server.Request) -> Deferred[None] | bytes:
+        """Pass a call to a plain service."""
+        try:
+            body = http_server.body_of(request).decode()
+        except UnicodeDecodeError:
+            failure = not_run(Reason.BAD_REQUEST, messages.BODY_NOT_UTF8)
+            return self.refuse(request, failure)
+        caller_request = CallerRequest(
+            request_id=self.new_request_id(request),
+            token=http_server.bearer_token(request),
+            path=request.path.decode("utf-8", "replace"),
+            method=request.method.decode("ascii", "replace"),
+            content_type=http_server.header(request, "Content-Type"),
+            body=body,
+            idempotency_key=request.getHeader(http_server.KEY_HEADER),
+        )
+        return self.submit(request, caller_request, is_streamed=False)
+
+    def submit(
+        self,
+        request: server.Request,
+        caller_request: CallerRequest,
+        is_streamed: bool,
+    ) -> Deferred[None] | bytes:
+        """Give a request to the router, and its answer to the caller."""
+        caller = Caller(
+            request=request,
+            request_id=caller_request.request_id,
+            path=caller_request.path,
+            is_streamed=is_streamed,
+        )
+        done = http_server.ended(request)
+        done.addCallback(lambda _: caller.gone())
+        result = self.router.submit(caller_request, caller)
+        if result.is_error():
+            caller.ended(Ended(failure=result.error))
+            return done
+        caller.handling = result.ok
+        return done
+
+    def statement(self, request: server.Request) -> Deferred[bytes] | bytes:
+        """Run an operator's statement."""
+        operator = self.router.authenticate_operator(
+            http_server.bearer_token(request)
+        )
+        if operator is None:
+            failure = not_run(Reason.UNAUTHENTICATED, messages.UNAUTHENTICATED)
+            return self.refuse(request, failure)
+        body = json_object(http_server.body_of(request))
+        text = body.get("statement") if body else None
+        if not isinstance(text, str):
+            failure = not_run(Reason.BAD_REQUEST, messages.NO_STATEMENT)
+            return self.refuse(request, failure)
+
+        async def run() -> bytes:
+            result = await self.admin.run(text, operator)
+            if result.is_ok():
+                return http_server.json_reply(request, wire.encode(result.ok))
+            return http_server.json_reply(
+                request, wire.encode(result.error), result.error.status
+            )
+
+        return Deferred.fromCoroutine(run())
+
+    def is_refused(self, request: server.Request) -> bool:
+        """Refuse a call that does not come from the system."""
+        if http_server.has_secret(request, self.secret):
+            return False
+        request.setResponseCode(http.UNAUTHORIZED)
+        return True
+
+    def report(self, request: server.Request) -> bytes:
+        """Report this daemon to another router."""
+        if self.is_refused(request):
+            return b"{}"
+        report = wire.encode(self.admin.own_report())
+        return http_server.json_reply(request, report)
+
+    def config(self, request: server.Request) -> bytes:
+        """Give a starting process the configuration."""
+        if self.is_refused(request):
+            return b"{}"
+        snapshot = self.board.snapshot().encode()
+        return http_server.json_reply(request, snapshot)
+
+    def demand(self, request: server.Request) -> bytes:
+        """Hear the demand that another router sees."""
+        if self.is_refused(request):
+            return b"{}"
+        try:
+            told = wire.decode(http_server.body_of(request), wire.DemandMessage)
+        except wire.WireError:
+            return http_server.json_reply(request, b"{}", http.BAD_REQUEST)
+        self.board.limits.hear(told.router, told.demand, self.clock.seconds())
+        return http_server.json_reply(request, b"{}")
+
+    def show_metrics(self, request: server.Request) -> bytes:
+        """Show the metrics."""
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        self.metrics.open_requests.set(self.router.open_requests)
+        self.metrics.revision.set(self.board.state.revision)
+        return metrics.render(self.metrics.registry)
+
+    def health(self, request: server.Request) -> bytes:
+        """Say that the process lives."""
+        return b"ok\n"
+
+    def ready(self, request: server.Request) -> bytes:
+        """Say whether the router takes new work."""
+        if not self.board.phase.is_ready:
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+            return b"not ready\n"
+        return b"ready\n"
+
+
+def json_object(data: bytes) -> dict[str, Any] | None:
+    """Return the JSON object in a body; None if it holds none."""
+    try:
+        body = wire.decode(data, dict[str, Any])
+    except wire.WireError:
+        return None
+    return body
+
+
+def completion_fault(path: str, body: Mapping[str, Any]) -> str:
+    """Return what is wrong with a completion's body; empty if nothing is."""
+    if not isinstance(body.get("model"), str):
+        return messages.NO_MODEL
+    if not openai_format.prompt_of(path, body):
+        return messages.NO_PROMPT
+    tokens = wanted_tokens(body)
+    if type(tokens) is not int or not 0 < tokens <= MAX_TOKENS:
+        return messages.BAD_MAX_TOKENS.format(limit=MAX_TOKENS)
+    if body.get("n", 1) != 1:
+        return messages.ONE_CHOICE
+    return ""
+
+
+def wanted_tokens(body: Mapping[str, Any]) -> Any:
+    """Return the number of tokens a completion asks for."""
+    for name in ("max_completion_tokens", "max_tokens"):
+        if body.get(name) is not None:
+            return body[name]
+    return defaults.DEFAULT_MAX_TOKENS
--- /dev/null
+++ b/sequoiawind/standin_main.py
@@ -0,0 +1,82 @@
+"""The program `sequoiawind-standin`: stand-ins for tests and the demo."""
+
+import argparse
+import time
+from typing import Final
+
+import klein
+
+from sequoiawind import command_line, http_server, settings, standin_http
+from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.log_model import LogModel
+from sequoiawind.plain_model import PlainModel
+from sequoiawind.standin_http import (
+    EngineHttp,
+    LogHttp,
+    PlainHttp,
+    VmListHttp,
+)
+
+PURPOSE: Final = "Stand in for an outside system in tests and demos."
+
+
+def main() -> None:
+    """Run the program."""
+    args = make_parser().parse_args()
+    address = settings.parse_address(args.listen)
+    if address is None:
+        command_line.fail(f"{args.listen}: expected an address as host:port")
+    http_server.listen(make_app(args), address)
+    http_server.reactor.run()
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = command_line.parser("sequoiawind-standin", PURPOSE)
+    parser.add_argument("role", choices=["engine", "plain", "log", "vm-list"])
+    parser.add_argument("--listen", required=True, help="host:port")
+    parser.add_argument("--name", default="standin")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--cache-blocks", type=int, default=3000)
+    parser.add_argument(
+        "--step", type=float, default=0.010, help="step time in seconds"
+    )
+    parser.add_argument("--max-batch", type=int, default=32)
+    parser.add_argument("--event-loss", type=float, default=0.0)
+    parser.add_argument("--retention", type=float, default=86_400.0)
+    parser.add_argument("--appends-per-second", type=float, default=300.0)
+    return parser
+
+
+def make_app(args: argparse.Namespace) -> klein.Klein:
+    """Return the application of a stand-in."""
+    reactor = http_server.reactor
+    source = standin_http.make_source(args.seed)
+    if args.role == "engine":
+        engine = EngineModel(
+            name=args.name,
+            clock=reactor,
+            random=source,
+            parameters=EngineParameters(
+                cache_blocks=args.cache_blocks,
+                step_base_s=args.step,
+                max_batch=args.max_batch,
+                event_loss=args.event_loss,
+            ),
+        )
+        # A process that is started again is another incarnation.
+        engine.starts = int(time.time() * 1000)
+        return EngineHttp(engine=engine).app()
+    if args.role == "plain":
+        model = PlainModel(name=args.name, clock=reactor)
+        return PlainHttp(model=model).app()
+    if args.role == "log":
+        log = LogModel(
+            clock=reactor,
+            random=source,
+            retention_s=args.retention,
+            appends_per_s=args.appends_per_second,
+            epoch_s=time.time() - reactor.seconds(),
+        )
+        return LogHttp(model=log).app()
+    return VmListHttp().app()
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -5,6 +5,7 @@
 ``WireError``, which every receiver turns into a refusal.
 """
 
+import base64
 from typing import Any, TypeVar
 
 import attrs
@@ -49,6 +50,7 @@
 
     status: int
     content_type: str
+    # See `encode_body`.
     body: str
 
 
@@ -99,6 +101,15 @@
     load: LoadReport | None = None
 
 
+@attrs.frozen(kw_only=True)
+class DemandMessage:
+    """What a router tells its peers about the demand it sees."""
+
+    router: str
+    # Requests a second by client account.
+    demand: dict[str, float]
+
+
 def encode(message: object) -> bytes:
     """Return the JSON encoding of a message."""
     return msgspec.json.encode(message)
@@ -123,6 +134,16 @@
         raise WireError(str(error)) from error
 
 
+def encode_body(content: bytes) -> str:
+    """Return the body of a reply as text that JSON can carry (Base64)."""
+    return base64.b64encode(content).decode()
+
+
+def decode_body(text: str) -> bytes:
+    """Return the body that `encode_body` made into text."""
+    return base64.b64decode(text)
+
+
 def to_builtins(message: object) -> Any:
     """Return a message as plain dictionaries, lists and scalars."""
     return msgspec.to_builtins(message)
