--- /dev/null
+++ b/sequoiawind/agent_program.py
@@ -0,0 +1,136 @@
+"""An agent put together: decisions, transports and controllers.
+
+``agent_main`` runs it as a process; tests run it beside others in one.
+"""
+
+import random
+import time
+from functools import partial
+from typing import Any
+
+import attrs
+import structlog
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+
+from sequoiawind import (
+    agent_http,
+    http_client,
+    http_ports,
+    http_server,
+    logs,
+)
+from sequoiawind.admission import FairQueue
+from sequoiawind.agent import Agent
+from sequoiawind.agent_http import AgentHttp
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.config_follower import ConfigFollower
+from sequoiawind.engine_watcher import EngineWatcher
+from sequoiawind.http_client import JsonClient
+from sequoiawind.http_ports import (
+    EngineControlPort,
+    EngineHttpPort,
+    PlainHttpPort,
+)
+from sequoiawind.metrics import AgentMetrics
+from sequoiawind.options import AgentSettings
+from sequoiawind.peers import ConfigSeeker, PeerClient
+
+Logger = structlog.typing.FilteringBoundLogger
+
+
+@attrs.define(kw_only=True)
+class AgentProgram:
+    """All parts of one agent."""
+
+    options: AgentSettings
+    log: Logger = attrs.field(init=False)
+    random: "random.Random" = attrs.field(factory=random.Random)
+    client: HTTPClient = attrs.field(factory=http_client.make_client)
+    metrics: AgentMetrics = attrs.field(factory=AgentMetrics)
+    board: Blackboard = attrs.field(factory=Blackboard)
+    json: JsonClient = attrs.field(init=False)
+    agent: Agent = attrs.field(init=False)
+    # The listening port; None before `listen`.
+    port: Any = None
+
+    def __attrs_post_init__(self) -> None:
+        """Put the parts together."""
+        self.log = logs.get(self.options.agent.name)
+        self.json = JsonClient(
+            client=self.client, secret=self.options.peers.secret
+        )
+        self.agent = self.make_agent()
+
+    def make_agent(self) -> Agent:
+        """Return the decisions about attempts."""
+        options = self.options.agent
+        port: EngineHttpPort | PlainHttpPort
+        if options.service == "engine":
+            port = EngineHttpPort(client=self.client)
+        else:
+            port = PlainHttpPort(client=self.client)
+        return Agent(
+            target=options.target,
+            address=str(options.target_address),
+            port=port,
+            clock=http_server.reactor,
+            service=options.service,
+            queue=FairQueue(
+                max_running=options.max_running,
+                max_queue=options.max_queue,
+                prefill_tokens_per_s=options.prefill_tokens_per_s,
+            ),
+            on_event=partial(agent_http.count_event, self.metrics),
+        )
+
+    def listen(self) -> None:
+        """Open the listening port."""
+        web = AgentHttp(
+            agent=self.agent,
+            board=self.board,
+            metrics=self.metrics,
+            secret=self.options.peers.secret,
+            name=self.options.agent.name,
+            domain=self.options.agent.failure_domain,
+        )
+        self.port = http_server.listen(web.app(), self.options.agent.listen)
+        self.log.info("listening", port=self.port.getHost().port)
+
+    def start(self) -> None:
+        """Start the controllers."""
+        follower = ConfigFollower(
+            board=self.board,
+            log=http_ports.log_port(self.client, self.options.platform.log),
+            clock=http_server.reactor,
+            random=self.random,
+            wall=time.time,
+            retention_s=self.options.platform.log_retention_s,
+        )
+        seeker = ConfigSeeker(
+            peers=PeerClient(json=self.json),
+            board=self.board,
+            clock=http_server.reactor,
+            addresses=self.options.peers.routers,
+        )
+        controllers = [follower.run(), seeker.run()]
+        if self.options.agent.service == "engine":
+            controllers.append(self.make_watcher().run())
+        for controller in controllers:
+            Deferred.fromCoroutine(controller)
+
+    def make_watcher(self) -> EngineWatcher:
+        """Return the controller that follows the engine."""
+        return EngineWatcher(
+            agent=self.agent,
+            port=EngineControlPort(
+                json=self.json, address=self.options.agent.target_address
+            ),
+            clock=http_server.reactor,
+            random=self.random,
+            board=self.board,
+        )
+
+    def leave(self) -> None:
+        """Take no more work."""
+        self.agent.drain("the agent is shutting down")
--- a/sequoiawind/load_main.py
+++ b/sequoiawind/load_main.py
@@ -7,7 +7,13 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from sequoiawind import command_line, http_client, http_server, workload
+from sequoiawind import (
+    command_line,
+    http_bench,
+    http_client,
+    http_server,
+    workload,
+)
 from sequoiawind.http_load import LoadRun
 
 PURPOSE: Final = "Load routers, compare policies, and look for faults."
@@ -18,6 +24,14 @@
     args = make_parser().parse_args()
     if args.action == "run":
         sys.exit(run_load(args))
+    if args.action == "bench":
+        bench = http_bench.Bench(
+            router=args.router,
+            engine=args.engine,
+            agents=args.agent,
+            model=args.model,
+        )
+        print("\n".join(run_in_reactor(bench.run())))
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -33,6 +47,11 @@
     run.add_argument("--rate", type=float, help="requests a second")
     run.add_argument("--seconds", type=float, default=10.0)
     run.add_argument("--seed", type=int, default=1)
+    bench = actions.add_parser("bench", help="measure added time and relaying")
+    bench.add_argument("--router", required=True)
+    bench.add_argument("--engine", required=True)
+    bench.add_argument("--agent", action="append", required=True)
+    bench.add_argument("--model", required=True)
     return parser
 
 
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -6,6 +6,7 @@
     Counter,
     Gauge,
     Histogram,
+    ProcessCollector,
     generate_latest,
 )
 
@@ -44,6 +45,7 @@
     def __attrs_post_init__(self) -> None:
         """Register the metrics, with every reason's counter at zero."""
         registry = self.registry
+        ProcessCollector(registry=registry)
         self.requests = Counter(
             "sequoiawind_requests",
             "Requests ended, by kind and verdict.",
@@ -113,6 +115,7 @@
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
         registry = self.registry
+        ProcessCollector(registry=registry)
         self.events = Counter(
             "sequoiawind_agent_events",
             "Attempts refused (by reason), resumed, cancelled; foreign chunks.",
--- a/sequoiawind/openai_format.py
+++ b/sequoiawind/openai_format.py
@@ -131,12 +131,18 @@
         return None
     details = body.get("prompt_tokens_details") or {}
     return Usage(
-        prompt_tokens=int(body.get("prompt_tokens", 0)),
-        cached_tokens=int(details.get("cached_tokens", 0)),
-        completion_tokens=int(body.get("completion_tokens", 0)),
+        prompt_tokens=count_in(body, "prompt_tokens"),
+        cached_tokens=count_in(details, "cached_tokens"),
+        completion_tokens=count_in(body, "completion_tokens"),
     )
 
 
+def count_in(body: Mapping[str, Any], name: str) -> int:
+    """Return a count that an engine reports; 0 if it makes no sense."""
+    value = body.get(name)
+    return value if isinstance(value, int) and value > 0 else 0
+
+
 def usage_json(usage: Usage) -> Json:
     """Return the usage block of an answer."""
     return {
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -110,8 +110,11 @@
         if self.is_ended:
             return
         self.is_ended = True
-        self.router.finished(self, ended)
-        self.caller.ended(ended)
+        try:
+            self.router.finished(self, ended)
+        finally:
+            # A fault in the accounts must not keep the answer back.
+            self.caller.ended(ended)
 
     def cancel(self) -> None:
         """The caller has gone.
@@ -344,7 +347,7 @@
             method="" if is_engine else request.method,
             path=request.path,
             content_type=request.content_type,
-            body="" if is_engine else request.body,
+            body=request.body,
             idempotency_key=request.idempotency_key or "",
         )
 
--- /dev/null
+++ b/sequoiawind/router_program.py
@@ -0,0 +1,229 @@
+"""A router put together: decisions, transports and controllers.
+
+``router_main`` runs it as a process; tests run it beside others in one.
+"""
+
+import random
+import time
+from typing import Any
+
+import attrs
+import structlog
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+
+from sequoiawind import http_client, http_ports, http_server, logs
+from sequoiawind.admin import Admin
+from sequoiawind.blackboard import Blackboard, RequestNote
+from sequoiawind.claimant import Claimant
+from sequoiawind.config_follower import ConfigFollower
+from sequoiawind.exchange import Surroundings
+from sequoiawind.http_client import JsonClient
+from sequoiawind.http_ports import AgentPort, LogHttpPort
+from sequoiawind.limits import AccountLimits
+from sequoiawind.metrics import RouterMetrics
+from sequoiawind.options import RouterSettings
+from sequoiawind.peers import (
+    ConfigSeeker,
+    DemandTeller,
+    PeerClient,
+    VmListWatcher,
+)
+from sequoiawind.router import Router
+from sequoiawind.router_http import RouterHttp
+from sequoiawind.verdict import Failure, Reason
+from sequoiawind.wire import Ended
+
+Logger = structlog.typing.FilteringBoundLogger
+
+
+@attrs.define(kw_only=True)
+class RouterProgram:
+    """All parts of one router."""
+
+    options: RouterSettings
+    log: Logger = attrs.field(init=False)
+    random: "random.Random" = attrs.field(factory=random.Random)
+    client: HTTPClient = attrs.field(factory=http_client.make_client)
+    metrics: RouterMetrics = attrs.field(factory=RouterMetrics)
+    board: Blackboard = attrs.field(factory=Blackboard)
+    log_port: LogHttpPort = attrs.field(init=False)
+    peers: PeerClient = attrs.field(init=False)
+    claimant: Claimant = attrs.field(init=False)
+    router: Router = attrs.field(init=False)
+    follower: ConfigFollower = attrs.field(init=False)
+    # The listening port; None before `listen`.
+    port: Any = None
+
+    def __attrs_post_init__(self) -> None:
+        """Put the parts together."""
+        self.log = logs.get(self.options.router.name)
+        self.board.limits = AccountLimits(
+            routers=1 + len(self.options.peers.routers)
+        )
+        self.log_port = http_ports.log_port(
+            self.client, self.options.platform.log
+        )
+        self.peers = PeerClient(
+            json=JsonClient(
+                client=self.client, secret=self.options.peers.secret
+            )
+        )
+        self.claimant = self.make_claimant()
+        self.router = self.make_router()
+        self.follower = self.make_follower()
+
+    def make_claimant(self) -> Claimant:
+        """Return the controller of at-most-once actions."""
+        incarnation = f"{self.random.getrandbits(32):08x}"
+        return Claimant(
+            log=self.log_port,
+            clock=http_server.reactor,
+            random=self.random,
+            owner=f"{self.options.router.name}.{incarnation}",
+            on_step=self.count_claim_step,
+        )
+
+    def make_router(self) -> Router:
+        """Return the decisions about requests."""
+        around = Surroundings(
+            clock=http_server.reactor,
+            random=self.random,
+            port=AgentPort(
+                client=self.client, secret=self.options.peers.secret
+            ),
+            members=self.board.members,
+            budgets=self.board.budgets,
+            on_retry=self.count_retry,
+        )
+        return Router(
+            board=self.board,
+            around=around,
+            claimant=self.claimant,
+            random=self.random,
+            wall=time.time,
+            on_end=self.note_end,
+            on_refusal=self.count_refusal,
+        )
+
+    def make_follower(self) -> ConfigFollower:
+        """Return the controller of the configuration."""
+        return ConfigFollower(
+            board=self.board,
+            log=self.log_port,
+            clock=http_server.reactor,
+            random=self.random,
+            wall=time.time,
+            retention_s=self.options.platform.log_retention_s,
+        )
+
+    def make_web(self) -> RouterHttp:
+        """Return the HTTP interface."""
+        admin = Admin(
+            name=self.options.router.name,
+            domain=self.options.router.failure_domain,
+            board=self.board,
+            follower=self.follower,
+            claimant=self.claimant,
+            clock=http_server.reactor,
+            ask=self.peers.report,
+            routers=[str(peer) for peer in self.options.peers.routers],
+        )
+        return RouterHttp(
+            router=self.router,
+            admin=admin,
+            board=self.board,
+            metrics=self.metrics,
+            clock=http_server.reactor,
+            random=self.random,
+            secret=self.options.peers.secret,
+        )
+
+    def listen(self) -> None:
+        """Open the listening port."""
+        self.port = http_server.listen(
+            self.make_web().app(), self.options.router.listen
+        )
+        self.log.info("listening", port=self.port.getHost().port)
+
+    def start(self, on_ready: Any) -> None:
+        """Start the controllers.
+
+        Args:
+          on_ready: Called once the router has a configuration.
+        """
+        seeker = ConfigSeeker(
+            peers=self.peers,
+            board=self.board,
+            clock=http_server.reactor,
+            addresses=[
+                *self.options.peers.routers,
+                *self.options.peers.agents,
+            ],
+            on_found=on_ready,
+        )
+        teller = DemandTeller(
+            name=self.options.router.name,
+            peers=self.peers,
+            board=self.board,
+            clock=http_server.reactor,
+            addresses=self.options.peers.routers,
+        )
+        controllers = [self.follower.run(), seeker.run(), teller.run()]
+        watcher = self.make_watcher()
+        if watcher is not None:
+            controllers.append(watcher.run())
+        for controller in controllers:
+            Deferred.fromCoroutine(controller)
+
+    def make_watcher(self) -> VmListWatcher | None:
+        """Return the controller of the VM list, if there is a list."""
+        if self.options.platform.vm_list is None:
+            return None
+        return VmListWatcher(
+            json=self.peers.json,
+            address=self.options.platform.vm_list,
+            board=self.board,
+            clock=http_server.reactor,
+            random=self.random,
+        )
+
+    def is_idle(self) -> bool:
+        """Whether no request and no claim record is under way."""
+        return self.router.open_requests == 0 and self.claimant.pending == 0
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        self.port.stopListening()
+
+    def count_claim_step(self, step: str) -> None:
+        """Count a step of a claim."""
+        self.metrics.claims.labels(step).inc()
+
+    def count_retry(self, reason: Reason) -> None:
+        """Count a retry by its reason."""
+        self.metrics.retries.labels(reason.value).inc()
+
+    def count_refusal(self, failure: Failure) -> None:
+        """Count a refusal by its reason."""
+        self.metrics.refusals.labels(failure.reason.value).inc()
+
+    def note_end(self, note: RequestNote, ended: Ended) -> None:
+        """Count and log the end of a request."""
+        self.metrics.requests.labels(note.kind, note.verdict).inc()
+        self.metrics.prompt_tokens.inc(note.prompt_tokens)
+        self.metrics.cached_tokens.inc(note.cached_tokens)
+        if note.first_chunk_s >= 0.0:
+            waited_s = note.first_chunk_s - note.began_s
+            self.metrics.first_chunk.labels(note.kind).observe(waited_s)
+        self.log.info(
+            "request",
+            request_id=note.request_id,
+            account=note.account,
+            kind=note.kind,
+            target=note.path[-1] if note.path else "",
+            attempts=len(note.path),
+            verdict=note.verdict,
+            reason=note.reason,
+            seconds=round(note.ended_s - note.began_s, 4),
+        )
--- a/sequoiawind/standin_main.py
+++ b/sequoiawind/standin_main.py
@@ -41,6 +41,18 @@
     parser.add_argument(
         "--step", type=float, default=0.010, help="step time in seconds"
     )
+    parser.add_argument(
+        "--prefill-token",
+        type=float,
+        default=50e-6,
+        help="time to compute one prompt token, in seconds",
+    )
+    parser.add_argument(
+        "--decode-sequence",
+        type=float,
+        default=0.4e-3,
+        help="time that a sequence adds to a step, in seconds",
+    )
     parser.add_argument("--max-batch", type=int, default=32)
     parser.add_argument("--event-loss", type=float, default=0.0)
     parser.add_argument("--retention", type=float, default=86_400.0)
@@ -60,6 +72,8 @@
             parameters=EngineParameters(
                 cache_blocks=args.cache_blocks,
                 step_base_s=args.step,
+                prefill_token_s=args.prefill_token,
+                decode_sequence_s=args.decode_sequence,
                 max_batch=args.max_batch,
                 event_loss=args.event_loss,
             ),
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sequoiawind."""
--- /dev/null
+++ b/tests/live.py
@@ -0,0 +1,237 @@
+"""Routers, agents and stand-ins on real sockets, in one process.
+
+The reactor runs in a thread of its own, so that tests can use blocking
+clients; every port is 0.
+"""
+
+import random
+import threading
+import time
+from typing import Any
+
+import attrs
+from twisted.internet.threads import blockingCallFromThread
+
+from sequoiawind import config_fold, defaults, http_server, logs
+from sequoiawind.agent_program import AgentProgram
+from sequoiawind.commands import Command, Create
+from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.log_model import LogModel
+from sequoiawind.options import (
+    Address,
+    AgentOptions,
+    AgentSettings,
+    LogsOptions,
+    PeerOptions,
+    PlatformOptions,
+    RouterOptions,
+    RouterSettings,
+)
+from sequoiawind.plain_model import PlainModel
+from sequoiawind.router import token_digest
+from sequoiawind.router_program import RouterProgram
+from sequoiawind.standin_http import EngineHttp, LogHttp, PlainHttp
+
+ANY_PORT = Address(host="127.0.0.1", port=0)
+SECRET = "test-secret-0123456789"
+TOKEN = "nordlys-token"
+OPERATOR_TOKEN = "ops-token"
+READY_TRIES = 200
+
+
+def reactor_thread() -> None:
+    """Start the reactor once for all tests."""
+    if not http_server.reactor.running:
+        logs.configure(LogsOptions(level="error"))
+        threading.Thread(
+            target=http_server.reactor.run,
+            kwargs={"installSignalHandlers": False},
+            daemon=True,
+        ).start()
+
+
+def in_reactor(function: Any, *args: Any) -> Any:
+    """Call a function in the reactor's thread and return its result."""
+    return blockingCallFromThread(http_server.reactor, function, *args)
+
+
+def address_of(port: Any) -> Address:
+    """Return the address of a listening port."""
+    return Address(host="127.0.0.1", port=port.getHost().port)
+
+
+@attrs.define(kw_only=True)
+class LiveSystem:
+    """One log, two engines, one plain service, their agents, two routers."""
+
+    engines: list[EngineModel] = attrs.field(factory=list)
+    agents: list[AgentProgram] = attrs.field(factory=list)
+    routers: list[RouterProgram] = attrs.field(factory=list)
+    plain: Any = None
+    log: Any = None
+    platform: Any = None
+
+    def start(self) -> None:
+        """Start everything and wait until the routers are ready."""
+        reactor_thread()
+        in_reactor(self.start_in_reactor)
+        for _ in range(READY_TRIES):
+            if all(
+                router.board.phase.is_ready and router.board.state.revision >= 0
+                for router in self.routers
+            ):
+                return
+            time.sleep(0.02)
+        raise AssertionError("the routers did not become ready")
+
+    def start_in_reactor(self) -> None:
+        """Start everything."""
+        reactor = http_server.reactor
+        source = random.Random(1)
+        self.log = LogModel(
+            clock=reactor,
+            random=source,
+            epoch_s=time.time() - reactor.seconds(),
+        )
+        log_port = http_server.listen(LogHttp(model=self.log).app(), ANY_PORT)
+        self.platform = PlatformOptions(log=address_of(log_port))
+        commands: list[Command] = base_commands()
+        for number in range(2):
+            engine = EngineModel(
+                name=f"e{number}",
+                clock=reactor,
+                random=source,
+                parameters=EngineParameters(
+                    step_base_s=0.001, prefill_token_s=1e-6
+                ),
+            )
+            self.engines.append(engine)
+            app = EngineHttp(engine=engine).app()
+            commands.append(self.add_agent(engine.name, "engine", app))
+        self.plain = PlainModel(name="p0", clock=reactor)
+        app = PlainHttp(model=self.plain).app()
+        commands.append(self.add_agent("p0", "plain", app))
+        records = [
+            config_fold.make_record(f"boot-{number}", "boot", command)
+            for number, command in enumerate(commands)
+        ]
+        self.log.append_now(defaults.CONFIG_STREAM, records)
+        for number in range(2):
+            self.add_router(f"r{number}")
+
+    def add_agent(self, name: str, service: str, app: Any) -> Command:
+        """Start a target and its agent; return the target's command."""
+        target_port = http_server.listen(app, ANY_PORT)
+        program = AgentProgram(
+            options=AgentSettings(
+                agent=AgentOptions(
+                    name=f"agent-{name}",
+                    listen=ANY_PORT,
+                    target=name,
+                    target_address=address_of(target_port),
+                    service=service,
+                ),
+                platform=self.platform,
+                peers=PeerOptions(secret=SECRET),
+            )
+        )
+        program.listen()
+        program.start()
+        self.agents.append(program)
+        pool = "briefing" if service == "engine" else "booking"
+        return Create(
+            table="targets",
+            name=name,
+            fields={"pool": pool, "agent": str(address_of(program.port))},
+        )
+
+    def add_router(self, name: str) -> None:
+        """Start a router."""
+        program = RouterProgram(
+            options=RouterSettings(
+                router=RouterOptions(name=name, listen=ANY_PORT),
+                platform=self.platform,
+                peers=PeerOptions(secret=SECRET),
+            )
+        )
+        phase = program.board.phase
+
+        def ready() -> None:
+            phase.name = "serving"
+
+        program.listen()
+        program.start(on_ready=ready)
+        self.routers.append(program)
+
+    def url(self, number: int = 0) -> str:
+        """Return the base URL of a router."""
+        return f"http://{address_of(self.routers[number].port)}"
+
+
+def base_commands() -> list[Command]:
+    """Return the configuration without targets."""
+    return [
+        Create(table="kinds", name="briefing", fields={"priority": 6}),
+        Create(table="kinds", name="drop", fields={"repeat": "never"}),
+        Create(table="kinds", name="status", fields={}),
+        Create(table="pools", name="briefing", fields={"model": "polar"}),
+        Create(table="pools", name="booking", fields={"service": "plain"}),
+        Create(
+            table="routes",
+            name="briefing",
+            fields={
+                "path": "/v1",
+                "model": "polar",
+                "pool": "briefing",
+                "kind": "briefing",
+            },
+        ),
+        Create(
+            table="routes",
+            name="drops",
+            fields={"path": "/bookings", "pool": "booking", "kind": "drop"},
+        ),
+        Create(
+            table="routes",
+            name="status",
+            fields={"path": "/status", "pool": "booking", "kind": "status"},
+        ),
+        Create(
+            table="accounts",
+            name="nordlys",
+            fields={"token_digest": token_digest(TOKEN)},
+        ),
+        Create(
+            table="accounts",
+            name="small",
+            fields={
+                "token_digest": token_digest("small-token"),
+                "rate_per_s": 0.5,
+            },
+        ),
+        Create(
+            table="operators",
+            name="ops",
+            fields={
+                "token_digest": token_digest(OPERATOR_TOKEN),
+                "role": "operator",
+            },
+        ),
+        Create(
+            table="operators",
+            name="viewer",
+            fields={"token_digest": token_digest("viewer-token")},
+        ),
+    ]
+
+
+_shared: list[LiveSystem] = []
+
+
+def shared() -> LiveSystem:
+    """Return a system that tests share, started on first use."""
+    if not _shared:
+        system = LiveSystem()
+        system.start()
+        _shared.append(system)
+    return _shared[0]
