Raise the listen backlog of the daemons to 1024

Cause: 200 callers connecting at once overflowed the library's backlog of 50, so that 46 of 200 streams failed to connect (58 in a second run). Change: the backlog is a named constant of 1024.

--- a/sequoiawind/http_bench.py
+++ b/sequoiawind/http_bench.py
@@ -86,7 +86,8 @@
         chunks = run.results.answered * (STREAM_TOKENS + 2)
         lines = [
             f"{STREAMS} streams: {run.results.answered} whole, "
-            f"{run.results.wrong} wrong, {chunks / lasted_s:.0f} chunks/s "
+            f"{run.results.wrong} wrong, refused "
+            f"{dict(run.results.refusals)}, {chunks / lasted_s:.0f} chunks/s "
             "with this one load process"
         ]
         router_s = await self.cpu_s([self.router]) - router_before_s
--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -22,6 +22,8 @@
 ATTEMPTS_HEADER: Final = "X-Sequoiawind-Attempts"
 CACHED_HEADER: Final = "X-Sequoiawind-Cached-Tokens"
 KEY_HEADER: Final = "Idempotency-Key"
+# Connections that may wait to be accepted, as after a balancer's switch.
+LISTEN_BACKLOG: Final = 1024
 JSON_TYPE: Final = "application/json"
 
 # The reactor's type cannot be expressed without a plugin for its interfaces.
@@ -96,7 +98,10 @@
     )
     site.displayTracebacks = False
     port: IListeningPort = reactor.listenTCP(
-        address.port, site, interface=address.host
+        address.port,
+        site,
+        backlog=LISTEN_BACKLOG,
+        interface=address.host,
     )
     return port
 
