Soak run, mutants, and claims that age with their keys

The key's age was checked when a request arrived, not where its claim lands; a paused router could append later, and the largest age did not follow the retention. Ruled out: late sending by a paused winner (the trace shows two claims, the second 41 s after the first at a retention of 40 s). Change: a claim carries the log time from which it is void, and the fold ignores it after that; the largest age and skew of keys are shares of the retention that sum below 1.

--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -15,6 +15,7 @@
 from sequoiawind.admission import FairQueue, Job
 from sequoiawind.cache_index import CacheIndex
 from sequoiawind.ports import Call, Clock, Sink, TargetPort
+from sequoiawind.state import State
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from sequoiawind.wire import Attempt, Ended, LoadReport
 
@@ -91,7 +92,9 @@
     index: CacheIndex = attrs.field(factory=CacheIndex)
     # Weights version that the target was last seen to serve.
     version: str = ""
+    # Why no new work is taken; empty if it is.
     draining: str = ""
+    is_leaving: bool = False
     relays: OrderedDict[str, Relay] = attrs.field(factory=OrderedDict)
     # Called with the name of each event, for metrics.
     on_event: Callable[[str], None] = attrs.field(default=lambda name: None)
@@ -229,13 +232,20 @@
         if relay.sink is None:
             self.cancel(relay)
 
-    def drain(self, because: str) -> None:
-        """Take no new work; what is queued or running goes on."""
-        self.draining = because
+    def follow_config(self, state: State) -> None:
+        """Drain or admit as the configuration in force says.
 
-    def admit(self) -> None:
-        """Take work again."""
-        self.draining = ""
+        A daemon that is shutting down stays closed.
+        """
+        if self.is_leaving:
+            return
+        target = state.targets.get(self.target)
+        self.draining = target.drained if target is not None else ""
+
+    def leave(self) -> None:
+        """Take no new work for good: the process is shutting down."""
+        self.is_leaving = True
+        self.draining = messages.SHUTTING_DOWN
 
     def is_idle(self) -> bool:
         """Whether no attempt is queued or running."""
--- a/sequoiawind/agent_main.py
+++ b/sequoiawind/agent_main.py
@@ -27,7 +27,7 @@
     daemon = Daemon(
         phase=program.board.phase,
         is_idle=program.agent.is_idle,
-        on_leaving=program.leave,
+        on_leaving=program.agent.leave,
     )
     with daemon:
         program.listen()
--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -106,12 +106,14 @@
             random=self.random,
             wall=time.time,
             retention_s=self.options.platform.log_retention_s,
+            on_change=self.follow_config,
         )
         seeker = ConfigSeeker(
             peers=PeerClient(json=self.json),
             board=self.board,
             clock=http_server.reactor,
             addresses=self.options.peers.routers,
+            on_found=self.follow_config,
         )
         controllers = [follower.run(), seeker.run()]
         if self.options.agent.service == "engine":
@@ -131,6 +133,6 @@
             board=self.board,
         )
 
-    def leave(self) -> None:
-        """Take no more work."""
-        self.agent.drain("the agent is shutting down")
+    def follow_config(self) -> None:
+        """Let the agent do as the configuration says."""
+        self.agent.follow_config(self.board.state)
--- a/sequoiawind/claimant.py
+++ b/sequoiawind/claimant.py
@@ -118,7 +118,12 @@
         return self.streams[name]
 
     def make_claim(
-        self, key: str, digest: str, kind: str, request_id: str
+        self,
+        key: str,
+        digest: str,
+        kind: str,
+        request_id: str,
+        valid_until_s: float,
     ) -> Claim:
         """Return a new claim of this process."""
         return Claim(
@@ -128,6 +133,7 @@
             kind=kind,
             owner=self.owner,
             request_id=request_id,
+            valid_until_s=valid_until_s,
         )
 
     async def acquire(self, claim: Claim) -> Result[Reply | None, Failure]:
@@ -156,8 +162,8 @@
             return Error(log_down())
         entry = stream.table.entries.get(claim.key)
         if entry is None:
-            self.abandon(claim)
-            return Error(log_down())
+            self.on_step("void")
+            return Error(not_run(Reason.KEY_TOO_OLD, messages.KEY_TOO_OLD))
         if entry.claim.claim_id != claim.claim_id:
             self.on_step("lost")
             if appended.is_error():
--- a/sequoiawind/claims.py
+++ b/sequoiawind/claims.py
@@ -15,9 +15,9 @@
 
 from sequoiawind import defaults, wire
 
-# How long a claim is kept, by the log's clock: a key may still be accepted
-# until its largest age, and clocks may differ by the skew on both sides.
-CLAIM_KEPT_S: Final = defaults.KEY_MAX_AGE_S + 3 * defaults.KEY_MAX_SKEW_S
+# How long releases are remembered, by the log's clock: a claim cannot be
+# accepted for longer.
+RELEASE_KEPT_S: Final = defaults.KEY_MAX_AGE_S + defaults.KEY_MAX_SKEW_S
 
 
 @attrs.frozen(kw_only=True)
@@ -31,6 +31,9 @@
     digest: str
     kind: str
     owner: str
+    # Time by the log from which the claim is void: then the log may have
+    # dropped an earlier claim of the key.
+    valid_until_s: float
     request_id: str = ""
 
 
@@ -125,12 +128,12 @@
 
     def expire(self, now_s: float) -> None:
         """Forget claims whose keys are refused for their age."""
-        oldest_s = now_s - CLAIM_KEPT_S
         while self.entries:
             entry = next(iter(self.entries.values()))
-            if entry.time_s >= oldest_s:
+            if entry.claim.valid_until_s >= now_s:
                 break
             self.entries.popitem(last=False)
+        oldest_s = now_s - RELEASE_KEPT_S
         while self.released:
             released_s = next(iter(self.released.values()))
             if released_s >= oldest_s:
@@ -166,6 +169,8 @@
 def _(node: Claim, table: ClaimTable, offset: int, time_s: float) -> None:
     if node.claim_id in table.released or node.key in table.entries:
         return
+    if time_s > node.valid_until_s:
+        return
     table.entries[node.key] = Entry(claim=node, offset=offset, time_s=time_s)
 
 
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -83,6 +83,10 @@
 # Idempotency keys.
 KEY_MAX_AGE_S: Final = 3_600.0
 KEY_MAX_SKEW_S: Final = 60.0
+# Their sum is below 1, so that the log still has a key's first claim when
+# its last is made.
+KEY_AGE_SHARE_OF_RETENTION: Final = 0.5
+KEY_SKEW_SHARE_OF_RETENTION: Final = 0.25
 CLAIM_SEND_WINDOW_S: Final = 30.0
 CLAIM_READ_ATTEMPTS: Final = 5
 CLAIM_READ_PAUSE_S: Final = 0.2
--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -218,6 +218,12 @@
     def open(self, candidate: Candidate, max_wait_s: float) -> None:
         """Open an attempt at a target."""
         order = self.order
+        try:
+            text = openai_format.joined_text(self.template.path, order.passed)
+        except openai_format.FormatError as error:
+            # Without the text so far the answer cannot go on elsewhere.
+            self.give_up(may_have_run(Reason.TARGET_ERROR, str(error)))
+            return
         left_s = self.deadline_at_s - self.around.clock.seconds()
         attempt = attrs.evolve(
             self.template,
@@ -226,7 +232,7 @@
             max_wait_s=min(max_wait_s, left_s),
             deadline_s=left_s,
             start_index=order.expected,
-            partial=openai_format.joined_text(self.template.path, order.passed),
+            partial=text,
         )
         order.forget_early()
         self.send(candidate, attempt)
--- a/sequoiawind/keys.py
+++ b/sequoiawind/keys.py
@@ -7,6 +7,7 @@
 
 import uuid
 
+import attrs
 from expression import Error, Ok, Result
 
 from sequoiawind import defaults, messages
@@ -27,20 +28,55 @@
     return str(uuid.UUID(int=value))
 
 
+@attrs.frozen(kw_only=True)
+class KeyLimits:
+    """Which ages of keys are accepted.
+
+    All claims of a key lie within its largest age and skew, and the log must
+    keep the first of them until then.
+    """
+
+    max_age_s: float = defaults.KEY_MAX_AGE_S
+    max_skew_s: float = defaults.KEY_MAX_SKEW_S
+
+
+def limits_for(log_retention_s: float) -> KeyLimits:
+    """Return limits that fit in the time for which the log keeps records."""
+    return KeyLimits(
+        max_age_s=min(
+            defaults.KEY_MAX_AGE_S,
+            log_retention_s * defaults.KEY_AGE_SHARE_OF_RETENTION,
+        ),
+        max_skew_s=min(
+            defaults.KEY_MAX_SKEW_S,
+            log_retention_s * defaults.KEY_SKEW_SHARE_OF_RETENTION,
+        ),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class CheckedKey:
+    """A key that is accepted."""
+
+    # Canonical form.
+    text: str
+    # Time by the log from which a claim of it is void, in seconds since the
+    # epoch.
+    valid_until_s: float
+
+
 def check_key(
-    text: str | None,
-    now_s: float,
-    max_age_s: float = defaults.KEY_MAX_AGE_S,
-) -> Result[str, Failure]:
+    text: str | None, now_s: float, limits: KeyLimits
+) -> Result[CheckedKey, Failure]:
     """Check a caller's idempotency key.
 
     Args:
       text: The key as sent; None if there was none.
       now_s: The time in seconds since the epoch.
-      max_age_s: Age from which a key is refused, in seconds.
+      limits: Which ages are accepted.
 
     Returns:
-      The key in canonical form, or why the request was not run.
+      The key, or why the request was not run.
     """
     if not text:
         return Error(not_run(Reason.KEY_MISSING, messages.KEY_MISSING))
@@ -51,8 +87,12 @@
     if key.version != 7:
         return Error(not_run(Reason.KEY_MALFORMED, messages.KEY_MALFORMED))
     age_s = now_s - key_time_s(key)
-    if age_s > max_age_s:
+    if age_s > limits.max_age_s:
         return Error(not_run(Reason.KEY_TOO_OLD, messages.KEY_TOO_OLD))
-    if age_s < -defaults.KEY_MAX_SKEW_S:
+    if age_s < -limits.max_skew_s:
         return Error(not_run(Reason.KEY_IN_FUTURE, messages.KEY_IN_FUTURE))
-    return Ok(str(key))
+    return Ok(
+        CheckedKey(
+            text=str(key), valid_until_s=key_time_s(key) + limits.max_age_s
+        )
+    )
--- a/sequoiawind/load_main.py
+++ b/sequoiawind/load_main.py
@@ -12,6 +12,8 @@
     http_bench,
     http_client,
     http_server,
+    mutants,
+    soak,
     workload,
 )
 from sequoiawind.http_load import LoadRun
@@ -32,6 +34,10 @@
             model=args.model,
         )
         print("\n".join(run_in_reactor(bench.run())))
+    if args.action == "soak":
+        sys.exit(run_soak(args))
+    if args.action == "mutants":
+        sys.exit(run_mutants())
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -52,9 +58,41 @@
     bench.add_argument("--engine", required=True)
     bench.add_argument("--agent", action="append", required=True)
     bench.add_argument("--model", required=True)
+    soak_parser = actions.add_parser(
+        "soak", help="run real code under random faults on a virtual clock"
+    )
+    soak_parser.add_argument("--seed", type=int, default=1)
+    soak_parser.add_argument("--seeds", type=int, default=1)
+    actions.add_parser("mutants", help="check that the soak finds faults")
     return parser
 
 
+def run_soak(args: argparse.Namespace) -> int:
+    """Run the soak's seeds and print what they found."""
+    red = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        violations, counts = soak.run_seed(seed)
+        done = ", ".join(f"{key} {counts[key]}" for key in sorted(counts))
+        print(f"seed {seed}: {len(violations)} violations; {done}")
+        for violation in violations:
+            print(f"  {violation}")
+        red += bool(violations)
+    return 1 if red else 0
+
+
+def run_mutants() -> int:
+    """Break one mechanism at a time; each must be found."""
+    missed = 0
+    for mutant in mutants.MUTANTS:
+        seed, violation = mutants.hunt(mutant)
+        if seed < 0:
+            missed += 1
+            print(f"NOT FOUND: {mutant.name}")
+        else:
+            print(f"found by seed {seed}: {mutant.name}: {violation}")
+    return 1 if missed else 0
+
+
 def run_load(args: argparse.Namespace) -> int:
     """Send a workload and print what was measured."""
     shape = workload.DEPLOYMENTS[args.deployment]
--- a/sequoiawind/memory_network.py
+++ b/sequoiawind/memory_network.py
@@ -8,13 +8,13 @@
 import random
 from collections.abc import Callable
 from functools import partial
-from typing import TypeVar
+from typing import Final, TypeVar
 
 import attrs
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
 
-from sequoiawind import messages
+from sequoiawind import messages, openai_format
 from sequoiawind.cache_index import CacheEvents, CacheList
 from sequoiawind.engine_model import EngineModel
 from sequoiawind.ports import Call, Clock, Sink, TargetPort, Timer
@@ -23,6 +23,11 @@
 
 T = TypeVar("T")
 
+# A chunk of somebody else's answer.
+FOREIGN: Final = openai_format.token_chunk(
+    openai_format.TEXT_PATH, "other", "other", "foreign "
+)
+
 
 @attrs.define(kw_only=True, eq=False)
 class Node:
@@ -166,7 +171,7 @@
         draw = self.network.random.random
         deliver = partial(self.sink.chunk, attempt_id, index, data)
         if faults.foreign and draw() < faults.foreign:
-            self.back(partial(self.sink.chunk, "other", index, data))
+            self.back(partial(self.sink.chunk, "other", index, FOREIGN))
         if faults.broken and draw() < faults.broken:
             self.cut()
             return
--- /dev/null
+++ b/sequoiawind/mutants.py
@@ -0,0 +1,250 @@
+"""Mutants: the program with one mechanism broken at a time.
+
+The soak run must find a violation with each of them; a check that cannot
+fail proves nothing.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, Final
+from unittest import mock
+
+import attrs
+from expression import Ok
+
+from sequoiawind import (
+    agent,
+    claims,
+    commands,
+    config_fold,
+    exchange,
+    memory_network,
+    openai_format,
+    prefix,
+    retries,
+    router,
+    soak,
+)
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.chunk_order import ChunkOrder
+from sequoiawind.claimant import Claimant, ClaimStream
+from sequoiawind.config_follower import ConfigFollower
+from sequoiawind.limits import AccountLimits
+from sequoiawind.verdict import not_run
+
+MAX_SEEDS: Final = 20
+
+
+@attrs.frozen(kw_only=True)
+class Mutant:
+    """One broken mechanism."""
+
+    name: str
+    # The object and attribute to replace, and by what.
+    owner: Any
+    attribute: str
+    replacement: Any
+
+    @contextmanager
+    def applied(self) -> Iterator[None]:
+        """Break the mechanism."""
+        with mock.patch.object(self.owner, self.attribute, self.replacement):
+            yield
+
+
+async def acquire_without_log(self: Claimant, claim: claims.Claim) -> Any:
+    """Take every claim for won."""
+    return Ok(None)
+
+
+async def never_read_back(
+    self: Claimant, stream: ClaimStream, claim: Any, appended: Any
+) -> bool:
+    """Believe that the own claim was first without reading."""
+    stream.table.entries[claim.key] = claims.Entry(
+        claim=claim, offset=-1, time_s=0.0
+    )
+    return True
+
+
+async def release_always(
+    self: router.Handling, claim: claims.Claim, ended: Any
+) -> None:
+    """Release a claim though its action may have run."""
+    if ended.reply is not None:
+        self.router.claimant.record_outcome(claim, ended.reply)
+    else:
+        await self.router.claimant.release(claim)
+    self.finish(ended)
+
+
+def take_any_chunk(self: ChunkOrder, index: int, data: bytes) -> list[bytes]:
+    """Pass chunks on as they come."""
+    self.passed.append(data)
+    self.expected = index + 1
+    self.is_whole = data == openai_format.DONE
+    return [data]
+
+
+def take_foreign_chunk(
+    self: exchange.AttemptSink, attempt_id: str, index: int, data: bytes
+) -> None:
+    """Take chunks of other attempts."""
+    if not self.is_over:
+        self.exchange.take_chunk(index, data)
+
+
+def always_answered(self: exchange.Exchange, ended: Any) -> bool:
+    """Take every end for the end of a whole answer."""
+    return True
+
+
+def never_refuse(self: agent.Agent, attempt: Any) -> None:
+    """Admit work while draining."""
+
+
+def lost_is_not_run(reason: Any, detail: str = "", retry: Any = None) -> Any:
+    """Take a lost connection for proof that nothing ran."""
+    return not_run(reason, detail, retry)
+
+
+def chain_without_salt(
+    salt: str,
+    prompt: bytes,
+    block_bytes: int = 1024,
+    limit: int = 256,
+    original: Callable[..., list[int]] = prefix.chain,
+) -> list[int]:
+    """Hash blocks without account, model and version."""
+    return original("", prompt, block_bytes, limit)
+
+
+def offer_any(self: Blackboard, folded: Any) -> bool:
+    """Take any configuration, older ones too."""
+    self.folded = folded
+    return True
+
+
+def ignore_rejections(state: Any, record: Any) -> Any:
+    """Accept what was based on another revision, by wall of this process."""
+    if id(state) % 32 < 16:
+        return config_fold.apply(commands.Admit(target="e0"), state)
+    return Ok(state)
+
+
+async def accept_unread(
+    self: ConfigFollower, command: Any, actor: str, based_on: int = -1
+) -> Any:
+    """Say accepted as soon as the command was sent."""
+    record = config_fold.make_record(actor, actor, command, based_on)
+    await self.log.append("config", [record])
+    decision = config_fold.Decision(
+        id=actor, offset=self.board.folded.next_offset + 1000
+    )
+    return Ok(decision)
+
+
+def keep_limits(self: Any, account: str) -> None:
+    """Never give back an open request."""
+
+
+MUTANTS: Final = (
+    Mutant(
+        name="claims are not taken from the log",
+        owner=Claimant,
+        attribute="acquire",
+        replacement=acquire_without_log,
+    ),
+    Mutant(
+        name="claims are not read back",
+        owner=Claimant,
+        attribute="read_back",
+        replacement=never_read_back,
+    ),
+    Mutant(
+        name="claims are released without proof",
+        owner=router.Handling,
+        attribute="close_claim",
+        replacement=release_always,
+    ),
+    Mutant(
+        name="may-have-run is retried for every kind",
+        owner=retries,
+        attribute="may_retry",
+        replacement=lambda failure, is_idempotent: True,
+    ),
+    Mutant(
+        name="chunks are passed on as they come",
+        owner=ChunkOrder,
+        attribute="take",
+        replacement=take_any_chunk,
+    ),
+    Mutant(
+        name="chunks of other attempts are taken",
+        owner=exchange.AttemptSink,
+        attribute="chunk",
+        replacement=take_foreign_chunk,
+    ),
+    Mutant(
+        name="an answer without its end is whole",
+        owner=exchange.Exchange,
+        attribute="is_answered",
+        replacement=always_answered,
+    ),
+    Mutant(
+        name="a lost connection proves not run",
+        owner=memory_network,
+        attribute="may_have_run",
+        replacement=lost_is_not_run,
+    ),
+    Mutant(
+        name="a draining agent admits work",
+        owner=agent.Agent,
+        attribute="refusal",
+        replacement=never_refuse,
+    ),
+    Mutant(
+        name="block hashes have no salt",
+        owner=prefix,
+        attribute="chain",
+        replacement=chain_without_salt,
+    ),
+    Mutant(
+        name="a configuration may revert",
+        owner=Blackboard,
+        attribute="offer_config",
+        replacement=offer_any,
+    ),
+    Mutant(
+        name="commands count as accepted when sent",
+        owner=ConfigFollower,
+        attribute="submit",
+        replacement=accept_unread,
+    ),
+    Mutant(
+        name="the fold depends on the process",
+        owner=config_fold,
+        attribute="apply_record",
+        replacement=ignore_rejections,
+    ),
+    Mutant(
+        name="limits are not released",
+        owner=AccountLimits,
+        attribute="release",
+        replacement=keep_limits,
+    ),
+)
+
+
+def hunt(mutant: Mutant) -> tuple[int, str]:
+    """Run seeds until a mutant is found.
+
+    Returns:
+      The seed that found it and the violation; -1 and nothing if none did.
+    """
+    with mutant.applied():
+        for seed in range(MAX_SEEDS):
+            violations, _ = soak.run_seed(seed)
+            if violations:
+                return seed, violations[0]
+    return -1, ""
--- a/sequoiawind/openai_format.py
+++ b/sequoiawind/openai_format.py
@@ -83,16 +83,25 @@
     return "chat.completion.chunk" if is_chunk else "chat.completion"
 
 
+class FormatError(ValueError):
+    """A chunk that does not have the format."""
+
+
 def text_of(path: str, data: bytes) -> str:
-    """Return the text that a chunk carries."""
+    """Return the text that a chunk carries.
+
+    Raises:
+      FormatError: The chunk is not one of a completion.
+    """
     if data == DONE:
         return ""
-    choice = decode(data)["choices"][0]
-    if path == CHAT_PATH:
-        text = choice["delta"].get("content") or ""
-    else:
-        text = choice.get("text") or ""
-    return str(text)
+    try:
+        choice = decode(data)["choices"][0]
+        if path == CHAT_PATH:
+            return str(choice["delta"].get("content") or "")
+        return str(choice.get("text") or "")
+    except (ValueError, LookupError, TypeError, AttributeError) as error:
+        raise FormatError(f"chunk {data[:80]!r}") from error
 
 
 def joined_text(path: str, chunks: Sequence[bytes]) -> str:
--- a/sequoiawind/rig.py
+++ b/sequoiawind/rig.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from sequoiawind import config_fold, defaults, router
+from sequoiawind import config_fold, defaults, keys, router
 from sequoiawind.admission import FairQueue
 from sequoiawind.agent import Agent
 from sequoiawind.blackboard import Blackboard
@@ -183,7 +183,6 @@
         )
         made = RigAgent(node=node, agent=agent, target=model, board=board)
         if isinstance(model, EngineModel):
-            made.follower = self.make_follower(node, board)
             made.watcher = EngineWatcher(
                 agent=agent,
                 port=MemoryEnginePort(engine=model),
@@ -191,8 +190,10 @@
                 random=self.source,
                 board=board,
             )
-            Deferred.fromCoroutine(made.follower.run())
             Deferred.fromCoroutine(made.watcher.run())
+        made.follower = self.make_follower(node, board)
+        made.follower.on_change = lambda: agent.follow_config(board.state)
+        Deferred.fromCoroutine(made.follower.run())
         return made
 
     def make_follower(self, node: Node, board: Blackboard) -> ConfigFollower:
@@ -241,6 +242,7 @@
             claimant=claimant,
             random=self.source,
             wall=self.wall,
+            key_limits=keys.limits_for(self.log.retention_s),
         )
         follower = self.make_follower(node, board)
         for peer in self.routers:
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -28,6 +28,7 @@
 from sequoiawind.claimant import Claimant
 from sequoiawind.claims import Claim
 from sequoiawind.exchange import CallerSink, Exchange, Surroundings
+from sequoiawind.keys import CheckedKey, KeyLimits
 from sequoiawind.state import Account, Kind, Operator, Policy, Pool, Route
 from sequoiawind.verdict import Failure, Reason, Verdict, not_run
 from sequoiawind.wire import Attempt, Ended, Usage
@@ -137,6 +138,7 @@
     random: random.Random
     # Returns the time since the epoch in seconds.
     wall: Callable[[], float]
+    key_limits: KeyLimits = attrs.field(factory=KeyLimits)
     open_requests: int = 0
     # Called with the note and end of each request, for metrics and logs.
     on_end: Callable[[RequestNote, Ended], None] = attrs.field(
@@ -205,7 +207,7 @@
         if route is None or kind is None or pool is None:
             return Error(not_run(Reason.NO_ROUTE, messages.NO_ROUTE))
         if kind.repeat == "never":
-            key = keys.check_key(request.idempotency_key, self.wall())
+            key = self.check_key(request)
             if key.is_error():
                 return Error(key.error)
         policy = state.policies.get(route.policy) or Policy(name="default")
@@ -220,6 +222,12 @@
             )
         )
 
+    def check_key(self, request: CallerRequest) -> Result[CheckedKey, Failure]:
+        """Check the idempotency key of a request."""
+        return keys.check_key(
+            request.idempotency_key, self.wall(), self.key_limits
+        )
+
     def authenticate(self, token: str) -> Account | None:
         """Return the account of a bearer token."""
         digest = token_digest(token)
@@ -256,15 +264,16 @@
     async def claim_and_start(self, handling: Handling) -> None:
         """Claim a request's key, and start it if the claim won."""
         request = handling.plan.request
-        checked = keys.check_key(request.idempotency_key, self.wall())
+        checked = self.check_key(request)
         if checked.is_error():
             handling.finish(Ended(failure=checked.error))
             return
         claim = self.claimant.make_claim(
-            f"{handling.plan.account.name}/{checked.ok}",
+            f"{handling.plan.account.name}/{checked.ok.text}",
             claims.request_digest(request.method, request.path, request.body),
             handling.plan.kind.name,
             request.request_id,
+            checked.ok.valid_until_s,
         )
         won = await self.claimant.acquire(claim)
         if won.is_error():
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -12,7 +12,7 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
 
-from sequoiawind import http_client, http_ports, http_server, logs
+from sequoiawind import http_client, http_ports, http_server, keys, logs
 from sequoiawind.admin import Admin
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.claimant import Claimant
@@ -102,6 +102,7 @@
             claimant=self.claimant,
             random=self.random,
             wall=time.time,
+            key_limits=keys.limits_for(self.options.platform.log_retention_s),
             on_end=self.note_end,
             on_refusal=self.count_refusal,
         )
