--- a/sequoiawind/rig.py
+++ b/sequoiawind/rig.py
@@ -12,7 +12,6 @@
 import attrs
 from expression import Result
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock
 
 from sequoiawind import config_fold, defaults, keys, router
 from sequoiawind.admission import FairQueue
@@ -37,6 +36,7 @@
 from sequoiawind.ports import LogPage, LogPort, TargetPort
 from sequoiawind.router import Router
 from sequoiawind.verdict import Failure
+from sequoiawind.virtual_clock import VirtualClock
 
 # The virtual epoch, so that times in keys look like real ones.
 EPOCH_S: Final = 1_700_000_000.0
@@ -114,7 +114,7 @@
     seed: int
     parameters: EngineParameters = attrs.field(factory=EngineParameters)
     queue: Callable[[], FairQueue] = attrs.field(default=FairQueue)
-    clock: Clock = attrs.field(factory=Clock)
+    clock: VirtualClock = attrs.field(factory=VirtualClock)
     source: random.Random = attrs.field(init=False)
     log: LogModel = attrs.field(init=False)
     network: Network = attrs.field(init=False)
@@ -270,10 +270,7 @@
 
     def advance(self, until_s: float) -> None:
         """Run the clock, from one event to the next."""
-        clock = self.clock
-        while clock.calls and clock.calls[0].getTime() <= until_s:
-            clock.advance(max(0.0, clock.calls[0].getTime() - clock.seconds()))
-        clock.advance(max(0.0, until_s - clock.seconds()))
+        self.clock.advance_to(until_s)
 
 
 def account_command(name: str, token: str, **fields: float) -> Create:
--- /dev/null
+++ b/sequoiawind/virtual_clock.py
@@ -0,0 +1,68 @@
+"""A virtual clock for long runs.
+
+It does what ``twisted.internet.task.Clock`` does, with a heap: that clock
+sorts all its calls at each change, which took nine tenths of a run's time.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable, Iterator
+
+import attrs
+
+
+@attrs.define(kw_only=True, eq=False)
+class VirtualTimer:
+    """A call to come."""
+
+    time_s: float
+    call: Callable[[], object]
+    is_active: bool = True
+
+    def active(self) -> bool:
+        """Whether the call is still to come."""
+        return self.is_active
+
+    def cancel(self) -> None:
+        """Cancel the call."""
+        self.is_active = False
+
+
+@attrs.define(kw_only=True)
+class VirtualClock:
+    """Time that passes only when a run advances it."""
+
+    now_s: float = 0.0
+    heap: list[tuple[float, int, VirtualTimer]] = attrs.field(factory=list)
+    # Keeps calls of one time in the order in which they were made.
+    sequence: Iterator[int] = attrs.field(factory=itertools.count)
+
+    def seconds(self) -> float:
+        """Return the time in seconds."""
+        return self.now_s
+
+    def callLater(  # noqa: N802
+        self,
+        delay: float,
+        callable: Callable[..., object],
+        *args: object,
+        **kw: object,
+    ) -> VirtualTimer:
+        """Call a function after a delay in seconds."""
+        timer = VirtualTimer(
+            time_s=self.now_s + delay, call=lambda: callable(*args, **kw)
+        )
+        entry = (timer.time_s, next(self.sequence), timer)
+        heapq.heappush(self.heap, entry)
+        return timer
+
+    def advance_to(self, until_s: float) -> None:
+        """Make all calls due by a time, each at its own time."""
+        while self.heap and self.heap[0][0] <= until_s:
+            time_s, _, timer = heapq.heappop(self.heap)
+            if not timer.is_active:
+                continue
+            self.now_s = max(self.now_s, time_s)
+            timer.is_active = False
+            timer.call()
+        self.now_s = max(self.now_s, until_s)
