--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -17,7 +17,13 @@
 from sequoiawind.ports import Call, Clock, Sink, TargetPort
 from sequoiawind.state import State
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
-from sequoiawind.wire import Attempt, Ended, LoadReport
+from sequoiawind.wire import (
+    Attempt,
+    Ended,
+    LoadReport,
+    Probe,
+    ProbeAnswer,
+)
 
 
 @attrs.define(kw_only=True)
@@ -96,6 +102,8 @@
     draining: str = ""
     is_leaving: bool = False
     relays: OrderedDict[str, Relay] = attrs.field(factory=OrderedDict)
+    # The engine's block at the end of each placement block seen lately.
+    coarse: OrderedDict[int, int] = attrs.field(factory=OrderedDict)
     # Called with the name of each event, for metrics.
     on_event: Callable[[str], None] = attrs.field(default=lambda name: None)
     ticking: bool = False
@@ -150,7 +158,12 @@
             start=partial(self.start, relay),
         )
         relay.job = job
-        return self.queue.offer(job, now_s)
+        refusal = self.queue.offer(job, now_s)
+        if refusal is None:
+            wait_s = self.queue.wait_s(job.finish_tag)
+            until_s = now_s + wait_s + defaults.EXPECTED_BLOCK_S
+            self.index.expect(relay.chain, until_s)
+        return refusal
 
     def measure(self, relay: Relay, now_s: float) -> tuple[int, int]:
         """Return an attempt's prompt tokens, and how many are cached."""
@@ -161,14 +174,57 @@
         relay.chain = prefix.chain(
             attempt.cache_salt, text, self.block_bytes, len(text)
         )
+        self.note_coarse(attempt, text, relay.chain)
         hits = self.index.hit_blocks(relay.chain, now_s)
         hit_tokens = hits * self.block_bytes // defaults.BYTES_PER_TOKEN
         return prefix.tokens(text), hit_tokens
 
+    def note_coarse(
+        self, attempt: Attempt, text: bytes, chain: list[int]
+    ) -> None:
+        """Note which engine block ends each placement block of a prompt."""
+        ratio = defaults.PLACEMENT_BLOCK_BYTES // self.block_bytes
+        for number, block in enumerate(prefix.chain(attempt.cache_salt, text)):
+            self.coarse[block] = chain[(number + 1) * ratio - 1]
+            self.coarse.move_to_end(block)
+        while len(self.coarse) > defaults.MAX_COARSE_BLOCKS:
+            self.coarse.popitem(last=False)
+
+    def probe(self, probe: Probe) -> ProbeAnswer:
+        """Say how soon a request could start, and what is cached of it."""
+        now_s = self.clock.seconds()
+        hit_tokens = self.probe_hits(probe.chain, now_s)
+        job = Job(
+            name="",
+            account=probe.account,
+            weight=probe.weight,
+            priority=probe.priority,
+            prefill_tokens=max(0, probe.prompt_tokens - hit_tokens),
+            decode_tokens=probe.max_tokens,
+            max_wait_s=0.0,
+            start=lambda: None,
+        )
+        self.queue.tag(job)
+        return ProbeAnswer(
+            load=self.load(),
+            wait_s=round(self.queue.wait_s(job.finish_tag), 4),
+            hit_tokens=hit_tokens,
+            prefill_token_s=1.0 / self.queue.prefill_tokens_per_s,
+        )
+
+    def probe_hits(self, chain: list[int], now_s: float) -> int:
+        """Return how many tokens of a placement chain are cached."""
+        block_tokens = (
+            defaults.PLACEMENT_BLOCK_BYTES // defaults.BYTES_PER_TOKEN
+        )
+        for depth in range(len(chain), 0, -1):
+            block = self.coarse.get(chain[depth - 1])
+            if block is not None and self.index.has(block, now_s):
+                return depth * block_tokens
+        return 0
+
     def start(self, relay: Relay) -> None:
         """Send an attempt to the target."""
-        until_s = self.clock.seconds() + defaults.EXPECTED_BLOCK_S
-        self.index.expect(relay.chain, until_s)
         relay.call = self.port.open(self.address, relay.attempt, relay)
 
     def finished(self, relay: Relay) -> None:
--- a/sequoiawind/agent_http.py
+++ b/sequoiawind/agent_http.py
@@ -14,7 +14,7 @@
 from sequoiawind.metrics import AgentMetrics
 from sequoiawind.reports import DaemonReport, agent_report
 from sequoiawind.verdict import Reason, not_run
-from sequoiawind.wire import Attempt, Ended, LoadReport
+from sequoiawind.wire import Attempt, Ended, LoadReport, Probe
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -66,6 +66,7 @@
         """Return the application."""
         app = klein.Klein()
         app.route("/attempts", methods=["POST"])(self.attempt)
+        app.route("/probe", methods=["POST"])(self.probe)
         app.route("/attempts/<attempt_id>/cancel", methods=["POST"])(
             self.cancel
         )
@@ -102,6 +103,17 @@
         done.addCallback(lambda _: sink.connection_lost(call))
         return done
 
+    def probe(self, request: server.Request) -> bytes:
+        """Say how soon a request could start."""
+        if self.is_refused(request):
+            return b"{}"
+        try:
+            probe = wire.decode(http_server.body_of(request), Probe)
+        except wire.WireError:
+            return http_server.json_reply(request, b"{}", http.BAD_REQUEST)
+        answer = wire.encode(self.agent.probe(probe))
+        return http_server.json_reply(request, answer)
+
     def cancel(self, request: server.Request, attempt_id: str) -> bytes:
         """Cancel an attempt."""
         if self.is_refused(request):
--- a/sequoiawind/cache_index.py
+++ b/sequoiawind/cache_index.py
@@ -91,16 +91,17 @@
 
     def hit_blocks(self, chain: Sequence[int], now_s: float) -> int:
         """Return how many leading blocks of a chain are cached."""
-        if self.needs_resync:
-            return 0
         for depth, block in enumerate(chain):
-            if block in self.blocks:
-                continue
-            if self.expected.get(block, -1.0) >= now_s:
-                continue
-            return depth
+            if not self.has(block, now_s):
+                return depth
         return len(chain)
 
+    def has(self, block: int, now_s: float) -> bool:
+        """Whether a block is cached, or will be soon."""
+        if self.needs_resync:
+            return False
+        return block in self.blocks or self.expected.get(block, -1.0) >= now_s
+
     def forget_expected(self, now_s: float) -> None:
         """Drop expectations that have not come true."""
         late = [key for key, until in self.expected.items() if until < now_s]
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -43,20 +43,25 @@
 WALK_LENGTH: Final = 4
 PREFIX_COUNTERS: Final = 20_000
 SHARING_WINDOW_S: Final = 30.0
-SHARED_SIGHTINGS: Final = 2
-HOT_RATE_PER_S: Final = 4.0
-HOT_HYSTERESIS: Final = 0.5
+SPLIT_SHARE: Final = 0.5
+SPLIT_HYSTERESIS: Final = 0.6
+SHARING_PRIOR: Final = 20.0
 MAX_HOLDERS: Final = 4
-FALLBACK_DEPTH_BLOCKS: Final = 8
+# Targets, in rendezvous order, that are asked before a request is placed.
+PROBES: Final = 4
+PROBE_TIMEOUT_S: Final = 0.05
+# Costs that differ by less count as equal.
+COST_STEP_S: Final = 0.02
 
 # Agent.
 MAX_QUEUE: Final = 256
 MAX_RUNNING: Final = 24
 MAX_PREFILL_AHEAD_TOKENS: Final = 4096
 PREFILL_TOKENS_PER_S: Final = 10_000.0
-PATIENCE: Final = 1.0
+PATIENCE: Final = 4.0
 MAX_INDEX_BLOCKS: Final = 24_000
 EVENTS_POLL_S: Final = 0.1
+MAX_COARSE_BLOCKS: Final = 20_000
 # How long to count on blocks of a prompt that has been sent to the engine.
 EXPECTED_BLOCK_S: Final = 3.0
 RESUME_GRACE_S: Final = 2.0
--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -16,7 +16,7 @@
 from sequoiawind import defaults, invariants, messages, openai_format, retries
 from sequoiawind.chunk_order import ChunkOrder
 from sequoiawind.members import Members
-from sequoiawind.placement import Candidate
+from sequoiawind.placement import Candidate, Choice
 from sequoiawind.ports import Call, Clock, TargetPort, Timer
 from sequoiawind.retries import RetryBudgets
 from sequoiawind.verdict import (
@@ -155,16 +155,13 @@
     template: Attempt
     is_idempotent: bool
     # Targets to try, in order.
-    candidates: list[Candidate]
+    choices: list[Choice]
     # Longest wait once no target takes the request at once, in seconds.
     queue_wait_s: float = defaults.MAX_QUEUE_WAIT_S
-    # Wait accepted at a target that should hold the prefix, in seconds.
-    home_wait_s: float = defaults.BASE_WAIT_S
-    holders: int = 1
     start_timeout_s: float = defaults.START_TIMEOUT_S
     chunk_timeout_s: float = defaults.CHUNK_TIMEOUT_S
     order: ChunkOrder = attrs.field(factory=ChunkOrder)
-    # Places in `candidates` still to be tried without queueing.
+    # Place in `choices` of the next target to try without queueing.
     position: int = 0
     attempts: int = 0
     retried: int = 0
@@ -173,7 +170,7 @@
     # Whether some attempt may have run.
     is_tainted: bool = False
     foreign_chunks: int = 0
-    # Waits that refusing targets reported, by place in `candidates`.
+    # Waits that refusing targets reported, by place in `choices`.
     refused_waits_s: dict[int, float] = attrs.field(factory=dict)
     has_queued: bool = False
     resumed_at: int = -1
@@ -199,19 +196,16 @@
             return
         if self.attempts >= defaults.MAX_ATTEMPTS:
             self.give_up(failure)
-        elif self.position < len(self.candidates):
-            place = self.position
+        elif self.position < len(self.choices):
+            choice = self.choices[self.position]
             self.position += 1
-            wait_s = defaults.BASE_WAIT_S
-            if place < self.holders:
-                wait_s = self.home_wait_s
-            self.open(self.candidates[place], wait_s)
+            self.open(choice.candidate, choice.max_wait_s)
         elif self.refused_waits_s and not self.has_queued:
             self.has_queued = True
             place = min(
                 self.refused_waits_s, key=self.refused_waits_s.__getitem__
             )
-            self.open(self.candidates[place], self.queue_wait_s)
+            self.open(self.choices[place].candidate, self.queue_wait_s)
         else:
             self.give_up(failure)
 
@@ -295,10 +289,14 @@
             self.is_tainted = True
         if failure.reason in TARGET_FAULTS:
             self.around.members.failed(sink.candidate.name, now_s)
-        if failure.reason in retries.SPILL_REASONS:
-            place = self.candidates.index(sink.candidate)
-            if failure.reason is Reason.QUEUE_TOO_LONG:
-                self.refused_waits_s[place] = failure.retry_after_s or 0.0
+        if failure.reason is Reason.QUEUE_TOO_LONG:
+            place = self.place_of(sink.candidate)
+            self.refused_waits_s[place] = failure.retry_after_s or 0.0
+
+    def place_of(self, candidate: Candidate) -> int:
+        """Return the place of a target in `choices`."""
+        names = [choice.candidate.name for choice in self.choices]
+        return names.index(candidate.name)
 
     def can_resume(self, sink: AttemptSink, failure: Failure) -> bool:
         """Whether the agent may still deliver the rest of the answer."""
@@ -332,7 +330,7 @@
             self.give_up(attrs.evolve(failure, reason=Reason.RETRY_BUDGET))
             return
         self.retried += 1
-        if self.position >= len(self.candidates):
+        if self.position >= len(self.choices):
             # A failure, unlike a refusal, may not come again.
             self.position = 0
         pause_s = retries.backoff_s(self.retried, self.around.random)
--- a/sequoiawind/http_ports.py
+++ b/sequoiawind/http_ports.py
@@ -26,7 +26,14 @@
 from sequoiawind.options import Address
 from sequoiawind.ports import Call, LogPage, Sink
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
-from sequoiawind.wire import Attempt, Ended, LoadReport, Reply
+from sequoiawind.wire import (
+    Attempt,
+    Ended,
+    LoadReport,
+    Probe,
+    ProbeAnswer,
+    Reply,
+)
 
 EVENT_STARTED: Final = b"started"
 EVENT_ENDED: Final = b"ended"
@@ -60,6 +67,15 @@
         call.stream.start()
         return call
 
+    def probe(
+        self, address: str, probe: Probe
+    ) -> Deferred[Result[ProbeAnswer, Failure]]:
+        """Ask the agent of an address."""
+        json_client = JsonClient(client=self.client, secret=self.secret)
+        url = f"http://{address}/probe"
+        call = json_client.call("POST", url, ProbeAnswer, probe)
+        return Deferred.fromCoroutine(call)
+
 
 @attrs.define(kw_only=True, eq=False)
 class AgentHttpCall:
--- a/sequoiawind/memory_network.py
+++ b/sequoiawind/memory_network.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Callable
 from functools import partial
-from typing import Final, TypeVar
+from typing import Any, Final, TypeVar
 
 import attrs
 from expression import Error, Ok, Result
@@ -19,7 +19,13 @@
 from sequoiawind.engine_model import EngineModel
 from sequoiawind.ports import Call, Clock, Sink, TargetPort, Timer
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
-from sequoiawind.wire import Attempt, Ended, LoadReport
+from sequoiawind.wire import (
+    Attempt,
+    Ended,
+    LoadReport,
+    Probe,
+    ProbeAnswer,
+)
 
 T = TypeVar("T")
 
@@ -252,7 +258,7 @@
     network: Network
     near: Node
     # Returns the process and port at an address.
-    look_up: Callable[[str], tuple[Node, TargetPort]]
+    look_up: Callable[[str], tuple[Node, Any]]
 
     def open(self, address: str, attempt: Attempt, sink: Sink) -> Call:
         """Open an attempt at an address."""
@@ -263,6 +269,28 @@
         connection.open(port, address, attempt)
         return connection
 
+    def probe(
+        self, address: str, probe: Probe
+    ) -> Deferred[Result[ProbeAnswer, Failure]]:
+        """Ask the agent of an address; no answer from one that is down."""
+        far, port = self.look_up(address)
+        done: Deferred[Result[ProbeAnswer, Failure]] = Deferred()
+
+        def answer(result: Result[ProbeAnswer, Failure]) -> None:
+            if not done.called:
+                done.callback(result)
+
+        def ask() -> None:
+            found: Result[ProbeAnswer, Failure] = Ok(port.probe(probe))
+            self.network.send(self.near, partial(answer, found))
+
+        if far.is_up:
+            self.network.send(far, ask)
+        else:
+            refused = not_run(Reason.CONNECT_FAILED, messages.CONNECT_FAILED)
+            self.network.send(self.near, partial(answer, Error(refused)))
+        return done
+
 
 @attrs.define(kw_only=True)
 class MemoryEnginePort:
--- a/sequoiawind/placement.py
+++ b/sequoiawind/placement.py
@@ -1,18 +1,16 @@
 """Placement of a request on the targets of its pool.
 
-``walk`` is a pure function of the key and the candidates: every router puts
+``rank`` is a pure function of the key and the candidates: every router puts
 the same targets in the same order, so that routers agree without messages,
 and losing or adding a target moves only that target's share of the keys
 (rendezvous hashing, Thaler and Ravishankar, 1998).
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable
 
 import attrs
 from xxhash import xxh3_64_intdigest
 
-from sequoiawind import defaults
-
 
 @attrs.frozen(kw_only=True)
 class Candidate:
@@ -44,27 +42,11 @@
     return [candidate for _, _, candidate in scored]
 
 
-def walk(
-    key: int,
-    holders: int,
-    candidates: Sequence[Candidate],
-    waits_s: Mapping[str, float],
-    length: int = defaults.WALK_LENGTH,
-) -> list[Candidate]:
-    """Return the targets to try for a request, in order.
-
-    Args:
-      key: The placement key.
-      holders: Number of targets that hold the key's prefix.
-      candidates: Targets that may serve the request.
-      waits_s: Last reported wait of each target, in seconds; 0 if unknown.
-      length: The largest number of targets to try.
+@attrs.frozen(kw_only=True)
+class Choice:
+    """A target to try, and how long a request may wait there."""
 
-    Returns:
-      The holders, least loaded first, then the rest in rendezvous order.
-    """
-    ranked = rank(key, candidates)
-    holding = ranked[:holders]
-    if holders > 1:
-        holding.sort(key=lambda item: waits_s.get(item.name, 0.0))
-    return (holding + ranked[holders:])[:length]
+    candidate: Candidate
+    max_wait_s: float
+    # What placing the request there costs, in seconds; infinite if unknown.
+    cost_s: float = 0.0
--- /dev/null
+++ b/sequoiawind/plan.py
@@ -0,0 +1,48 @@
+"""A caller's request, and what the configuration says about it."""
+
+import attrs
+
+from sequoiawind import defaults, prefix
+from sequoiawind.state import Account, Kind, Policy, Pool, Route
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """A caller's request, freed of its transport."""
+
+    request_id: str
+    token: str
+    path: str
+    method: str = "POST"
+    content_type: str = "application/json"
+    # Model engines: what the body asks for.
+    model: str = ""
+    prompt: str = ""
+    max_tokens: int = defaults.DEFAULT_MAX_TOKENS
+    # The body as sent; for prompts without the prompt itself.
+    body: str = ""
+    idempotency_key: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """A request with what the configuration says about it."""
+
+    request: CallerRequest
+    account: Account
+    route: Route
+    kind: Kind
+    pool: Pool
+    policy: Policy
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the request may be repeated."""
+        return self.kind.repeat == "idempotent"
+
+    @property
+    def cache_salt(self) -> str:
+        """The salt of the request's cache blocks."""
+        return prefix.cache_salt(
+            self.account.name, self.pool.model, "", self.pool.version
+        )
--- a/sequoiawind/ports.py
+++ b/sequoiawind/ports.py
@@ -14,7 +14,13 @@
 
 from sequoiawind.cache_index import CacheEvents, CacheList
 from sequoiawind.verdict import Failure
-from sequoiawind.wire import Attempt, Ended, LoadReport
+from sequoiawind.wire import (
+    Attempt,
+    Ended,
+    LoadReport,
+    Probe,
+    ProbeAnswer,
+)
 
 
 class Sink(Protocol):
@@ -44,6 +50,15 @@
         """Start an attempt and deliver what it yields to the sink."""
 
 
+class ProbePort(Protocol):
+    """Asks agents how soon a request could start."""
+
+    def probe(
+        self, address: str, probe: Probe
+    ) -> Deferred[Result[ProbeAnswer, Failure]]:
+        """Ask the agent of an address."""
+
+
 @attrs.frozen(kw_only=True)
 class LogRecord:
     """A record read from the log."""
--- a/sequoiawind/rig.py
+++ b/sequoiawind/rig.py
@@ -32,6 +32,7 @@
     Node,
     NodeClock,
 )
+from sequoiawind.placer import Placer, ProbingPlacer
 from sequoiawind.plain_model import PlainModel
 from sequoiawind.ports import LogPage, LogPort, TargetPort
 from sequoiawind.router import Router
@@ -121,8 +122,8 @@
     agents: dict[str, RigAgent] = attrs.field(factory=dict)
     routers: list[RigRouter] = attrs.field(factory=list)
     router_count: int = 2
-    # Makes the router's placement; replaced by the experiments' baselines.
-    make_router: Callable[..., Router] = attrs.field(default=Router)
+    # Makes the routers' placement; replaced by the experiments' baselines.
+    make_placer: Callable[..., Placer] = attrs.field(default=ProbingPlacer)
 
     def __attrs_post_init__(self) -> None:
         """Make the clockwork that everything shares."""
@@ -236,9 +237,10 @@
             random=self.source,
             owner=f"{node.name}.{node.epoch}",
         )
-        made = self.make_router(
+        made = Router(
             board=board,
             around=around,
+            placer=self.make_placer(board=board, clock=clock, port=port),
             claimant=claimant,
             random=self.source,
             wall=self.wall,
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -13,7 +13,6 @@
 import attrs
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
-from xxhash import xxh3_64_intdigest
 
 from sequoiawind import (
     claims,
@@ -21,54 +20,19 @@
     keys,
     messages,
     openai_format,
-    placement,
-    prefix,
 )
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.claimant import Claimant
 from sequoiawind.claims import Claim
 from sequoiawind.exchange import CallerSink, Exchange, Surroundings
 from sequoiawind.keys import CheckedKey, KeyLimits
-from sequoiawind.state import Account, Kind, Operator, Policy, Pool, Route
+from sequoiawind.placer import Placed, Placer
+from sequoiawind.plan import CallerRequest, Plan
+from sequoiawind.state import Account, Operator, Policy, Route
 from sequoiawind.verdict import Failure, Reason, Verdict, not_run
 from sequoiawind.wire import Attempt, Ended, Usage
 
 
-@attrs.frozen(kw_only=True)
-class CallerRequest:
-    """A caller's request, freed of its transport."""
-
-    request_id: str
-    token: str
-    path: str
-    method: str = "POST"
-    content_type: str = "application/json"
-    # Model engines: what the body asks for.
-    model: str = ""
-    prompt: str = ""
-    max_tokens: int = defaults.DEFAULT_MAX_TOKENS
-    # Plain services: the body as sent.
-    body: str = ""
-    idempotency_key: str | None = None
-
-
-@attrs.frozen(kw_only=True)
-class Plan:
-    """A request with what the configuration says about it."""
-
-    request: CallerRequest
-    account: Account
-    route: Route
-    kind: Kind
-    pool: Pool
-    policy: Policy
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Whether the request may be repeated."""
-        return self.kind.repeat == "idempotent"
-
-
 @attrs.define(kw_only=True)
 class Handling:
     """A request that the router is working on; a sink of its exchange."""
@@ -134,6 +98,7 @@
 
     board: Blackboard
     around: Surroundings
+    placer: Placer
     claimant: Claimant
     random: random.Random
     # Returns the time since the epoch in seconds.
@@ -287,54 +252,40 @@
         self.start(handling)
 
     def start(self, handling: Handling) -> None:
-        """Start the exchange of a request."""
-        exchange = self.make_exchange(handling)
+        """Place a request, then start its exchange."""
+        placing = self.placer.place(handling.plan)
+        placing.addCallback(self.placed, handling)
+
+    def placed(self, placed: Placed, handling: Handling) -> None:
+        """Start the exchange of a request that has been placed."""
+        handling.note.depth_blocks = placed.depth
+        handling.note.holders = placed.holders
+        if handling.is_cancelled and handling.plan.is_idempotent:
+            gone = not_run(Reason.CANCELLED, messages.CANCELLED)
+            handling.ended(Ended(failure=gone))
+            return
+        exchange = self.make_exchange(handling, placed)
         handling.exchange = exchange
         handling.note.path = exchange.path
         exchange.start()
 
-    def make_exchange(self, handling: Handling) -> Exchange:
-        """Choose the targets of a request."""
+    def make_exchange(self, handling: Handling, placed: Placed) -> Exchange:
+        """Return the exchange of a request."""
         plan = handling.plan
-        request = plan.request
-        now_s = self.around.clock.seconds()
-        candidates = self.board.members.candidates(
-            self.board.state, plan.pool.name, now_s
-        )
-        salt = prefix.cache_salt(
-            plan.account.name, plan.pool.model, "", plan.pool.version
-        )
-        waits_s = self.board.members.waits_s(candidates, now_s)
-        home_wait_s = defaults.BASE_WAIT_S
-        if plan.pool.service == "engine":
-            chain = prefix.chain(salt, request.prompt.encode())
-            seed = xxh3_64_intdigest(salt.encode())
-            chosen = self.board.sharing.choose(chain, now_s, seed)
-            holders = min(chosen.holders, plan.policy.max_holders)
-            walk = placement.walk(chosen.key, holders, candidates, waits_s)
-            handling.note.depth_blocks = chosen.depth
-            handling.note.holders = holders
-        else:
-            holders = len(candidates)
-            key = xxh3_64_intdigest(request.request_id.encode())
-            walk = placement.walk(key, holders, candidates, waits_s)
-            home_wait_s = plan.kind.max_wait_s
         timeout_s = defaults.CHUNK_TIMEOUT_S
         if plan.pool.service != "engine":
             timeout_s = plan.kind.deadline_s
         return Exchange(
             around=self.around,
             caller=handling,
-            template=self.template(plan, salt),
+            template=self.template(plan),
             is_idempotent=plan.is_idempotent,
-            candidates=walk,
+            choices=placed.choices,
             queue_wait_s=plan.kind.max_wait_s,
-            home_wait_s=home_wait_s,
-            holders=holders,
             chunk_timeout_s=timeout_s,
         )
 
-    def template(self, plan: Plan, salt: str) -> Attempt:
+    def template(self, plan: Plan) -> Attempt:
         """Return what every attempt of a request has in common."""
         request = plan.request
         is_engine = plan.pool.service == "engine"
@@ -350,7 +301,7 @@
             deadline_s=plan.kind.deadline_s,
             model=plan.pool.model,
             version=plan.pool.version,
-            cache_salt=salt,
+            cache_salt=plan.cache_salt,
             prompt=request.prompt if is_engine else "",
             max_tokens=request.max_tokens if is_engine else 0,
             method="" if is_engine else request.method,
--- a/sequoiawind/router_http.py
+++ b/sequoiawind/router_http.py
@@ -21,8 +21,9 @@
 from sequoiawind.admin import Admin
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.metrics import RouterMetrics
+from sequoiawind.plan import CallerRequest
 from sequoiawind.ports import Clock
-from sequoiawind.router import CallerRequest, Handling, Router
+from sequoiawind.router import Handling, Router
 from sequoiawind.verdict import Failure, Reason, Verdict, not_run
 from sequoiawind.wire import Ended
 
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -29,6 +29,7 @@
     PeerClient,
     VmListWatcher,
 )
+from sequoiawind.placer import ProbingPlacer
 from sequoiawind.router import Router
 from sequoiawind.router_http import RouterHttp
 from sequoiawind.verdict import Failure, Reason
@@ -86,12 +87,11 @@
 
     def make_router(self) -> Router:
         """Return the decisions about requests."""
+        port = AgentPort(client=self.client, secret=self.options.peers.secret)
         around = Surroundings(
             clock=http_server.reactor,
             random=self.random,
-            port=AgentPort(
-                client=self.client, secret=self.options.peers.secret
-            ),
+            port=port,
             members=self.board.members,
             budgets=self.board.budgets,
             on_retry=self.count_retry,
@@ -99,6 +99,9 @@
         return Router(
             board=self.board,
             around=around,
+            placer=ProbingPlacer(
+                board=self.board, clock=http_server.reactor, port=port
+            ),
             claimant=self.claimant,
             random=self.random,
             wall=time.time,
--- a/sequoiawind/sharing.py
+++ b/sequoiawind/sharing.py
@@ -1,9 +1,14 @@
-"""Which prefixes of recent prompts are shared, and how hot they are.
+"""Which prefix a prompt is placed by, and how widely that prefix is held.
 
-A router keeps decaying counts of the prefix hashes that it has seen lately.
-From them it chooses the placement key, the deepest prefix that several
-prompts shared, and the number of targets that should hold that prefix.  The
-counts are a bounded cache: losing them costs cache hits, never correctness.
+Too shallow a prefix makes one target hot; too deep a one loses what prompts
+share.  A router keeps decaying counts of the prefixes it has seen lately and
+splits by load: a prompt is placed by the shallowest prefix whose share of the
+traffic one target can carry.  Shares, unlike rates, are the same at every
+router, so routers agree without messages.  A prompt whose deepest shared
+prefix is still too hot is spread over several holders.
+
+The counts are a bounded cache: losing them costs cache hits, never
+correctness.
 """
 
 import math
@@ -21,6 +26,8 @@
     count: float
     # When `count` was last brought up to date, in seconds.
     updated_s: float
+    # Whether the prefix is too hot for one target.
+    is_split: bool = False
     # Targets that should hold the prefix.
     holders: int = 1
 
@@ -41,73 +48,93 @@
     """Counts prefixes and chooses placement keys."""
 
     window_s: float = defaults.SHARING_WINDOW_S
-    shared_sightings: float = defaults.SHARED_SIGHTINGS
-    hot_rate_per_s: float = defaults.HOT_RATE_PER_S
-    hysteresis: float = defaults.HOT_HYSTERESIS
+    # Share of one target's fair load that one prefix may have.
+    split_share: float = defaults.SPLIT_SHARE
+    hysteresis: float = defaults.SPLIT_HYSTERESIS
+    # Prompts assumed beside those seen, so that the first few look cold.
+    prior: float = defaults.SHARING_PRIOR
     max_holders: int = defaults.MAX_HOLDERS
     capacity: int = defaults.PREFIX_COUNTERS
-    # Levels that hold more than this share of all prompts are too shallow.
     prefixes: OrderedDict[int, Sightings] = attrs.field(factory=OrderedDict)
+    # All prompts.
+    total: Sightings = attrs.field(
+        factory=lambda: Sightings(count=0.0, updated_s=0.0)
+    )
 
     def choose(
-        self, chain: list[int], now_s: float, account_seed: int
+        self, chain: list[int], now_s: float, targets: int, account_seed: int
     ) -> PlacementKey:
         """Record a prompt and return the key to place it by.
 
         Args:
           chain: The prompt's prefix hashes.
           now_s: The time in seconds.
+          targets: Targets among which prompts are placed.
           account_seed: Key for a prompt too short to have a whole block.
 
         Returns:
-          The deepest prefix that earlier prompts shared; a prompt that
-          shares nothing is placed by its first blocks, so that the next
-          one like it finds it.
+          The shallowest prefix that one target can carry; else the deepest
+          prefix that several prompts shared, with several holders.
         """
         if not chain:
             return PlacementKey(key=account_seed, depth=0, holders=1)
-        depth = self.shared_depth(chain, now_s)
         self.record(chain, now_s)
-        if depth == 0:
-            depth = min(len(chain), defaults.FALLBACK_DEPTH_BLOCKS)
-        key = chain[depth - 1]
-        holders = self.update_holders(self.prefixes[key], now_s)
-        return PlacementKey(key=key, depth=depth, holders=holders)
-
-    def shared_depth(self, chain: list[int], now_s: float) -> int:
-        """Return the number of leading blocks that recent prompts shared."""
-        for depth in range(len(chain), 0, -1):
-            seen = self.prefixes.get(chain[depth - 1])
-            if seen and self.decayed(seen, now_s) >= self.shared_sightings - 1:
-                return depth
-        return 0
+        limit = self.split_share / max(1, targets)
+        total = self.decayed(self.total, now_s) + self.prior
+        deepest = 0
+        for depth, key in enumerate(chain, 1):
+            seen = self.prefixes[key]
+            count = self.decayed(seen, now_s)
+            if not self.update_split(seen, count / total, limit):
+                return PlacementKey(key=key, depth=depth, holders=1)
+            deepest = depth
+        seen = self.prefixes[chain[deepest - 1]]
+        share = self.decayed(seen, now_s) / total
+        holders = self.update_holders(seen, share, limit)
+        return PlacementKey(
+            key=chain[deepest - 1], depth=deepest, holders=holders
+        )
 
     def record(self, chain: list[int], now_s: float) -> None:
         """Count one prompt."""
+        self.add(self.total, now_s)
         for key in chain:
             seen = self.prefixes.get(key)
             if seen is None:
                 self.prefixes[key] = Sightings(count=1.0, updated_s=now_s)
                 continue
-            seen.count = self.decayed(seen, now_s) + 1.0
-            seen.updated_s = now_s
+            self.add(seen, now_s)
             self.prefixes.move_to_end(key)
         while len(self.prefixes) > self.capacity:
             self.prefixes.popitem(last=False)
 
-    def update_holders(self, seen: Sightings, now_s: float) -> int:
-        """Widen or narrow a prefix by its rate and return its holders.
+    def add(self, seen: Sightings, now_s: float) -> None:
+        """Count one prompt in one counter."""
+        seen.count = self.decayed(seen, now_s) + 1.0
+        seen.updated_s = now_s
+
+    def update_split(self, seen: Sightings, share: float, limit: float) -> bool:
+        """Return whether a prefix is too hot for one target.
 
-        Hysteresis keeps a rate near a threshold from moving the prefix back
+        Hysteresis keeps a share near the limit from moving the prefix back
         and forth, which would recompute it each time.
         """
-        rate = self.decayed(seen, now_s) / self.window_s
-        wanted = 1 + int(rate / self.hot_rate_per_s)
+        if seen.is_split:
+            seen.is_split = share > limit * self.hysteresis
+        else:
+            seen.is_split = share > limit
+        return seen.is_split
+
+    def update_holders(
+        self, seen: Sightings, share: float, limit: float
+    ) -> int:
+        """Widen or narrow a prefix by its share and return its holders."""
+        wanted = min(self.max_holders, math.ceil(share / limit))
         if wanted > seen.holders:
-            seen.holders = min(wanted, self.max_holders)
-        elif rate < self.hot_rate_per_s * (seen.holders - 1) * self.hysteresis:
+            seen.holders = wanted
+        elif share < limit * (seen.holders - 1) * self.hysteresis:
             seen.holders -= 1
-        return seen.holders
+        return max(1, seen.holders)
 
     def decayed(self, seen: Sightings, now_s: float) -> float:
         """Return a count as of now."""
--- a/sequoiawind/soak.py
+++ b/sequoiawind/soak.py
@@ -25,8 +25,9 @@
 from sequoiawind.engine_model import EngineModel, EngineParameters
 from sequoiawind.memory_network import ChunkFaults, Node
 from sequoiawind.plain_model import PlainModel
+from sequoiawind.plan import CallerRequest
 from sequoiawind.rig import Rig, RigAgent, RigRouter, RigTarget, account_command
-from sequoiawind.router import CallerRequest, Handling
+from sequoiawind.router import Handling
 from sequoiawind.verdict import Verdict
 from sequoiawind.wire import Ended
 
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -91,6 +91,33 @@
     idempotency_key: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class Probe:
+    """A question before a request is placed: how soon could it start?"""
+
+    target: str
+    account: str
+    priority: int
+    weight: float
+    # The prompt's prefix hashes, as `prefix.chain` makes them.
+    chain: list[int]
+    prompt_tokens: int
+    max_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class ProbeAnswer:
+    """An agent's answer to a probe."""
+
+    load: LoadReport
+    # Wait that a request of this account and priority would have, in seconds.
+    wait_s: float
+    # Prompt tokens that the target has cached.
+    hit_tokens: int
+    # Time to compute one prompt token, in seconds.
+    prefill_token_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Ended:
     """The end of an attempt: an answer or a failure, never both."""
--- a/sequoiawind/workload.py
+++ b/sequoiawind/workload.py
@@ -37,11 +37,11 @@
     case_skew: float = 0.8
 
 
-NORDLYS: Final = Deployment(name="nordlys", engines=5, rate_per_s=25.0)
+NORDLYS: Final = Deployment(name="nordlys", engines=5, rate_per_s=16.0)
 PETRA: Final = Deployment(
     name="petra",
     engines=9,
-    rate_per_s=40.0,
+    rate_per_s=30.0,
     dossiers=20,
     dossier_tokens=6144,
     case_tokens=1024,
@@ -110,11 +110,13 @@
             dossier = (dossier + shape.dossiers // 2) % shape.dossiers
         case = zipf(source, shape.cases, shape.case_skew)
         name = f"{shape.name}-{account}"
+        # The seed draws other hashes, so that no policy rests on its luck.
+        title = f"{name} {self.seed}"
         text = "".join(
             (
-                level(f"{name} instructions", shape.account_tokens),
-                level(f"{name} dossier {dossier}", shape.dossier_tokens),
-                level(f"{name} case {dossier}.{case}", shape.case_tokens),
+                level(f"{title} instructions", shape.account_tokens),
+                level(f"{title} dossier {dossier}", shape.dossier_tokens),
+                level(f"{title} case {dossier}.{case}", shape.case_tokens),
                 level(f"question {self.seed}.{number}", shape.question_tokens),
             )
         )
