Optimistic placement: the home decides, others are asked when it is dear

Change: a prompt goes to its home first, with the cost it should have there; the home's agent refuses as not run if it costs more and says what it knows; only then are others asked. The bench spreads its prompts over 12 prefixes and the direct calls over all engines.

--- a/examples/bench.sh
+++ b/examples/bench.sh
@@ -7,6 +7,8 @@
 engine_args=(--step 0.002 --prefill-token 0.0000001 --decode-sequence 0 --max-batch 256)
 more_accounts=1384
 agent_max_running=256
+# As fast as the engine stand-ins are here.
+agent_prefill_tokens_per_s=10000000.0
 start_system
 
 echo "== start to first served request with the log down"
@@ -21,6 +23,7 @@
 
 echo "== speed"
 "$bin/sequoiawind-load" bench --router "${routers[0]}" \
-  --engine "127.0.0.1:$((base + 21))" --agent "127.0.0.1:$((base + 31))" \
+  --engine "127.0.0.1:$((base + 21))" --engine "127.0.0.1:$((base + 22))" \
+  --engine "127.0.0.1:$((base + 23))" --agent "127.0.0.1:$((base + 31))" \
   --agent "127.0.0.1:$((base + 32))" --agent "127.0.0.1:$((base + 33))" \
   --model polar-briefing
--- a/examples/system.sh
+++ b/examples/system.sh
@@ -16,6 +16,7 @@
 # Client accounts beyond the 16 that the workloads use.
 more_accounts=0
 agent_max_running=24
+agent_prefill_tokens_per_s=10000.0
 log=127.0.0.1:$((base))
 vms=127.0.0.1:$((base + 1))
 routers=(127.0.0.1:$((base + 10)) 127.0.0.1:$((base + 11)))
@@ -48,6 +49,7 @@
 service = "$service"
 failure_domain = "$domain"
 max_running = $agent_max_running
+prefill_tokens_per_s = $agent_prefill_tokens_per_s
 
 [platform]
 log = "$log"
--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -114,31 +114,39 @@
             return self.resume(attempt, sink)
         relay = Relay(agent=self, attempt=attempt, sink=sink, chain=[])
         call = AgentCall(agent=self, relay=relay)
-        refusal = self.refusal(attempt)
-        if refusal is None:
-            refusal = self.enqueue(relay)
-        if refusal is not None:
-            self.on_event(f"refused_{refusal.reason.value}")
-            relay.end = Ended(failure=refusal, load=self.load())
-            sink.ended(relay.end)
-            return call
+        refused = self.refusal(attempt) or self.enqueue(relay)
+        if refused is not None:
+            return self.refuse(call, refused)
         self.relays[attempt.attempt_id] = relay
         sink.started(self.load())
         self.queue.start_ready(self.clock.seconds())
         self.keep_ticking()
         return call
 
-    def refusal(self, attempt: Attempt) -> Failure | None:
+    def refuse(self, call: AgentCall, refused: Ended) -> AgentCall:
+        """End an attempt that was not admitted."""
+        relay = call.relay
+        if refused.failure is not None:
+            self.on_event(f"refused_{refused.failure.reason.value}")
+        relay.end = refused
+        if relay.sink is not None:
+            relay.sink.ended(refused)
+        return call
+
+    def refusal(self, attempt: Attempt) -> Ended | None:
         """Return why an attempt cannot be queued, if it cannot."""
+        failure: Failure | None = None
         if self.draining:
-            return not_run(Reason.DRAINING, messages.DRAINING)
-        if attempt.target != self.target:
-            return not_run(Reason.NO_TARGET, messages.NO_TARGET)
-        if attempt.attempt_id in self.relays:
-            return may_have_run(Reason.BAD_REQUEST, "attempt id repeated")
-        return None
-
-    def enqueue(self, relay: Relay) -> Failure | None:
+            failure = not_run(Reason.DRAINING, messages.DRAINING)
+        elif attempt.target != self.target:
+            failure = not_run(Reason.NO_TARGET, messages.NO_TARGET)
+        elif attempt.attempt_id in self.relays:
+            failure = may_have_run(Reason.BAD_REQUEST, "attempt id repeated")
+        if failure is None:
+            return None
+        return Ended(failure=failure, load=self.load())
+
+    def enqueue(self, relay: Relay) -> Ended | None:
         """Put an attempt into the queue, or return why it is refused."""
         invariants.drained_idle(bool(self.draining), self.target)
         attempt = relay.attempt
@@ -146,7 +154,7 @@
         prompt_tokens, hit_tokens = self.measure(relay, now_s)
         # A warm prefix is worth waiting for as long as recomputing it
         # elsewhere would take, times the route's patience.
-        warm_s = hit_tokens / self.queue.prefill_tokens_per_s
+        token_s = 1.0 / self.queue.prefill_tokens_per_s
         job = Job(
             name=attempt.attempt_id,
             account=attempt.account,
@@ -154,16 +162,36 @@
             priority=attempt.priority,
             prefill_tokens=prompt_tokens - hit_tokens,
             decode_tokens=attempt.max_tokens,
-            max_wait_s=attempt.max_wait_s + attempt.patience * warm_s,
+            max_wait_s=attempt.max_wait_s
+            + attempt.patience * hit_tokens * token_s,
             start=partial(self.start, relay),
         )
         relay.job = job
+        self.queue.tag(job)
+        wait_s = self.queue.wait_s(job.finish_tag)
+        cost_s = wait_s + attempt.patience * job.prefill_tokens * token_s
+        if 0.0 <= attempt.max_cost_s < cost_s:
+            return self.too_costly(wait_s, hit_tokens)
         refusal = self.queue.offer(job, now_s)
-        if refusal is None:
-            wait_s = self.queue.wait_s(job.finish_tag)
-            until_s = now_s + wait_s + defaults.EXPECTED_BLOCK_S
-            self.index.expect(relay.chain, until_s)
-        return refusal
+        if refusal is not None:
+            return Ended(failure=refusal, load=self.load())
+        until_s = now_s + wait_s + defaults.EXPECTED_BLOCK_S
+        self.index.expect(relay.chain, until_s)
+        return None
+
+    def too_costly(self, wait_s: float, hit_tokens: int) -> Ended:
+        """Return the refusal of an attempt that may cost less elsewhere."""
+        load = self.load()
+        return Ended(
+            failure=not_run(Reason.COSTLY, messages.COSTLY, wait_s),
+            load=load,
+            probe=ProbeAnswer(
+                load=load,
+                wait_s=round(wait_s, 4),
+                hit_tokens=hit_tokens,
+                prefill_token_s=1.0 / self.queue.prefill_tokens_per_s,
+            ),
+        )
 
     def measure(self, relay: Relay, now_s: float) -> tuple[int, int]:
         """Return an attempt's prompt tokens, and how many are cached."""
--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 import attrs
+from twisted.internet.defer import Deferred
 
 from sequoiawind import defaults, invariants, messages, openai_format, retries
 from sequoiawind.chunk_order import ChunkOrder
@@ -26,7 +27,7 @@
     may_have_run,
     not_run,
 )
-from sequoiawind.wire import Attempt, Ended, LoadReport
+from sequoiawind.wire import Attempt, Ended, LoadReport, ProbeAnswer
 
 # Failures of the connection between router and agent, after which the agent
 # may still hold the answer.
@@ -56,6 +57,9 @@
         """The answer is whole, or has failed; called once."""
 
 
+Replan = Callable[[Candidate, ProbeAnswer], Deferred[list[Choice]]]
+
+
 @attrs.define(kw_only=True)
 class Surroundings:
     """What the exchanges of one router share."""
@@ -160,6 +164,8 @@
     queue_wait_s: float = defaults.MAX_QUEUE_WAIT_S
     start_timeout_s: float = defaults.START_TIMEOUT_S
     chunk_timeout_s: float = defaults.CHUNK_TIMEOUT_S
+    # Returns other targets after a refusal for its cost.
+    replan: Replan | None = None
     order: ChunkOrder = attrs.field(factory=ChunkOrder)
     # Place in `choices` of the next target to try without queueing.
     position: int = 0
@@ -199,7 +205,7 @@
         elif self.position < len(self.choices):
             choice = self.choices[self.position]
             self.position += 1
-            self.open(choice.candidate, choice.max_wait_s)
+            self.open(choice.candidate, choice.max_wait_s, choice.max_cost_s)
         elif self.refused_waits_s and not self.has_queued:
             self.has_queued = True
             place = min(
@@ -209,7 +215,12 @@
         else:
             self.give_up(failure)
 
-    def open(self, candidate: Candidate, max_wait_s: float) -> None:
+    def open(
+        self,
+        candidate: Candidate,
+        max_wait_s: float,
+        max_cost_s: float = -1.0,
+    ) -> None:
         """Open an attempt at a target."""
         order = self.order
         try:
@@ -224,6 +235,7 @@
             attempt_id=self.new_id(),
             target=candidate.name,
             max_wait_s=min(max_wait_s, left_s),
+            max_cost_s=max_cost_s,
             deadline_s=left_s,
             start_index=order.expected,
             partial=text,
@@ -269,13 +281,23 @@
             Reason.CHUNK_MISSING, messages.CHUNK_MISSING
         )
         self.note_failure(sink, failure, ended.load)
-        if self.can_resume(sink, failure):
+        if ended.probe is not None and self.replan is not None:
+            self.around.on_retry(failure.reason)
+            planning = self.replan(sink.candidate, ended.probe)
+            planning.addCallback(self.replanned, failure)
+        elif self.can_resume(sink, failure):
             self.resume(sink)
         elif not retries.may_retry(failure, self.is_idempotent):
             self.give_up(failure)
         else:
             self.retry(sink, failure)
 
+    def replanned(self, choices: list[Choice], failure: Failure) -> None:
+        """Go on with the targets found after a refusal for its cost."""
+        self.choices = choices
+        self.position = 0
+        self.next_target(failure)
+
     def is_answered(self, ended: Ended) -> bool:
         """Whether the whole answer has arrived."""
         return ended.reply is not None or self.order.is_whole
--- a/sequoiawind/http_bench.py
+++ b/sequoiawind/http_bench.py
@@ -23,6 +23,8 @@
 SECONDS: Final = 10.0
 SHORT_ANSWER_TOKENS: Final = 4
 PROMPT_TOKENS: Final = 1024
+# Different prefixes, so that the load reaches all engines.
+TOPICS: Final = 12
 STREAMS: Final = 200
 STREAM_TOKENS: Final = 1000
 ACCOUNT: Final = "nordlys-0"
@@ -33,7 +35,7 @@
     """One run of all measurements."""
 
     router: str
-    engine: str
+    engines: Sequence[str]
     # All agents, so that the streams of each are counted.
     agents: Sequence[str]
     model: str
@@ -58,7 +60,7 @@
 
     async def added_time(self) -> list[str]:
         """Measure the time to the first token, direct and routed."""
-        runs = [self.load_run(self.engine), self.load_run(self.router)]
+        runs = [self.load_run(*self.engines), self.load_run(self.router)]
         await gatherResults(
             [
                 Deferred.fromCoroutine(run.run(steady_prompts(number)))
@@ -106,9 +108,9 @@
             total_s += await self.metric(address, "cpu_seconds_total")
         return total_s
 
-    def load_run(self, address: str) -> LoadRun:
-        """Return a run against one address."""
-        return LoadRun(client=self.client, routers=[address], model=self.model)
+    def load_run(self, *addresses: str) -> LoadRun:
+        """Return a run against addresses, in turn."""
+        return LoadRun(client=self.client, routers=addresses, model=self.model)
 
     async def metric(self, address: str, name: str) -> float:
         """Return a process metric of a daemon."""
@@ -127,7 +129,8 @@
             number=number,
             time_s=number / RATE_PER_S,
             account=ACCOUNT,
-            text=workload.level("bench", PROMPT_TOKENS) + f"{lane} {number}",
+            text=workload.level(f"bench {number % TOPICS}", PROMPT_TOKENS)
+            + f"{lane} {number}",
             answer_tokens=SHORT_ANSWER_TOKENS,
         )
         for number in range(int(RATE_PER_S * SECONDS))
--- a/sequoiawind/load_main.py
+++ b/sequoiawind/load_main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import sys
+from pathlib import Path
 from typing import Any, Final
 
 import attrs
@@ -9,6 +10,7 @@
 
 from sequoiawind import (
     command_line,
+    experiment_report,
     http_bench,
     http_client,
     http_server,
@@ -20,6 +22,9 @@
 
 PURPOSE: Final = "Load routers, compare policies, and look for faults."
 
+# Patience of each deployment's route.
+PATIENCE: Final = {"nordlys": 4.0, "petra": 8.0}
+
 
 def main() -> None:
     """Run the program."""
@@ -29,11 +34,13 @@
     if args.action == "bench":
         bench = http_bench.Bench(
             router=args.router,
-            engine=args.engine,
+            engines=args.engine,
             agents=args.agent,
             model=args.model,
         )
         print("\n".join(run_in_reactor(bench.run())))
+    if args.action == "experiment":
+        run_experiment(args)
     if args.action == "soak":
         sys.exit(run_soak(args))
     if args.action == "mutants":
@@ -55,7 +62,7 @@
     run.add_argument("--seed", type=int, default=1)
     bench = actions.add_parser("bench", help="measure added time and relaying")
     bench.add_argument("--router", required=True)
-    bench.add_argument("--engine", required=True)
+    bench.add_argument("--engine", action="append", required=True)
     bench.add_argument("--agent", action="append", required=True)
     bench.add_argument("--model", required=True)
     soak_parser = actions.add_parser(
@@ -64,9 +71,24 @@
     soak_parser.add_argument("--seed", type=int, default=1)
     soak_parser.add_argument("--seeds", type=int, default=1)
     actions.add_parser("mutants", help="check that the soak finds faults")
+    experiment = actions.add_parser(
+        "experiment", help="compare placements on the same workloads"
+    )
+    experiment.add_argument("--seeds", type=int, default=10)
+    experiment.add_argument("--workers", type=int, default=6)
+    experiment.add_argument("--out", default="docs/measurements")
     return parser
 
 
+def run_experiment(args: argparse.Namespace) -> None:
+    """Compare placements and write the report."""
+    jobs = experiment_report.make_jobs(args.seeds, PATIENCE)
+    outcomes = experiment_report.run_jobs(jobs, args.workers)
+    command = f"sequoiawind-load experiment --seeds {args.seeds}"
+    experiment_report.write(outcomes, Path(args.out), command)
+    print(experiment_report.table(outcomes))
+
+
 def run_soak(args: argparse.Namespace) -> int:
     """Run the soak's seeds and print what they found."""
     red = 0
--- a/sequoiawind/placement.py
+++ b/sequoiawind/placement.py
@@ -50,3 +50,5 @@
     max_wait_s: float
     # What placing the request there costs, in seconds; infinite if unknown.
     cost_s: float = 0.0
+    # The target refuses if the cost is larger; negative for no such limit.
+    max_cost_s: float = -1.0
--- a/sequoiawind/placer.py
+++ b/sequoiawind/placer.py
@@ -1,12 +1,15 @@
 """Choosing the targets of a request.
 
-Rendezvous order over the placement key names a few targets; the router asks
-their agents, who know what is cached and how long the queue is, and takes the
-cheapest: the wait plus the time to compute what is missing, weighted by the
-route's patience.  Agents that do not answer in time come last.
+Rendezvous order over the placement key names the home of a prompt and a few
+others.  The home's agent, who knows what is cached and how long the queue is,
+refuses if serving there costs more than it should: the wait plus the time to
+compute what is missing, weighted by the route's patience.  Then the router
+asks the agents of the others as well and takes the cheapest.  Agents that do
+not answer in time come last.
 """
 
 from collections.abc import Sequence
+from functools import partial
 from typing import Protocol
 
 import attrs
@@ -16,6 +19,7 @@
 
 from sequoiawind import defaults, placement, prefix, timing
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.exchange import Replan
 from sequoiawind.placement import Candidate, Choice
 from sequoiawind.plan import Plan
 from sequoiawind.ports import Clock, ProbePort
@@ -30,6 +34,8 @@
     """Where a request may go, best first."""
 
     choices: list[Choice]
+    # Returns other targets after the first refused for its cost.
+    replan: Replan | None = None
     # Blocks in the placement key, for `explain request`.
     depth: int = 0
     holders: int = 0
@@ -53,10 +59,11 @@
 
     def place(self, plan: Plan) -> Deferred[Placed]:
         """Return the targets of a request."""
-        if plan.pool.service == "engine":
-            return Deferred.fromCoroutine(self.place_prompt(plan))
         done: Deferred[Placed] = Deferred()
-        done.callback(self.place_call(plan))
+        if plan.pool.service == "engine":
+            done.callback(self.place_prompt(plan))
+        else:
+            done.callback(self.place_call(plan))
         return done
 
     def candidates(self, plan: Plan) -> list[Candidate]:
@@ -79,8 +86,8 @@
             ]
         )
 
-    async def place_prompt(self, plan: Plan) -> Placed:
-        """Place a prompt where it costs least."""
+    def place_prompt(self, plan: Plan) -> Placed:
+        """Place a prompt at its home, with others to ask if that is dear."""
         now_s = self.clock.seconds()
         candidates = self.candidates(plan)
         salt = plan.cache_salt
@@ -90,29 +97,67 @@
         )
         holders = min(chosen.holders, plan.policy.max_holders)
         ranked = placement.rank(chosen.key, candidates)
-        asked = ranked[: max(self.probes, holders)]
-        choices = await self.ask(plan, chain, asked)
-        rest = ranked[len(asked) : len(asked) + defaults.WALK_LENGTH]
-        choices += [
-            Choice(candidate=item, max_wait_s=defaults.BASE_WAIT_S)
-            for item in rest
+        home = [
+            Choice(
+                candidate=item,
+                max_wait_s=plan.kind.max_wait_s,
+                max_cost_s=self.fair_cost_s(plan, chosen.shared),
+            )
+            for item in ranked[:1]
         ]
-        return Placed(choices=choices, depth=chosen.depth, holders=holders)
+        return Placed(
+            choices=home + unasked(ranked[1:]),
+            replan=partial(self.replan, plan, chain, ranked, holders),
+            depth=chosen.depth,
+            holders=holders,
+        )
 
-    async def ask(
+    def fair_cost_s(self, plan: Plan, shared_blocks: int) -> float:
+        """Return what a prompt should cost at a home that holds its prefix."""
+        block_tokens = (
+            defaults.PLACEMENT_BLOCK_BYTES // defaults.BYTES_PER_TOKEN
+        )
+        prompt_tokens = prefix.tokens(plan.request.prompt.encode())
+        missing = prompt_tokens - shared_blocks * block_tokens
+        compute_s = missing / defaults.PREFILL_TOKENS_PER_S
+        return plan.policy.patience * compute_s + defaults.COST_SLACK_S
+
+    def replan(
+        self,
+        plan: Plan,
+        chain: list[int],
+        ranked: list[Candidate],
+        holders: int,
+        home: Candidate,
+        told: ProbeAnswer,
+    ) -> Deferred[list[Choice]]:
+        """Return the targets of a prompt whose home refused for its cost."""
+        others = [item for item in ranked if item.name != home.name]
+        count = max(self.probes, holders) - 1
+        asking = self.ask(plan, chain, others[:count])
+        known = self.choice(plan, home, Result.Ok(told))
+
+        def decide(choices: list[Choice]) -> list[Choice]:
+            # The sort is stable: equal costs stay in rendezvous order.
+            decided = [known, *choices]
+            decided.sort(key=lambda item: item.cost_s // defaults.COST_STEP_S)
+            return decided + unasked(others[count:])
+
+        return asking.addCallback(decide)
+
+    def ask(
         self, plan: Plan, chain: list[int], asked: Sequence[Candidate]
-    ) -> list[Choice]:
-        """Return the targets asked, the cheapest first."""
-        answers = await gatherResults(
+    ) -> Deferred[list[Choice]]:
+        """Return the targets asked, with their costs."""
+        answers = gatherResults(
             [self.probe(plan, chain, item) for item in asked]
         )
-        choices = [
-            self.choice(plan, candidate, answer)
-            for candidate, answer in zip(asked, answers, strict=True)
-        ]
-        # The sort is stable: equal costs stay in rendezvous order.
-        choices.sort(key=lambda item: item.cost_s // defaults.COST_STEP_S)
-        return choices
+        return answers.addCallback(
+            lambda told: [
+                self.choice(plan, candidate, answer)
+                for candidate, answer in zip(asked, told, strict=True)
+            ]
+        )
 
     def probe(
         self, plan: Plan, chain: list[int], candidate: Candidate
@@ -154,6 +199,14 @@
         )
 
 
+def unasked(candidates: Sequence[Candidate]) -> list[Choice]:
+    """Return targets to try if those that were asked refuse."""
+    return [
+        Choice(candidate=item, max_wait_s=defaults.BASE_WAIT_S)
+        for item in candidates[: defaults.WALK_LENGTH]
+    ]
+
+
 def no_answer(failure: object) -> ProbeResult:
     """Return the result of a probe that had no answer in time."""
     trap = getattr(failure, "trap", None)
--- a/sequoiawind/retries.py
+++ b/sequoiawind/retries.py
@@ -19,6 +19,7 @@
     {
         Reason.QUEUE_FULL,
         Reason.QUEUE_TOO_LONG,
+        Reason.COSTLY,
         Reason.DRAINING,
         Reason.SHUTTING_DOWN,
         Reason.WRONG_WEIGHTS,
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -281,6 +281,7 @@
             template=self.template(plan),
             is_idempotent=plan.is_idempotent,
             choices=placed.choices,
+            replan=placed.replan,
             queue_wait_s=plan.kind.max_wait_s,
             chunk_timeout_s=timeout_s,
         )
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -41,6 +41,7 @@
     CONCURRENCY_LIMIT = "concurrency_limit"
     QUEUE_FULL = "queue_full"
     QUEUE_TOO_LONG = "queue_too_long"
+    COSTLY = "costly"
     RETRY_BUDGET = "retry_budget"
     # State of the system.
     NO_CONFIGURATION = "no_configuration"
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -70,6 +70,9 @@
     max_wait_s: float = 0.0
     # How much longer than recomputing its missed prefix a request may queue.
     patience: float = 1.0
+    # Refuse if wait plus patience times computing costs more, in seconds;
+    # negative for no such limit.
+    max_cost_s: float = -1.0
     # Time left for the whole request, in seconds.
     deadline_s: float = 60.0
     # Model engines only.
@@ -126,6 +129,8 @@
     reply: Reply | None = None
     usage: Usage = attrs.field(factory=Usage)
     load: LoadReport | None = None
+    # What a probe would have told; with a refusal for its cost.
+    probe: ProbeAnswer | None = None
 
 
 @attrs.frozen(kw_only=True)
