--- a/examples/system.sh
+++ b/examples/system.sh
@@ -81,7 +81,7 @@
 }
 
 commands() {
-  echo 'create kind briefing with priority = 6, max_wait_s = 5.0'
+  echo 'create kind briefing with priority = 6, max_first_s = 5.0'
   echo 'create kind status with priority = 5'
   echo 'create kind fuel-drop with priority = 8, repeat = never'
   echo 'create policy latency with patience = 4.0'
--- a/sequoiawind/admission.py
+++ b/sequoiawind/admission.py
@@ -18,6 +18,9 @@
 NEUTRAL_PRIORITY: Final = 5
 # Cost of one request beyond its tokens, in tokens.
 REQUEST_COST_TOKENS: Final = 64
+# How much longer than allowed a job may wait before it is refused; below
+# this, the estimate made at its admission stands.
+OVERDUE_SLACK_S: Final = 0.1
 
 
 @attrs.define(kw_only=True)
@@ -173,13 +176,13 @@
         self.queued -= 1
         return True
 
-    def overdue(self, now_s: float, slack_s: float) -> list[Job]:
+    def overdue(self, now_s: float) -> list[Job]:
         """Withdraw and return the jobs that have waited too long."""
         late = [
             job
             for _, _, job in self.heap
             if not job.cancelled
-            and now_s - job.enqueued_s > job.max_wait_s + slack_s
+            and now_s - job.enqueued_s > job.max_wait_s + OVERDUE_SLACK_S
         ]
         for job in late:
             self.withdraw(job)
--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -152,8 +152,6 @@
         attempt = relay.attempt
         now_s = self.clock.seconds()
         prompt_tokens, hit_tokens = self.measure(relay, now_s)
-        # A warm prefix is worth waiting for as long as recomputing it
-        # elsewhere would take, times the route's patience.
         token_s = 1.0 / self.queue.prefill_tokens_per_s
         job = Job(
             name=attempt.attempt_id,
@@ -162,28 +160,39 @@
             priority=attempt.priority,
             prefill_tokens=prompt_tokens - hit_tokens,
             decode_tokens=attempt.max_tokens,
-            max_wait_s=attempt.max_wait_s
-            + attempt.patience * hit_tokens * token_s,
+            max_wait_s=self.allowed_wait_s(attempt, prompt_tokens - hit_tokens),
             start=partial(self.start, relay),
         )
         relay.job = job
         self.queue.tag(job)
         wait_s = self.queue.wait_s(job.finish_tag)
         cost_s = wait_s + attempt.patience * job.prefill_tokens * token_s
+        refusal: Failure | None = None
         if 0.0 <= attempt.max_cost_s < cost_s:
-            return self.too_costly(wait_s, hit_tokens)
-        refusal = self.queue.offer(job, now_s)
+            refusal = not_run(Reason.COSTLY, messages.COSTLY, wait_s)
+        refusal = refusal or self.queue.offer(job, now_s)
         if refusal is not None:
-            return Ended(failure=refusal, load=self.load())
+            return self.with_probe(refusal, wait_s, hit_tokens)
         until_s = now_s + wait_s + defaults.EXPECTED_BLOCK_S
         self.index.expect(relay.chain, until_s)
         return None
 
-    def too_costly(self, wait_s: float, hit_tokens: int) -> Ended:
-        """Return the refusal of an attempt that may cost less elsewhere."""
+    def allowed_wait_s(self, attempt: Attempt, missing_tokens: int) -> float:
+        """Return how long an attempt may queue, in seconds.
+
+        What is left of its limit after computing its prompt; an idle target
+        takes even a prompt that alone takes longer.
+        """
+        compute_s = missing_tokens / self.queue.prefill_tokens_per_s
+        return max(attempt.max_first_s - compute_s, defaults.BASE_WAIT_S)
+
+    def with_probe(
+        self, refusal: Failure, wait_s: float, hit_tokens: int
+    ) -> Ended:
+        """Return a refusal with what a probe would have told."""
         load = self.load()
         return Ended(
-            failure=not_run(Reason.COSTLY, messages.COSTLY, wait_s),
+            failure=refusal,
             load=load,
             probe=ProbeAnswer(
                 load=load,
@@ -356,8 +365,7 @@
     def tick(self) -> None:
         """Refuse the attempts that have waited longer than allowed."""
         now_s = self.clock.seconds()
-        slack_s = defaults.MAX_QUEUE_WAIT_S
-        for job in self.queue.overdue(now_s, slack_s):
+        for job in self.queue.overdue(now_s):
             relay = self.relays.get(job.name)
             if relay is not None:
                 wait_s = self.queue.wait_s()
--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -160,11 +160,11 @@
     is_idempotent: bool
     # Targets to try, in order.
     choices: list[Choice]
-    # Longest wait once no target takes the request at once, in seconds.
+    # Longest time to the first token once every target has refused.
     queue_wait_s: float = defaults.MAX_QUEUE_WAIT_S
     start_timeout_s: float = defaults.START_TIMEOUT_S
     chunk_timeout_s: float = defaults.CHUNK_TIMEOUT_S
-    # Returns other targets after a refusal for its cost.
+    # Returns other targets after a first refusal for wait or cost.
     replan: Replan | None = None
     order: ChunkOrder = attrs.field(factory=ChunkOrder)
     # Place in `choices` of the next target to try without queueing.
@@ -205,7 +205,7 @@
         elif self.position < len(self.choices):
             choice = self.choices[self.position]
             self.position += 1
-            self.open(choice.candidate, choice.max_wait_s, choice.max_cost_s)
+            self.open(choice.candidate, choice.max_first_s, choice.max_cost_s)
         elif self.refused_waits_s and not self.has_queued:
             self.has_queued = True
             place = min(
@@ -218,7 +218,7 @@
     def open(
         self,
         candidate: Candidate,
-        max_wait_s: float,
+        max_first_s: float,
         max_cost_s: float = -1.0,
     ) -> None:
         """Open an attempt at a target."""
@@ -234,7 +234,7 @@
             self.template,
             attempt_id=self.new_id(),
             target=candidate.name,
-            max_wait_s=min(max_wait_s, left_s),
+            max_first_s=min(max_first_s, left_s),
             max_cost_s=max_cost_s,
             deadline_s=left_s,
             start_index=order.expected,
@@ -283,7 +283,8 @@
         self.note_failure(sink, failure, ended.load)
         if ended.probe is not None and self.replan is not None:
             self.around.on_retry(failure.reason)
-            planning = self.replan(sink.candidate, ended.probe)
+            replan, self.replan = self.replan, None
+            planning = replan(sink.candidate, ended.probe)
             planning.addCallback(self.replanned, failure)
         elif self.can_resume(sink, failure):
             self.resume(sink)
@@ -294,6 +295,13 @@
 
     def replanned(self, choices: list[Choice], failure: Failure) -> None:
         """Go on with the targets found after a refusal for its cost."""
+        if not choices:
+            failure = attrs.evolve(
+                failure,
+                reason=Reason.QUEUE_TOO_LONG,
+                detail=messages.QUEUE_TOO_LONG,
+            )
+        self.refused_waits_s.clear()
         self.choices = choices
         self.position = 0
         self.next_target(failure)
@@ -365,7 +373,7 @@
         if self.is_tainted:
             verdict = Verdict.MAY_HAVE_RUN
         waits_s = [*self.refused_waits_s.values(), last.retry_after_s or 0.0]
-        retry_after_s = max(defaults.MIN_RETRY_AFTER_S, min(waits_s))
+        retry_after_s = max(defaults.MIN_RETRY_AFTER_S, *waits_s)
         self.finish(
             Ended(
                 failure=attrs.evolve(
--- a/sequoiawind/experiment_report.py
+++ b/sequoiawind/experiment_report.py
@@ -58,6 +58,11 @@
     Column(title="p95 s", value=lambda o: o.first_p95_s),
     Column(title="p99 s", value=lambda o: o.first_p99_s),
     Column(title="goodput/s", value=lambda o: o.goodput_per_s, form="{:.1f}"),
+    Column(
+        title="in burst/s",
+        value=lambda o: o.burst_goodput_per_s,
+        form="{:.1f}",
+    ),
     Column(title="recovery s", value=lambda o: o.recovery_s, form="{:.1f}"),
     Column(title="wrong", value=lambda o: o.wrong, form="{:.0f}"),
 )
--- a/sequoiawind/placement.py
+++ b/sequoiawind/placement.py
@@ -44,11 +44,13 @@
 
 @attrs.frozen(kw_only=True)
 class Choice:
-    """A target to try, and how long a request may wait there."""
+    """A target to try, and how late the first token may come there."""
 
     candidate: Candidate
-    max_wait_s: float
+    max_first_s: float
     # What placing the request there costs, in seconds; infinite if unknown.
     cost_s: float = 0.0
     # The target refuses if the cost is larger; negative for no such limit.
     max_cost_s: float = -1.0
+    # Whether the target said that it could start at once.
+    is_idle: bool = False
--- a/sequoiawind/placer.py
+++ b/sequoiawind/placer.py
@@ -81,7 +81,7 @@
         ranked.sort(key=lambda item: waits_s.get(item.name, 0.0))
         return Placed(
             choices=[
-                Choice(candidate=item, max_wait_s=plan.kind.max_wait_s)
+                Choice(candidate=item, max_first_s=plan.kind.max_first_s)
                 for item in ranked[: defaults.WALK_LENGTH]
             ]
         )
@@ -100,13 +100,13 @@
         home = [
             Choice(
                 candidate=item,
-                max_wait_s=plan.kind.max_wait_s,
+                max_first_s=plan.kind.max_first_s,
                 max_cost_s=self.fair_cost_s(plan, chosen.shared),
             )
             for item in ranked[:1]
         ]
         return Placed(
-            choices=home + unasked(ranked[1:]),
+            choices=home + unasked(plan, ranked[1:]),
             replan=partial(self.replan, plan, chain, ranked, holders),
             depth=chosen.depth,
             holders=holders,
@@ -141,7 +141,7 @@
             # The sort is stable: equal costs stay in rendezvous order.
             decided = [known, *choices]
             decided.sort(key=lambda item: item.cost_s // defaults.COST_STEP_S)
-            return decided + unasked(others[count:])
+            return in_time(plan, decided) + unasked(plan, others[count:])
 
         return asking.addCallback(decide)
 
@@ -183,7 +183,7 @@
         if answer.is_error() or answer.ok.load.draining:
             return Choice(
                 candidate=candidate,
-                max_wait_s=defaults.BASE_WAIT_S,
+                max_first_s=defaults.BASE_WAIT_S,
                 cost_s=float("inf"),
             )
         told = answer.ok
@@ -194,15 +194,26 @@
         return Choice(
             candidate=candidate,
             # Others may have been placed there since the answer.
-            max_wait_s=told.wait_s + defaults.BASE_WAIT_S,
+            max_first_s=told.wait_s + compute_s + defaults.BASE_WAIT_S,
             cost_s=told.wait_s + plan.policy.patience * compute_s,
+            is_idle=told.wait_s <= defaults.BASE_WAIT_S,
         )
 
 
-def unasked(candidates: Sequence[Candidate]) -> list[Choice]:
+def in_time(plan: Plan, choices: list[Choice]) -> list[Choice]:
+    """Leave out the targets that say they cannot start in time."""
+    limit_s = plan.kind.max_first_s + defaults.BASE_WAIT_S
+    return [
+        choice
+        for choice in choices
+        if choice.max_first_s <= limit_s or choice.is_idle
+    ]
+
+
+def unasked(plan: Plan, candidates: Sequence[Candidate]) -> list[Choice]:
     """Return targets to try if those that were asked refuse."""
     return [
-        Choice(candidate=item, max_wait_s=defaults.BASE_WAIT_S)
+        Choice(candidate=item, max_first_s=plan.kind.max_first_s)
         for item in candidates[: defaults.WALK_LENGTH]
     ]
 
--- a/sequoiawind/policies.py
+++ b/sequoiawind/policies.py
@@ -50,7 +50,7 @@
             self.board.state, plan.pool.name, self.clock.seconds()
         )
         choices = [
-            Choice(candidate=item, max_wait_s=plan.kind.max_wait_s)
+            Choice(candidate=item, max_first_s=plan.kind.max_first_s)
             for item in self.order(plan, candidates)
         ]
         done: Deferred[Placed] = Deferred()
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -282,7 +282,7 @@
             is_idempotent=plan.is_idempotent,
             choices=placed.choices,
             replan=placed.replan,
-            queue_wait_s=plan.kind.max_wait_s,
+            queue_wait_s=plan.kind.max_first_s,
             chunk_timeout_s=timeout_s,
         )
 
--- a/sequoiawind/state.py
+++ b/sequoiawind/state.py
@@ -44,8 +44,9 @@
     # "idempotent" or "never".
     repeat: str = "idempotent"
     deadline_s: float = defaults.REQUEST_DEADLINE_S
-    # Longest wait in a queue before the request is refused, in seconds.
-    max_wait_s: float = defaults.MAX_QUEUE_WAIT_S
+    # Longest time to the first token, or wait at a plain service, for which
+    # a request is admitted, in seconds.
+    max_first_s: float = defaults.MAX_QUEUE_WAIT_S
 
 
 @attrs.frozen(kw_only=True)
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -66,8 +66,8 @@
     # Scheduling: larger priorities go first; weight is the account's share.
     priority: int = 5
     weight: float = 1.0
-    # Refuse rather than queue for longer than this, in seconds.
-    max_wait_s: float = 0.0
+    # Refuse if the first token would come later than this, in seconds.
+    max_first_s: float = 0.0
     # How much longer than recomputing its missed prefix a request may queue.
     patience: float = 1.0
     # Refuse if wait plus patience times computing costs more, in seconds;
@@ -129,7 +129,7 @@
     reply: Reply | None = None
     usage: Usage = attrs.field(factory=Usage)
     load: LoadReport | None = None
-    # What a probe would have told; with a refusal for its cost.
+    # What a probe would have told; with a refusal for wait or cost.
     probe: ProbeAnswer | None = None
 
 
--- a/sequoiawind/workload.py
+++ b/sequoiawind/workload.py
@@ -31,6 +31,12 @@
     case_tokens: int = 2048
     question_tokens: int = 128
     answer_tokens: int = 48
+    # Time to the first token up to which requests are admitted, and the
+    # goal for it, in seconds.
+    max_first_s: float = 1.0
+    first_token_goal_s: float = 1.1
+    # How much a burst multiplies the rate.
+    burst_factor: float = 6.0
     # Zipf exponents of accounts, dossiers and cases.
     account_skew: float = 1.0
     dossier_skew: float = 1.0
@@ -46,6 +52,9 @@
     dossier_tokens=6144,
     case_tokens=1024,
     answer_tokens=32,
+    max_first_s=5.0,
+    burst_factor=3.5,
+    first_token_goal_s=6.0,
 )
 DEPLOYMENTS: Final = {"nordlys": NORDLYS, "petra": PETRA}
 
