--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -32,6 +32,7 @@
     EngineHttpPort,
     PlainHttpPort,
 )
+from sequoiawind.load_slots import LoadSlots
 from sequoiawind.metrics import AgentMetrics
 from sequoiawind.options import AgentSettings
 from sequoiawind.peers import ConfigSeeker, PeerClient
@@ -131,6 +132,10 @@
             clock=http_server.reactor,
             random=self.random,
             board=self.board,
+            slots=LoadSlots(
+                log=http_ports.log_port(self.client, self.options.platform.log),
+                target=self.options.agent.target,
+            ),
         )
 
     def follow_config(self) -> None:
--- a/sequoiawind/engine_model.py
+++ b/sequoiawind/engine_model.py
@@ -93,6 +93,8 @@
     starts: int = 0
     is_down: bool = False
     loading: bool = False
+    # Version being loaded; empty if none is.
+    target_version: str = ""
     fencing: int = -1
     cache: OrderedDict[int, str] = attrs.field(factory=OrderedDict)
     waiting: list[Generation] = attrs.field(factory=list)
@@ -344,6 +346,8 @@
         self.cache.clear()
         self.next_sequence = 0
         self.is_stepping = False
+        self.loading = False
+        self.target_version = ""
 
     def come_up(self) -> None:
         """Serve again."""
@@ -360,10 +364,11 @@
         if self.parameters.checks_fencing and fencing < self.fencing:
             return False
         self.fencing = max(fencing, self.fencing)
-        if version == self.version:
+        if version == (self.target_version or self.version):
             return True
         self.crash()
         self.loading = True
+        self.target_version = version
         finish = partial(self.finish_load, version, self.starts)
         self.clock.callLater(self.parameters.load_time_s, finish)
         return True
@@ -373,6 +378,7 @@
         if starts == self.starts:
             self.version = version
             self.loading = False
+            self.target_version = ""
 
 
 def token_text(seed: int, index: int) -> str:
--- a/sequoiawind/engine_watcher.py
+++ b/sequoiawind/engine_watcher.py
@@ -7,14 +7,15 @@
 """
 
 import random
-from collections.abc import Callable
 
 import attrs
 
 from sequoiawind import defaults, timing
 from sequoiawind.agent import Agent
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.load_slots import LoadSlots
 from sequoiawind.ports import Clock, EnginePort
+from sequoiawind.state import Pool
 
 
 @attrs.define(kw_only=True)
@@ -26,15 +27,16 @@
     clock: Clock
     random: random.Random
     board: Blackboard
+    slots: LoadSlots
     poll_s: float = defaults.EVENTS_POLL_S
     # Rounds between two reports of the engine.
     report_every: int = 10
     rounds: int = 0
     is_stopped: bool = False
-    # Revision of the last order given.
+    # Version and revision of the last order given.
     ordered: tuple[str, int] = ("", -1)
-    # Whether this agent may load weights now; see `load_slots`.
-    may_load: Callable[[], bool] = attrs.field(default=lambda: True)
+    # Whether this target is in its pool's queue for loading, or may be.
+    is_queued: bool = True
 
     async def run(self) -> None:
         """Poll until stopped."""
@@ -68,20 +70,37 @@
         if report.is_error():
             return
         self.agent.version = report.ok.version
-        wanted = self.wanted_version()
-        if wanted is None or wanted == report.ok.version:
+        pool = self.pool()
+        if pool is None:
             return
-        order = (wanted, self.board.state.revision)
-        if not self.agent.is_idle() or not self.may_load():
+        if pool.version == report.ok.version:
+            await self.leave_queue(pool)
+        elif self.agent.is_idle():
+            await self.order(pool)
+
+    async def leave_queue(self, pool: Pool) -> None:
+        """Free the slot of a load that has ended."""
+        if self.is_queued:
+            await self.slots.release(pool.name)
+            self.is_queued = False
+
+    async def order(self, pool: Pool) -> None:
+        """Order the version wanted, if there is a slot.
+
+        The order is given again until the engine reports the version: an
+        order to load what is being loaded changes nothing.
+        """
+        self.is_queued = True
+        state = self.board.state
+        if not await self.slots.acquire(pool.name, state, pool.load_slots):
             return
-        if order != self.ordered:
-            self.ordered = order
-            await self.port.order_version(*order)
+        self.ordered = (pool.version, state.revision)
+        await self.port.order_version(*self.ordered)
 
-    def wanted_version(self) -> str | None:
-        """Return the version the configuration wants; None if unknown."""
+    def pool(self) -> Pool | None:
+        """Return the pool of this target; None if it is not known."""
         state = self.board.state
         target = state.targets.get(self.agent.target)
-        if target is None or target.pool not in state.pools:
+        if target is None:
             return None
-        return state.pools[target.pool].version
+        return state.pools.get(target.pool)
--- a/sequoiawind/rig.py
+++ b/sequoiawind/rig.py
@@ -24,6 +24,7 @@
 from sequoiawind.engine_watcher import EngineWatcher
 from sequoiawind.exchange import Surroundings
 from sequoiawind.limits import AccountLimits
+from sequoiawind.load_slots import LoadSlots
 from sequoiawind.log_model import LogModel
 from sequoiawind.memory_network import (
     MemoryEnginePort,
@@ -173,6 +174,7 @@
             look_up=lambda address: (target_node, model),
         )
         board = Blackboard()
+        board.phase.name = "serving"
         agent = Agent(
             target=model.name,
             address=model.name,
@@ -190,6 +192,7 @@
                 clock=clock,
                 random=self.source,
                 board=board,
+                slots=LoadSlots(log=self.node_log(node), target=model.name),
             )
             Deferred.fromCoroutine(made.watcher.run())
         made.follower = self.make_follower(node, board)
@@ -222,6 +225,7 @@
         """Start a router process."""
         clock = NodeClock(clock=self.clock, node=node)
         board = Blackboard()
+        board.phase.name = "serving"
         board.limits = AccountLimits(routers=self.router_count)
         port = MemoryPort(network=self.network, near=node, look_up=self.look_up)
         around = Surroundings(
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,100 @@
+"""Orders to load weights: slots on the log, fencing numbers."""
+
+import random
+
+from testtools import TestCase
+
+from sequoiawind import wire
+from sequoiawind.commands import Create, Load
+from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.load_slots import SlotQueue, SlotRecord
+from sequoiawind.rig import Rig, RigTarget
+from sequoiawind.state import State, Target
+from sequoiawind.virtual_clock import VirtualClock
+from tests.session import first_commands
+
+ENGINES = ("e1", "e2", "e3")
+
+
+def most_loading(load_slots: int, pause_agent: str = "") -> tuple[int, int]:
+    """Load weights on three engines.
+
+    Returns:
+      The most loads at once, and how many engines have the new version.
+    """
+    rig = Rig(seed=3, parameters=EngineParameters(load_time_s=4.0))
+    commands = [
+        command
+        if not (isinstance(command, Create) and command.name == "engines")
+        else Create(
+            table="pools",
+            name="engines",
+            fields={"model": "model", "load_slots": load_slots},
+        )
+        for command in first_commands("service", "model")
+    ]
+    rig.configure([*commands, Load(pool="engines", version="v2")])
+    for name in ENGINES:
+        rig.add_target(RigTarget(name=name, pool="engines"))
+    engines = [rig.agents[name].target for name in ENGINES]
+    most = 0
+    for step in range(400):
+        rig.advance(step * 0.1)
+        most = max(most, sum(engine.loading for engine in engines))
+        if pause_agent and step == 30:
+            rig.agents[pause_agent].node.pause()
+        if pause_agent and step == 200:
+            rig.agents[pause_agent].node.resume()
+    return most, sum(engine.version == "v2" for engine in engines)
+
+
+class SlotsTest(TestCase):
+    """At most so many weight loads at once, and all in the end."""
+
+    def test_one_at_a_time(self) -> None:
+        self.assertEqual((1, 3), most_loading(1))
+
+    def test_two_at_a_time(self) -> None:
+        self.assertEqual((2, 3), most_loading(2))
+
+    def test_paused_agent_delays_but_adds_no_load(self) -> None:
+        for name in ENGINES:
+            self.assertEqual((1, 3), most_loading(1, pause_agent=name))
+
+    def test_place_in_the_queue_only_moves_forward(self) -> None:
+        queue = SlotQueue()
+        state = State(targets={name: Target(name=name) for name in "abc"})
+        for offset, (verb, target) in enumerate(
+            (("want", "b"), ("want", "a"), ("want", "b"), ("want", "c"))
+        ):
+            record = SlotRecord(verb=verb, target=target)
+            queue.fold(offset, wire.encode(record).decode())
+        self.assertTrue(queue.may_load("b", state, 2))
+        self.assertFalse(queue.may_load("c", state, 2))
+        done = SlotRecord(verb="done", target="b")
+        queue.fold(4, wire.encode(done).decode())
+        self.assertTrue(queue.may_load("c", state, 2))
+
+
+class FencingTest(TestCase):
+    """An engine that checks refuses an order with an old number."""
+
+    def engine(self, checks: bool) -> EngineModel:
+        return EngineModel(
+            name="e",
+            clock=VirtualClock(),
+            random=random.Random(1),
+            parameters=EngineParameters(checks_fencing=checks),
+        )
+
+    def test_old_number_is_refused(self) -> None:
+        engine = self.engine(checks=True)
+        self.assertTrue(engine.order_version("v2", 7))
+        self.assertFalse(engine.order_version("v1", 6))
+        self.assertEqual("v2", engine.target_version)
+
+    def test_engine_that_ignores_numbers_takes_it(self) -> None:
+        engine = self.engine(checks=False)
+        self.assertTrue(engine.order_version("v2", 7))
+        self.assertTrue(engine.order_version("v1", 6))
+        self.assertEqual("v1", engine.target_version)
