Tests of each mechanism; a resumed answer keeps what has arrived

Ruled out: the agent's store (it had every chunk when only its own link lost them). Change: a resume keeps the early chunks; progress is counted in chunks known. Losses between engine and agent are retried within the budget, after which the caller is told; the test says so for both links. The soak's faults have a module of their own. Conclusion: whole answers or an explicit error.

--- a/sequoiawind/chunk_order.py
+++ b/sequoiawind/chunk_order.py
@@ -48,6 +48,11 @@
         self.is_whole = data == DONE
         return data
 
+    @property
+    def known(self) -> int:
+        """Chunks that have arrived, in order or not."""
+        return self.expected + len(self.early)
+
     def forget_early(self) -> None:
         """Drop chunks that wait; the answer goes on from `expected`."""
         self.early.clear()
--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -179,7 +179,8 @@
     # Waits that refusing targets reported, by place in `choices`.
     refused_waits_s: dict[int, float] = attrs.field(factory=dict)
     has_queued: bool = False
-    resumed_at: int = -1
+    # Chunks known when the answer was last resumed.
+    known_at_resume: int = -1
     current: AttemptSink | None = None
     deadline: Timer | None = None
     deadline_at_s: float = 0.0
@@ -335,11 +336,11 @@
         if sink.attempt.method:
             return False
         # One resume without progress shows that the next is futile.
-        return self.order.expected > self.resumed_at
+        return self.order.known > self.known_at_resume
 
     def resume(self, sink: AttemptSink) -> None:
         """Ask the same agent for the rest of the answer."""
-        self.resumed_at = self.order.expected
+        self.known_at_resume = self.order.known
         self.around.on_retry(Reason.CONNECTION_LOST)
         attempt = attrs.evolve(
             sink.attempt,
@@ -347,7 +348,6 @@
             attempt_id=self.new_id(),
             start_index=self.order.expected,
         )
-        self.order.forget_early()
         self.send(sink.candidate, attempt)
 
     def retry(self, sink: AttemptSink, failure: Failure) -> None:
--- a/sequoiawind/memory_network.py
+++ b/sequoiawind/memory_network.py
@@ -121,6 +121,8 @@
     foreign: float = 0.0
     # Share of connections that break at some chunk.
     broken: float = 0.0
+    # Processes whose chunks are affected, by the beginning of their names.
+    sender: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -174,6 +176,8 @@
     def chunk(self, attempt_id: str, index: int, data: bytes) -> None:
         """The far process sends a chunk."""
         faults = self.network.faults
+        if not self.far.name.startswith(faults.sender):
+            faults = ChunkFaults()
         draw = self.network.random.random
         deliver = partial(self.sink.chunk, attempt_id, index, data)
         if faults.foreign and draw() < faults.foreign:
--- a/sequoiawind/soak.py
+++ b/sequoiawind/soak.py
@@ -22,12 +22,13 @@
     workload,
 )
 from sequoiawind.commands import Admit, Command, Create, Drain, Set
-from sequoiawind.engine_model import EngineModel, EngineParameters
-from sequoiawind.memory_network import ChunkFaults, Node
+from sequoiawind.engine_model import EngineParameters
+from sequoiawind.memory_network import Node
 from sequoiawind.plain_model import PlainModel
 from sequoiawind.plan import CallerRequest
-from sequoiawind.rig import Rig, RigAgent, RigRouter, RigTarget, account_command
+from sequoiawind.rig import Rig, RigRouter, RigTarget, account_command
 from sequoiawind.router import Handling
+from sequoiawind.soak_faults import SoakFaults
 from sequoiawind.verdict import Verdict
 from sequoiawind.wire import Ended
 
@@ -101,6 +102,7 @@
     # Counts of what the run did, for its report.
     counts: dict[str, int] = attrs.field(factory=dict)
     errors: list[str] = attrs.field(factory=list)
+    faults: SoakFaults = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the system."""
@@ -119,6 +121,9 @@
         )
         for number in range(ROUTERS):
             self.rig.add_router(f"r{number}")
+        self.faults = SoakFaults(
+            rig=self.rig, source=self.source, count=self.count
+        )
 
     def run(self) -> list[str]:
         """Run, and return the violations found."""
@@ -150,12 +155,12 @@
         for rate, action in (
             (PROMPTS_PER_S, self.send_prompt),
             (BOOKINGS_PER_S, self.send_booking),
-            (FAULTS_PER_S, self.inject),
+            (FAULTS_PER_S, self.faults.inject),
             (COMMANDS_PER_S, self.race_commands),
         ):
             self.repeat(rate, action)
         self.rig.advance(FAULTY_S)
-        self.heal()
+        self.faults.heal()
         self.rig.advance(FAULTY_S + SETTLE_S)
 
     def repeat(self, rate: float, action: Callable[[], None]) -> None:
@@ -334,165 +339,11 @@
 
         Deferred.fromCoroutine(submit())
 
-    # Faults.
-
-    def inject(self) -> None:
-        """Inject a fault, at times two together."""
-        faults: tuple[Callable[[], None], ...] = (
-            self.kill_router,
-            self.kill_all_routers,
-            self.pause_router,
-            self.kill_agent,
-            self.pause_agent,
-            self.crash_engine,
-            self.crash_plain,
-            self.log_outage,
-            self.log_slow,
-            self.log_loses_answers,
-            self.chunk_faults,
-            self.cut_connections,
-            self.lose_events,
-        )
-        for _ in range(self.source.choice((1, 1, 2))):
-            fault = self.source.choice(faults)
-            self.count(fault.__name__)
-            fault()
-
-    def for_a_while(self, longest_s: float, undo: Callable[[], None]) -> None:
-        """Undo a fault after a random time."""
-        pause_s = self.source.uniform(0.05, longest_s)
-        self.rig.clock.callLater(pause_s, undo)
-
-    def kill_router(self) -> None:
-        """Kill a router; another process replaces it."""
-        self.kill_router_number(self.source.randrange(ROUTERS))
-
-    def kill_router_number(self, number: int) -> None:
-        """Kill one router."""
-        node = self.rig.routers[number].node
-        if node.is_up:
-            node.kill()
-            self.for_a_while(3.0, lambda: self.rig.restart_router(number))
-
-    def kill_all_routers(self) -> None:
-        """Kill all routers together."""
-        for number in range(ROUTERS):
-            self.kill_router_number(number)
-
-    def pause_router(self) -> None:
-        """Pause a router, at times past every timeout."""
-        self.pause(self.source.choice(self.rig.routers).node)
-
-    def pause(self, node: Node) -> None:
-        """Pause a process."""
-        if node.is_up and not node.is_paused:
-            epoch = node.epoch
-            node.pause()
-
-            def resume() -> None:
-                if node.epoch == epoch and node.is_paused:
-                    node.resume()
-
-            self.for_a_while(self.source.choice((0.5, 5.0, 45.0)), resume)
-
-    def some_agent(self) -> tuple[str, RigAgent]:
-        """Return an agent."""
-        name = self.source.choice(sorted(self.rig.agents))
-        return name, self.rig.agents[name]
-
-    def kill_agent(self) -> None:
-        """Kill an agent; another process replaces it."""
-        name, made = self.some_agent()
-        if made.node.is_up:
-            made.node.kill()
-            self.for_a_while(3.0, lambda: self.rig.restart_agent(name))
-
-    def pause_agent(self) -> None:
-        """Pause an agent."""
-        self.pause(self.some_agent()[1].node)
-
-    def engine(self) -> EngineModel:
-        """Return an engine."""
-        target = self.rig.agents[self.source.choice(ENGINES)].target
-        assert isinstance(target, EngineModel)
-        return target
-
-    def plain(self) -> PlainModel:
-        """Return the plain service."""
-        target = self.rig.agents["book"].target
-        assert isinstance(target, PlainModel)
-        return target
-
-    def crash_engine(self) -> None:
-        """Crash an engine."""
-        self.engine().crash(self.source.choice((0.0, 0.5, 3.0)))
-
-    def crash_plain(self) -> None:
-        """Crash the plain service."""
-        self.plain().crash(self.source.choice((0.0, 0.5, 3.0)))
-
-    def log_outage(self) -> None:
-        """Take the log down."""
-        self.rig.log.is_down = True
-        self.for_a_while(15.0, self.heal_log)
-
-    def log_slow(self) -> None:
-        """Make the log slow."""
-        self.rig.log.latency_s = self.source.uniform(0.1, 2.0)
-        self.for_a_while(10.0, self.heal_log)
-
-    def log_loses_answers(self) -> None:
-        """Let the log lose answers after the write."""
-        self.rig.log.lost_answers = 0.5
-        self.for_a_while(10.0, self.heal_log)
-
-    def heal_log(self) -> None:
-        """Undo all faults of the log."""
-        self.rig.log.is_down = False
-        self.rig.log.latency_s = 0.002
-        self.rig.log.lost_answers = 0.0
-
-    def chunk_faults(self) -> None:
-        """Let chunks be lost, doubled, crossed, or reach others."""
-        self.rig.network.faults = ChunkFaults(
-            lost=0.02, doubled=0.05, crossed=0.05, foreign=0.05, broken=0.02
-        )
-        self.for_a_while(10.0, self.heal_chunks)
-
-    def heal_chunks(self) -> None:
-        """Undo the faults of chunks."""
-        self.rig.network.faults = ChunkFaults()
-
-    def cut_connections(self) -> None:
-        """Cut all connections of a process."""
-        node = self.source.choice(
-            [router.node for router in self.rig.routers]
-            + [made.node for made in self.rig.agents.values()]
-        )
-        for connection in list(node.connections):
-            connection.cut()
-
-    def lose_events(self) -> None:
-        """Let an engine lose cache events."""
-        engine = self.engine()
-        engine.parameters = attrs.evolve(engine.parameters, event_loss=0.3)
-
-    def heal(self) -> None:
-        """Undo all faults."""
-        self.heal_log()
-        self.heal_chunks()
-        for number, router in enumerate(self.rig.routers):
-            if not router.node.is_up:
-                self.rig.restart_router(number)
-            router.node.resume()
-        for made in self.rig.agents.values():
-            made.node.resume()
-
     # Checks at the end.
 
     def check_end(self) -> None:
         """Check the promises against the stand-ins."""
-        plain = self.plain()
+        plain = self.faults.plain()
         for key, count in plain.by_key.items():
             invariants.check(count <= 1, "at-most-once", f"{key}: {count}")
         for caller in self.callers:
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,153 @@
+"""Whole answers: engines that crash, connections that break, callers gone."""
+
+from testtools import TestCase
+
+from sequoiawind import invariants
+from sequoiawind.chunk_order import ChunkOrder
+from sequoiawind.memory_network import ChunkFaults
+from sequoiawind.openai_format import DONE
+from sequoiawind.wire import Usage
+from tests.session import Session
+
+TOKENS = 10
+
+
+class CrashTest(TestCase):
+    """An engine crashes after any number of chunks."""
+
+    def crash_after(self, chunks: int) -> Session:
+        session = Session()
+        session.do_prompt("q1", "r0", str(TOKENS), "A briefing.")
+        caller = session.callers["q1"]
+        for _ in range(4000):
+            if len(caller.chunks) >= chunks:
+                break
+            session.do_run("0.001")
+        for name in ("e1", "e2", "e3"):
+            engine = session.rig.agents[name].target
+            if engine.batch or engine.waiting:
+                engine.crash(0.5)
+        session.do_run("10")
+        return session
+
+    def test_crash_at_every_chunk(self) -> None:
+        for chunks in range(TOKENS + 3):
+            session = self.crash_after(chunks)
+            self.assertIn("whole answer, right", session.lines[-1])
+            self.assertEqual(DONE, session.callers["q1"].chunks[-1])
+
+    def test_agent_killed_at_every_chunk(self) -> None:
+        for chunks in range(0, TOKENS, 3):
+            session = Session()
+            session.do_prompt("q1", "r0", str(TOKENS), "A briefing.")
+            caller = session.callers["q1"]
+            for _ in range(4000):
+                if len(caller.chunks) >= chunks:
+                    break
+                session.do_run("0.001")
+            for name in ("e1", "e2", "e3"):
+                made = session.rig.agents[name]
+                if made.agent.queue.running:
+                    made.node.kill()
+            session.do_run("10")
+            self.assertIn("whole answer, right", session.lines[-1])
+
+
+class ChunkFaultsTest(TestCase):
+    """Chunks are lost, doubled, crossed or belong to others."""
+
+    def answers(self, faults: ChunkFaults) -> list[str]:
+        session = Session()
+        session.rig.network.faults = faults
+        for number in range(20):
+            session.do_prompt(f"q{number}", "r0", "20", "A briefing.")
+        session.do_run("40")
+        return [line.split(", ")[1] for line in session.lines]
+
+    def test_each_fault(self) -> None:
+        for faults in (
+            # Between agent and router, so that the agent has all chunks.
+            ChunkFaults(lost=0.05, sender="agent"),
+            ChunkFaults(doubled=0.3),
+            ChunkFaults(crossed=0.3),
+            ChunkFaults(foreign=0.3),
+            ChunkFaults(broken=0.05, sender="agent"),
+        ):
+            self.assertEqual(["right"] * 20, self.answers(faults), faults)
+
+    def test_engine_loses_chunks(self) -> None:
+        # The retry budget may end before the losses do; then the caller is
+        # told, and told when to come back.
+        for faults in (ChunkFaults(lost=0.05), ChunkFaults(broken=0.05)):
+            answers = set(self.answers(faults))
+            self.assertIn("right", answers)
+            self.assertEqual(
+                set(), answers - {"right", "come back after 1.0 s"}
+            )
+
+    def test_order(self) -> None:
+        order = ChunkOrder()
+        self.assertEqual([b"a"], order.take(0, b"a"))
+        self.assertEqual([], order.take(2, b"c"))
+        self.assertEqual([], order.take(0, b"a"))
+        self.assertEqual([b"b", b"c"], order.take(1, b"b"))
+        self.assertEqual([DONE], order.take(3, DONE))
+        self.assertTrue(order.is_whole)
+        self.assertEqual(1, order.duplicates)
+
+
+class CallerGoneTest(TestCase):
+    """A caller that goes away stops the work for it."""
+
+    def test_engine_stops(self) -> None:
+        session = Session()
+        session.do_prompt("q1", "r0", "500", "A briefing.")
+        session.do_run("0.5")
+        session.do_leave("q1")
+        session.do_run("0.5")
+        for name in ("e1", "e2", "e3"):
+            self.assertEqual([], session.rig.agents[name].target.batch)
+
+    def test_booking_goes_on(self) -> None:
+        session = Session()
+        session.do_book("b1", "r0", "k1", "{}")
+        session.do_run("0.01")
+        session.do_leave("b1")
+        session.do_run("1")
+        session.do_book("b2", "r1", "k1", "{}")
+        session.do_run("1")
+        self.assertEqual("b2: 200 done", session.lines[-1])
+
+
+class AccountsTest(TestCase):
+    """A fault in the accounts does not keep an answer back."""
+
+    def test_answer_arrives(self) -> None:
+        session = Session()
+
+        def fail(note: object, ended: object) -> None:
+            raise RuntimeError("accounts")
+
+        session.rig.routers[0].router.on_end = fail
+        session.do_prompt("q1", "r0", "4", "A briefing.")
+        self.assertRaises(RuntimeError, session.do_run, "3")
+        self.assertIn("whole answer, right", session.lines[-1])
+
+    def test_negative_usage_is_refused(self) -> None:
+        data = b'{"usage": {"prompt_tokens": -3, "completion_tokens": 2}}'
+        from sequoiawind import openai_format
+
+        self.assertEqual(
+            Usage(completion_tokens=2), openai_format.usage_of(data)
+        )
+
+
+class InvariantTest(TestCase):
+    """A violated promise raises and is remembered."""
+
+    def test_out_of_order_chunk(self) -> None:
+        self.addCleanup(invariants.violations.clear)
+        self.assertRaises(
+            invariants.InvariantError, invariants.next_chunk, 1, 2, "q"
+        )
+        self.assertEqual(1, len(invariants.violations))
