Slopes, language page from sessions, bounds on what daemons tell

Cause: at 1,400 active accounts a demand message is 28 kB (20.3 B for each account) to each router every second, and the list of 350 VMs 10.8 kB for each poll of 2 s, against 2 kB/s for all control.

--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -102,8 +102,11 @@
 
 # Membership.
 VM_LIST_POLL_S: Final = 2.0
+VM_LIST_LINE_B: Final = 31
+VM_LIST_BUDGET_B_PER_S: Final = 1000.0
 PEER_TIMEOUT_S: Final = 1.0
 LIMIT_SHARE_PERIOD_S: Final = 1.0
+TOLD_DEMAND_SHARE: Final = 0.1
 
 # Shutdown.
 BALANCER_WAIT_S: Final = 1.0
--- a/sequoiawind/limits.py
+++ b/sequoiawind/limits.py
@@ -5,10 +5,12 @@
 of the sum.  With ``n`` routers the sum of the shares is at most 1 while all
 hear each other; after a change of demand the excess lasts until the next
 exchange, so an account can exceed its rate by at most the limit times the
-share that moved, for one exchange period.
+share that moved, for one exchange period.  Demand below a tenth of a router's
+equal part is not told, which adds at most a tenth to the bound.
 """
 
 from collections.abc import Mapping
+from typing import Final
 
 import attrs
 
@@ -16,6 +18,9 @@
 from sequoiawind.state import Account
 from sequoiawind.verdict import Failure, Reason, not_run
 
+# Requests a second below which an account's usage is dropped.
+FORGOTTEN_DEMAND: Final = 0.01
+
 
 @attrs.define(kw_only=True)
 class Usage:
@@ -30,6 +35,8 @@
     seen: int = 0
     # Requests a second, averaged over exchanges.
     demand: float = 0.0
+    # The account's limit, in requests a second.
+    rate_per_s: float = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -93,6 +100,7 @@
         if usage is None:
             usage = Usage(tokens=burst, updated_s=now_s)
             self.usage[account.name] = usage
+        usage.rate_per_s = account.rate_per_s
         elapsed_s = max(0.0, now_s - usage.updated_s)
         usage.tokens = min(burst, usage.tokens + elapsed_s * rate)
         usage.updated_s = now_s
@@ -135,12 +143,21 @@
             rate = usage.seen / self.period_s
             usage.demand += 0.5 * (rate - usage.demand)
             usage.seen = 0
-            if usage.demand > 0.01:
+            if usage.demand > self.telling(usage):
                 told[name] = round(usage.demand, 2)
-            elif usage.open_requests == 0:
+            if usage.demand < FORGOTTEN_DEMAND and not usage.open_requests:
                 del self.usage[name]
         return told
 
+    def telling(self, usage: Usage) -> float:
+        """Return the demand from which peers are told of an account.
+
+        Below it an account is far from its limit, and telling would cost
+        more than it helps.
+        """
+        equal = usage.rate_per_s / max(1, self.routers)
+        return equal * defaults.TOLD_DEMAND_SHARE
+
     def hear(
         self, router: str, demand: Mapping[str, float], now_s: float
     ) -> None:
--- a/sequoiawind/load_main.py
+++ b/sequoiawind/load_main.py
@@ -15,6 +15,7 @@
     http_client,
     http_server,
     mutants,
+    slopes,
     soak,
     workload,
 )
@@ -41,6 +42,8 @@
         print("\n".join(run_in_reactor(bench.run())))
     if args.action == "experiment":
         run_experiment(args)
+    if args.action == "slopes":
+        print(slopes.report())
     if args.action == "soak":
         sys.exit(run_soak(args))
     if args.action == "mutants":
@@ -77,6 +80,7 @@
     experiment.add_argument("--seeds", type=int, default=10)
     experiment.add_argument("--workers", type=int, default=6)
     experiment.add_argument("--out", default="docs/measurements")
+    actions.add_parser("slopes", help="measure how costs grow with sizes")
     return parser
 
 
--- a/sequoiawind/peers.py
+++ b/sequoiawind/peers.py
@@ -114,9 +114,18 @@
         """Poll the list."""
         while True:
             await self.round()
-            pause_s = timing.jittered(defaults.VM_LIST_POLL_S, 0.2, self.random)
+            pause_s = timing.jittered(self.period_s(), 0.2, self.random)
             await timing.sleep(self.clock, pause_s)
 
+    def period_s(self) -> float:
+        """Return the time between polls: longer for a longer list.
+
+        A poll transfers the whole list, which has a budget in bytes a second.
+        """
+        size_b = len(self.board.members.vms) * defaults.VM_LIST_LINE_B
+        budget_s = size_b / defaults.VM_LIST_BUDGET_B_PER_S
+        return max(defaults.VM_LIST_POLL_S, budget_s)
+
     async def round(self) -> None:
         """Read the list once; an unreadable one changes nothing."""
         url = f"http://{self.address}/vms"
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -1,11 +1,18 @@
 """Golden files: whole sessions and the operators' language."""
 
+import os
+import re
+from pathlib import Path
+
 from testtools import TestCase
 
 from sequoiawind import invariants, language, wire
 from tests import cases
 from tests.session import Session
 
+SESSION = re.compile(r"```session\n(.*?)\n```", re.S)
+PAGE = Path(__file__).parent.parent / "docs" / "LANGUAGE.md"
+
 
 def play(steps: str) -> str:
     """Return the transcript of a session."""
@@ -34,3 +41,25 @@
 
     def test_statements(self) -> None:
         cases.check_file(self, "statements.test", parse)
+
+
+class LanguagePageTest(TestCase):
+    """The sessions in docs/LANGUAGE.md are what the system answers."""
+
+    def replayed(self, block: re.Match[str]) -> str:
+        steps = [
+            line.removeprefix("> ")
+            for line in block.group(1).splitlines()
+            if line.startswith("> ")
+        ]
+        return f"```session\n{play(chr(10).join(steps))}\n```"
+
+    def test_sessions(self) -> None:
+        text = PAGE.read_text(encoding="utf-8")
+        made = re.sub(
+            r"```session\n(.*?)\n```", self.replayed, text, flags=re.S
+        )
+        if os.environ.get("UPDATE_GOLDEN"):
+            PAGE.write_text(made, encoding="utf-8")
+        else:
+            self.assertEqual(text, made)
