--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -50,6 +50,8 @@
 # Targets, in rendezvous order, that are asked before a request is placed.
 PROBES: Final = 4
 PROBE_TIMEOUT_S: Final = 0.05
+# Prompt tokens that a home may lack without others being asked.
+FAIR_MISSING_TOKENS: Final = 512
 # Cost beyond the expected one at which a home refuses.
 COST_SLACK_S: Final = 0.1
 # Costs that differ by less count as equal.
--- a/sequoiawind/placer.py
+++ b/sequoiawind/placer.py
@@ -101,7 +101,7 @@
             Choice(
                 candidate=item,
                 max_first_s=plan.kind.max_first_s,
-                max_cost_s=self.fair_cost_s(plan, chosen.shared),
+                max_cost_s=self.fair_cost_s(plan),
             )
             for item in ranked[:1]
         ]
@@ -112,13 +112,14 @@
             holders=holders,
         )
 
-    def fair_cost_s(self, plan: Plan, shared_blocks: int) -> float:
-        """Return what a prompt should cost at a home that holds its prefix."""
-        block_tokens = (
-            defaults.PLACEMENT_BLOCK_BYTES // defaults.BYTES_PER_TOKEN
-        )
+    def fair_cost_s(self, plan: Plan) -> float:
+        """Return what a prompt may cost at its home without asking others.
+
+        A home that lacks more than a usual question's tokens refuses: the
+        prefix may be warm elsewhere, as after a restart of this router.
+        """
         prompt_tokens = prefix.tokens(plan.request.prompt.encode())
-        missing = prompt_tokens - shared_blocks * block_tokens
+        missing = min(prompt_tokens, defaults.FAIR_MISSING_TOKENS)
         compute_s = missing / defaults.PREFILL_TOKENS_PER_S
         return plan.policy.patience * compute_s + defaults.COST_SLACK_S
 
--- a/sequoiawind/slopes.py
+++ b/sequoiawind/slopes.py
@@ -11,25 +11,31 @@
 from typing import Final
 
 import attrs
+from twisted.internet.defer import Deferred
 
 from sequoiawind import (
     claims,
     config_fold,
+    defaults,
     keys,
     placement,
     prefix,
     router,
     wire,
 )
+from sequoiawind.blackboard import Blackboard
 from sequoiawind.cache_index import CacheEvent, CacheEvents, CacheIndex
 from sequoiawind.claims import Claim, ClaimTable, Outcome
 from sequoiawind.commands import Create
 from sequoiawind.config_fold import Folded
+from sequoiawind.config_follower import ConfigFollower
 from sequoiawind.limits import AccountLimits
+from sequoiawind.log_model import LogModel
 from sequoiawind.peers import VmEntry
 from sequoiawind.placement import Candidate
 from sequoiawind.sharing import SharingTracker
 from sequoiawind.state import Account
+from sequoiawind.virtual_clock import VirtualClock
 from sequoiawind.wire import DemandMessage, Reply
 
 ACCOUNT_SIZES: Final = (200, 400, 800, 1400)
@@ -37,6 +43,8 @@
 BLOCK_SIZES: Final = (6_000, 12_000, 18_000, 24_000)
 PREFIX_SIZES: Final = (2_500, 5_000, 10_000, 20_000)
 CLAIM_SIZES: Final = (2_000, 4_000, 8_000, 16_000)
+DAEMON_SIZES: Final = (10, 50, 100, 350)
+CHANGES: Final = 10
 REPEATS: Final = 5
 
 
@@ -104,6 +112,16 @@
         value_slope("prompt's probe", "block", "B", (8, 16, 32, 64), probe_b),
         time_slope("prompt hashed", (8, 16, 32, 64), chain_of),
         time_slope("limits told and heard", ACCOUNT_SIZES, limits_round),
+        value_slope(
+            "change in force on the last daemon",
+            "daemon",
+            "s",
+            DAEMON_SIZES,
+            spread_s,
+        ),
+        value_slope(
+            "reads of the log", "daemon", "/s", DAEMON_SIZES, reads_per_s
+        ),
     ]
 
 
@@ -309,6 +327,63 @@
     return limits
 
 
+@attrs.define(kw_only=True)
+class Followers:
+    """Daemons that follow the configuration, on a virtual clock."""
+
+    count: int
+    clock: VirtualClock = attrs.field(factory=VirtualClock)
+    log: LogModel = attrs.field(init=False)
+    followers: list[ConfigFollower] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Start the daemons at random moments."""
+        source = random.Random(self.count)
+        self.log = LogModel(clock=self.clock, random=source)
+        for _ in range(self.count):
+            follower = ConfigFollower(
+                board=Blackboard(),
+                log=self.log,
+                clock=self.clock,
+                random=source,
+                wall=self.clock.seconds,
+            )
+            self.followers.append(follower)
+            self.clock.callLater(source.random(), self.start, follower)
+        self.clock.advance_to(5.0)
+
+    def start(self, follower: ConfigFollower) -> None:
+        """Start one daemon."""
+        Deferred.fromCoroutine(follower.run())
+
+    def spread_s(self, number: int) -> float:
+        """Return how long a change takes to the last daemon."""
+        record = config_fold.make_record(
+            f"c{number}", "ops", Create(table="kinds", name=f"k{number}")
+        )
+        began_s = self.clock.seconds()
+        self.log.append_now(defaults.CONFIG_STREAM, [record])
+        while not all(
+            f"k{number}" in item.board.state.kinds for item in self.followers
+        ):
+            self.clock.advance_to(self.clock.seconds() + 0.01)
+        return self.clock.seconds() - began_s
+
+
+def spread_s(daemons: int) -> float:
+    """Return the longest spread of several changes, in seconds."""
+    followers = Followers(count=daemons)
+    return max(followers.spread_s(number) for number in range(CHANGES))
+
+
+def reads_per_s(daemons: int) -> float:
+    """Return how often idle daemons read the log, a second."""
+    followers = Followers(count=daemons)
+    before = followers.log.reads
+    followers.clock.advance_to(followers.clock.seconds() + 60.0)
+    return (followers.log.reads - before) / 60.0
+
+
 def report() -> str:
     """Measure all slopes and return them as a Markdown table."""
     lines = [
