--- a/sequoiawind/placer.py
+++ b/sequoiawind/placer.py
@@ -97,11 +97,13 @@
         )
         holders = min(chosen.holders, plan.policy.max_holders)
         ranked = placement.rank(chosen.key, candidates)
+        # Without others to ask, the home serves at any cost.
+        max_cost_s = self.fair_cost_s(plan) if ranked[1:] else -1.0
         home = [
             Choice(
                 candidate=item,
                 max_first_s=plan.kind.max_first_s,
-                max_cost_s=self.fair_cost_s(plan),
+                max_cost_s=max_cost_s,
             )
             for item in ranked[:1]
         ]
