Faults on real sockets: crash, cut, caller gone, stalled senders

Cause: resume, continuation and cancelling had been shown on the virtual clock only, bounded bodies not with other callers present. Change: four tests over HTTP; 20 stalled senders beside a prompt.

--- /dev/null
+++ b/tests/test_live_faults.py
@@ -0,0 +1,134 @@
+"""Faults on real sockets: engines crash, connections are cut, senders stall."""
+
+import socket
+import threading
+import time
+from typing import Any
+from unittest import mock
+
+import openai
+from testtools import TestCase
+
+from sequoiawind import defaults, engine_model, http_ports
+from tests import live
+
+PROMPT = "The origin of the catch of the vessel Amal? " * 40
+TOKENS = 300
+TRIES = 400
+PAUSE_S = 0.01
+
+
+class StreamTest(TestCase):
+    """A stream goes on whole after a fault in its middle."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.system = live.shared()
+        self.calls: list[http_ports.AgentHttpCall] = []
+        original = http_ports.AgentPort.open
+
+        def opened(port: Any, *args: Any) -> Any:
+            call = original(port, *args)
+            self.calls.append(call)
+            return call
+
+        patch = mock.patch.object(http_ports.AgentPort, "open", opened)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def stream_with(self, fault: Any) -> str:
+        """Return an answer during which a fault was injected."""
+        client = openai.OpenAI(
+            base_url=f"{self.system.url()}/v1",
+            api_key=live.TOKEN,
+            max_retries=0,
+        )
+        parts: list[str] = []
+        chunks = client.completions.create(
+            model="polar", prompt=PROMPT, max_tokens=TOKENS, stream=True
+        )
+        for chunk in chunks:
+            parts.append(chunk.choices[0].text)
+            if len(parts) == 20:
+                live.in_reactor(fault)
+        return "".join(parts)
+
+    def check(self, fault: Any) -> None:
+        expected = engine_model.expected_answer(PROMPT, TOKENS)
+        self.assertEqual(expected, self.stream_with(fault))
+
+    def test_engine_crash(self) -> None:
+        def crash() -> None:
+            for engine in self.system.engines:
+                if engine.batch:
+                    engine.crash()
+
+        self.check(crash)
+        self.assertTrue(len(self.calls) >= 2)
+
+    def test_cut_between_router_and_agent(self) -> None:
+        def cut() -> None:
+            self.calls[-1].stream.receiver.abort()
+
+        self.check(cut)
+        resumed = self.system.agents[0].metrics.events.labels("resumed")
+        again = self.system.agents[1].metrics.events.labels("resumed")
+        self.assertTrue(resumed._value.get() + again._value.get() >= 1)
+
+    def test_caller_gone(self) -> None:
+        client = openai.OpenAI(
+            base_url=f"{self.system.url()}/v1", api_key=live.TOKEN
+        )
+        chunks = client.completions.create(
+            model="polar", prompt=PROMPT, max_tokens=4000, stream=True
+        )
+        next(iter(chunks))
+        chunks.close()
+        for _ in range(TRIES):
+            if not any(engine.batch for engine in self.system.engines):
+                return
+            time.sleep(PAUSE_S)
+        self.fail("the engine went on for a caller that had gone")
+
+
+class SlowSenderTest(TestCase):
+    """A sender that stalls is closed and disturbs nobody."""
+
+    def test_stalled_body(self) -> None:
+        system = live.shared()
+        host, port = system.url().removeprefix("http://").split(":")
+        with mock.patch.object(defaults, "BODY_TIMEOUT_S", 0.3):
+            socks = [
+                socket.create_connection((host, int(port)), timeout=20)
+                for _ in range(20)
+            ]
+            for sock in socks:
+                sock.sendall(
+                    b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                    b"Content-Length: 100\r\n\r\n{"
+                )
+            answers: list[bytes] = []
+            threads = [
+                threading.Thread(
+                    target=lambda s=sock: answers.append(s.recv(100))
+                )
+                for sock in socks
+            ]
+            for thread in threads:
+                thread.start()
+            client = openai.OpenAI(
+                base_url=f"{system.url()}/v1", api_key=live.TOKEN
+            )
+            answer = client.completions.create(
+                model="polar", prompt="x", max_tokens=2
+            )
+            for thread in threads:
+                thread.join()
+            for sock in socks:
+                sock.close()
+        expected = engine_model.expected_answer("x", 2)
+        self.assertEqual(expected, answer.choices[0].text)
+        self.assertEqual(
+            {b"HTTP/1.1 408 Request Time-out"},
+            {answer.split(b"\r\n")[0] for answer in answers},
+        )
