--- a/sequoiawind/limits.py
+++ b/sequoiawind/limits.py
@@ -147,7 +147,9 @@
                 told[name] = round(usage.demand, 2)
             if usage.demand < FORGOTTEN_DEMAND and not usage.open_requests:
                 del self.usage[name]
-        return told
+        hottest = sorted(told, key=told.__getitem__, reverse=True)
+        kept = hottest[: defaults.MAX_TOLD_ACCOUNTS]
+        return {name: told[name] for name in kept}
 
     def telling(self, usage: Usage) -> float:
         """Return the demand from which peers are told of an account.
--- a/sequoiawind/peers.py
+++ b/sequoiawind/peers.py
@@ -83,6 +83,7 @@
 
     async def run(self) -> None:
         """Tell once a period."""
+        self.board.limits.period_s = self.period_s()
         while True:
             await timing.sleep(self.clock, self.board.limits.period_s)
             demand = self.board.limits.exchange()
@@ -90,6 +91,17 @@
             for address in self.addresses:
                 Deferred.fromCoroutine(self.peers.tell_demand(address, told))
 
+    def period_s(self) -> float:
+        """Return the time between messages: longer with more routers.
+
+        Every router tells every other, within a budget in bytes a second.
+        """
+        bytes_a_round = len(self.addresses) * defaults.DEMAND_MESSAGE_B
+        return max(
+            defaults.LIMIT_SHARE_PERIOD_S,
+            bytes_a_round / defaults.DEMAND_BUDGET_B_PER_S,
+        )
+
 
 @attrs.frozen(kw_only=True)
 class VmEntry:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -222,6 +222,18 @@
         self.assertEqual(Reason.RATE_LIMIT, refusal.reason)
         self.assertEqual(10.0, round(refusal.retry_after_s))
 
+    def test_message_is_bounded(self) -> None:
+        limits = AccountLimits(routers=12, usage={})
+        for number in range(1400):
+            account = Account(name=f"a{number}", rate_per_s=1.0)
+            limits.admit(account, 0.0)
+        self.assertEqual(20, len(limits.exchange()))
+
+    def test_quiet_accounts_are_not_told(self) -> None:
+        limits = AccountLimits(routers=12)
+        limits.admit(Account(name="a", rate_per_s=1000.0), 0.0)
+        self.assertEqual({}, limits.exchange())
+
     def test_concurrency(self) -> None:
         limits = AccountLimits()
         account = Account(name="a", concurrency=2)
