--- a/sequoiawind/config_follower.py
+++ b/sequoiawind/config_follower.py
@@ -35,10 +35,6 @@
     is_reading: bool = False
     # When the last snapshot seen was made, in the log's time.
     snapshot_time_s: float = -1.0
-    # Offset that the last snapshot seen covers.
-    snapshot_offset: int = 0
-    # Log time of the last record folded.
-    last_record_s: float = -1.0
     # Called after each change of the configuration.
     on_change: Callable[[], None] = attrs.field(default=lambda: None)
 
@@ -86,7 +82,6 @@
             if record.offset != folded.next_offset:
                 continue
             folded = config_fold.fold(folded, record.offset, record.data)
-            self.last_record_s = record.time_s
         # Another reader may have been faster while this one waited.
         if folded.next_offset < self.board.folded.next_offset:
             return
@@ -96,37 +91,41 @@
 
     async def take_snapshot(self) -> Result[int, Failure]:
         """Take the newest readable snapshot in the log."""
-        start = 0
-        while True:
-            page = await self.log.read(
-                defaults.SNAPSHOT_STREAM, start, defaults.READ_LIMIT
-            )
+        stream = defaults.SNAPSHOT_STREAM
+        page = await self.log.read(stream, defaults.BEYOND_END, 1)
+        if page.is_error():
+            return Error(page.error)
+        for offset in range(page.ok.end - 1, page.ok.first - 1, -1):
+            page = await self.log.read(stream, offset, 1)
             if page.is_error():
                 return Error(page.error)
-            for record in page.ok.records:
-                self.see_snapshot(record)
-            start = max(page.ok.first, start + len(page.ok.records))
-            if start >= page.ok.end:
-                return Ok(self.board.folded.next_offset)
+            if any(map(self.see_snapshot, page.ok.records)):
+                break
+        return Ok(self.board.folded.next_offset)
+
+    def see_snapshot(self, record: LogRecord) -> bool:
+        """Take one snapshot if it is newer than what is in force.
 
-    def see_snapshot(self, record: LogRecord) -> None:
-        """Take one snapshot if it is newer than what is in force."""
+        Returns:
+          Whether it could be read.
+        """
         folded = config_fold.restore(record.data)
         if folded is None:
-            return
+            return False
         self.snapshot_time_s = record.time_s
-        self.snapshot_offset = folded.next_offset
         if self.board.offer_config(folded):
             self.on_change()
+        return True
 
     async def snapshot_if_due(self) -> None:
         """Append a snapshot before the retention takes what it covers.
 
         Processes may race; their snapshots of one offset are equal.
         """
-        if self.last_record_s < 0.0:
+        if self.board.folded.next_offset == 0 or not self.is_snapshot_due():
             return
-        if not self.is_snapshot_due():
+        # The chance spreads the work over daemons that all find it due.
+        if self.random.random() > defaults.SNAPSHOT_CHANCE:
             return
         await self.take_snapshot()
         if not self.is_snapshot_due():
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -86,6 +86,10 @@
 LOG_TIMEOUT_S: Final = 1.0
 LOG_RETENTION_S: Final = 86_400.0
 SNAPSHOT_SHARE_OF_RETENTION: Final = 0.4
+# Share of polls in which a daemon makes a snapshot that is due.
+SNAPSHOT_CHANCE: Final = 0.1
+# An offset that no stream reaches; a read from it tells first and end.
+BEYOND_END: Final = 2**62
 MAX_RECORDS_PER_APPEND: Final = 500
 RECORD_VERSION: Final = 1
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -117,6 +117,19 @@
         )
         self.assertIn("a", late.board.state.kinds)
 
+    def test_snapshots_outlive_those_who_saw_the_records(self) -> None:
+        first = self.running()
+        self.submit(first, "a")
+        self.run_for(150.0)
+        second = self.running()
+        self.run_for(5.0)
+        first.is_stopped = True
+        self.run_for(500.0)
+        second.is_stopped = True
+        third = self.running()
+        self.run_for(5.0)
+        self.assertIn("a", third.board.state.kinds)
+
     def test_reader_that_slept(self) -> None:
         keeper, sleeper = self.running(), self.follower()
         Deferred.fromCoroutine(sleeper.catch_up())
