Weight store with a limited rate, lagged load reports, wrong VM lists

Cause: the stand-ins lacked the slowing of loads beyond two, the lag of load reports, and the soak a VM list that is wrong.

--- a/sequoiawind/engine_model.py
+++ b/sequoiawind/engine_model.py
@@ -43,9 +43,28 @@
     event_loss: float = 0.0
     events_kept: int = 2000
     load_time_s: float = 5.0
+    load_lag_s: float = 0.5
     checks_fencing: bool = True
 
 
+@attrs.define(kw_only=True)
+class WeightStore:
+    """The store that engines load weights from; its rate is limited."""
+
+    # Loads at once that do not slow each other.
+    free_loads: int = 2
+    loads: int = 0
+
+    def begin(self, load_time_s: float) -> float:
+        """Begin a load and return how long it takes, in seconds."""
+        self.loads += 1
+        return load_time_s * max(1.0, self.loads / self.free_loads)
+
+    def end(self) -> None:
+        """End a load."""
+        self.loads = max(0, self.loads - 1)
+
+
 @attrs.define(kw_only=True)
 class Generation:
     """One sequence that the engine computes."""
@@ -90,6 +109,7 @@
     random: random.Random
     parameters: EngineParameters = attrs.field(factory=EngineParameters)
     version: str = ""
+    weights: WeightStore = attrs.field(factory=WeightStore)
     starts: int = 0
     is_down: bool = False
     loading: bool = False
@@ -102,6 +122,9 @@
     is_stepping: bool = False
     events: list[tuple[float, CacheEvent]] = attrs.field(factory=list)
     next_sequence: int = 0
+    # Waiting and running sequences as last reported, and when.
+    counts: tuple[int, int] = (0, 0)
+    counted_s: float = -1.0
     # Totals, for measurements.
     prompt_tokens: int = 0
     computed_tokens: int = 0
@@ -151,12 +174,16 @@
         )
 
     def load(self) -> LoadReport:
-        """Return the engine's own load report."""
+        """Return the engine's own load report; its counts lag."""
+        now_s = self.clock.seconds()
+        if now_s - self.counted_s >= self.parameters.load_lag_s:
+            self.counted_s = now_s
+            self.counts = (len(self.waiting), len(self.batch))
         return LoadReport(
             target=self.name,
             incarnation=self.incarnation,
-            queued=len(self.waiting),
-            running=len(self.batch),
+            queued=self.counts[0],
+            running=self.counts[1],
             version=self.version,
         )
 
@@ -370,11 +397,13 @@
         self.loading = True
         self.target_version = version
         finish = partial(self.finish_load, version, self.starts)
-        self.clock.callLater(self.parameters.load_time_s, finish)
+        load_s = self.weights.begin(self.parameters.load_time_s)
+        self.clock.callLater(load_s, finish)
         return True
 
     def finish_load(self, version: str, starts: int) -> None:
         """Serve the weights that were loaded."""
+        self.weights.end()
         if starts == self.starts:
             self.version = version
             self.loading = False
--- a/sequoiawind/rig.py
+++ b/sequoiawind/rig.py
@@ -20,7 +20,11 @@
 from sequoiawind.claimant import Claimant
 from sequoiawind.commands import Command, Create
 from sequoiawind.config_follower import ConfigFollower
-from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.engine_model import (
+    EngineModel,
+    EngineParameters,
+    WeightStore,
+)
 from sequoiawind.engine_watcher import EngineWatcher
 from sequoiawind.exchange import Surroundings
 from sequoiawind.limits import AccountLimits
@@ -119,6 +123,7 @@
     clock: VirtualClock = attrs.field(factory=VirtualClock)
     source: random.Random = attrs.field(init=False)
     log: LogModel = attrs.field(init=False)
+    weights: WeightStore = attrs.field(factory=WeightStore)
     network: Network = attrs.field(init=False)
     agents: dict[str, RigAgent] = attrs.field(factory=dict)
     routers: list[RigRouter] = attrs.field(factory=list)
@@ -156,6 +161,7 @@
                 clock=self.clock,
                 random=self.source,
                 parameters=self.parameters,
+                weights=self.weights,
             )
         else:
             model = PlainModel(name=target.name, clock=self.clock)
--- a/sequoiawind/soak.py
+++ b/sequoiawind/soak.py
@@ -432,13 +432,13 @@
         ),
     ]
     for name in ENGINES:
-        fields = {"pool": "briefing", "agent": name}
+        fields = {"pool": "briefing", "agent": name, "vm": f"vm-{name}"}
         commands.append(Create(table="targets", name=name, fields=dict(fields)))
     commands.append(
         Create(
             table="targets",
             name="book",
-            fields={"pool": "booking", "agent": "book"},
+            fields={"pool": "booking", "agent": "book", "vm": "vm-book"},
         )
     )
     return commands
--- a/sequoiawind/soak_faults.py
+++ b/sequoiawind/soak_faults.py
@@ -6,6 +6,7 @@
 import attrs
 
 from sequoiawind.engine_model import EngineModel
+from sequoiawind.members import VmState
 from sequoiawind.memory_network import ChunkFaults, Node
 from sequoiawind.plain_model import PlainModel
 from sequoiawind.rig import Rig, RigAgent
@@ -44,6 +45,7 @@
             self.chunk_faults,
             self.cut_connections,
             self.lose_events,
+            self.wrong_vm_list,
         )
         for _ in range(self.source.choice((1, 1, 2))):
             fault = self.source.choice(faults)
@@ -169,10 +171,24 @@
         engine = self.engine()
         engine.parameters = attrs.evolve(engine.parameters, event_loss=0.3)
 
+    def wrong_vm_list(self) -> None:
+        """Let the list say that VMs leave which do not."""
+        names = [f"vm-{name}" for name in self.rig.agents]
+        wrong = self.source.sample(names, self.source.randint(1, len(names)))
+        for router in self.rig.routers:
+            router.board.members.vms = dict.fromkeys(wrong, VmState.LEAVING)
+        self.for_a_while(10.0, self.heal_vm_list)
+
+    def heal_vm_list(self) -> None:
+        """Let the list say nothing."""
+        for router in self.rig.routers:
+            router.board.members.vms = {}
+
     def heal(self) -> None:
         """Undo all faults."""
         self.heal_log()
         self.heal_chunks()
+        self.heal_vm_list()
         for number, router in enumerate(self.rig.routers):
             if not router.node.is_up:
                 self.rig.restart_router(number)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,7 +6,11 @@
 
 from sequoiawind import wire
 from sequoiawind.commands import Create, Load
-from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.engine_model import (
+    EngineModel,
+    EngineParameters,
+    WeightStore,
+)
 from sequoiawind.load_slots import SlotQueue, SlotRecord
 from sequoiawind.rig import Rig, RigTarget
 from sequoiawind.state import State, Target
@@ -76,6 +80,17 @@
         self.assertTrue(queue.may_load("c", state, 2))
 
 
+class WeightStoreTest(TestCase):
+    """Loads beyond the free ones slow each other."""
+
+    def test_third_load_is_slower(self) -> None:
+        store = WeightStore(free_loads=2)
+        times = [store.begin(4.0) for _ in range(3)]
+        self.assertEqual([4.0, 4.0, 6.0], times)
+        store.end()
+        self.assertEqual(6.0, store.begin(4.0))
+
+
 class FencingTest(TestCase):
     """An engine that checks refuses an order with an old number."""
 
