Read as a newcomer: dead code out, refused bodies and dropped chunks counted

Change: they are gone or shown: refused bodies by reason, dropped chunks, gaps of cache events, whether a target checks fencing numbers. Before: 20 stalled senders left no trace in the metrics. After: counted, in the test that stalls them. Conclusion: no behaviour for callers changed.

--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -93,6 +93,8 @@
     clock: Clock
     # "engine" or "plain".
     service: str = "engine"
+    # Whether the target refuses an order with an old fencing number.
+    checks_fencing: bool = True
     block_bytes: int = defaults.ENGINE_BLOCK_BYTES
     queue: FairQueue = attrs.field(factory=FairQueue)
     index: CacheIndex = attrs.field(factory=CacheIndex)
--- a/sequoiawind/agent_http.py
+++ b/sequoiawind/agent_http.py
@@ -1,7 +1,5 @@
 """The agent's HTTP interface, for routers and for its metrics."""
 
-from functools import partial
-
 import attrs
 import klein
 from twisted.internet.defer import Deferred
@@ -162,8 +160,3 @@
 def count_event(agent_metrics: AgentMetrics, name: str) -> None:
     """Count an agent's event."""
     agent_metrics.events.labels(name).inc()
-
-
-def counter(agent_metrics: AgentMetrics) -> "partial[None]":
-    """Return the function that counts an agent's events."""
-    return partial(count_event, agent_metrics)
--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -77,6 +77,7 @@
             port=port,
             clock=http_server.reactor,
             service=options.service,
+            checks_fencing=options.checks_fencing,
             queue=FairQueue(
                 max_running=options.max_running,
                 max_queue=options.max_queue,
--- a/sequoiawind/blackboard.py
+++ b/sequoiawind/blackboard.py
@@ -36,6 +36,9 @@
     holders: int = 0
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    # Chunks of other attempts that were dropped, and repeated ones.
+    foreign_chunks: int = 0
+    repeated_chunks: int = 0
     first_chunk_s: float = -1.0
     ended_s: float = -1.0
 
--- a/sequoiawind/config_follower.py
+++ b/sequoiawind/config_follower.py
@@ -32,7 +32,6 @@
     retention_s: float = defaults.LOG_RETENTION_S
     poll_s: float = defaults.CONFIG_POLL_S
     is_stopped: bool = False
-    is_reading: bool = False
     # When the last snapshot seen was made, in the log's time.
     snapshot_time_s: float = -1.0
     # Called after each change of the configuration.
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -14,7 +14,6 @@
 
 # Requests.
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
-MAX_HEADER_BYTES: Final = 16 * 1024
 BODY_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 60.0
 REQUEST_DEADLINE_S: Final = 60.0
@@ -63,7 +62,6 @@
 MAX_PREFILL_AHEAD_TOKENS: Final = 4096
 PREFILL_TOKENS_PER_S: Final = 10_000.0
 PATIENCE: Final = 4.0
-MAX_INDEX_BLOCKS: Final = 24_000
 EVENTS_POLL_S: Final = 0.1
 MAX_COARSE_BLOCKS: Final = 20_000
 # How long to count on blocks of a prompt that has been sent to the engine.
--- a/sequoiawind/http_load.py
+++ b/sequoiawind/http_load.py
@@ -4,10 +4,8 @@
 import time
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from typing import Any
 
 import attrs
-import treq
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, gatherResults
 
@@ -178,9 +176,3 @@
     if marker in failure.detail:
         return failure.detail.split(marker)[1].split('"')[0]
     return failure.reason.value
-
-
-async def get_json(client: HTTPClient, url: str) -> Any:
-    """Return the JSON at a URL."""
-    response = await client.get(url)
-    return openai_format.decode(await treq.content(response))
--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -5,6 +5,7 @@
 """
 
 import hmac
+from collections.abc import Callable
 from typing import Any, Final
 
 import klein
@@ -15,6 +16,7 @@
 
 from sequoiawind import defaults
 from sequoiawind.options import Address
+from sequoiawind.verdict import HTTP_STATUS, Reason
 
 SECRET_HEADER: Final = "X-Sequoiawind-Secret"
 REQUEST_ID_HEADER: Final = "X-Request-Id"
@@ -39,21 +41,21 @@
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body that is announced as too large."""
         if length is not None and length > defaults.MAX_BODY_BYTES:
-            self.refuse_body(http.REQUEST_ENTITY_TOO_LARGE)
+            self.refuse_body(Reason.BODY_TOO_LARGE)
             return
         server.Request.gotLength(self, length)
         if length is None or length > 0:
             self.body_timer = reactor.callLater(
                 defaults.BODY_TIMEOUT_S,
                 self.refuse_body,
-                http.REQUEST_TIMEOUT,
+                Reason.BODY_TIMEOUT,
             )
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Refuse a body that grows too large."""
         self.body_bytes += len(data)
         if self.body_bytes > defaults.MAX_BODY_BYTES:
-            self.refuse_body(http.REQUEST_ENTITY_TOO_LARGE)
+            self.refuse_body(Reason.BODY_TOO_LARGE)
             return
         if self.content is not None:
             server.Request.handleContentChunk(self, data)
@@ -75,12 +77,14 @@
         if self.body_timer is not None and self.body_timer.active():
             self.body_timer.cancel()
 
-    def refuse_body(self, status: int) -> None:
+    def refuse_body(self, reason: Reason) -> None:
         """Answer at once and close the connection."""
         self.stop_body_timer()
         channel: Any = self.channel
         if channel is None:
             return
+        channel.site.on_refusal(reason)
+        status = HTTP_STATUS[reason]
         text = b"HTTP/1.1 %d %s\r\nConnection: close\r\n" % (
             status,
             http.RESPONSES.get(status, b"refused"),
@@ -89,12 +93,32 @@
         channel.loseConnection()
 
 
-def listen(app: klein.Klein, address: Address) -> IListeningPort:
+class BoundedSite(server.Site):
+    """A site that tells which requests it refused for their bodies."""
+
+    def __init__(
+        self, *args: Any, on_refusal: Callable[[Reason], None], **kwargs: Any
+    ) -> None:
+        """Note whom to tell."""
+        server.Site.__init__(self, *args, **kwargs)
+        self.on_refusal = on_refusal
+
+
+def ignore(reason: Reason) -> None:
+    """Do nothing about a refused body."""
+
+
+def listen(
+    app: klein.Klein,
+    address: Address,
+    on_refusal: Callable[[Reason], None] = ignore,
+) -> IListeningPort:
     """Serve an application at an address; port 0 takes a free one."""
-    site = server.Site(
+    site = BoundedSite(
         app.resource(),
         requestFactory=BoundedRequest,
         timeout=defaults.IDLE_TIMEOUT_S,
+        on_refusal=on_refusal,
     )
     site.displayTracebacks = False
     port: IListeningPort = reactor.listenTCP(
--- a/sequoiawind/invariants.py
+++ b/sequoiawind/invariants.py
@@ -45,15 +45,6 @@
     )
 
 
-def chunk_owner(expected: str, attempt_id: str) -> None:
-    """A caller gets only chunks of its own request."""
-    check(
-        expected == attempt_id,
-        "own-answer",
-        f"chunk of attempt {attempt_id} reached attempt {expected}",
-    )
-
-
 def revision_forward(old: int, new: int) -> None:
     """A configuration in force never reverts."""
     check(
--- a/sequoiawind/members.py
+++ b/sequoiawind/members.py
@@ -21,7 +21,6 @@
 
     LIVE = "live"
     LEAVING = "leaving"
-    UNLISTED = "unlisted"
 
 
 class TargetState(enum.Enum):
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -39,6 +39,7 @@
     first_chunk: Histogram = attrs.field(init=False)
     prompt_tokens: Counter = attrs.field(init=False)
     cached_tokens: Counter = attrs.field(init=False)
+    dropped_chunks: Counter = attrs.field(init=False)
     open_requests: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
 
@@ -90,6 +91,12 @@
             "Prompt tokens that engines had cached.",
             registry=registry,
         )
+        self.dropped_chunks = Counter(
+            "sequoiawind_dropped_chunks",
+            "Chunks dropped: of other attempts, or repeated.",
+            ["why"],
+            registry=registry,
+        )
         self.open_requests = Gauge(
             "sequoiawind_open_requests",
             "Requests under way.",
--- a/sequoiawind/query.py
+++ b/sequoiawind/query.py
@@ -139,7 +139,8 @@
         pool = state.pools.get(target.pool)
         if pool is None or pool.service != "engine":
             continue
-        serves = str(told.get(target.name, {}).get("version", "unknown"))
+        own = told.get(target.name, {})
+        serves = str(own.get("version", "unknown"))
         rows.append(
             {
                 "target": target.name,
@@ -147,6 +148,7 @@
                 "wanted": pool.version,
                 "serves": serves,
                 "state": "done" if serves == pool.version else "pending",
+                "fenced": own.get("fenced", "unknown"),
             }
         )
     return rows
--- a/sequoiawind/reports.py
+++ b/sequoiawind/reports.py
@@ -55,6 +55,8 @@
         "running": len(agent.queue.running),
         "wait_s": round(agent.queue.wait_s(), 3),
         "blocks": len(agent.index.blocks),
+        "gaps": agent.index.gaps,
+        "fenced": agent.checks_fencing,
         "incarnation": agent.index.incarnation,
         "version": agent.version,
         "drained": agent.draining,
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -318,6 +318,9 @@
         self.board.limits.release(handling.plan.account.name)
         note = handling.note
         note.ended_s = self.around.clock.seconds()
+        if handling.exchange is not None:
+            note.foreign_chunks = handling.exchange.foreign_chunks
+            note.repeated_chunks = handling.exchange.order.duplicates
         if handling.exchange is not None and handling.exchange.order.passed:
             usage = usage_of(handling.exchange.order.passed)
             note.prompt_tokens = usage.prompt_tokens
--- a/sequoiawind/router_http.py
+++ b/sequoiawind/router_http.py
@@ -129,7 +129,7 @@
     def app(self) -> klein.Klein:
         """Return the application."""
         app = klein.Klein()
-        app.route("/v1/models", methods=["GET"])(self.models)
+        app.route(openai_format.MODELS_PATH, methods=["GET"])(self.models)
         for path in (openai_format.CHAT_PATH, openai_format.TEXT_PATH):
             app.route(path, methods=["POST"])(self.completion)
         app.route("/admin/statements", methods=["POST"])(self.statement)
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -146,7 +146,9 @@
     def listen(self) -> None:
         """Open the listening port."""
         self.port = http_server.listen(
-            self.make_web().app(), self.options.router.listen
+            self.make_web().app(),
+            self.options.router.listen,
+            on_refusal=self.count_refused_body,
         )
         self.log.info("listening", port=self.port.getHost().port)
 
@@ -212,11 +214,18 @@
         """Count a refusal by its reason."""
         self.metrics.refusals.labels(failure.reason.value).inc()
 
+    def count_refused_body(self, reason: Reason) -> None:
+        """Count a request refused before its body was whole."""
+        self.metrics.refusals.labels(reason.value).inc()
+
     def note_end(self, note: RequestNote, ended: Ended) -> None:
         """Count and log the end of a request."""
         self.metrics.requests.labels(note.kind, note.verdict).inc()
         self.metrics.prompt_tokens.inc(note.prompt_tokens)
         self.metrics.cached_tokens.inc(note.cached_tokens)
+        dropped = self.metrics.dropped_chunks
+        dropped.labels("foreign").inc(note.foreign_chunks)
+        dropped.labels("repeated").inc(note.repeated_chunks)
         if note.first_chunk_s >= 0.0:
             waited_s = note.first_chunk_s - note.began_s
             self.metrics.first_chunk.labels(note.kind).observe(waited_s)
--- a/sequoiawind/sharing.py
+++ b/sequoiawind/sharing.py
@@ -41,8 +41,6 @@
     depth: int
     # Targets among which prompts with this prefix are spread.
     holders: int
-    # Leading blocks that earlier prompts had as well.
-    shared: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -80,7 +78,6 @@
         """
         if not chain:
             return PlacementKey(key=account_seed, depth=0, holders=1)
-        shared = self.shared_depth(chain, now_s)
         self.record(chain, now_s)
         limit = self.split_share / max(1, targets)
         total = self.decayed(self.total, now_s) + self.prior
@@ -89,28 +86,15 @@
             seen = self.prefixes[key]
             count = self.decayed(seen, now_s)
             if not self.update_split(seen, count / total, limit):
-                return PlacementKey(
-                    key=key, depth=depth, holders=1, shared=shared
-                )
+                return PlacementKey(key=key, depth=depth, holders=1)
             deepest = depth
         seen = self.prefixes[chain[deepest - 1]]
         share = self.decayed(seen, now_s) / total
         holders = self.update_holders(seen, share, limit)
         return PlacementKey(
-            key=chain[deepest - 1],
-            depth=deepest,
-            holders=holders,
-            shared=shared,
+            key=chain[deepest - 1], depth=deepest, holders=holders
         )
 
-    def shared_depth(self, chain: list[int], now_s: float) -> int:
-        """Return the number of leading blocks that were seen lately."""
-        for depth in range(len(chain), 0, -1):
-            seen = self.prefixes.get(chain[depth - 1])
-            if seen and now_s - seen.updated_s < self.window_s:
-                return depth
-        return 0
-
     def record(self, chain: list[int], now_s: float) -> None:
         """Count one prompt."""
         self.add(self.total, now_s)
--- a/sequoiawind/soak.py
+++ b/sequoiawind/soak.py
@@ -41,8 +41,6 @@
 BOOKINGS_PER_S: Final = 3.0
 FAULTS_PER_S: Final = 0.7
 COMMANDS_PER_S: Final = 0.5
-# A command is in force on live daemons that long after it was accepted.
-IN_FORCE_S: Final = 5.0
 ANSWER_TOKENS: Final = 12
 RESUBMISSIONS: Final = 3
 
@@ -58,9 +56,7 @@
     chunks: list[bytes] = attrs.field(factory=list)
     end: Ended | None = None
     ended_s: float = -1.0
-    is_gone: bool = False
     handling: Handling | None = None
-    sent_s: float = 0.0
     tries_left: int = 0
 
     def chunk(self, data: bytes) -> None:
@@ -234,7 +230,6 @@
             request=request,
             node=chosen.node,
             epoch=chosen.node.epoch,
-            sent_s=self.rig.clock.seconds(),
             tries_left=tries,
         )
         self.callers.append(caller)
@@ -256,7 +251,6 @@
     def leave(self, caller: SoakCaller) -> None:
         """Let a caller go away."""
         if caller.end is None and caller.handling is not None:
-            caller.is_gone = True
             caller.node.run(caller.epoch, caller.handling.cancel)
 
     def answered(self, caller: SoakCaller) -> None:
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -28,6 +28,7 @@
     # The caller's fault.
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMEOUT = "body_timeout"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NO_ROUTE = "no_route"
@@ -50,7 +51,6 @@
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
-    CLAIM_LOST = "claim_lost"
     CLAIM_OPEN = "claim_open"
     CLAIM_EXPIRED = "claim_expired"
     # Failures of calls.
@@ -70,6 +70,7 @@
 HTTP_STATUS: Final[dict[Reason, int]] = {
     Reason.BAD_REQUEST: 400,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.BODY_TIMEOUT: 408,
     Reason.UNAUTHENTICATED: 401,
     Reason.FORBIDDEN: 403,
     Reason.NO_ROUTE: 404,
@@ -80,7 +81,6 @@
     Reason.KEY_REUSED: 422,
     Reason.RATE_LIMIT: 429,
     Reason.CONCURRENCY_LIMIT: 429,
-    Reason.CLAIM_LOST: 409,
     Reason.CLAIM_OPEN: 409,
     Reason.SETTLED: 409,
     Reason.CONNECTION_LOST: 502,
--- a/tests/test_live_faults.py
+++ b/tests/test_live_faults.py
@@ -126,6 +126,9 @@
                 thread.join()
             for sock in socks:
                 sock.close()
+        refusals = system.routers[0].metrics.refusals
+        counted = refusals.labels("body_timeout")._value.get()
+        self.assertEqual(20, counted)
         expected = engine_model.expected_answer("x", 2)
         self.assertEqual(expected, answer.choices[0].text)
         self.assertEqual(
