Targets without an answer come last; a program's fault ends its request

Cause, found by reading: the floor of an infinite cost is not a number, so a target that had not answered its probe was sorted anywhere; and an error while a request was placed or claimed left its caller without an end. Change: the rank of an unknown cost stays infinite; a broken probe is no more than an unknown target; such an error ends the request as internal_error, may have run, and is logged with its traceback. Before: both tests red. Conclusion: mended.

--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -70,7 +70,7 @@
 RESUME_KEEP_S: Final = 10.0
 AGENT_TICK_S: Final = 0.1
 BASE_WAIT_S: Final = 0.05
-MAX_QUEUE_WAIT_S: Final = 5.0
+MAX_FIRST_S: Final = 5.0
 LOAD_REPORT_LIFETIME_S: Final = 2.0
 
 # Configuration and the log.
--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -161,7 +161,7 @@
     # Targets to try, in order.
     choices: list[Choice]
     # Longest time to the first token once every target has refused.
-    queue_wait_s: float = defaults.MAX_QUEUE_WAIT_S
+    max_first_s: float = defaults.MAX_FIRST_S
     start_timeout_s: float = defaults.START_TIMEOUT_S
     chunk_timeout_s: float = defaults.CHUNK_TIMEOUT_S
     # Returns other targets after a first refusal for wait or cost.
@@ -212,7 +212,7 @@
             place = min(
                 self.refused_waits_s, key=self.refused_waits_s.__getitem__
             )
-            self.open(self.choices[place].candidate, self.queue_wait_s)
+            self.open(self.choices[place].candidate, self.max_first_s)
         else:
             self.give_up(failure)
 
--- a/sequoiawind/logs.py
+++ b/sequoiawind/logs.py
@@ -2,8 +2,10 @@
 
 import logging
 import sys
+from typing import Any
 
 import structlog
+from twisted.logger import globalLogPublisher
 
 from sequoiawind.options import LogsOptions
 
@@ -27,6 +29,17 @@
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
+    publisher: Any = globalLogPublisher
+    publisher.addObserver(log_failure)
+
+
+def log_failure(event: dict[str, Any]) -> None:
+    """Log an error that nothing handled, with its traceback."""
+    failure = event.get("log_failure")
+    if failure is not None:
+        structlog.get_logger().error(
+            "unhandled error", log_failure=failure.getTraceback()
+        )
 
 
 def get(daemon: str) -> structlog.typing.FilteringBoundLogger:
--- a/sequoiawind/placer.py
+++ b/sequoiawind/placer.py
@@ -8,13 +8,14 @@
 not answer in time come last.
 """
 
+import math
 from collections.abc import Sequence
 from functools import partial
 from typing import Protocol
 
 import attrs
 from expression import Result
-from twisted.internet.defer import Deferred, TimeoutError, gatherResults
+from twisted.internet.defer import Deferred, gatherResults
 from xxhash import xxh3_64_intdigest
 
 from sequoiawind import defaults, placement, prefix, timing
@@ -143,7 +144,7 @@
         def decide(choices: list[Choice]) -> list[Choice]:
             # The sort is stable: equal costs stay in rendezvous order.
             decided = [known, *choices]
-            decided.sort(key=lambda item: item.cost_s // defaults.COST_STEP_S)
+            decided.sort(key=cost_rank)
             return in_time(plan, decided) + unasked(plan, others[count:])
 
         return asking.addCallback(decide)
@@ -221,11 +222,18 @@
     ]
 
 
+def cost_rank(choice: Choice) -> float:
+    """Return a target's cost in steps; infinite if it is not known."""
+    if math.isinf(choice.cost_s):
+        return choice.cost_s
+    return choice.cost_s // defaults.COST_STEP_S
+
+
 def no_answer(failure: object) -> ProbeResult:
-    """Return the result of a probe that had no answer in time."""
-    trap = getattr(failure, "trap", None)
-    if trap is not None:
-        trap(TimeoutError)
+    """Return the result of a probe that failed or had no answer in time.
+
+    Whatever broke it, the target's state is not known; that is all.
+    """
     error: ProbeResult = Result.Error(
         not_run(Reason.START_TIMEOUT, "no answer to the probe")
     )
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -9,10 +9,13 @@
 import hmac
 import random
 from collections.abc import Callable
+from typing import Final
 
 import attrs
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
+from twisted.logger import Logger
+from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import (
     claims,
@@ -29,9 +32,17 @@
 from sequoiawind.placer import Placed, Placer
 from sequoiawind.plan import CallerRequest, Plan
 from sequoiawind.state import Account, Operator, Policy, Route
-from sequoiawind.verdict import Failure, Reason, Verdict, not_run
+from sequoiawind.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 from sequoiawind.wire import Attempt, Ended, Usage
 
+LOGGER: Final = Logger()
+
 
 @attrs.define(kw_only=True)
 class Handling:
@@ -147,7 +158,8 @@
         if plan.is_idempotent:
             self.start(handling)
         else:
-            Deferred.fromCoroutine(self.claim_and_start(handling))
+            claiming = Deferred.fromCoroutine(self.claim_and_start(handling))
+            claiming.addErrback(self.broke, handling)
         return Ok(handling)
 
     def plan(self, request: CallerRequest) -> Result[Plan, Failure]:
@@ -255,6 +267,7 @@
         """Place a request, then start its exchange."""
         placing = self.placer.place(handling.plan)
         placing.addCallback(self.placed, handling)
+        placing.addErrback(self.broke, handling)
 
     def placed(self, placed: Placed, handling: Handling) -> None:
         """Start the exchange of a request that has been placed."""
@@ -269,6 +282,16 @@
         handling.note.path = exchange.path
         exchange.start()
 
+    def broke(self, failure: TwistedFailure, handling: Handling) -> None:
+        """End a request that a fault of the program has stopped."""
+        LOGGER.failure("request stopped", failure)
+        stopped = may_have_run(
+            Reason.INTERNAL_ERROR,
+            messages.INTERNAL_ERROR,
+            defaults.MIN_RETRY_AFTER_S,
+        )
+        handling.ended(Ended(failure=stopped))
+
     def make_exchange(self, handling: Handling, placed: Placed) -> Exchange:
         """Return the exchange of a request."""
         plan = handling.plan
@@ -282,7 +305,7 @@
             is_idempotent=plan.is_idempotent,
             choices=placed.choices,
             replan=placed.replan,
-            queue_wait_s=plan.kind.max_first_s,
+            max_first_s=plan.kind.max_first_s,
             chunk_timeout_s=timeout_s,
         )
 
--- a/sequoiawind/state.py
+++ b/sequoiawind/state.py
@@ -46,7 +46,7 @@
     deadline_s: float = defaults.REQUEST_DEADLINE_S
     # Longest time to the first token, or wait at a plain service, for which
     # a request is admitted, in seconds.
-    max_first_s: float = defaults.MAX_QUEUE_WAIT_S
+    max_first_s: float = defaults.MAX_FIRST_S
 
 
 @attrs.frozen(kw_only=True)
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -64,6 +64,7 @@
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     SETTLED = "settled"
+    INTERNAL_ERROR = "internal_error"
 
 
 # The HTTP status that tells a caller of each reason; 503 where absent.
@@ -89,6 +90,7 @@
     Reason.CHUNK_MISSING: 502,
     Reason.CHUNK_TIMEOUT: 504,
     Reason.DEADLINE: 504,
+    Reason.INTERNAL_ERROR: 500,
 }
 
 DEFAULT_HTTP_STATUS: Final = 503
