Configurations of runs and tests in the operators' own language

Change: language.parse_changes reads commands one a line, for ctl publish, runs and tests alike; one look-up serves accounts and operators.

--- a/sequoiawind/ctl_main.py
+++ b/sequoiawind/ctl_main.py
@@ -159,24 +159,19 @@
 
 def publish(args: argparse.Namespace) -> None:
     """Append the commands of a file to the log, one statement a line."""
-    records: list[str] = []
-    for number, line in enumerate(
-        Path(args.file).read_text(encoding="utf-8").splitlines(), 1
-    ):
-        if not line.strip() or line.startswith("#"):
-            continue
-        parsed = language.parse(line)
-        if parsed.is_error():
-            command_line.fail(f"{args.file}:{number}: {parsed.error}")
-        change = parsed.ok
-        if not isinstance(change, language.Change):
-            command_line.fail(f"{args.file}:{number}: not a command")
-        command_id = f"publish-{time.time_ns():x}-{number}"
-        records.append(
-            config_fold.make_record(
-                command_id, "publish", change.command, change.based_on
-            )
+    text = Path(args.file).read_text(encoding="utf-8")
+    parsed = language.parse_changes(text)
+    if parsed.is_error():
+        command_line.fail(f"{args.file}: {parsed.error}")
+    records = [
+        config_fold.make_record(
+            f"publish-{time.time_ns():x}-{number}",
+            "publish",
+            change.command,
+            change.based_on,
         )
+        for number, change in enumerate(parsed.ok)
+    ]
     url = f"http://{args.log}/streams/{defaults.CONFIG_STREAM}/records"
     for start in range(0, len(records), defaults.MAX_RECORDS_PER_APPEND):
         part = records[start : start + defaults.MAX_RECORDS_PER_APPEND]
--- a/sequoiawind/experiment.py
+++ b/sequoiawind/experiment.py
@@ -12,8 +12,14 @@
 
 import attrs
 
-from sequoiawind import engine_model, openai_format, policies, workload
-from sequoiawind.commands import Command, Create
+from sequoiawind import (
+    engine_model,
+    language,
+    openai_format,
+    policies,
+    workload,
+)
+from sequoiawind.commands import Command
 from sequoiawind.engine_model import EngineModel, EngineParameters
 from sequoiawind.placer import Placer, ProbingPlacer
 from sequoiawind.plan import CallerRequest
@@ -151,37 +157,19 @@
             )
             for number in range(self.deployment.accounts)
         ]
-        made += [
-            Create(
-                table="kinds",
-                name="kind",
-                fields={"max_first_s": self.deployment.max_first_s},
-            ),
-            Create(
-                table="policies",
-                name="policy",
-                fields={
-                    "patience": self.patience,
-                    "max_holders": self.max_holders,
-                },
-            ),
-            Create(table="pools", name="pool", fields={"model": MODEL}),
-            Create(
-                table="routes",
-                name="route",
-                fields={
-                    "path": "/v1",
-                    "model": MODEL,
-                    "pool": "pool",
-                    "kind": "kind",
-                    "policy": "policy",
-                },
-            ),
-        ]
-        for number in range(self.deployment.engines):
-            name = f"e{number}"
-            fields = {"pool": "pool", "agent": name}
-            made.append(Create(table="targets", name=name, fields=dict(fields)))
+        shape = self.deployment
+        made += language.commands_of(
+            f"create kind kind with max_first_s = {shape.max_first_s}\n"
+            f"create policy policy with patience = {self.patience}, "
+            f"max_holders = {self.max_holders}\n"
+            f"create pool pool with model = {MODEL}\n"
+            f'create route route with path = "/v1", model = {MODEL}, '
+            "pool = pool, kind = kind, policy = policy\n"
+        )
+        for number in range(shape.engines):
+            made += language.commands_of(
+                f"create target e{number} with pool = pool, agent = e{number}"
+            )
         return made
 
     def run(self) -> Outcome:
--- a/sequoiawind/language.py
+++ b/sequoiawind/language.py
@@ -111,6 +111,37 @@
     return Ok(statement)
 
 
+def parse_changes(text: str) -> Result[list[Change], str]:
+    """Parse commands, one a line; empty lines and lines from # on are none.
+
+    Returns:
+      The commands; or the first line that is not one, and why.
+    """
+    changes: list[Change] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        parsed = parse(line)
+        if parsed.is_error():
+            return Error(f"line {number}: {parsed.error}")
+        if not isinstance(parsed.ok, Change):
+            return Error(f"line {number}: not a command")
+        changes.append(parsed.ok)
+    return Ok(changes)
+
+
+def commands_of(text: str) -> list[commands.Command]:
+    """Return the commands of a text that is known to be right.
+
+    Raises:
+      ValueError: A line is not a command.
+    """
+    parsed = parse_changes(text)
+    if parsed.is_error():
+        raise ValueError(parsed.error)
+    return [change.command for change in parsed.ok]
+
+
 def syntax_fault(line: str, fault: lark.UnexpectedInput) -> SyntaxFault:
     """Return where and why a statement could not be parsed."""
     names: set[str] = set()
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -8,8 +8,8 @@
 import hashlib
 import hmac
 import random
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Mapping
+from typing import Final, TypeVar
 
 import attrs
 from expression import Error, Ok, Result
@@ -42,6 +42,7 @@
 from sequoiawind.wire import Attempt, Ended, Usage
 
 LOGGER: Final = Logger()
+Holder = TypeVar("Holder", Account, Operator)
 
 
 @attrs.define(kw_only=True)
@@ -207,24 +208,11 @@
 
     def authenticate(self, token: str) -> Account | None:
         """Return the account of a bearer token."""
-        digest = token_digest(token)
-        account = self.board.accounts_by_digest.get(digest)
-        if account is None:
-            return None
-        # The look-up is by digest; the comparison is in constant time.
-        if not hmac.compare_digest(account.token_digest, digest):
-            return None
-        return account
+        return holder_of(token, self.board.accounts_by_digest)
 
     def authenticate_operator(self, token: str) -> Operator | None:
         """Return the operator of a bearer token."""
-        digest = token_digest(token)
-        operator = self.board.operators_by_digest.get(digest)
-        if operator is None:
-            return None
-        if not hmac.compare_digest(operator.token_digest, digest):
-            return None
-        return operator
+        return holder_of(token, self.board.operators_by_digest)
 
     def match(self, request: CallerRequest) -> Route | None:
         """Return the route of a request, the longest path first."""
@@ -364,6 +352,20 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+def holder_of(token: str, by_digest: Mapping[str, Holder]) -> Holder | None:
+    """Return whom a bearer token belongs to.
+
+    The look-up is by digest; the comparison is in constant time.
+    """
+    digest = token_digest(token)
+    holder = by_digest.get(digest)
+    if holder is None:
+        return None
+    if not hmac.compare_digest(holder.token_digest, digest):
+        return None
+    return holder
+
+
 def path_matches(route_path: str, path: str) -> bool:
     """Whether a route's path covers a request's path."""
     if not route_path:
--- a/sequoiawind/soak.py
+++ b/sequoiawind/soak.py
@@ -18,10 +18,11 @@
     engine_model,
     invariants,
     keys,
+    language,
     openai_format,
     workload,
 )
-from sequoiawind.commands import Admit, Command, Create, Drain, Set
+from sequoiawind.commands import Admit, Command, Drain, Set
 from sequoiawind.engine_model import EngineParameters
 from sequoiawind.memory_network import Node
 from sequoiawind.plain_model import PlainModel
@@ -43,6 +44,18 @@
 COMMANDS_PER_S: Final = 0.5
 ANSWER_TOKENS: Final = 12
 RESUBMISSIONS: Final = 3
+CONFIGURATION: Final = """
+create kind briefing with deadline_s = 30
+create kind drop with repeat = never
+create pool briefing with model = polar
+create pool booking with service = plain
+create route briefing with path = "/v1", model = polar, pool = briefing, kind = briefing
+create route drops with path = "/bookings", pool = booking, kind = drop
+create target e0 with pool = briefing, agent = e0, vm = vm-e0
+create target e1 with pool = briefing, agent = e1, vm = vm-e1
+create target e2 with pool = briefing, agent = e2, vm = vm-e2
+create target book with pool = booking, agent = book, vm = vm-book
+"""  # noqa: E501
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -403,39 +416,9 @@
 
 def first_commands() -> list[Command]:
     """Return the configuration of the run; tokens are account names."""
-    commands: list[Command] = [account_command(name, name) for name in ACCOUNTS]
-    commands += [
-        Create(table="kinds", name="briefing", fields={"deadline_s": 30.0}),
-        Create(table="kinds", name="drop", fields={"repeat": "never"}),
-        Create(table="pools", name="briefing", fields={"model": "polar"}),
-        Create(table="pools", name="booking", fields={"service": "plain"}),
-        Create(
-            table="routes",
-            name="briefing",
-            fields={
-                "path": "/v1",
-                "model": "polar",
-                "pool": "briefing",
-                "kind": "briefing",
-            },
-        ),
-        Create(
-            table="routes",
-            name="drops",
-            fields={"path": "/bookings", "pool": "booking", "kind": "drop"},
-        ),
-    ]
-    for name in ENGINES:
-        fields = {"pool": "briefing", "agent": name, "vm": f"vm-{name}"}
-        commands.append(Create(table="targets", name=name, fields=dict(fields)))
-    commands.append(
-        Create(
-            table="targets",
-            name="book",
-            fields={"pool": "booking", "agent": "book", "vm": "vm-book"},
-        )
-    )
-    return commands
+    made: list[Command] = [account_command(name, name) for name in ACCOUNTS]
+    made += language.commands_of(CONFIGURATION)
+    return made
 
 
 def run_seed(seed: int) -> tuple[list[str], dict[str, int]]:
--- a/tests/live.py
+++ b/tests/live.py
@@ -12,7 +12,7 @@
 import attrs
 from twisted.internet.threads import blockingCallFromThread
 
-from sequoiawind import config_fold, defaults, http_server, logs
+from sequoiawind import config_fold, defaults, http_server, language, logs
 from sequoiawind.agent_program import AgentProgram
 from sequoiawind.commands import Command, Create
 from sequoiawind.engine_model import EngineModel, EngineParameters
@@ -168,61 +168,25 @@
         return f"http://{address_of(self.routers[number].port)}"
 
 
+CONFIGURATION = f"""
+create kind briefing with priority = 6
+create kind drop with repeat = never
+create kind status
+create pool briefing with model = polar
+create pool booking with service = plain
+create route briefing with path = "/v1", model = polar, pool = briefing, kind = briefing
+create route drops with path = "/bookings", pool = booking, kind = drop
+create route status with path = "/status", pool = booking, kind = status
+create account nordlys with token_digest = "{token_digest(TOKEN)}"
+create account small with token_digest = "{token_digest("small-token")}", rate_per_s = 0.5
+create operator ops with token_digest = "{token_digest(OPERATOR_TOKEN)}", role = operator
+create operator viewer with token_digest = "{token_digest("viewer-token")}"
+"""  # noqa: E501
+
+
 def base_commands() -> list[Command]:
     """Return the configuration without targets."""
-    return [
-        Create(table="kinds", name="briefing", fields={"priority": 6}),
-        Create(table="kinds", name="drop", fields={"repeat": "never"}),
-        Create(table="kinds", name="status", fields={}),
-        Create(table="pools", name="briefing", fields={"model": "polar"}),
-        Create(table="pools", name="booking", fields={"service": "plain"}),
-        Create(
-            table="routes",
-            name="briefing",
-            fields={
-                "path": "/v1",
-                "model": "polar",
-                "pool": "briefing",
-                "kind": "briefing",
-            },
-        ),
-        Create(
-            table="routes",
-            name="drops",
-            fields={"path": "/bookings", "pool": "booking", "kind": "drop"},
-        ),
-        Create(
-            table="routes",
-            name="status",
-            fields={"path": "/status", "pool": "booking", "kind": "status"},
-        ),
-        Create(
-            table="accounts",
-            name="nordlys",
-            fields={"token_digest": token_digest(TOKEN)},
-        ),
-        Create(
-            table="accounts",
-            name="small",
-            fields={
-                "token_digest": token_digest("small-token"),
-                "rate_per_s": 0.5,
-            },
-        ),
-        Create(
-            table="operators",
-            name="ops",
-            fields={
-                "token_digest": token_digest(OPERATOR_TOKEN),
-                "role": "operator",
-            },
-        ),
-        Create(
-            table="operators",
-            name="viewer",
-            fields={"token_digest": token_digest("viewer-token")},
-        ),
-    ]
+    return language.commands_of(CONFIGURATION)
 
 
 _shared: list[LiveSystem] = []
--- a/tests/session.py
+++ b/tests/session.py
@@ -13,9 +13,16 @@
 from expression import Ok, Result
 from twisted.internet.defer import Deferred
 
-from sequoiawind import engine_model, keys, openai_format, query, reports
+from sequoiawind import (
+    engine_model,
+    keys,
+    language,
+    openai_format,
+    query,
+    reports,
+)
 from sequoiawind.admin import Admin
-from sequoiawind.commands import Command, Create
+from sequoiawind.commands import Command
 from sequoiawind.engine_model import EngineParameters
 from sequoiawind.memory_network import Node
 from sequoiawind.plain_model import PlainModel
@@ -70,40 +77,29 @@
         return f"whole answer, {'right' if is_right else 'WRONG'}, {cached}"
 
 
-def first_commands(service_pool: str, model: str) -> list[Command]:
+CONFIGURATION = """
+create kind prompt with priority = 6
+create kind action with repeat = never
+create kind lookup
+create pool engines with model = model, load_slots = 2
+create pool service with service = plain
+create route prompts with path = "/v1", pool = engines, kind = prompt, model = model
+create route actions with path = "/actions", pool = service, kind = action
+create route lookups with path = "/lookups", pool = service, kind = lookup
+create target e1 with pool = engines, agent = e1
+create target e2 with pool = engines, agent = e2
+create target e3 with pool = engines, agent = e3
+create target service with pool = service, agent = service
+"""  # noqa: E501
+
+
+def first_commands() -> list[Command]:
     """Return the configuration of a session."""
-    commands: list[Command] = [
+    return [
         account_command("nordlys", "nordlys"),
         account_command("petra", "petra"),
-        Create(table="kinds", name="prompt", fields={"priority": 6}),
-        Create(table="kinds", name="action", fields={"repeat": "never"}),
-        Create(table="kinds", name="lookup", fields={}),
-        Create(table="pools", name="engines", fields={"model": model}),
-        Create(table="pools", name=service_pool, fields={"service": "plain"}),
+        *language.commands_of(CONFIGURATION),
     ]
-    for name, path, pool, kind in (
-        ("prompts", "/v1", "engines", "prompt"),
-        ("actions", "/actions", service_pool, "action"),
-        ("lookups", "/lookups", service_pool, "lookup"),
-    ):
-        fields = {"path": path, "pool": pool, "kind": kind}
-        if name == "prompts":
-            fields["model"] = model
-        commands.append(Create(table="routes", name=name, fields=dict(fields)))
-    for name, pool in (
-        ("e1", "engines"),
-        ("e2", "engines"),
-        ("e3", "engines"),
-        ("service", service_pool),
-    ):
-        commands.append(
-            Create(
-                table="targets",
-                name=name,
-                fields={"pool": pool, "agent": name},
-            )
-        )
-    return commands
 
 
 @attrs.define(kw_only=True)
@@ -119,7 +115,7 @@
     def __attrs_post_init__(self) -> None:
         """Start the system."""
         self.rig = Rig(seed=7, parameters=EngineParameters(load_time_s=2.0))
-        self.rig.configure(first_commands("service", "model"))
+        self.rig.configure(first_commands())
         for name in ("e1", "e2", "e3"):
             self.rig.add_target(RigTarget(name=name, pool="engines"))
         self.rig.add_target(
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from sequoiawind import wire
-from sequoiawind.commands import Create, Load
+from sequoiawind.commands import Load, Set
 from sequoiawind.engine_model import (
     EngineModel,
     EngineParameters,
@@ -27,17 +27,12 @@
       The most loads at once, and how many engines have the new version.
     """
     rig = Rig(seed=3, parameters=EngineParameters(load_time_s=4.0))
-    commands = [
-        command
-        if not (isinstance(command, Create) and command.name == "engines")
-        else Create(
-            table="pools",
-            name="engines",
-            fields={"model": "model", "load_slots": load_slots},
-        )
-        for command in first_commands("service", "model")
-    ]
-    rig.configure([*commands, Load(pool="engines", version="v2")])
+    slots = Set(
+        table="pools", name="engines", field="load_slots", value=load_slots
+    )
+    rig.configure(
+        [*first_commands(), slots, Load(pool="engines", version="v2")]
+    )
     for name in ENGINES:
         rig.add_target(RigTarget(name=name, pool="engines"))
     engines = [rig.agents[name].target for name in ENGINES]
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -84,8 +84,7 @@
         for bad in ("silent", "down", RuntimeError("broken")):
             for name in "bcd":
                 answers: dict[str, object] = {
-                    other: answer_of(other, 0.1, hit_tokens=1900)
-                    for other in "bcd"
+                    other: answer_of(other, 0.1, 1900) for other in "bcd"
                 }
                 answers[name] = bad
                 order = self.order(answers, "a")
