--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -33,4 +33,13 @@
 ctl show requests count by verdict
 ctl show daemons order by name
 ctl admit target e2
+
+echo "== loading new weights, two engines at a time"
+ctl load version v2 on pool briefing
+for _ in $(seq 60); do
+  ctl show orders where state = pending | grep -q pending || break
+  sleep 0.5
+done
+ctl show orders order by target
+load --deployment petra --rate 4 --seconds 3 --seed 3
 echo "== the demo has ended"
--- a/examples/system.sh
+++ b/examples/system.sh
@@ -19,6 +19,7 @@
 agent_prefill_tokens_per_s=10000.0
 log=127.0.0.1:$((base))
 vms=127.0.0.1:$((base + 1))
+weights=127.0.0.1:$((base + 2))
 routers=(127.0.0.1:$((base + 10)) 127.0.0.1:$((base + 11)))
 
 start() {
@@ -107,12 +108,14 @@
 
 # Starts everything and waits until it is ready.
 start_system() {
-  echo "== starting log, VM list, engines, plain service, agents and routers"
+  echo "== starting log, VM list, weight store, engines, plain service, agents and routers"
   start log "$bin/sequoiawind-standin" log --listen "$log"
+  start weights "$bin/sequoiawind-standin" weights --listen "$weights"
   start vms "$bin/sequoiawind-standin" vm-list --listen "$vms"
   for number in 1 2 3; do
     start "e$number" "$bin/sequoiawind-standin" engine --name "e$number" \
-      --listen "127.0.0.1:$((base + 20 + number))" "${engine_args[@]}"
+      --listen "127.0.0.1:$((base + 20 + number))" --weights "$weights" \
+      --load-time 1 "${engine_args[@]}"
     agent_settings "e$number" engine "d$number" "$number"
   done
   start bookings "$bin/sequoiawind-standin" plain --name bookings \
--- a/sequoiawind/blackboard.py
+++ b/sequoiawind/blackboard.py
@@ -32,6 +32,8 @@
     reason: str = ""
     # Targets tried, in order.
     path: list[str] = attrs.field(factory=list)
+    # Id of the last attempt.
+    attempt_id: str = ""
     depth_blocks: int = 0
     holders: int = 0
     prompt_tokens: int = 0
--- a/sequoiawind/engine_model.py
+++ b/sequoiawind/engine_model.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import OrderedDict
-from functools import partial
+from collections.abc import Sequence
 
 import attrs
 from xxhash import xxh3_64_intdigest
@@ -24,6 +24,7 @@
 from sequoiawind.cache_index import CacheEvent, CacheEvents, CacheList
 from sequoiawind.ports import Call, Clock, Sink
 from sequoiawind.verdict import Reason, may_have_run, not_run
+from sequoiawind.weight_store import WeightSource, WeightStore
 from sequoiawind.wire import Attempt, Ended, LoadReport, Usage
 
 
@@ -44,25 +45,21 @@
     events_kept: int = 2000
     load_time_s: float = 5.0
     load_lag_s: float = 0.5
+    # Time to export or import one token's cache, in seconds.
+    transfer_token_s: float = 5e-6
     checks_fencing: bool = True
 
 
-@attrs.define(kw_only=True)
-class WeightStore:
-    """The store that engines load weights from; its rate is limited."""
-
-    # Loads at once that do not slow each other.
-    free_loads: int = 2
-    loads: int = 0
-
-    def begin(self, load_time_s: float) -> float:
-        """Begin a load and return how long it takes, in seconds."""
-        self.loads += 1
-        return load_time_s * max(1.0, self.loads / self.free_loads)
+@attrs.frozen(kw_only=True)
+class KeptBlock:
+    """A cached block that an engine has exported."""
 
-    def end(self) -> None:
-        """End a load."""
-        self.loads = max(0, self.loads - 1)
+    block: int
+    salt: str
+    # The exporter, its incarnation and its weights version.
+    engine: str
+    incarnation: str
+    version: str
 
 
 @attrs.define(kw_only=True)
@@ -109,7 +106,12 @@
     random: random.Random
     parameters: EngineParameters = attrs.field(factory=EngineParameters)
     version: str = ""
-    weights: WeightStore = attrs.field(factory=WeightStore)
+    # Where weights are loaded from.
+    weights: WeightSource = attrs.field(
+        default=attrs.Factory(
+            lambda self: WeightStore(clock=self.clock), takes_self=True
+        )
+    )
     starts: int = 0
     is_down: bool = False
     loading: bool = False
@@ -129,6 +131,8 @@
     prompt_tokens: int = 0
     computed_tokens: int = 0
     generated_tokens: int = 0
+    # Time that transfers add to the next step, in seconds.
+    transfer_s: float = 0.0
 
     @property
     def incarnation(self) -> str:
@@ -201,7 +205,8 @@
         self.is_stepping = True
         self.fill_batch()
         plan = self.plan_prefill()
-        step_s = self.step_time_s(sum(plan))
+        step_s = self.step_time_s(sum(plan)) + self.transfer_s
+        self.transfer_s = 0.0
         self.clock.callLater(step_s, self.finish_step, plan, self.starts)
 
     def fill_batch(self) -> None:
@@ -265,7 +270,7 @@
             generation.prefill_left -= tokens
             if generation.prefill_left > 0:
                 return
-            self.store(generation)
+            self.store(generation.chain, generation.block_salt)
         self.emit_token(generation)
 
     def emit_token(self, generation: Generation) -> None:
@@ -308,15 +313,49 @@
         )
         sink.ended(Ended(usage=usage, load=self.load()))
 
-    def store(self, generation: Generation) -> None:
-        """Cache the blocks of a computed prompt, evicting the oldest."""
+    def export_blocks(self, chain: Sequence[int]) -> list[KeptBlock]:
+        """Return the cached blocks of a chain, to be kept elsewhere."""
+        kept = [
+            KeptBlock(
+                block=block,
+                salt=self.cache[block],
+                engine=self.name,
+                incarnation=self.incarnation,
+                version=self.version,
+            )
+            for block in chain
+            if block in self.cache
+        ]
+        self.add_transfer(len(kept))
+        return kept
+
+    def import_blocks(self, kept: Sequence[KeptBlock]) -> int:
+        """Cache blocks that were kept; those of other weights are refused.
+
+        Returns:
+          The number of blocks taken.
+        """
+        taken = [item for item in kept if item.version == self.version]
+        for item in taken:
+            self.store([item.block], item.salt)
+        self.add_transfer(len(taken))
+        return len(taken)
+
+    def add_transfer(self, blocks: int) -> None:
+        """Let a transfer of blocks slow the next step."""
+        tokens = blocks * self.parameters.block_bytes
+        tokens //= defaults.BYTES_PER_TOKEN
+        self.transfer_s += tokens * self.parameters.transfer_token_s
+
+    def store(self, chain: Sequence[int], salt: str) -> None:
+        """Cache blocks, evicting the oldest."""
         stored: list[int] = []
         removed: list[int] = []
-        for block in generation.chain:
+        for block in chain:
             if block in self.cache:
                 self.cache.move_to_end(block)
                 continue
-            self.cache[block] = generation.block_salt
+            self.cache[block] = salt
             stored.append(block)
             if len(self.cache) > self.parameters.cache_blocks:
                 removed.append(self.cache.popitem(last=False)[0])
@@ -396,14 +435,12 @@
         self.crash()
         self.loading = True
         self.target_version = version
-        finish = partial(self.finish_load, version, self.starts)
-        load_s = self.weights.begin(self.parameters.load_time_s)
-        self.clock.callLater(load_s, finish)
+        loading = self.weights.load(self.parameters.load_time_s)
+        loading.addCallback(self.finish_load, version, self.starts)
         return True
 
-    def finish_load(self, version: str, starts: int) -> None:
+    def finish_load(self, loaded: None, version: str, starts: int) -> None:
         """Serve the weights that were loaded."""
-        self.weights.end()
         if starts == self.starts:
             self.version = version
             self.loading = False
--- a/sequoiawind/rig.py
+++ b/sequoiawind/rig.py
@@ -20,11 +20,7 @@
 from sequoiawind.claimant import Claimant
 from sequoiawind.commands import Command, Create
 from sequoiawind.config_follower import ConfigFollower
-from sequoiawind.engine_model import (
-    EngineModel,
-    EngineParameters,
-    WeightStore,
-)
+from sequoiawind.engine_model import EngineModel, EngineParameters
 from sequoiawind.engine_watcher import EngineWatcher
 from sequoiawind.exchange import Surroundings
 from sequoiawind.limits import AccountLimits
@@ -43,6 +39,7 @@
 from sequoiawind.router import Router
 from sequoiawind.verdict import Failure
 from sequoiawind.virtual_clock import VirtualClock
+from sequoiawind.weight_store import WeightStore
 
 # The virtual epoch, so that times in keys look like real ones.
 EPOCH_S: Final = 1_700_000_000.0
@@ -123,7 +120,7 @@
     clock: VirtualClock = attrs.field(factory=VirtualClock)
     source: random.Random = attrs.field(init=False)
     log: LogModel = attrs.field(init=False)
-    weights: WeightStore = attrs.field(factory=WeightStore)
+    weights: WeightStore = attrs.field(init=False)
     network: Network = attrs.field(init=False)
     agents: dict[str, RigAgent] = attrs.field(factory=dict)
     routers: list[RigRouter] = attrs.field(factory=list)
@@ -137,6 +134,7 @@
         self.log = LogModel(
             clock=self.clock, random=self.source, epoch_s=EPOCH_S
         )
+        self.weights = WeightStore(clock=self.clock)
         self.network = Network(clock=self.clock, random=self.source)
 
     def wall(self) -> float:
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -330,6 +330,8 @@
         note = handling.note
         note.ended_s = self.around.clock.seconds()
         if handling.exchange is not None:
+            if handling.exchange.current is not None:
+                note.attempt_id = handling.exchange.current.attempt.attempt_id
             note.foreign_chunks = handling.exchange.foreign_chunks
             note.repeated_chunks = handling.exchange.order.duplicates
         if handling.exchange is not None and handling.exchange.order.passed:
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -232,6 +232,7 @@
         self.log.info(
             "request",
             request_id=note.request_id,
+            attempt_id=note.attempt_id,
             account=note.account,
             kind=note.kind,
             target=note.path[-1] if note.path else "",
--- a/sequoiawind/standin_http.py
+++ b/sequoiawind/standin_http.py
@@ -16,9 +16,11 @@
     openai_format,
     prefix,
     sse,
+    timing,
     wire,
 )
-from sequoiawind.engine_model import EngineModel
+from sequoiawind.engine_model import EngineModel, KeptBlock
+from sequoiawind.http_client import JsonClient
 from sequoiawind.http_ports import ACCOUNT_HEADER, ATTEMPT_HEADER, Appended
 from sequoiawind.log_model import LogModel
 from sequoiawind.peers import VmEntry
@@ -26,6 +28,7 @@
 from sequoiawind.ports import Call
 from sequoiawind.router_http import json_object, wanted_tokens
 from sequoiawind.verdict import Failure
+from sequoiawind.weight_store import WeightStore
 from sequoiawind.wire import Attempt, Ended, LoadReport
 
 
@@ -85,6 +88,8 @@
         app.route("/cache/blocks", methods=["GET"])(self.blocks)
         app.route("/load", methods=["GET"])(self.load)
         app.route("/weights", methods=["POST"])(self.weights)
+        app.route("/kv/export", methods=["POST"])(self.export)
+        app.route("/kv/import", methods=["POST"])(self.import_kept)
         app.route("/totals", methods=["GET"])(self.totals)
         app.route("/crash", methods=["POST"])(self.crash)
         return app
@@ -123,6 +128,18 @@
         )
         return http_server.json_reply(request, wire.encode(taken))
 
+    def export(self, request: server.Request) -> bytes:
+        """Export the cached blocks of a chain."""
+        chain = wire.decode(http_server.body_of(request), list[int])
+        kept = wire.encode(self.engine.export_blocks(chain))
+        return http_server.json_reply(request, kept)
+
+    def import_kept(self, request: server.Request) -> bytes:
+        """Import blocks that were kept."""
+        kept = wire.decode(http_server.body_of(request), list[KeptBlock])
+        taken = wire.encode(self.engine.import_blocks(kept))
+        return http_server.json_reply(request, taken)
+
     def totals(self, request: server.Request) -> bytes:
         """Return the totals that measurements need."""
         totals = {
@@ -338,6 +355,48 @@
         return http_server.json_reply(request, b"{}")
 
 
+@attrs.define(kw_only=True)
+class WeightsHttp:
+    """Serves a weight store: a request is answered when its load is done."""
+
+    store: WeightStore
+
+    def app(self) -> klein.Klein:
+        """Return the application."""
+        app = klein.Klein()
+        app.route("/loads", methods=["POST"])(self.load)
+        return app
+
+    def load(self, request: server.Request) -> Deferred[bytes]:
+        """Load weights."""
+        seconds = wire.decode(http_server.body_of(request), float)
+        loading = self.store.load(seconds)
+        return loading.addCallback(
+            lambda _: http_server.json_reply(request, b"{}")
+        )
+
+
+@attrs.define(kw_only=True)
+class WeightsClient:
+    """Loads weights from a store over HTTP."""
+
+    json: JsonClient
+    # Address of the store, as host:port.
+    address: str
+
+    def load(self, load_time_s: float) -> Deferred[None]:
+        """Load weights; a store that fails is asked again."""
+        return Deferred.fromCoroutine(self.ask(load_time_s))
+
+    async def ask(self, load_time_s: float) -> None:
+        """Ask the store until a load succeeds."""
+        url = f"http://{self.address}/loads"
+        while (
+            await self.json.call("POST", url, dict[str, Any], load_time_s)
+        ).is_error():
+            await timing.sleep(http_server.reactor, 1.0)
+
+
 def make_source(seed: int) -> random.Random:
     """Return the random numbers of a stand-in."""
     return random.Random(seed)
--- a/sequoiawind/standin_main.py
+++ b/sequoiawind/standin_main.py
@@ -6,8 +6,15 @@
 
 import klein
 
-from sequoiawind import command_line, http_server, settings, standin_http
+from sequoiawind import (
+    command_line,
+    http_client,
+    http_server,
+    settings,
+    standin_http,
+)
 from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.http_client import JsonClient
 from sequoiawind.log_model import LogModel
 from sequoiawind.plain_model import PlainModel
 from sequoiawind.standin_http import (
@@ -15,8 +22,13 @@
     LogHttp,
     PlainHttp,
     VmListHttp,
+    WeightsClient,
+    WeightsHttp,
 )
+from sequoiawind.weight_store import WeightStore
 
+ROLES: Final = ("engine", "plain", "log", "vm-list", "weights")
+LOAD_TIMEOUT_S: Final = 300.0
 PURPOSE: Final = "Stand in for an outside system in tests and demos."
 
 
@@ -33,7 +45,7 @@
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = command_line.parser("sequoiawind-standin", PURPOSE)
-    parser.add_argument("role", choices=["engine", "plain", "log", "vm-list"])
+    parser.add_argument("role", choices=ROLES)
     parser.add_argument("--listen", required=True, help="host:port")
     parser.add_argument("--name", default="standin")
     parser.add_argument("--seed", type=int, default=1)
@@ -53,6 +65,9 @@
         default=0.4e-3,
         help="time that a sequence adds to a step, in seconds",
     )
+    parser.add_argument("--weights", help="the weight store's host:port")
+    parser.add_argument("--load-time", type=float, default=5.0)
+    parser.add_argument("--free-loads", type=int, default=2)
     parser.add_argument("--max-batch", type=int, default=32)
     parser.add_argument("--event-loss", type=float, default=0.0)
     parser.add_argument("--retention", type=float, default=86_400.0)
@@ -76,10 +91,18 @@
                 decode_sequence_s=args.decode_sequence,
                 max_batch=args.max_batch,
                 event_loss=args.event_loss,
+                load_time_s=args.load_time,
             ),
         )
         # A process that is started again is another incarnation.
         engine.starts = int(time.time() * 1000)
+        if args.weights:
+            json_client = JsonClient(
+                client=http_client.make_client(), timeout_s=LOAD_TIMEOUT_S
+            )
+            engine.weights = WeightsClient(
+                json=json_client, address=args.weights
+            )
         return EngineHttp(engine=engine).app()
     if args.role == "plain":
         model = PlainModel(name=args.name, clock=reactor)
@@ -93,4 +116,7 @@
             epoch_s=time.time() - reactor.seconds(),
         )
         return LogHttp(model=log).app()
+    if args.role == "weights":
+        store = WeightStore(clock=reactor, free_loads=args.free_loads)
+        return WeightsHttp(store=store).app()
     return VmListHttp().app()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,15 +6,12 @@
 
 from sequoiawind import wire
 from sequoiawind.commands import Load, Set
-from sequoiawind.engine_model import (
-    EngineModel,
-    EngineParameters,
-    WeightStore,
-)
+from sequoiawind.engine_model import EngineModel, EngineParameters
 from sequoiawind.load_slots import SlotQueue, SlotRecord
 from sequoiawind.rig import Rig, RigTarget
 from sequoiawind.state import State, Target
 from sequoiawind.virtual_clock import VirtualClock
+from sequoiawind.weight_store import WeightStore
 from tests.session import first_commands
 
 ENGINES = ("e1", "e2", "e3")
@@ -79,11 +76,41 @@
     """Loads beyond the free ones slow each other."""
 
     def test_third_load_is_slower(self) -> None:
-        store = WeightStore(free_loads=2)
-        times = [store.begin(4.0) for _ in range(3)]
-        self.assertEqual([4.0, 4.0, 6.0], times)
-        store.end()
-        self.assertEqual(6.0, store.begin(4.0))
+        clock = VirtualClock()
+        store = WeightStore(clock=clock, free_loads=2)
+        ended: list[float] = []
+        for _ in range(3):
+            store.load(4.0).addCallback(lambda _: ended.append(clock.seconds()))
+        clock.advance_to(5.0)
+        self.assertEqual([4.0, 4.0], ended)
+        store.load(4.0).addCallback(lambda _: ended.append(clock.seconds()))
+        clock.advance_to(20.0)
+        self.assertEqual([4.0, 4.0, 6.0, 9.0], ended)
+
+
+class TransferTest(TestCase):
+    """Exported cache can be imported by an engine of the same weights."""
+
+    def engine(self, name: str) -> EngineModel:
+        return EngineModel(
+            name=name, clock=VirtualClock(), random=random.Random(1)
+        )
+
+    def test_export_and_import(self) -> None:
+        one, two = self.engine("e1"), self.engine("e2")
+        one.store([1, 2, 3], "salt")
+        kept = one.export_blocks([1, 2, 9])
+        self.assertEqual([1, 2], [item.block for item in kept])
+        self.assertEqual(2, two.import_blocks(kept))
+        self.assertEqual({1: "salt", 2: "salt"}, dict(two.cache))
+        self.assertEqual(2 * 64 * 5e-6, two.transfer_s)
+
+    def test_other_weights_are_refused(self) -> None:
+        one, two = self.engine("e1"), self.engine("e2")
+        one.store([1], "salt")
+        two.version = "v2"
+        self.assertEqual(0, two.import_blocks(one.export_blocks([1])))
+        self.assertEqual({}, dict(two.cache))
 
 
 class FencingTest(TestCase):
