--- a/tests/test_live_faults.py
+++ b/tests/test_live_faults.py
@@ -6,10 +6,11 @@
 from typing import Any
 from unittest import mock
 
+import klein
 import openai
 from testtools import TestCase
 
-from sequoiawind import defaults, engine_model, http_ports
+from sequoiawind import defaults, engine_model, http_ports, http_server
 from tests import live
 
 PROMPT = "The origin of the catch of the vessel Amal? " * 40
@@ -135,3 +136,21 @@
             {b"HTTP/1.1 408 Request Time-out"},
             {answer.split(b"\r\n")[0] for answer in answers},
         )
+
+
+class HalfOpenTest(TestCase):
+    """A connection on which nothing comes is closed."""
+
+    def test_silent_connection(self) -> None:
+        live.reactor_thread()
+        with mock.patch.object(defaults, "IDLE_TIMEOUT_S", 0.3):
+            port = live.in_reactor(
+                http_server.listen, klein.Klein(), live.ANY_PORT
+            )
+        address = live.address_of(port)
+        with socket.create_connection(
+            (address.host, address.port), timeout=20
+        ) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\nHost:")
+            self.assertEqual(b"", sock.recv(100))
+        live.in_reactor(port.stopListening)
