--- a/examples/system.sh
+++ b/examples/system.sh
@@ -9,7 +9,8 @@
   rm -rf "$work"
 }
 trap stop_all EXIT
-base=${DEMO_PORT:-18100}
+# Two systems started at the same time should not meet.
+base=${DEMO_PORT:-$((18000 + ($$ % 200) * 50))}
 secret=demo-secret-0123456789
 # Further arguments of the engine stand-ins.
 engine_args=()
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -107,14 +107,14 @@
 # Membership.
 VM_LIST_POLL_S: Final = 2.0
 VM_LIST_LINE_B: Final = 31
-VM_LIST_BUDGET_B_PER_S: Final = 1000.0
+VM_LIST_BUDGET_B_PER_S: Final = 700.0
 PEER_TIMEOUT_S: Final = 1.0
 LIMIT_SHARE_PERIOD_S: Final = 1.0
 TOLD_DEMAND_SHARE: Final = 0.1
 MAX_TOLD_ACCOUNTS: Final = 20
 # Size of a message with its HTTP heads both ways, and what a router may send.
 DEMAND_MESSAGE_B: Final = 730
-DEMAND_BUDGET_B_PER_S: Final = 700.0
+DEMAND_BUDGET_B_PER_S: Final = 400.0
 
 # Shutdown.
 BALANCER_WAIT_S: Final = 1.0
--- a/sequoiawind/sse.py
+++ b/sequoiawind/sse.py
@@ -19,9 +19,9 @@
     """An event stream that does not have the expected form."""
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class Event:
-    """One event."""
+    """One event; not frozen, since one is made for each chunk."""
 
     name: bytes = b""
     id: bytes = b""
@@ -81,6 +81,11 @@
 
 def parse_event(text: bytes) -> Event:
     """Return the event in a block of lines."""
+    if text.startswith(b"id: "):
+        # Nearly all events: an id and one line of data.
+        head, _, data = text.partition(b"\ndata: ")
+        if data and b"\n" not in data and b"\n" not in head:
+            return Event(id=head[4:], data=data)
     name = event_id = data = b""
     for line in text.split(b"\n"):
         field, _, value = line.partition(b": ")
