--- a/sequoiawind/placer.py
+++ b/sequoiawind/placer.py
@@ -92,7 +92,7 @@
         now_s = self.clock.seconds()
         candidates = self.candidates(plan)
         salt = plan.cache_salt
-        chain = prefix.chain(salt, plan.request.prompt.encode())
+        chain = prefix.chain(salt, plan.prompt_bytes)
         chosen = self.board.sharing.choose(
             chain, now_s, len(candidates), xxh3_64_intdigest(salt.encode())
         )
@@ -121,8 +121,7 @@
         A home that lacks more than a usual question's tokens refuses: the
         prefix may be warm elsewhere, as after a restart of this router.
         """
-        prompt_tokens = prefix.tokens(plan.request.prompt.encode())
-        missing = min(prompt_tokens, defaults.FAIR_MISSING_TOKENS)
+        missing = min(plan.prompt_tokens, defaults.FAIR_MISSING_TOKENS)
         compute_s = missing / defaults.PREFILL_TOKENS_PER_S
         return plan.policy.patience * compute_s + defaults.COST_SLACK_S
 
@@ -173,7 +172,7 @@
             priority=plan.kind.priority,
             weight=plan.account.weight,
             chain=chain,
-            prompt_tokens=prefix.tokens(plan.request.prompt.encode()),
+            prompt_tokens=plan.prompt_tokens,
             max_tokens=plan.request.max_tokens,
         )
         answer = self.port.probe(candidate.address, probe)
@@ -192,8 +191,7 @@
             )
         told = answer.ok
         self.board.members.report(told.load, self.clock.seconds())
-        prompt_tokens = prefix.tokens(plan.request.prompt.encode())
-        missing = max(0, prompt_tokens - told.hit_tokens)
+        missing = max(0, plan.prompt_tokens - told.hit_tokens)
         compute_s = missing * told.prefill_token_s
         return Choice(
             candidate=candidate,
--- a/sequoiawind/plan.py
+++ b/sequoiawind/plan.py
@@ -1,5 +1,7 @@
 """A caller's request, and what the configuration says about it."""
 
+from functools import cached_property
+
 import attrs
 
 from sequoiawind import defaults, prefix
@@ -35,6 +37,16 @@
     pool: Pool
     policy: Policy
 
+    @cached_property
+    def prompt_bytes(self) -> bytes:
+        """The prompt in UTF-8; long, so encoded once."""
+        return self.request.prompt.encode()
+
+    @cached_property
+    def prompt_tokens(self) -> int:
+        """Tokens of the prompt."""
+        return prefix.tokens(self.prompt_bytes)
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may be repeated."""
--- a/sequoiawind/policies.py
+++ b/sequoiawind/policies.py
@@ -88,7 +88,7 @@
 
     def order(self, plan: Plan, candidates: list[Candidate]) -> list[Candidate]:
         """Return the candidates in rendezvous order of the prompt."""
-        text = plan.request.prompt.encode()
+        text = plan.prompt_bytes
         return placement.rank(xxh3_64_intdigest(text), candidates)
 
 
@@ -98,7 +98,7 @@
     def order(self, plan: Plan, candidates: list[Candidate]) -> list[Candidate]:
         """Return the candidates in rendezvous order of the first level."""
         size = FIRST_LEVEL_BLOCKS * defaults.PLACEMENT_BLOCK_BYTES
-        text = plan.request.prompt.encode()[:size]
+        text = plan.prompt_bytes[:size]
         key = xxh3_64_intdigest(plan.account.name.encode() + text)
         return placement.rank(key, candidates)
 
@@ -113,7 +113,7 @@
     def order(self, plan: Plan, candidates: list[Candidate]) -> list[Candidate]:
         """Return the candidates by their cost."""
         salt = plan.cache_salt
-        text = plan.request.prompt.encode()
+        text = plan.prompt_bytes
         patience = plan.policy.patience
         return sorted(
             candidates,
--- a/sequoiawind/retries.py
+++ b/sequoiawind/retries.py
@@ -1,7 +1,7 @@
 """Retries: which are allowed, how many, and after what pause.
 
 A failure that is not proved ``NOT_RUN`` is retried only if the kind is
-idempotent.  Budgets by account and by target keep retries from multiplying
+idempotent.  A budget for each client account keeps retries from multiplying
 an overload: each first attempt earns a fraction of a retry.
 """
 
@@ -29,14 +29,14 @@
 
 @attrs.define(kw_only=True)
 class Budget:
-    """Retries available to one account or target."""
+    """Retries available to one account."""
 
     available: float = defaults.RETRY_RESERVE
 
 
 @attrs.define(kw_only=True)
 class RetryBudgets:
-    """Budgets by name; accounts and targets share the name space."""
+    """Budgets by account."""
 
     ratio: float = defaults.RETRY_RATIO
     reserve: float = defaults.RETRY_RESERVE
--- a/tests/live.py
+++ b/tests/live.py
@@ -117,7 +117,7 @@
         ]
         self.log.append_now(defaults.CONFIG_STREAM, records)
         for number in range(2):
-            self.add_router(f"r{number}")
+            self.routers.append(self.add_router(f"r{number}"))
 
     def add_agent(self, name: str, service: str, app: Any) -> Command:
         """Start a target and its agent; return the target's command."""
@@ -145,13 +145,15 @@
             fields={"pool": pool, "agent": str(address_of(program.port))},
         )
 
-    def add_router(self, name: str) -> None:
+    def add_router(
+        self, name: str, peers: tuple[Address, ...] = ()
+    ) -> RouterProgram:
         """Start a router."""
         program = RouterProgram(
             options=RouterSettings(
                 router=RouterOptions(name=name, listen=ANY_PORT),
                 platform=self.platform,
-                peers=PeerOptions(secret=SECRET),
+                peers=PeerOptions(secret=SECRET, routers=peers),
             )
         )
         phase = program.board.phase
@@ -161,7 +163,7 @@
 
         program.listen()
         program.start(on_ready=ready)
-        self.routers.append(program)
+        return program
 
     def url(self, number: int = 0) -> str:
         """Return the base URL of a router."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -15,7 +15,8 @@
 class CrashTest(TestCase):
     """An engine crashes after any number of chunks."""
 
-    def crash_after(self, chunks: int) -> Session:
+    def prompt_until(self, chunks: int) -> Session:
+        """Send a prompt and run until so many chunks have arrived."""
         session = Session()
         session.do_prompt("q1", "r0", str(TOKENS), "A briefing.")
         caller = session.callers["q1"]
@@ -23,6 +24,10 @@
             if len(caller.chunks) >= chunks:
                 break
             session.do_run("0.001")
+        return session
+
+    def crash_after(self, chunks: int) -> Session:
+        session = self.prompt_until(chunks)
         for name in ("e1", "e2", "e3"):
             engine = session.rig.agents[name].target
             if engine.batch or engine.waiting:
@@ -38,13 +43,7 @@
 
     def test_agent_killed_at_every_chunk(self) -> None:
         for chunks in range(0, TOKENS, 3):
-            session = Session()
-            session.do_prompt("q1", "r0", str(TOKENS), "A briefing.")
-            caller = session.callers["q1"]
-            for _ in range(4000):
-                if len(caller.chunks) >= chunks:
-                    break
-                session.do_run("0.001")
+            session = self.prompt_until(chunks)
             for name in ("e1", "e2", "e3"):
                 made = session.rig.agents[name]
                 if made.agent.queue.running:
--- a/tests/test_live_faults.py
+++ b/tests/test_live_faults.py
@@ -154,3 +154,31 @@
             sock.sendall(b"GET / HTTP/1.1\r\nHost:")
             self.assertEqual(b"", sock.recv(100))
         live.in_reactor(port.stopListening)
+
+
+class RestartTest(TestCase):
+    """A router that starts while the log is down serves from a peer."""
+
+    def test_configuration_from_a_peer(self) -> None:
+        system = live.shared()
+        peer = live.address_of(system.routers[0].port)
+        system.log.is_down = True
+        try:
+            program = live.in_reactor(system.add_router, "late", (peer,))
+            for _ in range(TRIES):
+                if program.board.phase.is_ready:
+                    break
+                time.sleep(PAUSE_S)
+            client = openai.OpenAI(
+                base_url=f"http://{live.address_of(program.port)}/v1",
+                api_key=live.TOKEN,
+                max_retries=0,
+            )
+            answer = client.completions.create(
+                model="polar", prompt="late", max_tokens=2
+            )
+        finally:
+            system.log.is_down = False
+        expected = engine_model.expected_answer("late", 2)
+        self.assertEqual(expected, answer.choices[0].text)
+        self.assertEqual(system.routers[0].board.state, program.board.state)
