Models, stand-ins and experiments moved into a folder of their own

Cause: about thirty of the modules serve tests and measurements, and a reader could not see the product for them. Ruled out: moving modules that daemons load.

--- /dev/null
+++ b/sequoiawind/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Models, stand-ins and experiments; nothing that ships imports them."""
--- a/sequoiawind/engine_model.py
+++ b/sequoiawind/lab/engine_model.py
@@ -22,9 +22,9 @@
     prefix,
 )
 from sequoiawind.cache_index import CacheEvent, CacheEvents, CacheList
+from sequoiawind.lab.weight_store import WeightSource, WeightStore
 from sequoiawind.ports import Call, Clock, Sink
 from sequoiawind.verdict import Reason, may_have_run, not_run
-from sequoiawind.weight_store import WeightSource, WeightStore
 from sequoiawind.wire import Attempt, Ended, LoadReport, Usage
 
 
--- a/sequoiawind/experiment.py
+++ b/sequoiawind/lab/experiment.py
@@ -12,21 +12,16 @@
 
 import attrs
 
-from sequoiawind import (
-    engine_model,
-    language,
-    openai_format,
-    policies,
-    workload,
-)
+from sequoiawind import language, openai_format
 from sequoiawind.commands import Command
-from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.lab import engine_model, policies, workload
+from sequoiawind.lab.engine_model import EngineModel, EngineParameters
+from sequoiawind.lab.rig import Rig, RigRouter, RigTarget, account_command
+from sequoiawind.lab.workload import Burst, Deployment, Prompt, Workload
 from sequoiawind.placer import Placer, ProbingPlacer
 from sequoiawind.plan import CallerRequest
-from sequoiawind.rig import Rig, RigRouter, RigTarget, account_command
 from sequoiawind.router import Handling
 from sequoiawind.wire import Ended
-from sequoiawind.workload import Burst, Deployment, Prompt, Workload
 
 SHIPPED: Final = "sequoiawind"
 WARM_UP_S: Final = 20.0
--- a/sequoiawind/experiment_report.py
+++ b/sequoiawind/lab/experiment_report.py
@@ -12,8 +12,9 @@
 
 import attrs
 
-from sequoiawind import policies, wire, workload
-from sequoiawind.experiment import (
+from sequoiawind import wire
+from sequoiawind.lab import policies, workload
+from sequoiawind.lab.experiment import (
     SCENARIOS,
     SHIPPED,
     Experiment,
--- a/sequoiawind/http_bench.py
+++ b/sequoiawind/lab/http_bench.py
@@ -15,9 +15,10 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, gatherResults
 
-from sequoiawind import http_client, workload
-from sequoiawind.http_load import LoadRun, Results
-from sequoiawind.workload import Prompt
+from sequoiawind import http_client
+from sequoiawind.lab import workload
+from sequoiawind.lab.http_load import LoadRun, Results
+from sequoiawind.lab.workload import Prompt
 
 RATE_PER_S: Final = 100.0
 SECONDS: Final = 10.0
--- a/sequoiawind/http_load.py
+++ b/sequoiawind/lab/http_load.py
@@ -9,17 +9,11 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, gatherResults
 
-from sequoiawind import (
-    engine_model,
-    http_client,
-    openai_format,
-    sse,
-    timing,
-    workload,
-)
+from sequoiawind import http_client, openai_format, sse, timing
 from sequoiawind.http_server import JSON_TYPE, reactor
+from sequoiawind.lab import engine_model, workload
+from sequoiawind.lab.workload import Prompt
 from sequoiawind.verdict import Failure
-from sequoiawind.workload import Prompt
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/load_main.py
+++ b/sequoiawind/lab/load_main.py
@@ -8,18 +8,16 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from sequoiawind import (
-    command_line,
+from sequoiawind import command_line, http_client, http_server
+from sequoiawind.lab import (
     experiment_report,
     http_bench,
-    http_client,
-    http_server,
     mutants,
     slopes,
     soak,
     workload,
 )
-from sequoiawind.http_load import LoadRun
+from sequoiawind.lab.http_load import LoadRun
 
 PURPOSE: Final = "Load routers, compare policies, and look for faults."
 
--- a/sequoiawind/memory_network.py
+++ b/sequoiawind/lab/memory_network.py
@@ -16,7 +16,7 @@
 
 from sequoiawind import messages, openai_format
 from sequoiawind.cache_index import CacheEvents, CacheList
-from sequoiawind.engine_model import EngineModel
+from sequoiawind.lab.engine_model import EngineModel
 from sequoiawind.ports import Call, Clock, Sink, TargetPort, Timer
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from sequoiawind.wire import (
--- a/sequoiawind/mutants.py
+++ b/sequoiawind/lab/mutants.py
@@ -18,17 +18,16 @@
     commands,
     config_fold,
     exchange,
-    memory_network,
     openai_format,
     prefix,
     retries,
     router,
-    soak,
 )
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.chunk_order import ChunkOrder
 from sequoiawind.claimant import Claimant, ClaimStream
 from sequoiawind.config_follower import ConfigFollower
+from sequoiawind.lab import memory_network, soak
 from sequoiawind.limits import AccountLimits
 from sequoiawind.verdict import not_run
 
--- a/sequoiawind/plain_model.py
+++ b/sequoiawind/lab/plain_model.py
@@ -10,7 +10,7 @@
 import attrs
 
 from sequoiawind import messages, openai_format, wire
-from sequoiawind.engine_model import NoCall
+from sequoiawind.lab.engine_model import NoCall
 from sequoiawind.ports import Call, Clock, Sink
 from sequoiawind.verdict import Reason, may_have_run, not_run
 from sequoiawind.wire import Attempt, Ended, LoadReport, Reply
--- a/sequoiawind/policies.py
+++ b/sequoiawind/lab/policies.py
@@ -15,7 +15,7 @@
 
 from sequoiawind import defaults, placement, prefix
 from sequoiawind.blackboard import Blackboard
-from sequoiawind.engine_model import EngineModel
+from sequoiawind.lab.engine_model import EngineModel
 from sequoiawind.placement import Candidate, Choice
 from sequoiawind.placer import Placed
 from sequoiawind.plan import Plan
--- a/sequoiawind/rig.py
+++ b/sequoiawind/lab/rig.py
@@ -20,26 +20,26 @@
 from sequoiawind.claimant import Claimant
 from sequoiawind.commands import Command, Create
 from sequoiawind.config_follower import ConfigFollower
-from sequoiawind.engine_model import EngineModel, EngineParameters
 from sequoiawind.engine_watcher import EngineWatcher
 from sequoiawind.exchange import Surroundings
-from sequoiawind.limits import AccountLimits
-from sequoiawind.load_slots import LoadSlots
-from sequoiawind.log_model import LogModel
-from sequoiawind.memory_network import (
+from sequoiawind.lab.engine_model import EngineModel, EngineParameters
+from sequoiawind.lab.log_model import LogModel
+from sequoiawind.lab.memory_network import (
     MemoryEnginePort,
     MemoryPort,
     Network,
     Node,
     NodeClock,
 )
+from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.lab.virtual_clock import VirtualClock
+from sequoiawind.lab.weight_store import WeightStore
+from sequoiawind.limits import AccountLimits
+from sequoiawind.load_slots import LoadSlots
 from sequoiawind.placer import Placer, ProbingPlacer
-from sequoiawind.plain_model import PlainModel
 from sequoiawind.ports import LogPage, LogPort, TargetPort
 from sequoiawind.router import Router
 from sequoiawind.verdict import Failure
-from sequoiawind.virtual_clock import VirtualClock
-from sequoiawind.weight_store import WeightStore
 
 # The virtual epoch, so that times in keys look like real ones.
 EPOCH_S: Final = 1_700_000_000.0
--- a/sequoiawind/slopes.py
+++ b/sequoiawind/lab/slopes.py
@@ -29,13 +29,13 @@
 from sequoiawind.commands import Create
 from sequoiawind.config_fold import Folded
 from sequoiawind.config_follower import ConfigFollower
+from sequoiawind.lab.log_model import LogModel
+from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.limits import AccountLimits
-from sequoiawind.log_model import LogModel
 from sequoiawind.peers import VmEntry
 from sequoiawind.placement import Candidate
 from sequoiawind.sharing import SharingTracker
 from sequoiawind.state import Account
-from sequoiawind.virtual_clock import VirtualClock
 from sequoiawind.wire import DemandMessage, Reply
 
 ACCOUNT_SIZES: Final = (200, 400, 800, 1400)
--- a/sequoiawind/soak.py
+++ b/sequoiawind/lab/soak.py
@@ -13,23 +13,16 @@
 from twisted.internet.defer import Deferred
 from twisted.logger import globalLogPublisher
 
-from sequoiawind import (
-    config_fold,
-    engine_model,
-    invariants,
-    keys,
-    language,
-    openai_format,
-    workload,
-)
+from sequoiawind import config_fold, invariants, keys, language, openai_format
 from sequoiawind.commands import Admit, Command, Drain, Set
-from sequoiawind.engine_model import EngineParameters
-from sequoiawind.memory_network import Node
-from sequoiawind.plain_model import PlainModel
+from sequoiawind.lab import engine_model, workload
+from sequoiawind.lab.engine_model import EngineParameters
+from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.lab.rig import Rig, RigRouter, RigTarget, account_command
+from sequoiawind.lab.soak_faults import SoakFaults
 from sequoiawind.plan import CallerRequest
-from sequoiawind.rig import Rig, RigRouter, RigTarget, account_command
 from sequoiawind.router import Handling
-from sequoiawind.soak_faults import SoakFaults
 from sequoiawind.verdict import Verdict
 from sequoiawind.wire import Ended
 
--- a/sequoiawind/soak_faults.py
+++ b/sequoiawind/lab/soak_faults.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from sequoiawind.engine_model import EngineModel
+from sequoiawind.lab.engine_model import EngineModel
+from sequoiawind.lab.memory_network import ChunkFaults, Node
+from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.lab.rig import Rig, RigAgent
 from sequoiawind.members import VmState
-from sequoiawind.memory_network import ChunkFaults, Node
-from sequoiawind.plain_model import PlainModel
-from sequoiawind.rig import Rig, RigAgent
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/standin_http.py
+++ b/sequoiawind/lab/standin_http.py
@@ -19,16 +19,16 @@
     timing,
     wire,
 )
-from sequoiawind.engine_model import EngineModel, KeptBlock
 from sequoiawind.http_client import JsonClient
 from sequoiawind.http_ports import ACCOUNT_HEADER, ATTEMPT_HEADER, Appended
-from sequoiawind.log_model import LogModel
+from sequoiawind.lab.engine_model import EngineModel, KeptBlock
+from sequoiawind.lab.log_model import LogModel
+from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.lab.weight_store import WeightStore
 from sequoiawind.peers import VmEntry
-from sequoiawind.plain_model import PlainModel
 from sequoiawind.ports import Call
 from sequoiawind.router_http import json_object, wanted_tokens
 from sequoiawind.verdict import Failure
-from sequoiawind.weight_store import WeightStore
 from sequoiawind.wire import Attempt, Ended, LoadReport
 
 
--- a/sequoiawind/standin_main.py
+++ b/sequoiawind/lab/standin_main.py
@@ -6,18 +6,13 @@
 
 import klein
 
-from sequoiawind import (
-    command_line,
-    http_client,
-    http_server,
-    settings,
-    standin_http,
-)
-from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind import command_line, http_client, http_server, settings
 from sequoiawind.http_client import JsonClient
-from sequoiawind.log_model import LogModel
-from sequoiawind.plain_model import PlainModel
-from sequoiawind.standin_http import (
+from sequoiawind.lab import standin_http
+from sequoiawind.lab.engine_model import EngineModel, EngineParameters
+from sequoiawind.lab.log_model import LogModel
+from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.lab.standin_http import (
     EngineHttp,
     LogHttp,
     PlainHttp,
@@ -25,7 +20,7 @@
     WeightsClient,
     WeightsHttp,
 )
-from sequoiawind.weight_store import WeightStore
+from sequoiawind.lab.weight_store import WeightStore
 
 ROLES: Final = ("engine", "plain", "log", "vm-list", "weights")
 LOAD_TIMEOUT_S: Final = 300.0
--- /dev/null
+++ b/sequoiawind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""What speaks the users' platform: names, formats and calls; no decision."""
--- a/tests/live.py
+++ b/tests/live.py
@@ -15,8 +15,10 @@
 from sequoiawind import config_fold, defaults, http_server, language, logs
 from sequoiawind.agent_program import AgentProgram
 from sequoiawind.commands import Command, Create
-from sequoiawind.engine_model import EngineModel, EngineParameters
-from sequoiawind.log_model import LogModel
+from sequoiawind.lab.engine_model import EngineModel, EngineParameters
+from sequoiawind.lab.log_model import LogModel
+from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.lab.standin_http import EngineHttp, LogHttp, PlainHttp
 from sequoiawind.options import (
     Address,
     AgentOptions,
@@ -27,10 +29,8 @@
     RouterOptions,
     RouterSettings,
 )
-from sequoiawind.plain_model import PlainModel
 from sequoiawind.router import token_digest
 from sequoiawind.router_program import RouterProgram
-from sequoiawind.standin_http import EngineHttp, LogHttp, PlainHttp
 
 ANY_PORT = Address(host="127.0.0.1", port=0)
 SECRET = "test-secret-0123456789"
--- a/tests/session.py
+++ b/tests/session.py
@@ -13,21 +13,15 @@
 from expression import Ok, Result
 from twisted.internet.defer import Deferred
 
-from sequoiawind import (
-    engine_model,
-    keys,
-    language,
-    openai_format,
-    query,
-    reports,
-)
+from sequoiawind import keys, language, openai_format, query, reports
 from sequoiawind.admin import Admin
 from sequoiawind.commands import Command
-from sequoiawind.engine_model import EngineParameters
-from sequoiawind.memory_network import Node
-from sequoiawind.plain_model import PlainModel
+from sequoiawind.lab import engine_model
+from sequoiawind.lab.engine_model import EngineParameters
+from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.lab.rig import Rig, RigRouter, RigTarget, account_command
 from sequoiawind.plan import CallerRequest
-from sequoiawind.rig import Rig, RigRouter, RigTarget, account_command
 from sequoiawind.state import Operator
 from sequoiawind.verdict import Failure, Reason, not_run
 from sequoiawind.wire import Ended
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,7 +10,8 @@
 import openai
 from testtools import TestCase
 
-from sequoiawind import engine_model, keys
+from sequoiawind import keys
+from sequoiawind.lab import engine_model
 from sequoiawind.openai_format import TEXT_PATH
 from tests import live
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,10 +6,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from sequoiawind import claims, soak
+from sequoiawind import claims
 from sequoiawind.claimant import Claimant
 from sequoiawind.claims import Claim, ClaimTable, Outcome, Release, Settle
-from sequoiawind.log_model import LogModel
+from sequoiawind.lab import soak
+from sequoiawind.lab.log_model import LogModel
 from sequoiawind.verdict import Reason, Verdict
 from sequoiawind.wire import Reply
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,9 +11,9 @@
 from sequoiawind.commands import Create, Delete, Drain, Set
 from sequoiawind.config_fold import Folded
 from sequoiawind.config_follower import ConfigFollower
-from sequoiawind.log_model import LogModel
+from sequoiawind.lab.log_model import LogModel
+from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.verdict import Verdict
-from sequoiawind.virtual_clock import VirtualClock
 
 
 class Follower(TestCase):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,7 +4,7 @@
 
 from sequoiawind import invariants
 from sequoiawind.chunk_order import ChunkOrder
-from sequoiawind.memory_network import ChunkFaults
+from sequoiawind.lab.memory_network import ChunkFaults
 from sequoiawind.openai_format import DONE
 from sequoiawind.wire import Usage
 from tests.session import Session
--- a/tests/test_live_faults.py
+++ b/tests/test_live_faults.py
@@ -10,7 +10,8 @@
 import openai
 from testtools import TestCase
 
-from sequoiawind import defaults, engine_model, http_ports, http_server
+from sequoiawind import defaults, http_ports, http_server
+from sequoiawind.lab import engine_model
 from tests import live
 
 PROMPT = "The origin of the catch of the vessel Amal? " * 40
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,12 +6,12 @@
 
 from sequoiawind import wire
 from sequoiawind.commands import Load, Set
-from sequoiawind.engine_model import EngineModel, EngineParameters
+from sequoiawind.lab.engine_model import EngineModel, EngineParameters
+from sequoiawind.lab.rig import Rig, RigTarget
+from sequoiawind.lab.virtual_clock import VirtualClock
+from sequoiawind.lab.weight_store import WeightStore
 from sequoiawind.load_slots import SlotQueue, SlotRecord
-from sequoiawind.rig import Rig, RigTarget
 from sequoiawind.state import State, Target
-from sequoiawind.virtual_clock import VirtualClock
-from sequoiawind.weight_store import WeightStore
 from tests.session import first_commands
 
 ENGINES = ("e1", "e2", "e3")
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -6,12 +6,12 @@
 
 from sequoiawind import placement
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.placement import Candidate
 from sequoiawind.placer import ProbingPlacer
 from sequoiawind.plan import CallerRequest, Plan
 from sequoiawind.state import Account, Kind, Policy, Pool, Route
 from sequoiawind.verdict import Reason, not_run
-from sequoiawind.virtual_clock import VirtualClock
 from sequoiawind.wire import LoadReport, Probe, ProbeAnswer
 from tests.session import Session
 
