--- a/sequoiawind/command_line.py
+++ b/sequoiawind/command_line.py
@@ -1,6 +1,7 @@
 """What the console programs' command lines have in common."""
 
 import argparse
+import os
 import sys
 from typing import Final, NoReturn, TypeVar
 
@@ -11,6 +12,8 @@
 
 T = TypeVar("T")
 
+# Environment variable that names the settings file.
+SETTINGS_VARIABLE: Final = "SEQUOIAWIND_CONFIG"
 # Exit status for a wrong command line or wrong settings.
 EXIT_USAGE: Final = 2
 
@@ -27,7 +30,13 @@
 def daemon_parser(name: str, purpose: str) -> argparse.ArgumentParser:
     """Return the parser of a program that reads a settings file."""
     made = parser(name, purpose)
-    made.add_argument("settings", help="the settings file, in TOML")
+    default = os.environ.get(SETTINGS_VARIABLE)
+    made.add_argument(
+        "settings",
+        nargs="?" if default else None,
+        default=default,
+        help=f"the settings file, in TOML; default: ${SETTINGS_VARIABLE}",
+    )
     made.add_argument(
         "--check-settings",
         action="store_true",
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -36,6 +36,8 @@
 EJECT_BASE_S: Final = 1.0
 EJECT_CAP_S: Final = 30.0
 MAX_EJECTED_SHARE: Final = 0.5
+# Weight of one attempt in the moving average of a target's failures.
+FAILURE_SHARE_WEIGHT: Final = 0.15
 LIST_DISTRUST_SHARE: Final = 0.5
 
 # Placement.
--- /dev/null
+++ b/sequoiawind/forward_agent.py
@@ -0,0 +1,254 @@
+"""The agent beside a target that requests are forwarded to.
+
+It watches its target, tells the routers at once when it begins and ends to
+load weights, and is the only one that orders it to.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import structlog
+from twisted.internet.defer import Deferred
+
+from sequoiawind import rollout, timing
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_state import ForwardTarget
+from sequoiawind.ports import Clock
+from sequoiawind.rollout import (
+    LoadOrder,
+    OrderOutcome,
+    TargetPort,
+    TargetReport,
+)
+from sequoiawind.verdict import Verdict
+from sequoiawind.wire import TargetStatus
+
+Logger = structlog.typing.FilteringBoundLogger
+
+# How often the target is asked for its report; free on its own VM.
+REPORT_S: Final = 0.1
+REPORT_TIMEOUT_S: Final = 0.5
+ORDER_TIMEOUT_S: Final = 1.0
+# Time between telling the routers of a load and ordering it, in seconds: a
+# round trip inside a region, so that few requests are still on their way.
+ANNOUNCE_S: Final = 0.03
+# Time after an order without an answer before the target counts as not
+# loading, in seconds.
+UNANSWERED_S: Final = 0.5
+# Change of running or waiting requests that routers are told of.
+LOAD_STEP: Final = 4
+# Time for which a router that asked counts as one of the routers, in seconds.
+ROUTER_HEARD_S: Final = 5.0
+
+
+@attrs.define(kw_only=True)
+class NamedVersion:
+    """Newest weights of a model, and when they were named."""
+
+    version: int
+    named_s: float
+
+
+@attrs.define(kw_only=True)
+class ForwardAgent:
+    """Watches and orders one target."""
+
+    # Address of the target.
+    address: str
+    # Name of this process, as holder of the target's orders.
+    holder: str
+    port: TargetPort
+    clock: Clock
+    fleet: Fleet
+    log: Logger
+    # Time within which all targets must have newly named weights.
+    weights_s: float
+    newest: dict[str, NamedVersion] = attrs.field(factory=dict)
+    status: TargetStatus = attrs.field(factory=TargetStatus)
+    # Routers by name, and when each asked last.
+    routers: dict[str, float] = attrs.field(factory=dict)
+    watchers: list[Deferred[None]] = attrs.field(factory=list)
+    # The order under way is announced or given until then.
+    loading_until_s: float = -1.0
+    is_reachable: bool = False
+    on_order: Callable[[str], None] = attrs.field(default=lambda outcome: None)
+
+    @property
+    def target(self) -> ForwardTarget | None:
+        """The target's entry; None before it registers."""
+        found = [
+            view.target
+            for view in self.fleet.views.values()
+            if view.target.address == self.address
+        ]
+        return max(found, key=lambda item: item.born_ms, default=None)
+
+    async def run(self) -> None:
+        """Watch the target until the process ends."""
+        while True:
+            await self.step()
+            await timing.sleep(self.clock, REPORT_S)
+
+    async def step(self) -> None:
+        """Ask the target for its report, and order what it lacks."""
+        answered = await self.port.report(self.address, REPORT_TIMEOUT_S)
+        if answered.is_error():
+            if self.is_reachable:
+                self.is_reachable = False
+                self.log.warning("target lost", detail=answered.error.detail)
+            return
+        if not self.is_reachable:
+            self.is_reachable = True
+            self.log.info("target regained", orders=answered.ok.orders)
+        self.take_report(answered.ok)
+        lacking = self.due(answered.ok)
+        if lacking is not None:
+            await self.load(answered.ok, *lacking)
+
+    def take_report(self, report: TargetReport) -> None:
+        """Tell the routers what has changed."""
+        now_s = self.clock.seconds()
+        target = self.target
+        self.publish(
+            TargetStatus(
+                target=target.name if target else "",
+                born_ms=target.born_ms if target else 0,
+                waiting=report.waiting,
+                running=report.running,
+                used_tokens=report.used_tokens,
+                is_loading=report.is_busy or now_s < self.loading_until_s,
+                is_draining=report.is_draining,
+                versions=dict(report.versions),
+                routers=self.count_routers(now_s),
+            )
+        )
+
+    def publish(self, status: TargetStatus) -> None:
+        """Make a status known, and wake the routers if it matters."""
+        old = self.status
+        if not differs(old, status):
+            return
+        self.status = attrs.evolve(status, number=old.number + 1)
+        watchers, self.watchers = self.watchers, []
+        for watcher in watchers:
+            watcher.callback(None)
+
+    # Weights.
+
+    def weights_named(self, model: str, version: int) -> None:
+        """Note that an operator has named newer weights."""
+        known = self.newest.get(model)
+        if known is None or version > known.version:
+            self.newest[model] = NamedVersion(
+                version=version, named_s=self.clock.seconds()
+            )
+
+    def due(self, report: TargetReport) -> tuple[str, int] | None:
+        """Return the model and version to load now; None if there is none."""
+        target = self.target
+        if report.is_busy or target is None:
+            return None
+        versions = {name: item.version for name, item in self.newest.items()}
+        lacking = rollout.wanted(report, versions)
+        if lacking is None:
+            return None
+        model, version = lacking
+        pool = [
+            view.target.name
+            for view in self.fleet.views.values()
+            if view.target.pool == target.pool
+        ]
+        turn_s = rollout.turn_s(
+            target.name, model, version, pool, self.weights_s
+        )
+        if self.clock.seconds() < self.newest[model].named_s + turn_s:
+            return None
+        return lacking
+
+    async def load(
+        self, report: TargetReport, model: str, version: int
+    ) -> None:
+        """Order the target to load weights."""
+        target = self.target
+        if target is None:
+            return
+        now_s = self.clock.seconds()
+        self.loading_until_s = now_s + ANNOUNCE_S + UNANSWERED_S
+        self.publish(attrs.evolve(self.status, is_loading=True))
+        await timing.sleep(self.clock, ANNOUNCE_S)
+        order = LoadOrder(
+            model=model,
+            version=version,
+            holder=self.holder,
+            fencing=rollout.FENCING,
+            after_orders=report.orders,
+        )
+        answered = await self.port.order(
+            self.address, target.name, order, ORDER_TIMEOUT_S
+        )
+        outcome = "unanswered"
+        if answered.is_ok():
+            outcome = answered.ok.value
+        elif answered.error.verdict is Verdict.NOT_RUN:
+            outcome = "not sent"
+        if answered.is_error() or answered.ok is not OrderOutcome.ACCEPTED:
+            self.loading_until_s = -1.0
+        self.on_order(outcome)
+        self.log.info(
+            "weights ordered",
+            target=target.name,
+            model=model,
+            version=version,
+            replaced=report.versions.get(model, 0),
+            after_orders=report.orders,
+            outcome=outcome,
+        )
+
+    # Routers.
+
+    def heard_from(self, router: str) -> None:
+        """Note that a router has asked."""
+        self.routers[router] = self.clock.seconds()
+
+    def count_routers(self, now_s: float) -> int:
+        """Return the routers that asked lately."""
+        for name, heard_s in list(self.routers.items()):
+            if now_s - heard_s > ROUTER_HEARD_S:
+                del self.routers[name]
+        return len(self.routers)
+
+    async def newer(self, number: int, wait_s: float) -> TargetStatus:
+        """Return a status newer than a number, or the same after a wait."""
+        if self.status.number <= number:
+            changed: Deferred[None] = Deferred()
+            self.watchers.append(changed)
+            timer = self.clock.callLater(wait_s, self.wake, changed)
+            await changed
+            if timer.active():
+                timer.cancel()
+        return self.status
+
+    def wake(self, watcher: Deferred[None]) -> None:
+        """Let one watcher go on without a change."""
+        if watcher in self.watchers:
+            self.watchers.remove(watcher)
+            watcher.callback(None)
+
+
+def differs(old: TargetStatus, new: TargetStatus) -> bool:
+    """Whether routers should hear of a new status at once."""
+    if abs(old.running - new.running) >= LOAD_STEP:
+        return True
+    if (old.waiting == 0) != (new.waiting == 0):
+        return True
+    if abs(old.waiting - new.waiting) >= LOAD_STEP:
+        return True
+    return (
+        old.target != new.target
+        or old.born_ms != new.born_ms
+        or old.is_loading != new.is_loading
+        or old.is_draining != new.is_draining
+        or old.versions != new.versions
+        or old.routers != new.routers
+    )
--- /dev/null
+++ b/sequoiawind/forward_agent_main.py
@@ -0,0 +1,40 @@
+"""The program `sequoiawind-forward-agent`."""
+
+from typing import Final
+
+from sequoiawind import command_line, logs, settings
+from sequoiawind.daemon import Daemon
+from sequoiawind.forward_agent_program import ForwardAgentProgram
+from sequoiawind.options import ForwardAgentSettings
+
+PURPOSE: Final = "Watch one target and order its weights."
+
+
+def main() -> None:
+    """Run the program."""
+    parser = command_line.daemon_parser("sequoiawind-forward-agent", PURPOSE)
+    args = parser.parse_args()
+    loaded = settings.load(args.settings, ForwardAgentSettings)
+    options = command_line.settings_or_exit(loaded)
+    if not args.check_settings:
+        run(options)
+
+
+def run(options: ForwardAgentSettings) -> None:
+    """Run an agent until it has stopped."""
+    logs.configure(options.logs)
+    program = ForwardAgentProgram(options=options)
+    daemon = Daemon(
+        phase=program.board.phase,
+        is_idle=lambda: True,
+    )
+    with daemon:
+        program.listen()
+        program.start()
+        daemon.ready()
+        daemon.run()
+    program.log.info("stopped")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sequoiawind/forward_agent_program.py
@@ -0,0 +1,129 @@
+"""A forwarding agent put together: decisions, transports, controllers."""
+
+import random
+from typing import Any
+
+import attrs
+import klein
+import structlog
+from twisted.internet.defer import Deferred
+from twisted.web import server
+
+from sequoiawind import (
+    http_server,
+    logs,
+    metrics,
+    status_watcher,
+    wire,
+)
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_agent import ForwardAgent
+from sequoiawind.forward_readers import OperatorReader, TargetReader
+from sequoiawind.freshness import suspended_clock_s
+from sequoiawind.http1_client import Http1Client
+from sequoiawind.metrics import ForwardAgentMetrics
+from sequoiawind.options import Address, ForwardAgentSettings
+from sequoiawind.platform import codec, names
+from sequoiawind.platform.engine import EngineClient
+from sequoiawind.platform.store import StoreClient
+from sequoiawind.platform.targets import decode_target
+from sequoiawind.record_follower import RecordFollower
+
+Logger = structlog.typing.FilteringBoundLogger
+
+# For how long the store waits for a change before it answers, in seconds; an
+# agent checks no keys, so an answer without a change tells it little.
+AGENT_STORE_WAIT_S = 3.0
+
+
+@attrs.define(kw_only=True)
+class ForwardAgentProgram:
+    """All parts of one agent."""
+
+    options: ForwardAgentSettings
+    log: Logger = attrs.field(init=False)
+    random: "random.Random" = attrs.field(factory=random.Random)
+    board: Blackboard = attrs.field(factory=Blackboard)
+    fleet: Fleet = attrs.field(factory=Fleet)
+    metrics: ForwardAgentMetrics = attrs.field(factory=ForwardAgentMetrics)
+    client: Http1Client = attrs.field(
+        factory=lambda: Http1Client(reactor=http_server.reactor)
+    )
+    agent: ForwardAgent = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Put the parts together."""
+        options = self.options
+        self.log = logs.get(options.node.name)
+        self.agent = ForwardAgent(
+            address=str(options.target),
+            holder=options.node.name,
+            port=EngineClient(client=self.client),
+            clock=http_server.reactor,
+            fleet=self.fleet,
+            log=self.log,
+            weights_s=options.bounds.weights_ms / 1000,
+            on_order=lambda outcome: self.metrics.orders.labels(outcome).inc(),
+        )
+
+    def listen(self) -> None:
+        """Open the ports for routers and for metrics."""
+        node = self.options.node
+        for port, app in (
+            (node.agent_port, self.app()),
+            (node.metrics_port, metrics.app(self.metrics.registry)),
+        ):
+            http_server.listen(app, Address(host=node.ip, port=port))
+        self.log.info("listening", port=node.agent_port)
+
+    def app(self) -> klein.Klein:
+        """Return the interface for routers."""
+        app = klein.Klein()
+
+        @app.route(status_watcher.STATUS_PATH, methods=["GET"])
+        async def status(request: server.Request) -> bytes:
+            return await self.answer_status(request)
+
+        return app
+
+    async def answer_status(self, request: server.Request) -> bytes:
+        """Answer a router once there is news."""
+        arguments: Any = request.args
+        after = arguments.get(b"after", [b"-1"])[0]
+        router = arguments.get(b"router", [b""])[0].decode("latin-1")
+        number = int(after) if after.lstrip(b"-").isdigit() else -1
+        self.agent.heard_from(router)
+        told = await self.agent.newer(number, status_watcher.STATUS_WAIT_S)
+        return http_server.json_reply(request, wire.encode(told))
+
+    def start(self) -> None:
+        """Start the controllers."""
+        operator = OperatorReader(
+            board=self.board,
+            codec=codec.OPERATOR,
+            log=self.log,
+            on_weights=self.agent.weights_named,
+        )
+        targets = TargetReader(
+            fleet=self.fleet,
+            decode=decode_target,
+            clock=http_server.reactor,
+            log=self.log,
+        )
+        store = StoreClient(client=self.client, address=self.options.store)
+        for topic, reader in (
+            (names.OPERATOR_TOPIC, operator),
+            (names.TARGETS_TOPIC, targets),
+        ):
+            follower = RecordFollower(
+                topic=topic,
+                port=store,
+                reader=reader,
+                clock=http_server.reactor,
+                random=self.random,
+                wait_s=AGENT_STORE_WAIT_S,
+                age_clock=suspended_clock_s,
+            )
+            Deferred.fromCoroutine(follower.run())
+        Deferred.fromCoroutine(self.agent.run())
--- /dev/null
+++ b/sequoiawind/forward_readers.py
@@ -0,0 +1,190 @@
+"""What the processes believe by the store's records, and why they changed."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+import structlog
+from expression import Result
+
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.config_fold import Folded
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_state import ForwardState, ForwardTarget
+from sequoiawind.freshness import Freshness
+from sequoiawind.ports import Clock
+from sequoiawind.record_ports import KeyedRecord
+from sequoiawind.wire import WireError
+
+Logger = structlog.typing.FilteringBoundLogger
+
+
+@attrs.frozen(kw_only=True)
+class OperatorCodec:
+    """How the operator's records are decoded; given by the adapter."""
+
+    config_key: str
+    weights_prefix: str
+    config: Callable[[bytes], ForwardState]
+    # Returns something with the attributes `model` and `version`.
+    weights: Callable[[bytes], Any]
+
+
+@attrs.define(kw_only=True)
+class OperatorReader:
+    """Takes in configurations and the weights that operators name."""
+
+    board: Blackboard
+    codec: OperatorCodec
+    log: Logger
+    # None where no keys are checked.
+    freshness: Freshness | None = None
+    on_weights: Callable[[str, int], None] = attrs.field(
+        default=lambda model, version: None
+    )
+    on_config: Callable[[], None] = attrs.field(default=lambda: None)
+
+    def replaced(self, records: Sequence[KeyedRecord]) -> None:
+        """Take in the newest records."""
+        for record in records:
+            self.changed(record)
+
+    def changed(self, record: KeyedRecord) -> None:
+        """Take in a record; one that cannot be read changes nothing."""
+        if record.value is None:
+            return
+        try:
+            if record.key == self.codec.config_key:
+                self.take_config(self.codec.config(record.value))
+            elif record.key.startswith(self.codec.weights_prefix):
+                named = self.codec.weights(record.value)
+                self.take_weights(named.model, named.version)
+        except WireError as error:
+            self.log.warning(
+                "record not readable", key=record.key, error=str(error)
+            )
+
+    def take_config(self, state: ForwardState) -> None:
+        """Put a configuration in force if it is newer."""
+        if state.revision <= self.board.state.revision:
+            return
+        old = self.board.state.revision
+        self.board.put_config(
+            Folded(state=state, next_offset=state.revision + 1)
+        )
+        self.log.info(
+            "configuration in force",
+            revision=state.revision,
+            replaced=old,
+            routes=len(state.routes),
+            keys=len(state.accounts),
+        )
+        self.on_config()
+
+    def take_weights(self, model: str, version: int) -> None:
+        """Note newer weights."""
+        self.log.info("weights named", model=model, version=version)
+        self.on_weights(model, version)
+
+    def confirmed(self, asked_s: float) -> None:
+        """Note as of when the configuration is current."""
+        if self.freshness is not None:
+            self.freshness.confirmed(asked_s)
+
+    def store_lost(self, detail: str) -> None:
+        """Note that the store does not answer."""
+        age_s = self.freshness.age_s if self.freshness else -1.0
+        self.log.warning(
+            "store lost",
+            topic="operator",
+            detail=detail,
+            config_age_s=round(age_s, 3),
+        )
+
+    def store_back(self) -> None:
+        """Note that the store answers again."""
+        self.log.info("store regained", topic="operator")
+
+
+@attrs.define(kw_only=True)
+class TargetReader:
+    """Takes in the entries of the targets."""
+
+    fleet: Fleet
+    decode: Callable[[str, bytes], Result[ForwardTarget, str]]
+    clock: Clock
+    log: Logger
+    on_change: Callable[[], None] = attrs.field(default=lambda: None)
+    on_incarnation: Callable[[str], None] = attrs.field(
+        default=lambda name: None
+    )
+
+    def replaced(self, records: Sequence[KeyedRecord]) -> None:
+        """Take in all entries; those that they lack are gone."""
+        present = {record.key for record in records if record.value}
+        for record in records:
+            self.changed(record)
+        for name in list(self.fleet.views):
+            if name not in present:
+                self.gone(name)
+
+    def changed(self, record: KeyedRecord) -> None:
+        """Take in an entry; one that cannot be read names no target."""
+        if record.value is None:
+            self.gone(record.key)
+            return
+        decoded = self.decode(record.key, record.value)
+        if decoded.is_error():
+            self.log.warning(
+                "target entry not readable",
+                target=record.key,
+                error=decoded.error[:200],
+            )
+            self.gone(record.key)
+            return
+        self.take(decoded.ok)
+
+    def take(self, target: ForwardTarget) -> None:
+        """Take in a target."""
+        before = self.fleet.views.get(target.name)
+        was_draining = before is not None and before.target.is_draining
+        if self.fleet.put(target):
+            self.on_incarnation(target.name)
+        if before is None or was_draining != target.is_draining:
+            self.log.info(
+                "target entry",
+                target=target.name,
+                pool=target.pool,
+                address=target.address,
+                born_ms=target.born_ms,
+                draining=target.is_draining,
+            )
+        self.on_change()
+
+    def gone(self, name: str) -> None:
+        """Note that an entry is gone."""
+        if name not in self.fleet.views:
+            return
+        now_s = self.clock.seconds()
+        self.fleet.remove(name, now_s)
+        self.log.info(
+            "target entry gone",
+            target=name,
+            is_dropped=name not in self.fleet.views,
+            judged_in_s=round(max(0.0, self.fleet.judged_at_s - now_s), 3),
+        )
+        self.on_change()
+
+    def confirmed(self, asked_s: float) -> None:
+        """Judge the entries that are missing."""
+        self.fleet.judge(self.clock.seconds())
+
+    def store_lost(self, detail: str) -> None:
+        """Keep what is known while the store does not answer."""
+        self.fleet.store_lost()
+        self.log.warning("store lost", topic="targets", detail=detail)
+
+    def store_back(self) -> None:
+        """Judge missing entries a little later."""
+        self.fleet.store_back(self.clock.seconds())
+        self.log.info("store regained", topic="targets")
--- /dev/null
+++ b/sequoiawind/forward_router_program.py
@@ -0,0 +1,322 @@
+"""A forwarding router put together: decisions, transports, controllers."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import structlog
+from twisted.internet.defer import Deferred
+
+from sequoiawind import http_client, http_server, logs, metrics
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_readers import OperatorReader, TargetReader
+from sequoiawind.forward_state import ForwardState
+from sequoiawind.forwarder import Forwarder
+from sequoiawind.forwarding import Forwarding
+from sequoiawind.freshness import Freshness
+from sequoiawind.http1_client import Http1Client
+from sequoiawind.http1_server import (
+    CallerConnection,
+    CallerLimits,
+    CallerSite,
+    HttpRequest,
+)
+from sequoiawind.http_client import JsonClient
+from sequoiawind.metrics import ForwardMetrics
+from sequoiawind.options import Address, ForwardRouterSettings
+from sequoiawind.platform import callers, codec, names
+from sequoiawind.platform.engine import EngineClient
+from sequoiawind.platform.store import StoreClient
+from sequoiawind.platform.targets import decode_target
+from sequoiawind.record_follower import RecordFollower
+from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.status_watcher import STATUS_WAIT_S, StatusWatcher
+from sequoiawind.verdict import Failure, Reason
+
+Logger = structlog.typing.FilteringBoundLogger
+
+# Part of the revocation bound for which the store is asked to wait for a
+# change: two waits in a row must end well within the bound.
+CONFIG_WAIT_SHARE: Final = 0.22
+# The same of the bound on leaving targets.
+TARGETS_WAIT_SHARE: Final = 0.7
+# Time for an agent's answer beyond the time that it is asked to wait.
+STATUS_ANSWER_S: Final = 0.5
+# Connections that may wait to be accepted.
+BACKLOG: Final = http_server.LISTEN_BACKLOG
+# Time after SIGTERM in which callers may still begin new requests on their
+# connections; the balancer turns away within two of its questions.
+LEAVE_S: Final = 3.0
+
+
+@attrs.define(kw_only=True)
+class ForwardRouterProgram:
+    """All parts of one router."""
+
+    options: ForwardRouterSettings
+    log: Logger = attrs.field(init=False)
+    random: "random.Random" = attrs.field(factory=random.Random)
+    board: Blackboard = attrs.field(factory=Blackboard)
+    fleet: Fleet = attrs.field(factory=Fleet)
+    metrics: ForwardMetrics = attrs.field(factory=ForwardMetrics)
+    client: Http1Client = attrs.field(init=False)
+    freshness: Freshness = attrs.field(init=False)
+    forwarder: Forwarder = attrs.field(init=False)
+    watcher: StatusWatcher = attrs.field(init=False)
+    site: CallerSite = attrs.field(init=False)
+    # The listening ports; empty before `listen`.
+    ports: list[Any] = attrs.field(factory=list)
+    # Called once a request can be served; None afterwards.
+    on_prepared: Callable[[], None] | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Put the parts together."""
+        bounds = self.options.bounds
+        self.log = logs.get(self.options.node.name)
+        self.client = Http1Client(
+            reactor=http_server.reactor,
+            on_foreign=self.metrics.foreign_answers.inc,
+            on_connect=self.metrics.connects.inc,
+        )
+        self.freshness = Freshness(
+            revoke_s=bounds.revoke_ms / 1000,
+            in_force_s=bounds.in_force_ms / 1000,
+        )
+        self.forwarder = self.make_forwarder()
+        self.watcher = self.make_watcher()
+        self.site = CallerSite(
+            clock=http_server.reactor,
+            on_request=self.take_request,
+            limits=self.limits,
+            on_refusal=self.count_refusal,
+        )
+        self.metrics.watch(
+            age_s=lambda: self.freshness.age_s,
+            revision=lambda: self.board.state.revision,
+            open_requests=lambda: self.forwarder.open_requests,
+        )
+
+    def make_forwarder(self) -> Forwarder:
+        """Return the decisions about requests."""
+        bounds = self.options.bounds
+        return Forwarder(
+            board=self.board,
+            fleet=self.fleet,
+            planner=Planner(
+                board=self.board,
+                freshness=self.freshness,
+                random=self.random,
+            ),
+            port=EngineClient(client=self.client),
+            clock=http_server.reactor,
+            window=RepeatWindow(
+                ratio=bounds.repeat_ratio,
+                allowance=bounds.repeat_allowance,
+                window_s=bounds.repeat_window_s,
+            ),
+            random=self.random,
+            domain=self.options.node.failure_domain,
+            weights_s=bounds.weights_ms / 1000,
+            on_end=self.note_end,
+            on_retry=self.count_retry,
+            on_refusal=self.note_refusal,
+        )
+
+    def make_watcher(self) -> StatusWatcher:
+        """Return the controller that asks the agents."""
+        return StatusWatcher(
+            router=self.options.node.name,
+            fleet=self.fleet,
+            json=JsonClient(
+                client=http_client.make_client(),
+                timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
+            ),
+            clock=http_server.reactor,
+            random=self.random,
+            agent_port=self.options.node.agent_port,
+            log=self.log,
+            on_change=self.forwarder.serve_waiting,
+        )
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds on what callers may send."""
+        state = self.board.state
+        if isinstance(state, ForwardState):
+            return state.limits
+        return CallerLimits()
+
+    # Requests.
+
+    def take_request(
+        self, request: HttpRequest, connection: CallerConnection
+    ) -> None:
+        """Forward a caller's request."""
+        caller = callers.Caller(connection=connection)
+        decoded = callers.decode_request(request)
+        forwarding = self.forwarder.submit(decoded, caller)
+        if forwarding is not None and not forwarding.is_finished:
+            connection.on_gone = forwarding.caller_gone
+
+    def answer_ready(
+        self, request: HttpRequest, connection: CallerConnection
+    ) -> None:
+        """Tell the balancer whether new connections are welcome."""
+        is_asked = request.target == names.READY_TARGET
+        status = 200 if is_asked and self.is_ready else 503
+        connection.reply(status, [], b"")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a request can be served here."""
+        return self.board.phase.is_ready
+
+    def check_prepared(self) -> None:
+        """Become ready once there are a configuration and a target."""
+        has_config = isinstance(self.board.state, ForwardState)
+        if has_config and self.fleet.views and self.on_prepared is not None:
+            self.on_prepared()
+            self.on_prepared = None
+            self.log.info("ready", revision=self.board.state.revision)
+
+    # Ports and controllers.
+
+    def listen(self) -> None:
+        """Open the ports for callers, the balancer and metrics."""
+        entry, node = self.options.entry, self.options.node
+        ready = CallerSite(
+            clock=http_server.reactor,
+            on_request=self.answer_ready,
+            limits=self.limits,
+            on_refusal=self.count_refusal,
+        )
+        for address, site in ((entry.callers, self.site), (entry.ready, ready)):
+            self.ports.append(
+                http_server.reactor.listenTCP(
+                    address.port, site, BACKLOG, address.host
+                )
+            )
+        http_server.listen(
+            metrics.app(self.metrics.registry),
+            Address(host=node.ip, port=node.metrics_port),
+        )
+        self.log.info("listening", port=entry.callers.port)
+
+    def start(self, on_prepared: Callable[[], None]) -> None:
+        """Start the controllers.
+
+        Args:
+          on_prepared: Called once a request can be served.
+        """
+        self.on_prepared = on_prepared
+        bounds = self.options.bounds
+        operator = OperatorReader(
+            board=self.board,
+            codec=codec.OPERATOR,
+            log=self.log,
+            freshness=self.freshness,
+            on_weights=self.forwarder.weights_named,
+            on_config=self.check_prepared,
+        )
+        targets = TargetReader(
+            fleet=self.fleet,
+            decode=decode_target,
+            clock=http_server.reactor,
+            log=self.log,
+            on_change=self.targets_changed,
+            on_incarnation=self.forwarder.incarnation_began,
+        )
+        store = StoreClient(client=self.client, address=self.options.store)
+        config_wait_s = CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000
+        targets_wait_s = TARGETS_WAIT_SHARE * bounds.drain_ms / 1000
+        for topic, reader, wait_s in (
+            (names.OPERATOR_TOPIC, operator, config_wait_s),
+            (names.TARGETS_TOPIC, targets, targets_wait_s),
+        ):
+            follower = RecordFollower(
+                topic=topic,
+                port=store,
+                reader=reader,
+                clock=http_server.reactor,
+                random=self.random,
+                wait_s=wait_s,
+                age_clock=self.freshness.now,
+            )
+            Deferred.fromCoroutine(follower.run())
+
+    def targets_changed(self) -> None:
+        """Follow the agents of new targets, and serve who waits."""
+        self.check_prepared()
+        self.watcher.follow()
+        self.forwarder.serve_waiting()
+
+    # Leaving.
+
+    def leave(self) -> None:
+        """Close callers' connections after their answers."""
+        self.site.is_closing = True
+
+    def drain(self) -> None:
+        """Accept no more connections and close the idle ones."""
+        for port in self.ports:
+            port.stopListening()
+        self.site.close_idle()
+
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        return self.forwarder.open_requests == 0 and all(
+            connection.is_idle for connection in self.site.connections
+        )
+
+    # Accounts.
+
+    def count_retry(self, reason: Reason) -> None:
+        """Count a retry by its reason."""
+        self.metrics.retries.labels(reason.value).inc()
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a refusal by its reason."""
+        self.metrics.refusals.labels(reason.value).inc()
+
+    def note_refusal(self, request: ForwardRequest, failure: Failure) -> None:
+        """Count and log a request refused before it had a plan."""
+        self.count_refusal(failure.reason)
+        self.log.info(
+            "request refused",
+            request_id=request.request_id,
+            host=request.host,
+            path=request.path[:80],
+            reason=failure.reason.value,
+            revision=self.board.state.revision,
+            config_age_s=round(min(self.freshness.age_s, 1e6), 3),
+        )
+
+    def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
+        """Count and log the end of a request."""
+        note, plan = forwarding.note, forwarding.plan
+        self.metrics.requests.labels(note.kind, note.verdict).inc()
+        if failure is not None:
+            self.count_refusal(failure.reason)
+        if note.first_chunk_s >= 0.0:
+            waited_s = note.first_chunk_s - note.began_s
+            self.metrics.first_chunk.labels(note.kind).observe(waited_s)
+        self.log.info(
+            "request",
+            request_id=note.request_id,
+            route=note.route,
+            account=note.account,
+            pool=plan.pool.name,
+            revision=plan.revision,
+            config_age_s=round(min(self.freshness.age_s, 1e6), 3),
+            targets=note.path,
+            verdict=note.verdict,
+            reason=note.reason,
+            detail=failure.detail if failure else "",
+            first_s=round(note.first_chunk_s - note.began_s, 4)
+            if note.first_chunk_s >= 0.0
+            else -1.0,
+            seconds=round(note.ended_s - note.began_s, 4),
+            time_s=round(plan.ends_s - note.began_s, 3),
+        )
--- /dev/null
+++ b/sequoiawind/forward_state.py
@@ -0,0 +1,127 @@
+"""Configuration of requests that are forwarded unchanged to their targets.
+
+Extends the entries of ``state`` by what an operator's own configuration file
+says beyond the product's commands.
+"""
+
+from collections.abc import Mapping
+from functools import cached_property
+
+import attrs
+
+from sequoiawind.http1_server import CallerLimits
+from sequoiawind.state import Account, Kind, Pool, Route, State, Target
+
+
+@attrs.frozen(kw_only=True)
+class ForwardAccount(Account):
+    """A client account under one of its keys."""
+
+    # Shares no cached prompt with other accounts.
+    is_isolated: bool = False
+    # 0 is the most urgent; None leaves it to the route.
+    priority: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class ForwardKind(Kind):
+    """How the requests of one route may be repeated and timed."""
+
+    # The answer is a stream of events.
+    is_stream: bool = False
+    # A broken stream may go on at another target.
+    is_resumable: bool = False
+    # Targets to which one request may be sent.
+    max_targets: int = 1
+    # Time after which the caller gets a final answer, in seconds.
+    timeout_s: float = 60.0
+    # Time within which an answer is of full use to the caller, in seconds.
+    aim_s: float = 1.0
+    # Longest pause between two events of a stream, in seconds; 0 if unset.
+    pause_s: float = 0.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        return self.repeat == "idempotent" or self.is_resumable
+
+
+@attrs.frozen(kw_only=True)
+class PoolShare:
+    """A pool's part of a route's requests."""
+
+    pool: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class ForwardRoute(Route):
+    """Sends requests of a host and path to one or several pools."""
+
+    host: str = ""
+    shares: tuple[PoolShare, ...] = ()
+    # Needs no key.
+    is_public: bool = False
+
+    def covers(self, path: str) -> bool:
+        """Whether a path belongs to this route."""
+        return path.startswith(self.path)
+
+
+@attrs.frozen(kw_only=True)
+class ForwardPool(Pool):
+    """Targets that serve the same requests."""
+
+    # Connections that one target accepts from all callers together.
+    max_connections: int = 0
+    # Models whose weights the targets hold; empty for plain services.
+    models: tuple[str, ...] = ()
+    # Prompt tokens that one target can keep in memory.
+    memory_tokens: int = 0
+    # Address of the pool's store of kept prompts; empty for pools of targets.
+    keeper: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class ForwardTarget(Target):
+    """One incarnation of a target, as it registered itself."""
+
+    # Where it serves, as host:port.
+    address: str = ""
+    # Start of this incarnation, in milliseconds since the epoch.
+    born_ms: int = 0
+    is_draining: bool = False
+    # Requests that it works on at once.
+    slots: int = 1
+    # Weights version by model.
+    versions: Mapping[str, int] = attrs.field(factory=dict)
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """What distinguishes this start of the target from any other."""
+        return (self.name, self.born_ms)
+
+
+@attrs.frozen(kw_only=True)
+class ForwardState(State):
+    """The configuration as of one version of the operator's file."""
+
+    limits: CallerLimits = attrs.field(factory=CallerLimits)
+
+    @cached_property
+    def routes_by_host(self) -> dict[str, list[ForwardRoute]]:
+        """Routes by host, those with the longest path first."""
+        by_host: dict[str, list[ForwardRoute]] = {}
+        for route in self.routes.values():
+            if isinstance(route, ForwardRoute):
+                by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.path))
+        return by_host
+
+    def match(self, host: str, path: str) -> ForwardRoute | None:
+        """Return the route of a request; None if there is none."""
+        for route in self.routes_by_host.get(host, ()):
+            if route.covers(path):
+                return route
+        return None
--- /dev/null
+++ b/sequoiawind/forwarder.py
@@ -0,0 +1,226 @@
+"""Forwarding of all requests of one router.
+
+Holds what the requests share: the fleet, the repeats, what targets have
+cached, which weights are newest, and the requests that wait for a target.
+"""
+
+import random
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import attrs
+import structlog
+
+from sequoiawind.blackboard import Blackboard, RequestNote
+from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_ports import ForwardCaller, ForwardPort
+from sequoiawind.forwarding import Forwarding
+from sequoiawind.ports import Clock, Timer
+from sequoiawind.prompt_cache import HeldParts
+from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.target_choice import Chosen, PromptChooser, choose_call
+from sequoiawind.verdict import Failure, Reason, Verdict
+
+Logger = structlog.typing.FilteringBoundLogger
+
+# How often waiting requests look for a target unless something changes.
+WAITING_TICK_S: Final = 0.05
+# Part of the time allowed for new weights after which a request may no longer
+# begin on older ones; the rest is for its way to the target.
+OLD_WEIGHTS_SHARE: Final = 0.7
+# Memory assumed for a target whose pool does not state it, in tokens.
+DEFAULT_MEMORY_TOKENS: Final = 50_000
+
+
+@attrs.define(kw_only=True)
+class NewestWeights:
+    """The newest weights version of a model, and since when it is known."""
+
+    version: int
+    known_since_s: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class Forwarder:
+    """Decides about forwarded requests."""
+
+    board: Blackboard
+    fleet: Fleet
+    planner: Planner
+    port: ForwardPort
+    clock: Clock
+    window: RepeatWindow
+    random: random.Random
+    # This router's failure domain.
+    domain: str
+    # Time within which all targets must have newer weights, in seconds.
+    weights_s: float
+    held: dict[str, HeldParts] = attrs.field(factory=dict)
+    newest: dict[str, NewestWeights] = attrs.field(factory=dict)
+    waiting: list[Forwarding] = attrs.field(factory=list)
+    ticking: Timer | None = None
+    open_requests: int = 0
+    on_end: Callable[[Forwarding, Failure | None], None] = attrs.field(
+        default=lambda forwarding, failure: None
+    )
+    on_retry: Callable[[Reason], None] = attrs.field(
+        default=lambda reason: None
+    )
+    on_refusal: Callable[[ForwardRequest, Failure], None] = attrs.field(
+        default=lambda request, failure: None
+    )
+
+    def submit(
+        self, request: ForwardRequest, caller: ForwardCaller
+    ) -> Forwarding | None:
+        """Start a request; None if it was refused at once."""
+        planned = self.planner.plan(request)
+        if planned.is_error():
+            self.on_refusal(request, planned.error)
+            caller.refuse(planned.error)
+            return None
+        plan = planned.ok
+        forwarding = Forwarding(
+            forwarder=self,
+            plan=plan,
+            caller=caller,
+            note=RequestNote(
+                request_id=request.request_id,
+                account=plan.account.name,
+                route=plan.route.name,
+                kind=plan.kind.repeat,
+                began_s=request.arrived_s,
+            ),
+        )
+        self.open_requests += 1
+        self.board.note_request(forwarding.note)
+        forwarding.start()
+        return forwarding
+
+    # Placement.
+
+    def choose(self, forwarding: Forwarding) -> Chosen | None:
+        """Return a target for a request; None if none takes it now."""
+        plan = forwarding.plan
+        now_s = self.clock.seconds()
+        ready = [
+            view
+            for view in self.fleet.ready(plan.pool.name, now_s)
+            if view.target.name not in forwarding.sent_to
+        ]
+        prompt = plan.request.prompt
+        if prompt is None or not plan.pool.models:
+            return choose_call(ready, self.fleet.members, self.domain)
+        chooser = PromptChooser(
+            held=self.held,
+            pool=self.fleet.usable(plan.pool.name, now_s),
+            now_s=now_s,
+        )
+        return chooser.choose(
+            ready,
+            prompt,
+            plan.account.name,
+            plan.account.is_isolated,
+            self.oldest_version(prompt.model, now_s),
+        )
+
+    def oldest_version(self, model: str, now_s: float) -> int:
+        """Return the weights version on which a request may still begin."""
+        newest = self.newest.get(model)
+        if newest is None:
+            return 0
+        is_due = (
+            now_s - newest.known_since_s > self.weights_s * OLD_WEIGHTS_SHARE
+        )
+        return newest.version if is_due else 0
+
+    def weights_named(self, model: str, version: int) -> None:
+        """Note that an operator has named newer weights."""
+        known = self.newest.get(model)
+        if known is None or version > known.version:
+            self.newest[model] = NewestWeights(
+                version=version, known_since_s=self.clock.seconds()
+            )
+
+    def sent(self, forwarding: Forwarding, chosen: Chosen) -> None:
+        """Note what a target reads with a request."""
+        prompt = forwarding.plan.request.prompt
+        if prompt is None or chosen.version is None:
+            return
+        name = chosen.view.target.name
+        held = self.held.get(name)
+        if held is None:
+            memory = forwarding.plan.pool.memory_tokens
+            held = HeldParts(capacity_tokens=memory or DEFAULT_MEMORY_TOKENS)
+            self.held[name] = held
+        held.sent(chosen.salt, prompt.parts)
+        forwarding.note.prompt_tokens = prompt.tokens
+        forwarding.note.cached_tokens = prompt.tokens - chosen.missing_tokens
+
+    def has_targets(self, pool: str) -> bool:
+        """Whether a pool has a target that may become ready soon."""
+        return bool(self.fleet.usable(pool, self.clock.seconds()))
+
+    def incarnation_began(self, name: str) -> None:
+        """Forget what an earlier start of a target held."""
+        self.held.pop(name, None)
+
+    # Outcomes.
+
+    def outcome(self, name: str, is_fault: bool) -> None:
+        """Count a complete answer of a target."""
+        if is_fault:
+            self.fleet.members.of(name).note_outcome(True)
+        else:
+            self.fleet.members.succeeded(name)
+
+    def versions_seen(
+        self, view: TargetView, versions: Mapping[str, int]
+    ) -> None:
+        """Note the weights that an answer names."""
+        for model, version in versions.items():
+            seen = view.seen_versions.get(model, 0)
+            view.seen_versions[model] = max(seen, version)
+
+    def attempt_failed(self, view: TargetView, failure: Failure) -> None:
+        """Note what a failed attempt says about its target."""
+        now_s = self.clock.seconds()
+        name = view.target.name
+        if failure.verdict is Verdict.NOT_RUN and (
+            failure.reason is not Reason.CONNECT_FAILED
+        ):
+            self.fleet.shed(name, now_s)
+            return
+        is_certain = failure.reason is Reason.CONNECT_FAILED
+        self.fleet.failed(name, now_s, is_certain)
+
+    # Waiting.
+
+    def wait(self, forwarding: Forwarding) -> None:
+        """Let a request wait for a target."""
+        self.waiting.append(forwarding)
+        if self.ticking is None or not self.ticking.active():
+            self.ticking = self.clock.callLater(
+                WAITING_TICK_S, self.serve_waiting
+            )
+
+    def serve_waiting(self) -> None:
+        """Let waiting requests look again, the most urgent ones first."""
+        waiting, self.waiting = self.waiting, []
+        waiting.sort(key=lambda item: (item.plan.priority, item.plan.ends_s))
+        for forwarding in waiting:
+            forwarding.next_target()
+
+    def finished(self, forwarding: Forwarding, failure: Failure | None) -> None:
+        """Account for the end of a request."""
+        self.open_requests -= 1
+        note = forwarding.note
+        note.ended_s = self.clock.seconds()
+        note.state = "ended"
+        if failure is None:
+            note.verdict = Verdict.DONE.value
+        else:
+            note.verdict = failure.verdict.value
+            note.reason = failure.reason.value
+        self.on_end(forwarding, failure)
--- /dev/null
+++ b/sequoiawind/http1_server.py
@@ -0,0 +1,348 @@
+"""HTTP/1.1 towards callers whose requests are forwarded unchanged.
+
+`klein` hands over a request only as a resource of its own site, with its
+headers rewritten and its answer's framing chosen; forwarding needs the head as
+it came and control over when an answer counts as complete.  So `h11` parses
+and frames here, over Twisted's transports.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import h11
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+
+from sequoiawind import defaults, sockets
+from sequoiawind.ports import Clock, Timer
+from sequoiawind.verdict import HTTP_STATUS, Reason
+
+Headers = list[tuple[bytes, bytes]]
+
+# Bytes that a caller may send ahead of its answer before reading stops.
+MAX_AHEAD_BYTES: Final = 65_536
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """Bounds on what a caller may send."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = defaults.MAX_BODY_BYTES
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = defaults.IDLE_TIMEOUT_S
+
+
+@attrs.frozen(kw_only=True)
+class HttpRequest:
+    """A whole request as it came."""
+
+    method: bytes
+    # Path and query, undecoded.
+    target: bytes
+    # Names in lower case.
+    headers: Headers
+    body: bytes
+    # When its first byte arrived, in seconds of the clock.
+    arrived_s: float
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header's first value; empty if there is none."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return b""
+
+
+class CallerConnection(Protocol):
+    """One caller's connection: a request at a time, and its answer."""
+
+    transport: Any
+
+    def __init__(self, site: "CallerSite") -> None:
+        """Prepare to parse."""
+        self.site = site
+        self.http = self.new_parser()
+        self.head: h11.Request | None = None
+        self.body = bytearray()
+        # When the request being read began; None between requests.
+        self.arrived_s: float | None = None
+        self.timer: Timer | None = None
+        # Whether a request has been handed over and its answer is not done.
+        self.is_answering = False
+        self.has_head = False
+        self.is_lost = False
+        # Called once if the caller goes before its answer is done.
+        self.on_gone: Callable[[], None] | None = None
+
+    def new_parser(self) -> h11.Connection:
+        """Return a parser with the limits in force."""
+        limits = self.site.limits()
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Begin to wait for a request."""
+        sockets.configure(self.transport)
+        self.site.connections.add(self)
+        self.wait_idle()
+
+    def connectionLost(  # noqa: N802
+        self, reason: TwistedFailure = connectionDone
+    ) -> None:
+        """Tell whoever works on the request that the caller has gone."""
+        self.is_lost = True
+        self.stop_timer()
+        self.site.connections.discard(self)
+        gone, self.on_gone = self.on_gone, None
+        if self.is_answering:
+            self.is_answering = False
+            if gone is not None:
+                gone()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes from the caller."""
+        if self.http.their_state is h11.ERROR:
+            return
+        if self.head is None and not self.is_answering:
+            self.begin_head()
+        self.http.receive_data(data)
+        self.parse()
+        if self.is_answering and len(self.http.trailing_data[0]) > (
+            MAX_AHEAD_BYTES
+        ):
+            self.transport.pauseProducing()
+
+    def parse(self) -> None:
+        """Take what the parser has; refuse what is no request."""
+        try:
+            self.read_events()
+        except h11.RemoteProtocolError as error:
+            self.refuse_malformed(error.error_status_hint)
+
+    def parse_ahead(self) -> None:
+        """Take a request that the caller sent ahead."""
+        if not self.is_lost and not self.is_answering:
+            self.begin_head()
+            self.parse()
+
+    def begin_head(self) -> None:
+        """Note that a request begins."""
+        if self.arrived_s is not None:
+            return
+        self.arrived_s = self.site.clock.seconds()
+        self.watch(self.site.limits().header_timeout_s, self.head_timed_out)
+
+    def read_events(self) -> None:
+        """Take what the parser has."""
+        while not self.is_answering and not self.is_lost:
+            event = self.http.next_event()
+            if isinstance(event, h11.Request):
+                self.take_head(event)
+            elif isinstance(event, h11.Data):
+                self.take_body(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.hand_over()
+            else:
+                return
+
+    def take_head(self, head: h11.Request) -> None:
+        """Take a request's head.
+
+        Raises:
+          h11.RemoteProtocolError: The head states its length in two ways.
+        """
+        names = [name for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise h11.RemoteProtocolError(
+                "both Transfer-Encoding and Content-Length", 400
+            )
+        self.head = head
+        self.watch(defaults.BODY_TIMEOUT_S, self.body_timed_out)
+        if self.http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.write(self.http.send(go_on))
+
+    def take_body(self, data: bytes) -> None:
+        """Take a part of a body, within the limit."""
+        self.body += data
+        if len(self.body) > self.site.limits().body_bytes:
+            self.refuse(Reason.BODY_TOO_LARGE)
+
+    def hand_over(self) -> None:
+        """Give a whole request to the site's handler."""
+        self.stop_timer()
+        head = self.head
+        if head is None or self.arrived_s is None:
+            return
+        request = HttpRequest(
+            method=head.method,
+            target=head.target,
+            headers=list(head.headers),
+            body=bytes(self.body),
+            arrived_s=self.arrived_s,
+        )
+        self.head = None
+        self.body = bytearray()
+        self.arrived_s = None
+        self.is_answering = True
+        self.has_head = False
+        self.site.on_request(request, self)
+
+    # The answer.
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the answer's head.
+
+        An answer without a Content-Length goes out in chunks, so that one
+        that is broken off does not look complete.
+        """
+        if self.is_lost:
+            return
+        self.has_head = True
+        out = list(headers)
+        if self.site.is_closing:
+            out.append((b"connection", b"close"))
+        response = h11.Response(status_code=status, headers=out)
+        self.write(self.http.send(response))
+
+    def send_data(self, data: bytes) -> None:
+        """Send a part of the answer's body."""
+        if not self.is_lost and data:
+            self.write(self.http.send(h11.Data(data=data)))
+
+    def send_end(self) -> None:
+        """End the answer, and go on to the next request."""
+        if self.is_lost:
+            return
+        self.write(self.http.send(h11.EndOfMessage()))
+        self.is_answering = False
+        self.on_gone = None
+        if self.site.is_closing or self.http.our_state is not h11.DONE:
+            self.transport.loseConnection()
+            return
+        self.next_request()
+
+    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", b"%d" % len(body))
+        self.send_head(status, [*headers, length])
+        self.send_data(body)
+        self.send_end()
+
+    def break_off(self) -> None:
+        """End the answer before it is complete, for the caller to see."""
+        self.is_answering = False
+        self.on_gone = None
+        if not self.is_lost:
+            self.transport.loseConnection()
+
+    def next_request(self) -> None:
+        """Parse what the caller has sent ahead, or wait."""
+        ahead, _ = self.http.trailing_data
+        try:
+            self.http.start_next_cycle()
+        except h11.LocalProtocolError:
+            self.transport.loseConnection()
+            return
+        self.transport.resumeProducing()
+        self.wait_idle()
+        if ahead:
+            self.site.clock.callLater(0, self.parse_ahead)
+
+    # Limits.
+
+    def wait_idle(self) -> None:
+        """Close the connection if no request comes for long."""
+        self.watch(self.site.limits().idle_timeout_s, self.close)
+
+    def watch(self, delay_s: float, act: Callable[[], None]) -> None:
+        """Set the connection's only timer."""
+        self.stop_timer()
+        self.timer = self.site.clock.callLater(delay_s, act)
+
+    def stop_timer(self) -> None:
+        """Stop the connection's timer."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+    def head_timed_out(self) -> None:
+        """Refuse a head that took too long."""
+        self.refuse(Reason.BODY_TIMEOUT)
+
+    def body_timed_out(self) -> None:
+        """Refuse a body that took too long."""
+        self.refuse(Reason.BODY_TIMEOUT)
+
+    def refuse(self, reason: Reason) -> None:
+        """Answer a request that was not read to its end, and close."""
+        self.site.on_refusal(reason)
+        self.refuse_status(HTTP_STATUS[reason])
+
+    def refuse_malformed(self, status: int) -> None:
+        """Answer bytes that are no request, and close."""
+        self.site.on_refusal(Reason.BAD_REQUEST)
+        self.refuse_status(status)
+
+    def refuse_status(self, status: int) -> None:
+        """Answer with a status alone, and close."""
+        self.stop_timer()
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response = h11.Response(
+                status_code=status,
+                headers=[(b"content-length", b"0"), (b"connection", b"close")],
+            )
+            self.write(self.http.send(response))
+            self.write(self.http.send(h11.EndOfMessage()))
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection once all is written."""
+        self.is_lost = True
+        self.transport.loseConnection()
+
+    def write(self, data: bytes | None) -> None:
+        """Write bytes to the caller."""
+        if data:
+            self.transport.write(data)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return not self.is_answering and self.arrived_s is None
+
+
+class CallerSite(Factory):
+    """Accepts callers and hands their requests to one handler."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        on_request: Callable[[HttpRequest, CallerConnection], None],
+        limits: Callable[[], CallerLimits],
+        on_refusal: Callable[[Reason], None],
+    ) -> None:
+        """Note whom to hand requests to."""
+        self.clock = clock
+        self.on_request = on_request
+        self.limits = limits
+        self.on_refusal = on_refusal
+        self.connections: set[CallerConnection] = set()
+        # Whether connections close after their answers.
+        self.is_closing = False
+
+    def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
--- a/sequoiawind/members.py
+++ b/sequoiawind/members.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -45,6 +45,13 @@
     load_time_s: float = -1.0
     # Attempts of this process under way at the target.
     open_attempts: int = 0
+    # Share of the recent attempts that failed, as a moving average.
+    failure_share: float = 0.0
+
+    def note_outcome(self, is_failure: bool) -> None:
+        """Count an attempt into the moving average."""
+        step = float(is_failure) - self.failure_share
+        self.failure_share += step * defaults.FAILURE_SHARE_WEIGHT
 
 
 @attrs.define(kw_only=True)
@@ -69,6 +76,7 @@
     def succeeded(self, target: str) -> None:
         """Note that a target served a request."""
         health = self.of(target)
+        health.note_outcome(False)
         health.failures = 0
         health.ejections = 0
         health.ejected_until_s = 0.0
@@ -80,6 +88,7 @@
         first request let through serves as the probe.
         """
         health = self.of(target)
+        health.note_outcome(True)
         health.failures += 1
         if health.failures < defaults.EJECT_AFTER_FAILURES:
             return
@@ -129,7 +138,7 @@
         return staying
 
     def without_ejected(
-        self, targets: list[Target], now_s: float
+        self, targets: Sequence[Target], now_s: float
     ) -> list[Target]:
         """Leave out ejected targets, up to a set share of the pool."""
         allowed = int(len(targets) * defaults.MAX_EJECTED_SHARE)
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -1,7 +1,11 @@
 """The daemons' metrics, for Prometheus."""
 
+from collections.abc import Callable
+
 import attrs
+import klein
 from prometheus_client import (
+    CONTENT_TYPE_LATEST,
     CollectorRegistry,
     Counter,
     Gauge,
@@ -9,6 +13,7 @@
     ProcessCollector,
     generate_latest,
 )
+from twisted.web import server
 
 from sequoiawind.verdict import Reason
 
@@ -146,6 +151,127 @@
         )
 
 
+@attrs.define(kw_only=True)
+class ForwardMetrics:
+    """Metrics of a router that forwards requests."""
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    requests: Counter = attrs.field(init=False)
+    refusals: Counter = attrs.field(init=False)
+    retries: Counter = attrs.field(init=False)
+    first_chunk: Histogram = attrs.field(init=False)
+    foreign_answers: Counter = attrs.field(init=False)
+    connects: Counter = attrs.field(init=False)
+    config_age: Gauge = attrs.field(init=False)
+    revision: Gauge = attrs.field(init=False)
+    open_requests: Gauge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the metrics, with every reason's counter at zero."""
+        registry = self.registry
+        ProcessCollector(registry=registry)
+        self.requests = Counter(
+            "sequoiawind_requests",
+            "Requests ended, by repeat rule and verdict.",
+            ["kind", "verdict"],
+            registry=registry,
+        )
+        self.refusals = reason_counter(
+            "sequoiawind_refusals",
+            "Requests ended without an answer, by reason.",
+            registry,
+        )
+        self.retries = reason_counter(
+            "sequoiawind_retries",
+            "Attempts that followed a failed one, by its reason.",
+            registry,
+        )
+        self.first_chunk = Histogram(
+            "sequoiawind_first_chunk_seconds",
+            "Time from a request's arrival to the beginning of its answer.",
+            ["kind"],
+            buckets=FIRST_CHUNK_BUCKETS_S,
+            registry=registry,
+        )
+        self.foreign_answers = Counter(
+            "sequoiawind_foreign_answers",
+            "Answers of targets that belonged to another request.",
+            registry=registry,
+        )
+        self.connects = Counter(
+            "sequoiawind_connects",
+            "Connections opened to targets and the store.",
+            registry=registry,
+        )
+        self.config_age = Gauge(
+            "sequoiawind_config_age_seconds",
+            "Greatest possible age of the configuration.",
+            registry=registry,
+        )
+        self.revision = Gauge(
+            "sequoiawind_config_revision",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+        self.open_requests = Gauge(
+            "sequoiawind_open_requests",
+            "Requests under way.",
+            registry=registry,
+        )
+
+    def watch(
+        self,
+        *,
+        age_s: Callable[[], float],
+        revision: Callable[[], float],
+        open_requests: Callable[[], float],
+    ) -> None:
+        """Read the gauges when they are asked for."""
+        self.config_age.set_function(age_s)
+        self.revision.set_function(revision)
+        self.open_requests.set_function(open_requests)
+
+
+@attrs.define(kw_only=True)
+class ForwardAgentMetrics:
+    """Metrics of an agent beside a forwarded target."""
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    orders: Counter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the metrics."""
+        ProcessCollector(registry=self.registry)
+        self.orders = Counter(
+            "sequoiawind_weight_orders",
+            "Orders to load weights, by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+
+
+def reason_counter(
+    name: str, text: str, registry: CollectorRegistry
+) -> Counter:
+    """Return a counter by reason, each reason at zero."""
+    counter = Counter(name, text, ["reason"], registry=registry)
+    for reason in Reason:
+        counter.labels(reason.value)
+    return counter
+
+
+def app(registry: CollectorRegistry) -> klein.Klein:
+    """Return the interface that serves metrics."""
+    made = klein.Klein()
+
+    @made.route("/metrics", methods=["GET"])
+    def metrics(request: server.Request) -> bytes:
+        request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
+        return render(registry)
+
+    return made
+
+
 def render(registry: CollectorRegistry) -> bytes:
     """Return all metrics in Prometheus' text format."""
     return generate_latest(registry)
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -83,6 +83,69 @@
     checks_fencing: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class BoundsOptions:
+    """What the platform holds the system to."""
+
+    # Time after which a key that was taken away must not work.
+    revoke_ms: float = 5_000.0
+    # Time within which a configuration must be in force.
+    in_force_ms: float = 2_000.0
+    # Time within which a leaving target must get no new work.
+    drain_ms: float = 2_000.0
+    # Time between SIGTERM and SIGKILL.
+    grace_s: float = 8.0
+    # Time within which all targets must have newly named weights.
+    weights_ms: float = 8_000.0
+    # Repeats allowed for each request, and besides, in a window.
+    repeat_ratio: float = 0.2
+    repeat_allowance: float = 20.0
+    repeat_window_s: float = 10.0
+
+
+@attrs.frozen(kw_only=True)
+class NodeOptions:
+    """One process on its VM."""
+
+    name: str
+    ip: str
+    failure_domain: str = ""
+    # Port on which agents answer routers, the same on all VMs.
+    agent_port: int = 7340
+    metrics_port: int = 9464
+
+
+@attrs.frozen(kw_only=True)
+class EntryOptions:
+    """Where a router serves callers, and tells whether it is ready."""
+
+    callers: Address
+    ready: Address
+
+
+@attrs.frozen(kw_only=True)
+class ForwardRouterSettings:
+    """The settings file of `sequoiawind-forward-router`."""
+
+    node: NodeOptions
+    store: Address
+    entry: EntryOptions
+    bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
+    logs: LogsOptions = attrs.field(factory=LogsOptions)
+
+
+@attrs.frozen(kw_only=True)
+class ForwardAgentSettings:
+    """The settings file of `sequoiawind-forward-agent`."""
+
+    node: NodeOptions
+    store: Address
+    # Address of the target beside which the agent runs.
+    target: Address
+    bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
+    logs: LogsOptions = attrs.field(factory=LogsOptions)
+
+
 @attrs.frozen(kw_only=True)
 class RouterSettings:
     """The settings file of `sequoiawind-router`."""
--- /dev/null
+++ b/sequoiawind/platform/callers.py
@@ -0,0 +1,113 @@
+"""Callers' requests and the answers to them, on the wire."""
+
+from typing import Final
+
+import attrs
+
+from sequoiawind.forward_plan import ForwardRequest
+from sequoiawind.forwarding import passed_headers
+from sequoiawind.http1_server import CallerConnection, Headers, HttpRequest
+from sequoiawind.platform import names
+from sequoiawind.prompt_cache import Prompt, PromptPart
+from sequoiawind.verdict import Failure, Verdict, forwarded_status
+
+DROPPED: Final = names.HOP_BY_HOP | names.OWN_HEADERS
+
+
+def decode_request(request: HttpRequest) -> ForwardRequest:
+    """Return a request in the product's terms."""
+    path = request.target.split(b"?", 1)[0].decode("latin-1")
+    host = request.header(b"host").decode("latin-1").lower()
+    return ForwardRequest(
+        request_id=request.header(names.ATTEMPT_ID).decode("latin-1"),
+        host=host.partition(":")[0],
+        path=path,
+        method=request.method,
+        target=request.target,
+        headers=passed_headers(request.headers, DROPPED),
+        body=request.body,
+        key=key(request.header(names.AUTHORIZATION)),
+        arrived_s=request.arrived_s,
+        deadline_s=milliseconds(request.header(names.DEADLINE_MS)),
+        prompt=decode_prompt(request),
+    )
+
+
+def key(authorization: bytes) -> str:
+    """Return the key in an Authorization header; empty if there is none."""
+    scheme, _, value = authorization.partition(b" ")
+    if scheme.lower() != names.KEY_SCHEME:
+        return ""
+    return value.strip().decode("latin-1")
+
+
+def milliseconds(value: bytes) -> float | None:
+    """Return a header of milliseconds in seconds; None if it has none."""
+    text = value.strip()
+    return int(text) / 1000 if text.isdigit() else None
+
+
+def decode_prompt(request: HttpRequest) -> Prompt | None:
+    """Return what a request says of its prompt; None if it has none."""
+    model = request.header(names.MODEL)
+    if not model:
+        return None
+    counts = request.header(names.TOKEN_COUNT).split(b",")
+    tokens, made = (number(item) for item in (*counts, b"", b"")[:2])
+    return Prompt(
+        model=model.decode("latin-1"),
+        tokens=tokens,
+        max_tokens=made,
+        parts=decode_parts(request.header(names.PROMPT_PREFIX)),
+    )
+
+
+def decode_parts(value: bytes) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt, in its order."""
+    parts = []
+    for item in value.decode("latin-1").split(","):
+        name, _, tokens = item.strip().partition(":")
+        if name and tokens.isdigit():
+            parts.append(PromptPart(id=name, tokens=int(tokens)))
+    return tuple(parts)
+
+
+def number(value: bytes) -> int:
+    """Return a whole number; 0 if it is none."""
+    text = value.strip()
+    return int(text) if text.isdigit() else 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Caller:
+    """A caller's connection; implements `forward_ports.ForwardCaller`."""
+
+    connection: CallerConnection
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send an answer's head."""
+        self.connection.send_head(status, headers)
+
+    def send_data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self.connection.send_data(data)
+
+    def send_end(self) -> None:
+        """End the answer."""
+        self.connection.send_end()
+
+    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        self.connection.reply(status, headers, body)
+
+    def break_off(self) -> None:
+        """End an answer so that it does not look complete."""
+        self.connection.break_off()
+
+    def refuse(self, failure: Failure) -> None:
+        """Send the status of a failure, and when to come back."""
+        headers: Headers = []
+        if failure.verdict is Verdict.NOT_RUN and failure.retry_after_s:
+            text = f"{failure.retry_after_s:.3f}".encode()
+            headers.append((names.RETRY_AFTER, text))
+        self.connection.reply(forwarded_status(failure), headers, b"")
--- /dev/null
+++ b/sequoiawind/platform/configuration.py
@@ -0,0 +1,205 @@
+"""The operator's records, decoded into the product's configuration."""
+
+from typing import Final
+
+import attrs
+import msgspec
+
+from sequoiawind import router, wire
+from sequoiawind.forward_state import (
+    ForwardAccount,
+    ForwardKind,
+    ForwardPool,
+    ForwardRoute,
+    ForwardState,
+    PoolShare,
+)
+from sequoiawind.http1_server import CallerLimits
+from sequoiawind.platform import names
+
+MS: Final = 0.001
+
+
+class Split(msgspec.Struct):
+    """A service's part of a route."""
+
+    service: str
+    weight: float
+
+
+class RouteRecord(msgspec.Struct):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 60_000
+    target_latency_ms: float = 1_000
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[Split] = []
+    max_attempts: int = 1
+    # Needs no key.
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class ModelRecord(msgspec.Struct):
+    """A model of a service."""
+
+    name: str
+
+
+class EngineRecord(msgspec.Struct):
+    """What the operator says of a service's engines."""
+
+    kv_capacity_tokens: int = 0
+    models: list[ModelRecord] = []
+
+
+class ServiceRecord(msgspec.Struct):
+    """A service as the operator writes it."""
+
+    name: str
+    max_conns: int = 0
+    engine: EngineRecord | None = None
+    # Set for a store of cached prompts, which is no target.
+    kv_store_addr: str = ""
+
+
+class LimitsRecord(msgspec.Struct):
+    """Bounds on what callers send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    # Time for which a caller's connection may stay without a request.
+    idle_timeout_ms: float = 15_000
+
+
+class TenantRecord(msgspec.Struct):
+    """A client account as the operator writes it."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class ConfigRecord(msgspec.Struct):
+    """The whole configuration."""
+
+    version: int
+    routes: list[RouteRecord] = []
+    services: list[ServiceRecord] = []
+    limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
+    tenants: list[TenantRecord] = []
+
+
+class WeightsRecord(msgspec.Struct):
+    """Newer weights of a model."""
+
+    model: str
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class NamedWeights:
+    """The weights version that an operator has named for a model."""
+
+    model: str
+    version: int
+
+
+def decode_configuration(value: bytes) -> ForwardState:
+    """Return the configuration in a record.
+
+    Raises:
+      WireError: The record is not a configuration.
+    """
+    record = wire.decode(value, ConfigRecord)
+    return ForwardState(
+        revision=record.version,
+        limits=CallerLimits(
+            header_bytes=record.limits.max_header_bytes,
+            body_bytes=record.limits.max_body_bytes,
+            header_timeout_s=record.limits.header_timeout_ms * MS,
+            idle_timeout_s=record.limits.idle_timeout_ms * MS,
+        ),
+        accounts=accounts(record.tenants),
+        kinds={item.name: kind(item) for item in record.routes},
+        routes={item.name: route(item) for item in record.routes},
+        pools={item.name: pool(item) for item in record.services},
+    )
+
+
+def decode_weights(value: bytes) -> NamedWeights:
+    """Return the weights that a record names.
+
+    Raises:
+      WireError: The record names none.
+    """
+    record = wire.decode(value, WeightsRecord)
+    return NamedWeights(model=record.model, version=record.version)
+
+
+def accounts(tenants: list[TenantRecord]) -> dict[str, ForwardAccount]:
+    """Return an account for each key, under names that differ."""
+    return {
+        f"{tenant.name}/{number}": ForwardAccount(
+            name=tenant.name,
+            token_digest=router.token_digest(key),
+            is_isolated=tenant.isolated,
+            priority=tenant.priority,
+        )
+        for tenant in tenants
+        for number, key in enumerate(tenant.api_keys)
+    }
+
+
+def kind(record: RouteRecord) -> ForwardKind:
+    """Return how a route's requests may be repeated and timed."""
+    may_repeat = record.kind == names.IDEMPOTENT
+    return ForwardKind(
+        name=record.name,
+        priority=record.priority,
+        repeat="idempotent" if may_repeat else "never",
+        is_stream=record.kind == names.STREAMING,
+        is_resumable=record.kind == names.STREAMING and record.resumable,
+        max_targets=record.max_attempts,
+        timeout_s=record.timeout_ms * MS,
+        aim_s=record.target_latency_ms * MS,
+        pause_s=record.gap_aim_ms * MS,
+    )
+
+
+def route(record: RouteRecord) -> ForwardRoute:
+    """Return a route."""
+    shares = tuple(
+        PoolShare(pool=item.service, weight=item.weight)
+        for item in record.traffic_split
+    )
+    return ForwardRoute(
+        name=record.name,
+        host=record.host.lower(),
+        path=record.path_prefix,
+        kind=record.name,
+        pool=record.service or (shares[0].pool if shares else ""),
+        shares=shares,
+        is_public=record.public,
+    )
+
+
+def pool(record: ServiceRecord) -> ForwardPool:
+    """Return a pool of targets, or a store of cached prompts."""
+    engine = record.engine or EngineRecord()
+    return ForwardPool(
+        name=record.name,
+        service="engine" if record.engine else "plain",
+        max_connections=record.max_conns,
+        models=tuple(model.name for model in engine.models),
+        memory_tokens=engine.kv_capacity_tokens,
+        keeper=record.kv_store_addr,
+    )
--- /dev/null
+++ b/sequoiawind/platform/names.py
@@ -0,0 +1,77 @@
+"""The platform's header names, paths and words."""
+
+from typing import Final
+
+# Headers of requests and answers, in lower case.
+ATTEMPT_ID: Final = b"sequoiawind-attempt-id"
+DEADLINE_MS: Final = b"sequoiawind-deadline-ms"
+MODEL: Final = b"sequoiawind-model"
+TOKEN_COUNT: Final = b"sequoiawind-token-count"
+PROMPT_PREFIX: Final = b"sequoiawind-prompt-prefix"
+EXPECT_INSTANCE: Final = b"sequoiawind-expect-instance"
+EXPECT_VERSION: Final = b"sequoiawind-expect-version"
+TENANT: Final = b"sequoiawind-tenant"
+CACHE_SALT: Final = b"sequoiawind-cache-salt"
+URGENCY: Final = b"sequoiawind-request-urgency"
+KV_SOURCE: Final = b"sequoiawind-kv-source"
+KV_SINK: Final = b"sequoiawind-kv-sink"
+NOT_EXECUTED: Final = b"sequoiawind-not-executed"
+WEIGHT_VERSIONS: Final = b"sequoiawind-weight-versions"
+LAST_EVENT_ID: Final = b"last-event-id"
+AUTHORIZATION: Final = b"authorization"
+RETRY_AFTER: Final = b"retry-after"
+
+# Word before the key in `Authorization`.
+KEY_SCHEME: Final = b"token"
+
+# Headers that concern one connection.
+HOP_BY_HOP: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Headers that only the system may set towards a target.
+OWN_HEADERS: Final = frozenset(
+    {
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        TENANT,
+        CACHE_SALT,
+        URGENCY,
+        KV_SOURCE,
+        KV_SINK,
+        AUTHORIZATION,
+        b"sequoiawind-pin-ms",
+        b"sequoiawind-kv-hold",
+        b"sequoiawind-kv-backup",
+        b"kv-from",
+    }
+)
+
+READY_TARGET: Final = b"/api/ready"
+REPORT_TARGET: Final = b"/api/report"
+ORDER_TARGET: Final = b"/api/order"
+
+# Topics and keys of the store.
+OPERATOR_TOPIC: Final = "keyed.op"
+TARGETS_TOPIC: Final = "keyed.servers"
+CONFIG_KEY: Final = "config"
+VERSION_KEY_PREFIX: Final = "version/"
+
+# Values of `kind` of a route.
+IDEMPOTENT: Final = "idempotent"
+STREAMING: Final = "streaming"
+# Values of `state` of a target's entry.
+READY: Final = "ready"
+DRAINING: Final = "draining"
--- /dev/null
+++ b/sequoiawind/platform/store.py
@@ -0,0 +1,154 @@
+"""The client of the platform's store."""
+
+import base64
+import binascii
+import struct
+from typing import Final
+from urllib.parse import urlencode
+
+import attrs
+import msgspec
+from expression import Error, Ok, Result
+
+from sequoiawind import wire
+from sequoiawind.http1_client import (
+    Http1Client,
+    HttpReply,
+    OutgoingRequest,
+    fetch,
+)
+from sequoiawind.options import Address
+from sequoiawind.record_ports import (
+    KeyedPage,
+    KeyedRecord,
+    ReadFailure,
+    RecordsLost,
+)
+from sequoiawind.verdict import Reason, may_have_run
+
+NEWEST: Final = "/api/log-newest"
+READ: Final = "/api/log-read"
+# The keyed topics have one partition.
+PARTITION: Final = "0"
+# The store answers this when the records asked for have been deleted.
+GONE: Final = 410
+LENGTH: Final = struct.Struct(">I")
+END_AND_FIRST: Final = struct.Struct(">QQ")
+
+
+class NewestItem(msgspec.Struct):
+    """The newest record of a key."""
+
+    key: str
+    # Base64.
+    value: str
+    offset: int = 0
+
+
+class NewestPage(msgspec.Struct):
+    """The newest records of some keys."""
+
+    items: list[NewestItem] = []
+    has_more: bool = False
+    # Offset of the next record that the partition will get.
+    end: int = 0
+
+
+@attrs.define(kw_only=True)
+class StoreClient:
+    """Reads keyed records; implements `record_ports.RecordPort`."""
+
+    client: Http1Client
+    address: Address
+
+    async def newest(
+        self, topic: str, after: str, timeout_s: float
+    ) -> Result[KeyedPage, ReadFailure]:
+        """Return the newest record of each key behind a key."""
+        query = {"topic": topic, "part": PARTITION}
+        if after:
+            query["after"] = after
+        answered = await self.get(NEWEST, query, timeout_s)
+        if answered.is_error():
+            return Error(answered.error)
+        try:
+            page = wire.decode(answered.ok.body, NewestPage)
+            records = [
+                KeyedRecord(key=item.key, value=base64.b64decode(item.value))
+                for item in page.items
+            ]
+        except (wire.WireError, binascii.Error) as error:
+            return Error(may_have_run(Reason.TARGET_ERROR, str(error)))
+        return Ok(
+            KeyedPage(records=records, end=page.end, has_more=page.has_more)
+        )
+
+    async def read(
+        self, topic: str, start: int, wait_s: float, timeout_s: float
+    ) -> Result[KeyedPage, ReadFailure]:
+        """Return the records from an offset on, waiting for a first one."""
+        query = {
+            "topic": topic,
+            "part": PARTITION,
+            "from": str(start),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answered = await self.get(READ, query, timeout_s)
+        if answered.is_error():
+            return Error(answered.error)
+        try:
+            return Ok(decode_page(answered.ok.body, start))
+        except (struct.error, UnicodeDecodeError, IndexError) as error:
+            return Error(may_have_run(Reason.TARGET_ERROR, repr(error)))
+
+    async def get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> Result[HttpReply, ReadFailure]:
+        """Call the store."""
+        request = OutgoingRequest(
+            method=b"GET",
+            target=f"{path}?{urlencode(query)}".encode(),
+            headers=[(b"host", str(self.address).encode())],
+        )
+        answered = await fetch(self.client, self.address, request, timeout_s)
+        if answered.is_error():
+            return Error(answered.error)
+        status = answered.ok.status
+        if status == GONE:
+            return Error(RecordsLost())
+        if status != 200:
+            return Error(may_have_run(Reason.TARGET_ERROR, f"status {status}"))
+        return Ok(answered.ok)
+
+
+def decode_page(body: bytes, start: int) -> KeyedPage:
+    """Decode the body of a read.
+
+    Raises:
+      struct.error, IndexError: The body is cut short.
+      UnicodeDecodeError: A key is not text.
+    """
+    end, _ = END_AND_FIRST.unpack_from(body)
+    place, records = END_AND_FIRST.size, []
+    while place < len(body):
+        (length,) = LENGTH.unpack_from(body, place)
+        place += LENGTH.size
+        content = body[place : place + length]
+        if len(content) < length:
+            raise IndexError("a record is cut short")
+        place += length
+        records.append(decode_record(content))
+    # A read of the newest records may stop before the end.
+    return KeyedPage(
+        records=records,
+        end=start + len(records),
+        has_more=start + len(records) < end,
+    )
+
+
+def decode_record(content: bytes) -> KeyedRecord:
+    """Decode a record: its key's length, its key, its value."""
+    length = content[0]
+    key = content[1 : 1 + length].decode("utf-8", "replace")
+    value = content[1 + length :]
+    return KeyedRecord(key=key, value=value or None)
--- /dev/null
+++ b/sequoiawind/platform/targets.py
@@ -0,0 +1,53 @@
+"""The targets' own records, decoded; unreadable ones name no target."""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from sequoiawind import wire
+from sequoiawind.forward_state import ForwardTarget
+from sequoiawind.platform import names
+
+
+class ModelVersion(msgspec.Struct):
+    """A model that a target serves."""
+
+    name: str
+    version: int = 0
+
+
+class TargetRecord(msgspec.Struct):
+    """A target's entry as it writes it."""
+
+    service: str
+    address: str
+    state: str
+    zone: str = ""
+    slots: int = 1
+    # Start of the target, in milliseconds since the epoch.
+    born: int = 0
+    models: list[ModelVersion] = []
+
+
+def decode_target(name: str, value: bytes) -> Result[ForwardTarget, str]:
+    """Return the target that an entry names, or why it names none."""
+    try:
+        record = wire.decode(value, TargetRecord)
+    except wire.WireError as error:
+        return Error(str(error))
+    if record.state not in (names.READY, names.DRAINING):
+        return Error(f"unknown state {record.state!r}")
+    host, _, port = record.address.rpartition(":")
+    if not host or not port.isdigit():
+        return Error(f"not an address: {record.address!r}")
+    return Ok(
+        ForwardTarget(
+            name=name,
+            pool=record.service,
+            domain=record.zone,
+            address=record.address,
+            born_ms=record.born,
+            is_draining=record.state == names.DRAINING,
+            slots=max(1, record.slots),
+            versions={model.name: model.version for model in record.models},
+        )
+    )
--- /dev/null
+++ b/sequoiawind/prompt_cache.py
@@ -0,0 +1,82 @@
+"""Which parts of prompts the targets hold, as far as one router knows.
+
+A router remembers what it sent where, within the memory of a target.  What it
+does not know costs a recomputation, never a wrong answer: a target finds
+cached parts only under the salt of their account, model and version.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import attrs
+from xxhash import xxh3_64_hexdigest
+
+
+@attrs.frozen(kw_only=True)
+class PromptPart:
+    """A part of a prompt that other prompts may begin with as well."""
+
+    id: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class Prompt:
+    """What a request asks of a model, without its text."""
+
+    model: str
+    # Tokens of the prompt, and the most that may be made.
+    tokens: int
+    max_tokens: int
+    # In the prompt's order; the last belongs to the request or its session.
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def placement_key(self) -> str:
+        """Id of the deepest part that other prompts share."""
+        shared = self.parts[:-1] or self.parts
+        return shared[-1].id if shared else ""
+
+
+@attrs.define(kw_only=True)
+class HeldParts:
+    """The parts that one incarnation of a target holds under salts."""
+
+    capacity_tokens: int
+    tokens: int = 0
+    # Part tokens by (salt, part id), least recently used first.
+    parts: OrderedDict[tuple[str, str], int] = attrs.field(factory=OrderedDict)
+
+    def sent(self, salt: str, parts: Sequence[PromptPart]) -> None:
+        """Note a prompt that the target reads."""
+        for part in parts:
+            key = (salt, part.id)
+            if key in self.parts:
+                self.parts.move_to_end(key)
+                continue
+            self.parts[key] = part.tokens
+            self.tokens += part.tokens
+        while self.tokens > self.capacity_tokens and self.parts:
+            _, freed = self.parts.popitem(last=False)
+            self.tokens -= freed
+
+    def held_tokens(self, salt: str, parts: Sequence[PromptPart]) -> int:
+        """Return the tokens of a prompt's beginning that are held."""
+        held = 0
+        for part in parts:
+            if (salt, part.id) not in self.parts:
+                break
+            held += part.tokens
+        return held
+
+
+def cache_salt(
+    account: str, model: str, version: int, is_isolated: bool
+) -> str:
+    """Return the salt under which a prompt's parts are cached.
+
+    Parts are shared among the accounts that are not isolated, and never
+    among versions of the weights.
+    """
+    owner = f"a:{account}" if is_isolated else "shared"
+    return xxh3_64_hexdigest(f"{model}\n{version}\n{owner}".encode())
--- /dev/null
+++ b/sequoiawind/target_choice.py
@@ -0,0 +1,199 @@
+"""Where a forwarded request goes: a pure function of what the router knows.
+
+Answers three patterns of load.  Prompts that share long beginnings: they go to
+a home by rendezvous order over the deepest shared part, so that all routers
+agree without messages, and fetch from the home when they go elsewhere.  A home
+that is busy: the cost of waiting there is weighed against recomputing or
+fetching at the next.  Weights that change: a target that loads or has older
+weights than the request may run on is left out.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+import attrs
+from xxhash import xxh3_64_intdigest
+
+from sequoiawind.fleet import TargetView
+from sequoiawind.members import Members
+from sequoiawind.prompt_cache import HeldParts, Prompt, cache_salt
+
+# Cost of what is ahead at a target, in prompt tokens that could be read in
+# the same time: of a running request (its share of the batch's steps), and of
+# one that waits (a prompt of common size).
+RUNNING_TOKENS: Final = 120
+WAITING_TOKENS: Final = 2_000
+# Cost of fetching a token from another target, relative to reading it.
+FETCH_COST: Final = 0.15
+# Homes of a prompt's shared part, which are weighed before the rest.
+HOMES: Final = 2
+# Cost added to targets that are not homes, in prompt tokens: they lack the
+# shared parts, and their own prompts are displaced.
+STRANGER_TOKENS: Final = 1_500
+# Cost of a call at a plain service whose recent calls have all failed, in
+# calls under way.
+FAILING_COST: Final = 8.0
+
+
+@attrs.frozen(kw_only=True)
+class Chosen:
+    """A target for a request, and what to tell it."""
+
+    view: TargetView
+    # Weights version that the target must have; None for plain services.
+    version: int | None = None
+    salt: str = ""
+    # Prompt tokens that the target is believed to lack.
+    missing_tokens: int = 0
+    # Address of a target to fetch cached parts from; empty for none.
+    source: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class PromptChooser:
+    """Chooses targets for prompts."""
+
+    # What each target holds, by its name.
+    held: Mapping[str, HeldParts]
+    # Targets of the pool, also those that take no work now.
+    pool: Sequence[TargetView]
+    now_s: float
+
+    def choose(
+        self,
+        ready: Sequence[TargetView],
+        prompt: Prompt,
+        account: str,
+        is_isolated: bool,
+        oldest_version: int,
+    ) -> Chosen | None:
+        """Return the cheapest target; None if none may take the prompt.
+
+        Args:
+          ready: The targets that would take work.
+          prompt: The prompt.
+          account: Name of its client account.
+          is_isolated: Whether the account shares no cached parts.
+          oldest_version: Weights on which the request may still begin.
+        """
+        able = [
+            view
+            for view in ready
+            if view.version(prompt.model) >= oldest_version
+        ]
+        if not able:
+            return None
+        homes = self.homes(prompt)
+        options = [
+            self.option(view, prompt, account, is_isolated, homes)
+            for view in able
+        ]
+        return min(options, key=lambda option: self.cost(option, homes))
+
+    def homes(self, prompt: Prompt) -> list[str]:
+        """Return the names of a prompt's homes, first the one to prefer."""
+        key = prompt.placement_key.encode()
+        scored = sorted(
+            self.pool,
+            key=lambda view: (
+                xxh3_64_intdigest(view.target.name.encode() + b"/" + key),
+                view.target.name,
+            ),
+            reverse=True,
+        )
+        return [view.target.name for view in scored[:HOMES]]
+
+    def option(
+        self,
+        view: TargetView,
+        prompt: Prompt,
+        account: str,
+        is_isolated: bool,
+        homes: Sequence[str],
+    ) -> Chosen:
+        """Return what sending a prompt to one target would mean."""
+        version = view.version(prompt.model)
+        salt = cache_salt(account, prompt.model, version, is_isolated)
+        held = self.held_tokens(view.target.name, salt, prompt)
+        source, fetched = self.source(view, salt, prompt, held, homes)
+        missing = prompt.tokens - held - int(fetched * (1.0 - FETCH_COST))
+        return Chosen(
+            view=view,
+            version=version,
+            salt=salt,
+            missing_tokens=max(0, missing),
+            source=source,
+        )
+
+    def held_tokens(self, name: str, salt: str, prompt: Prompt) -> int:
+        """Return the tokens of a prompt that a target holds."""
+        held = self.held.get(name)
+        return held.held_tokens(salt, prompt.parts) if held else 0
+
+    def source(
+        self,
+        view: TargetView,
+        salt: str,
+        prompt: Prompt,
+        held: int,
+        homes: Sequence[str],
+    ) -> tuple[str, int]:
+        """Return the target to fetch from, and the tokens gained there."""
+        best, best_tokens = "", held
+        for other in self.pool:
+            if other is view:
+                continue
+            tokens = self.held_tokens(other.target.name, salt, prompt)
+            if tokens > best_tokens:
+                best, best_tokens = other.target.address, tokens
+        if best or held:
+            return best, best_tokens - held
+        # Another router may have sent the prompt's beginning to its home.
+        for other in self.pool:
+            if other is not view and other.target.name in homes:
+                return other.target.address, 0
+        return "", 0
+
+    def cost(self, option: Chosen, homes: Sequence[str]) -> float:
+        """Return what a target costs, in prompt tokens to read."""
+        view = option.view
+        cost = float(option.missing_tokens) + self.ahead(view)
+        if view.target.name not in homes:
+            cost += STRANGER_TOKENS
+        return cost
+
+    def ahead(self, view: TargetView) -> float:
+        """Return the work ahead at a target, in prompt tokens to read."""
+        running, waiting = view.open_requests, 0
+        status = view.fresh_status(self.now_s)
+        if status is not None:
+            running = max(running, status.running)
+            waiting = status.waiting
+        return (
+            view.open_tokens
+            + running * RUNNING_TOKENS
+            + waiting * WAITING_TOKENS
+        )
+
+
+def choose_call(
+    ready: Sequence[TargetView], members: Members, domain: str
+) -> Chosen | None:
+    """Return the target of a call to a plain service; None if none is ready.
+
+    The fewest requests of this router by place, failures counted in; equal
+    ones by failure domain, so that calls stay near where that costs nothing.
+    """
+    if not ready:
+        return None
+
+    def cost(view: TargetView) -> tuple[float, bool, str]:
+        failing = members.of(view.target.name).failure_share
+        load = view.open_requests / max(1, view.target.slots)
+        return (
+            round(load + FAILING_COST * failing, 2),
+            view.target.domain != domain,
+            view.target.name,
+        )
+
+    return Chosen(view=min(ready, key=cost))
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -46,7 +46,12 @@
     RETRY_BUDGET = "retry_budget"
     # State of the system.
     NO_CONFIGURATION = "no_configuration"
+    CONFIG_STALE = "config_stale"
     NO_TARGET = "no_target"
+    NO_TARGET_IN_TIME = "no_target_in_time"
+    TARGET_BUSY = "target_busy"
+    TARGET_REPLACED = "target_replaced"
+    MAX_TARGETS = "max_targets"
     DRAINING = "draining"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
@@ -95,6 +100,11 @@
 
 DEFAULT_HTTP_STATUS: Final = 503
 
+# Reasons that mean that time ran out.
+TIMEOUTS: Final = frozenset(
+    {Reason.DEADLINE, Reason.CHUNK_TIMEOUT, Reason.START_TIMEOUT}
+)
+
 
 @attrs.frozen(kw_only=True)
 class Failure:
@@ -113,6 +123,20 @@
         return HTTP_STATUS.get(self.reason, DEFAULT_HTTP_STATUS)
 
 
+def forwarded_status(failure: Failure) -> int:
+    """Return the status of a failed request that was to be forwarded.
+
+    Callers repeat after a promise what must not repeat, so only a request
+    that is proved not to have run gets one; all others get 502 or 504.
+    """
+    status = failure.http_status
+    if failure.verdict is Verdict.NOT_RUN:
+        return status if status < 500 else DEFAULT_HTTP_STATUS
+    if failure.reason in TIMEOUTS:
+        return 504
+    return 502
+
+
 def not_run(
     reason: Reason, detail: str = "", retry_after_s: float | None = None
 ) -> Failure:
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -133,6 +133,28 @@
     probe: ProbeAnswer | None = None
 
 
+@attrs.frozen(kw_only=True)
+class TargetStatus:
+    """What an agent beside a forwarded target tells the routers."""
+
+    # Grows with each change; a router asks for what is newer.
+    number: int = 0
+    # The target's name and start, by which a router knows that it is meant.
+    target: str = ""
+    born_ms: int = 0
+    waiting: int = 0
+    running: int = 0
+    # Tokens in memory that cannot yield.
+    used_tokens: int = 0
+    # The target refuses new work since it loads weights, or is about to.
+    is_loading: bool = False
+    is_draining: bool = False
+    # Weights version by model.
+    versions: dict[str, int] = attrs.field(factory=dict)
+    # Routers that this agent has heard from lately.
+    routers: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class DemandMessage:
     """What a router tells its peers about the demand it sees."""
