Routers agree on the first home of a prompt

Cause: two homes with equal cost were taken in the order in which a router had heard of them, so routers sent prompts of one dossier to different targets; the new test of placement failed with that. Change: the second home costs more by a fixed number of tokens. Ruled out: that targets change rank (the order is a hash of name and key).

--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -27,6 +27,9 @@
 FETCH_COST: Final = 0.15
 # Homes of a prompt's shared part, which are weighed before the rest.
 HOMES: Final = 2
+# Cost added to a prompt's second home, in prompt tokens, so that routers that
+# know as little as each other agree on the first.
+SECOND_HOME_TOKENS: Final = 600
 # Cost added to targets that are not homes, in prompt tokens: they lack the
 # shared parts, and their own prompts are displaced.
 STRANGER_TOKENS: Final = 1_500
@@ -159,8 +162,8 @@
         view = option.view
         cost = float(option.missing_tokens) + self.ahead(view)
         if view.target.name not in homes:
-            cost += STRANGER_TOKENS
-        return cost
+            return cost + STRANGER_TOKENS
+        return cost + SECOND_HOME_TOKENS * homes.index(view.target.name)
 
     def ahead(self, view: TargetView) -> float:
         """Return the work ahead at a target, in prompt tokens to read."""
--- /dev/null
+++ b/tests/forward_rig.py
@@ -0,0 +1,255 @@
+"""A router's forwarding with fake targets, on a virtual clock."""
+
+import random
+from typing import Any
+
+import attrs
+from twisted.internet.task import Clock
+
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.config_fold import Folded
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_ports import AnswerHead, AttemptSink, SendOrder
+from sequoiawind.forward_state import (
+    ForwardAccount,
+    ForwardKind,
+    ForwardPool,
+    ForwardRoute,
+    ForwardState,
+    ForwardTarget,
+)
+from sequoiawind.forwarder import Forwarder
+from sequoiawind.freshness import Freshness
+from sequoiawind.http1_server import Headers
+from sequoiawind.prompt_cache import Prompt, PromptPart
+from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.router import token_digest
+from sequoiawind.verdict import Failure
+
+KEY = "key-of-a"
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeCall:
+    """A call that only notes whether it was cancelled."""
+
+    is_cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Note the cancellation."""
+        self.is_cancelled = True
+
+
+@attrs.define(kw_only=True, eq=False)
+class Sent:
+    """A request that reached the fake port."""
+
+    order: SendOrder
+    sink: AttemptSink
+    call: FakeCall = attrs.field(factory=FakeCall)
+
+    def answer(
+        self, status: int, body: bytes = b"", refusal: Failure | None = None
+    ) -> None:
+        """Give a whole answer."""
+        self.sink.head(AnswerHead(status=status, headers=[], refusal=refusal))
+        if body:
+            self.sink.data(body)
+        self.sink.done()
+
+    def begin(self, status: int, body: bytes = b"") -> None:
+        """Give the beginning of an answer."""
+        self.sink.head(AnswerHead(status=status, headers=[]))
+        if body:
+            self.sink.data(body)
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakePort:
+    """Collects what is sent."""
+
+    sent: list[Sent] = attrs.field(factory=list)
+
+    def send(self, order: SendOrder, sink: AttemptSink) -> FakeCall:
+        """Collect a request."""
+        self.sent.append(Sent(order=order, sink=sink))
+        return self.sent[-1].call
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeCaller:
+    """Collects what a caller gets."""
+
+    statuses: list[int] = attrs.field(factory=list)
+    body: bytes = b""
+    failure: Failure | None = None
+    is_broken: bool = False
+    is_ended: bool = False
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Note a head."""
+        self.statuses.append(status)
+
+    def send_data(self, data: bytes) -> None:
+        """Note a part of the body."""
+        self.body += data
+
+    def send_end(self) -> None:
+        """Note the end."""
+        self.is_ended = True
+
+    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+        """Note a whole answer."""
+        self.statuses.append(status)
+        self.body += body
+        self.is_ended = True
+
+    def break_off(self) -> None:
+        """Note a break."""
+        self.is_broken = True
+
+    def refuse(self, failure: Failure) -> None:
+        """Note a refusal."""
+        self.failure = failure
+
+
+def kind(name: str, **fields: Any) -> ForwardKind:
+    """Return a kind with usual times."""
+    usual: dict[str, Any] = {
+        "repeat": "never",
+        "max_targets": 2,
+        "timeout_s": 5.0,
+        "aim_s": 0.5,
+        "pause_s": 0.4,
+    }
+    return ForwardKind(name=name, **{**usual, **fields})
+
+
+KINDS = {
+    "read": kind("read", repeat="idempotent"),
+    "book": kind("book"),
+    "brief": kind("brief", is_stream=True),
+    "draft": kind("draft", is_stream=True, is_resumable=True),
+}
+
+
+def state(revision: int = 1, **fields: Any) -> ForwardState:
+    """Return a configuration with a route for each kind."""
+    usual: dict[str, Any] = {
+        "accounts": {
+            "a/0": ForwardAccount(name="a", token_digest=token_digest(KEY))
+        },
+        "kinds": KINDS,
+        "routes": {
+            name: ForwardRoute(
+                name=name,
+                host="h",
+                path=f"/{name}/",
+                kind=name,
+                pool="llm" if KINDS[name].is_stream else "app",
+            )
+            for name in KINDS
+        },
+        "pools": {
+            "app": ForwardPool(name="app", service="plain"),
+            "llm": ForwardPool(name="llm", models=("m",), memory_tokens=10_000),
+        },
+    }
+    return ForwardState(revision=revision, **{**usual, **fields})
+
+
+def target(name: str, pool: str = "app", **fields: Any) -> ForwardTarget:
+    """Return a target."""
+    versions = {"m": 1} if pool == "llm" else {}
+    usual: dict[str, Any] = {
+        "address": f"{name}:80",
+        "slots": 4,
+        "versions": versions,
+    }
+    return ForwardTarget(name=name, pool=pool, **{**usual, **fields})
+
+
+@attrs.define(kw_only=True, eq=False)
+class ForwardRig:
+    """One router."""
+
+    clock: Clock = attrs.field(factory=Clock)
+    board: Blackboard = attrs.field(factory=Blackboard)
+    fleet: Fleet = attrs.field(factory=Fleet)
+    port: FakePort = attrs.field(factory=FakePort)
+    freshness: Freshness = attrs.field(init=False)
+    forwarder: Forwarder = attrs.field(init=False)
+    made: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Put the parts together, with a fresh configuration."""
+        self.freshness = Freshness(
+            revoke_s=5.0, in_force_s=2.0, now=self.clock.seconds
+        )
+        self.freshness.confirmed(0.0)
+        self.forwarder = Forwarder(
+            board=self.board,
+            fleet=self.fleet,
+            planner=Planner(
+                board=self.board,
+                freshness=self.freshness,
+                random=random.Random(1),
+            ),
+            port=self.port,
+            clock=self.clock,
+            window=RepeatWindow(ratio=0.2, allowance=200.0, window_s=10.0),
+            random=random.Random(1),
+            domain="d1",
+            weights_s=6.0,
+        )
+        self.configure(state())
+
+    def configure(self, new: ForwardState) -> None:
+        """Put a configuration in force."""
+        folded = Folded(state=new, next_offset=new.revision + 1)
+        self.board.put_config(folded)
+
+    def add(self, *targets: ForwardTarget) -> None:
+        """Register targets."""
+        for item in targets:
+            self.fleet.put(item)
+
+    def request(self, route: str, **fields: Any) -> ForwardRequest:
+        """Return a request of a route."""
+        self.made += 1
+        prompt = Prompt(
+            model="m",
+            tokens=300,
+            max_tokens=10,
+            parts=(
+                PromptPart(id="shared", tokens=200),
+                PromptPart(id=f"own{self.made}", tokens=100),
+            ),
+        )
+        usual: dict[str, Any] = {
+            "request_id": f"q{self.made}",
+            "host": "h",
+            "path": f"/{route}/x",
+            "method": b"POST",
+            "target": f"/{route}/x".encode(),
+            "headers": [],
+            "body": b"",
+            "key": KEY,
+            "arrived_s": self.clock.seconds(),
+            "deadline_s": 5.0,
+            "prompt": prompt if KINDS[route].is_stream else None,
+        }
+        return ForwardRequest(**{**usual, **fields})
+
+    def submit(self, route: str, **fields: Any) -> FakeCaller:
+        """Submit a request and return its caller."""
+        caller = FakeCaller()
+        self.forwarder.submit(self.request(route, **fields), caller)
+        return caller
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass in small steps; the store confirms all the while."""
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+            self.freshness.confirmed(self.clock.seconds())
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,330 @@
+"""Targets by incarnation, budgets, weights and placement, each by itself."""
+
+import random
+
+from expression import Error, Ok, Result
+from testtools import TestCase
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from sequoiawind import rollout
+from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.freshness import Freshness
+from sequoiawind.members import Members
+from sequoiawind.prompt_cache import HeldParts, Prompt, PromptPart, cache_salt
+from sequoiawind.record_follower import RecordFollower
+from sequoiawind.record_ports import (
+    KeyedPage,
+    KeyedRecord,
+    ReadFailure,
+    RecordsLost,
+)
+from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.rollout import TargetReport
+from sequoiawind.target_choice import PromptChooser, choose_call
+from sequoiawind.verdict import Reason, may_have_run
+from sequoiawind.wire import TargetStatus
+from tests.forward_rig import target
+
+
+class IncarnationTest(TestCase):
+    """An id may come back as another start of a target."""
+
+    def test_new_start_forgets_the_old_one(self) -> None:
+        fleet = Fleet()
+        fleet.put(target("t1", born_ms=1))
+        fleet.failed("t1", 0.0, is_certain=True)
+        fleet.shed("t1", 0.0)
+        self.assertTrue(fleet.put(target("t1", born_ms=2)))
+        self.assertEqual(1, len(fleet.ready("app", 0.0)))
+
+    def test_older_start_does_not_return(self) -> None:
+        fleet = Fleet()
+        fleet.put(target("t1", born_ms=2, address="new:1"))
+        fleet.put(target("t1", born_ms=1, address="old:1"))
+        self.assertEqual("new:1", fleet.views["t1"].target.address)
+
+    def test_draining_gets_no_work(self) -> None:
+        fleet = Fleet()
+        fleet.put(target("t1"))
+        fleet.put(target("t1", is_draining=True))
+        self.assertEqual([], fleet.usable("app", 0.0))
+
+
+class LapseTest(TestCase):
+    """Entries that lapse with the store are judged after its return."""
+
+    def test_judged_two_seconds_after_the_return(self) -> None:
+        fleet = Fleet()
+        fleet.put(target("t1"))
+        fleet.put(target("t2"))
+        fleet.store_lost()
+        fleet.remove("t1", 1.0)
+        self.assertEqual(2, len(fleet.usable("app", 1.0)))
+        fleet.store_back(10.0)
+        fleet.remove("t2", 10.1)
+        self.assertEqual(2, len(fleet.usable("app", 11.0)))
+        fleet.put(target("t1"))
+        names = [view.target.name for view in fleet.usable("app", 12.5)]
+        self.assertEqual(["t1"], names)
+
+    def test_gone_at_once_while_the_store_answers(self) -> None:
+        fleet = Fleet()
+        fleet.put(target("t1"))
+        fleet.remove("t1", 1.0)
+        self.assertEqual([], fleet.usable("app", 1.0))
+
+
+class FreshnessTest(TestCase):
+    """Age counts from when the question was sent."""
+
+    def test_age(self) -> None:
+        clock = Clock()
+        fresh = Freshness(revoke_s=5.0, in_force_s=2.0, now=clock.seconds)
+        self.assertFalse(fresh.may_trust_keys)
+        clock.advance(3.0)
+        fresh.confirmed(1.0)
+        self.assertEqual(2.0, fresh.age_s)
+        # An answer to an earlier question proves nothing new.
+        fresh.confirmed(0.5)
+        self.assertEqual(2.0, fresh.age_s)
+        clock.advance(2.5)
+        self.assertFalse(fresh.may_trust_keys)
+
+
+class RepeatWindowTest(TestCase):
+    """All routers together stay within the pool's repeats."""
+
+    def test_shares_hold_together(self) -> None:
+        windows = [
+            RepeatWindow(ratio=0.2, allowance=50.0, window_s=10.0)
+            for _ in range(5)
+        ]
+        repeats = 0
+        for window in windows:
+            for _ in range(20):
+                window.first("p", 1.0)
+            repeats += sum(window.repeat("p", 2.0, 5) for _ in range(200))
+        self.assertTrue(0 < repeats <= 0.2 * 100 + 50, repeats)
+
+    def test_less_while_the_others_are_unknown(self) -> None:
+        window = RepeatWindow(ratio=0.0, allowance=50.0, window_s=10.0)
+        known = sum(window.repeat("p", 1.0, 2) for _ in range(100))
+        unknown = sum(window.repeat("q", 1.0, 0) for _ in range(100))
+        self.assertTrue(unknown < known)
+
+    def test_window_slides(self) -> None:
+        window = RepeatWindow(ratio=1.0, allowance=0.0, window_s=10.0)
+        for _ in range(10):
+            window.first("p", 0.0)
+        self.assertTrue(window.repeat("p", 9.0, 1))
+        self.assertFalse(window.repeat("p", 11.0, 1))
+
+
+class RolloutTest(TestCase):
+    """Targets load new weights in turns, and never older ones."""
+
+    def report(self, **versions: int) -> TargetReport:
+        return TargetReport(
+            versions=versions,
+            is_busy=False,
+            orders=0,
+            waiting=0,
+            running=0,
+            used_tokens=0,
+            is_draining=False,
+            born_ms=1,
+        )
+
+    def test_turns(self) -> None:
+        pool = [f"e{number}" for number in range(9)]
+        turns = sorted(rollout.turn_s(name, "m", 2, pool, 6.0) for name in pool)
+        self.assertEqual(0.0, turns[0])
+        self.assertTrue(turns[-1] < 0.5 * 6.0)
+        for start in turns:
+            at_once = turns.count(start)
+            self.assertTrue(at_once <= rollout.LOADS_AT_ONCE, turns)
+
+    def test_wanted(self) -> None:
+        self.assertEqual(("m", 3), rollout.wanted(self.report(m=2), {"m": 3}))
+        self.assertEqual(None, rollout.wanted(self.report(m=3), {"m": 2}))
+        self.assertEqual(None, rollout.wanted(self.report(n=1), {"m": 2}))
+
+
+PROMPT = Prompt(
+    model="m",
+    tokens=3_000,
+    max_tokens=10,
+    parts=(
+        PromptPart(id="a", tokens=1_000),
+        PromptPart(id="b", tokens=1_500),
+        PromptPart(id="own", tokens=500),
+    ),
+)
+
+
+class ChoiceTest(TestCase):
+    """Prompts go where they are cheapest, and only to right weights."""
+
+    def views(self, *versions: int) -> list[TargetView]:
+        return [
+            TargetView(target=target(f"e{number}", "llm", versions={"m": item}))
+            for number, item in enumerate(versions)
+        ]
+
+    def choose(
+        self,
+        views: list[TargetView],
+        held: dict[str, HeldParts],
+        oldest: int = 0,
+    ) -> str | None:
+        chooser = PromptChooser(held=held, pool=views, now_s=0.0)
+        chosen = chooser.choose(views, PROMPT, "a", False, oldest)
+        return chosen.view.target.name if chosen else None
+
+    def test_same_home_at_every_router(self) -> None:
+        self.assertEqual(
+            self.choose(self.views(1, 1, 1), {}),
+            self.choose(list(reversed(self.views(1, 1, 1))), {}),
+        )
+
+    def test_busy_home_gives_way(self) -> None:
+        views = self.views(1, 1, 1)
+        home = self.choose(views, {})
+        for view in views:
+            if view.target.name == home:
+                view.status = TargetStatus(waiting=20, running=60)
+                view.status_s = 0.0
+        self.assertNotEqual(home, self.choose(views, {}))
+
+    def test_old_weights_left_out(self) -> None:
+        views = self.views(1, 2, 1)
+        self.assertEqual("e1", self.choose(views, {}, oldest=2))
+        self.assertEqual(None, self.choose(views, {}, oldest=3))
+
+    def test_fetches_from_who_holds_the_parts(self) -> None:
+        views = self.views(1, 1)
+        salt = cache_salt("a", "m", 1, False)
+        held = HeldParts(capacity_tokens=10_000)
+        held.sent(salt, PROMPT.parts[:2])
+        chooser = PromptChooser(held={"e0": held}, pool=views, now_s=0.0)
+        chosen = chooser.choose(views[1:], PROMPT, "a", False, 0)
+        assert chosen is not None
+        self.assertEqual("e0:80", chosen.source)
+        self.assertTrue(chosen.missing_tokens < PROMPT.tokens)
+
+    def test_salts_differ(self) -> None:
+        salts = {
+            cache_salt(account, model, version, isolated)
+            for account in ("a", "b")
+            for model in ("m", "n")
+            for version in (1, 2)
+            for isolated in (False, True)
+        }
+        # Accounts that are not isolated share: 4 salts, and 8 of their own.
+        self.assertEqual(12, len(salts))
+
+    def test_calls_avoid_who_fails(self) -> None:
+        members = Members()
+        views = [TargetView(target=target(name)) for name in ("t1", "t2")]
+        for _ in range(5):
+            members.of("t1").note_outcome(True)
+        chosen = choose_call(views, members, "")
+        assert chosen is not None
+        self.assertEqual("t2", chosen.view.target.name)
+
+
+class FakeStore:
+    """Answers what a test has laid out, in order."""
+
+    def __init__(self, *answers: Result[KeyedPage, ReadFailure]) -> None:
+        self.answers = list(answers)
+        self.asked: list[str] = []
+
+    async def newest(
+        self, topic: str, after: str, timeout_s: float
+    ) -> Result[KeyedPage, ReadFailure]:
+        self.asked.append(f"newest {after}".strip())
+        return self.answers.pop(0)
+
+    async def read(
+        self, topic: str, start: int, wait_s: float, timeout_s: float
+    ) -> Result[KeyedPage, ReadFailure]:
+        self.asked.append(f"read {start}")
+        return self.answers.pop(0)
+
+
+class Notes:
+    """A reader that notes what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def replaced(self, records: list[KeyedRecord]) -> None:
+        self.told.append("all " + " ".join(item.key for item in records))
+
+    def changed(self, record: KeyedRecord) -> None:
+        self.told.append(f"changed {record.key}")
+
+    def confirmed(self, asked_s: float) -> None:
+        self.told.append(f"as of {asked_s:g}")
+
+    def store_lost(self, detail: str) -> None:
+        self.told.append("lost")
+
+    def store_back(self) -> None:
+        self.told.append("back")
+
+
+def page(end: int, *keys: str, has_more: bool = False) -> KeyedPage:
+    """Return a page of records."""
+    records = [KeyedRecord(key=key, value=b"v") for key in keys]
+    return KeyedPage(records=records, end=end, has_more=has_more)
+
+
+class FollowerTest(TestCase):
+    """However the store fails, the newest records are read afresh."""
+
+    def follow(
+        self, *answers: Result[KeyedPage, ReadFailure]
+    ) -> tuple[list[str], list[str]]:
+        clock, notes, store = Clock(), Notes(), FakeStore(*answers)
+        follower = RecordFollower(
+            topic="t",
+            port=store,
+            reader=notes,
+            clock=clock,
+            random=random.Random(1),
+            wait_s=1.0,
+            age_clock=clock.seconds,
+        )
+        for _ in answers:
+            if not store.answers:
+                break
+            Deferred.fromCoroutine(follower.step())
+            clock.advance(1.0)
+        return store.asked, notes.told
+
+    def test_pages_are_one_list_and_changes_follow_the_first(self) -> None:
+        asked, told = self.follow(
+            Ok(page(7, "a", has_more=True)), Ok(page(9, "b")), Ok(page(8, "c"))
+        )
+        self.assertEqual(["newest", "newest a", "read 7"], asked)
+        self.assertEqual(["all a b", "as of 0", "changed c", "as of 1"], told)
+
+    def test_history_lost(self) -> None:
+        asked, told = self.follow(
+            Ok(page(7, "a")), Error(RecordsLost()), Ok(page(20, "b"))
+        )
+        self.assertEqual(["newest", "read 7", "newest"], asked)
+        self.assertEqual(["all a", "as of 0", "all b", "as of 2"], told)
+
+    def test_store_away(self) -> None:
+        lost = Error(may_have_run(Reason.CONNECTION_LOST, "reset"))
+        asked, told = self.follow(
+            Ok(page(7, "a")), lost, lost, Ok(page(9, "a"))
+        )
+        self.assertEqual(["newest", "read 7", "newest", "newest"], asked)
+        self.assertEqual(
+            ["all a", "as of 0", "lost", "back", "all a", "as of 3"], told
+        )
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,261 @@
+"""Forwarded requests: what repeats, what is told, and whole answers."""
+
+from testtools import TestCase
+
+from sequoiawind.forward_state import ForwardAccount
+from sequoiawind.verdict import (
+    Reason,
+    Verdict,
+    forwarded_status,
+    may_have_run,
+    not_run,
+)
+from tests.forward_rig import FakeCaller, ForwardRig, state, target
+
+BUSY = not_run(Reason.TARGET_BUSY, "busy")
+LOST = may_have_run(Reason.CONNECTION_LOST, "lost")
+UNREACHED = not_run(Reason.CONNECT_FAILED, "refused")
+
+
+def event(number: int) -> bytes:
+    """Return an event."""
+    return b"id: %d\ndata: x\n\n" % number
+
+
+class RepeatTest(TestCase):
+    """What may have run is sent again only where its kind allows that."""
+
+    def rig(self) -> ForwardRig:
+        rig = ForwardRig()
+        rig.add(target("t1"), target("t2"))
+        rig.add(target("e1", "llm"), target("e2", "llm"))
+        return rig
+
+    def test_lost_connection(self) -> None:
+        # Route, sends in all, status for the caller.
+        for route, sends in (("read", 2), ("book", 1), ("brief", 1)):
+            rig = self.rig()
+            caller = rig.submit(route)
+            rig.port.sent[0].sink.failed(LOST)
+            self.assertEqual(sends, len(rig.port.sent), route)
+            if sends == 1:
+                assert caller.failure is not None
+                self.assertEqual(502, forwarded_status(caller.failure))
+
+    def test_refused_by_the_target(self) -> None:
+        for route in ("read", "book", "brief", "draft"):
+            rig = self.rig()
+            caller = rig.submit(route)
+            rig.port.sent[0].answer(503, refusal=BUSY)
+            self.assertEqual(2, len(rig.port.sent), route)
+            first, second = (item.order.target.name for item in rig.port.sent)
+            self.assertNotEqual(first, second)
+            rig.port.sent[1].answer(200, b"whole")
+            self.assertEqual([200], caller.statuses, route)
+            self.assertEqual(b"whole", caller.body)
+
+    def test_refused_by_all_is_a_promise(self) -> None:
+        rig = self.rig()
+        caller = rig.submit("book")
+        rig.port.sent[0].answer(503, refusal=BUSY)
+        rig.port.sent[-1].answer(503, refusal=BUSY)
+        failure = caller.failure
+        assert failure is not None
+        self.assertEqual(Verdict.NOT_RUN, failure.verdict)
+        self.assertEqual(503, forwarded_status(failure))
+        self.assertTrue(failure.retry_after_s)
+
+    def test_no_promise_after_a_run(self) -> None:
+        rig = self.rig()
+        caller = rig.submit("read")
+        rig.port.sent[0].sink.failed(LOST)
+        rig.port.sent[1].answer(503, refusal=BUSY)
+        assert caller.failure is not None
+        self.assertEqual(502, forwarded_status(caller.failure))
+
+    def test_connection_not_opened_costs_no_target(self) -> None:
+        rig = self.rig()
+        caller = rig.submit("brief")
+        rig.port.sent[0].sink.failed(UNREACHED)
+        rig.port.sent[1].answer(200, event(1))
+        self.assertEqual([200], caller.statuses)
+
+    def test_target_failure_is_passed_on_unless_another_can_answer(
+        self,
+    ) -> None:
+        rig = self.rig()
+        caller = rig.submit("read")
+        rig.port.sent[0].answer(500, b"bad")
+        rig.port.sent[1].answer(500, b"bad again")
+        self.assertEqual([500], caller.statuses)
+        self.assertEqual(b"bad again", caller.body)
+        caller = rig.submit("book")
+        rig.port.sent[2].answer(500, b"bad")
+        self.assertEqual([500], caller.statuses)
+
+    def test_budget_of_repeats(self) -> None:
+        rig = self.rig()
+        rig.forwarder.window.allowance = 0.0
+        rig.forwarder.window.ratio = 0.0
+        caller = rig.submit("read")
+        rig.port.sent[0].sink.failed(LOST)
+        self.assertEqual(1, len(rig.port.sent))
+        assert caller.failure is not None
+        self.assertEqual(502, forwarded_status(caller.failure))
+
+
+class StreamTest(TestCase):
+    """Streams arrive complete, in order, and without a seam."""
+
+    def rig(self) -> ForwardRig:
+        rig = ForwardRig()
+        rig.add(target("e1", "llm"), target("e2", "llm"))
+        return rig
+
+    def test_resumed_behind_the_last_whole_event(self) -> None:
+        rig = self.rig()
+        caller = rig.submit("draft")
+        rig.port.sent[0].begin(200, event(1) + event(2) + b"id: 3\nda")
+        rig.port.sent[0].sink.failed(LOST)
+        second = rig.port.sent[1]
+        self.assertEqual(2, second.order.after_event)
+        second.answer(200, event(3) + event(4))
+        expected = b"".join(event(number) for number in (1, 2, 3, 4))
+        self.assertEqual(expected, caller.body)
+        self.assertTrue(caller.is_ended)
+        self.assertEqual([200], caller.statuses)
+
+    def test_repeated_events_are_dropped(self) -> None:
+        rig = self.rig()
+        caller = rig.submit("draft")
+        rig.port.sent[0].begin(200, event(1) + event(2))
+        rig.port.sent[0].sink.failed(LOST)
+        rig.port.sent[1].answer(200, event(2) + event(3))
+        self.assertEqual(event(1) + event(2) + event(3), caller.body)
+
+    def test_broken_stream_does_not_look_complete(self) -> None:
+        rig = self.rig()
+        caller = rig.submit("brief")
+        rig.port.sent[0].begin(200, event(1))
+        rig.port.sent[0].sink.failed(LOST)
+        self.assertTrue(caller.is_broken)
+        self.assertFalse(caller.is_ended)
+
+    def test_silent_stream_goes_on_elsewhere(self) -> None:
+        rig = self.rig()
+        caller = rig.submit("draft")
+        rig.port.sent[0].begin(200, event(1))
+        rig.advance(1.5)
+        self.assertTrue(rig.port.sent[0].call.is_cancelled)
+        rig.port.sent[1].answer(200, event(2))
+        self.assertEqual(event(1) + event(2), caller.body)
+
+
+class TimeTest(TestCase):
+    """A request that was given up on gets its final answer at once."""
+
+    def end_of_time(self, route: str, with_target: bool) -> FakeCaller:
+        rig = ForwardRig()
+        rig.add(target("t1"), target("e1", "llm"))
+        if not with_target:
+            rig.fleet.shed("t1", 100.0)
+        caller = rig.submit(route)
+        rig.advance(5.1)
+        return caller
+
+    def test_timeout_of_the_route(self) -> None:
+        caller = self.end_of_time("book", with_target=True)
+        assert caller.failure is not None
+        self.assertEqual(504, forwarded_status(caller.failure))
+
+    def test_no_target_is_told_early_and_as_not_run(self) -> None:
+        caller = self.end_of_time("book", with_target=False)
+        assert caller.failure is not None
+        self.assertEqual(503, forwarded_status(caller.failure))
+        self.assertEqual(Reason.NO_TARGET, caller.failure.reason)
+
+    def test_empty_pool_is_told_at_once(self) -> None:
+        rig = ForwardRig()
+        caller = rig.submit("book")
+        assert caller.failure is not None
+        self.assertEqual(503, forwarded_status(caller.failure))
+
+    def test_waits_for_a_target_that_is_busy_for_a_moment(self) -> None:
+        rig = ForwardRig()
+        rig.add(target("t1"))
+        rig.fleet.shed("t1", 0.0)
+        rig.submit("book")
+        self.assertEqual(0, len(rig.port.sent))
+        rig.advance(0.5)
+        self.assertEqual(1, len(rig.port.sent))
+
+    def test_what_is_left_is_handed_on(self) -> None:
+        rig = ForwardRig()
+        rig.add(target("t1"), target("t2"))
+        rig.submit("read")
+        rig.advance(1.0)
+        rig.port.sent[0].sink.failed(LOST)
+        first, second = (item.order.deadline_s for item in rig.port.sent)
+        self.assertEqual(5.0, first)
+        self.assertAlmostEqual(4.0, second, delta=0.1)
+
+    def test_caller_gone(self) -> None:
+        # An action goes on; what may repeat or streams stops.
+        for route, is_cancelled in (
+            ("read", True),
+            ("book", False),
+            ("brief", True),
+        ):
+            rig = ForwardRig()
+            rig.add(target("t1"), target("e1", "llm"))
+            forwarding = rig.forwarder.submit(rig.request(route), FakeCaller())
+            assert forwarding is not None
+            forwarding.caller_gone()
+            call = rig.port.sent[0].call
+            self.assertEqual(is_cancelled, call.is_cancelled, route)
+            self.assertEqual(0, rig.forwarder.open_requests)
+
+
+class KeyTest(TestCase):
+    """Keys and routes are judged by a configuration of known age."""
+
+    def refusal(self, rig: ForwardRig, **fields: str) -> int:
+        caller = rig.submit("read", **fields)
+        if caller.failure is None:
+            return 200
+        return forwarded_status(caller.failure)
+
+    def test_statuses_by_age(self) -> None:
+        cases = (
+            # Age in seconds, key, host, status.
+            (0.0, "key-of-a", "h", 200),
+            (0.0, "other", "h", 401),
+            (0.0, "key-of-a", "elsewhere", 404),
+            (3.0, "other", "h", 503),
+            (3.0, "key-of-a", "elsewhere", 503),
+            (3.0, "key-of-a", "h", 200),
+            (4.5, "key-of-a", "h", 503),
+        )
+        for age_s, key, host, status in cases:
+            rig = ForwardRig()
+            rig.add(target("t1"))
+            rig.clock.advance(age_s)
+            got = self.refusal(rig, key=key, host=host)
+            self.assertEqual(status, got, (age_s, key, host))
+
+    def test_no_configuration_is_no_denial(self) -> None:
+        rig = ForwardRig()
+        rig.board.folded = type(rig.board.folded)()
+        self.assertEqual(503, self.refusal(rig))
+
+    def test_key_taken_away_while_the_request_waits(self) -> None:
+        rig = ForwardRig()
+        rig.add(target("t1"))
+        rig.fleet.shed("t1", 0.0)
+        caller = rig.submit("read")
+        other = ForwardAccount(name="b", token_digest="x")
+        rig.configure(state(2, accounts={"b/0": other}))
+        rig.advance(0.5)
+        self.assertEqual(0, len(rig.port.sent))
+        assert caller.failure is not None
+        self.assertEqual(401, forwarded_status(caller.failure))
