Orders to load weights wait until their target's queue is empty

Cause: an order refuses what waits at its target; 77 of 702 arrivals were refused so, and requests whose route allows one target were refused to their callers. Change: the agent announces the load, lets the queue drain for up to a second, then orders. Ruled out: a longer announcement (the refused requests had waited for 400 ms, not arrived late). Test seen failing.

--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -33,6 +33,11 @@
 # Time between telling the routers of a load and ordering it, in seconds: a
 # round trip inside a region, so that few requests are still on their way.
 ANNOUNCE_S: Final = 0.03
+# Longest time for which requests that wait at the target may begin before the
+# order, in seconds; those that still wait then are refused by it.
+QUEUE_DRAIN_S: Final = 1.0
+# How often the target is asked meanwhile, in seconds.
+QUEUE_CHECK_S: Final = 0.03
 # Time after an order without an answer before the target counts as not
 # loading, in seconds.
 UNANSWERED_S: Final = 0.5
@@ -173,10 +178,7 @@
         target = self.target
         if target is None:
             return
-        now_s = self.clock.seconds()
-        self.loading_until_s = now_s + ANNOUNCE_S + UNANSWERED_S
-        self.publish(attrs.evolve(self.status, is_loading=True))
-        await timing.sleep(self.clock, ANNOUNCE_S)
+        report = await self.drain_queue(report)
         order = LoadOrder(
             model=model,
             version=version,
@@ -205,6 +207,29 @@
             outcome=outcome,
         )
 
+    async def drain_queue(self, report: TargetReport) -> TargetReport:
+        """Let the requests that wait at the target begin before an order.
+
+        Returns:
+          The target's last report.
+        """
+        now_s = self.clock.seconds()
+        ends_s = now_s + QUEUE_DRAIN_S
+        self.loading_until_s = ends_s + UNANSWERED_S
+        self.publish(attrs.evolve(self.status, is_loading=True))
+        await timing.sleep(self.clock, ANNOUNCE_S)
+        while self.clock.seconds() < ends_s:
+            answered = await self.port.report(self.address, REPORT_TIMEOUT_S)
+            if answered.is_error():
+                break
+            report = answered.ok
+            self.take_report(report)
+            if report.waiting == 0:
+                break
+            await timing.sleep(self.clock, QUEUE_CHECK_S)
+        self.loading_until_s = self.clock.seconds() + UNANSWERED_S
+        return report
+
     # Routers.
 
     def heard_from(self, router: str) -> None:
--- /dev/null
+++ b/tests/test_forward_agent.py
@@ -0,0 +1,132 @@
+"""An agent's orders: announced, after the queue, and never twice."""
+
+from typing import Any
+
+import attrs
+from expression import Error, Ok, Result
+from structlog.testing import CapturingLogger
+from testtools import TestCase
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_agent import ForwardAgent
+from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
+from sequoiawind.verdict import Failure, Reason, may_have_run
+from tests.forward_rig import target
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeTarget:
+    """A target that takes orders as its `seq` allows."""
+
+    report_now: TargetReport
+    orders: list[LoadOrder] = attrs.field(factory=list)
+    # Reports that show one waiting request less each.
+    draining: bool = False
+    is_answering: bool = True
+
+    async def report(
+        self, address: str, timeout_s: float
+    ) -> Result[TargetReport, Failure]:
+        now = self.report_now
+        if now.waiting and self.draining:
+            self.report_now = attrs.evolve(now, waiting=now.waiting - 1)
+        return Ok(now)
+
+    async def order(
+        self, address: str, target: str, order: LoadOrder, timeout_s: float
+    ) -> Result[OrderOutcome, Failure]:
+        self.orders.append(order)
+        if not self.is_answering:
+            return Error(may_have_run(Reason.CONNECTION_LOST, "lost"))
+        self.report_now = attrs.evolve(
+            self.report_now,
+            versions={order.model: order.version},
+            orders=self.report_now.orders + 1,
+        )
+        return Ok(OrderOutcome.ACCEPTED)
+
+
+REPORT = TargetReport(
+    versions={"m": 1},
+    is_busy=False,
+    orders=0,
+    waiting=0,
+    running=0,
+    used_tokens=0,
+    is_draining=False,
+    born_ms=1,
+)
+
+
+class OrderTest(TestCase):
+    """Orders to load weights."""
+
+    def make(
+        self, draining: bool = False, **fields: Any
+    ) -> tuple[Clock, ForwardAgent, FakeTarget]:
+        clock, fleet = Clock(), Fleet()
+        fleet.put(target("e1", "llm", address="ip:1"))
+        fake = FakeTarget(
+            report_now=attrs.evolve(REPORT, **fields), draining=draining
+        )
+        agent = ForwardAgent(
+            address="ip:1",
+            holder="agent",
+            port=fake,
+            clock=clock,
+            fleet=fleet,
+            log=CapturingLogger(),  # type: ignore[arg-type]
+            weights_s=6.0,
+        )
+        Deferred.fromCoroutine(agent.run())
+        return clock, agent, fake
+
+    def advance(self, clock: Clock, seconds: float) -> None:
+        for _ in range(round(seconds / 0.01)):
+            clock.advance(0.01)
+
+    def test_announced_before_it_is_given(self) -> None:
+        clock, agent, fake = self.make()
+        agent.weights_named("m", 2)
+        while not agent.status.is_loading:
+            clock.advance(0.01)
+        self.assertEqual([], fake.orders)
+        self.advance(clock, 0.2)
+        self.assertEqual([2], [order.version for order in fake.orders])
+
+    def test_given_once_the_queue_is_empty(self) -> None:
+        clock, agent, fake = self.make(waiting=5, draining=True)
+        agent.weights_named("m", 2)
+        self.advance(clock, 0.15)
+        self.assertEqual([], fake.orders)
+        self.advance(clock, 0.3)
+        self.assertEqual(1, len(fake.orders))
+
+    def test_given_although_the_queue_stays(self) -> None:
+        clock, agent, fake = self.make(waiting=5)
+        agent.weights_named("m", 2)
+        self.advance(clock, 0.9)
+        self.assertEqual([], fake.orders)
+        self.advance(clock, 0.4)
+        self.assertEqual(1, len(fake.orders))
+
+    def test_newest_only_and_forward_only(self) -> None:
+        clock, agent, fake = self.make()
+        for version in (2, 4, 3):
+            agent.weights_named("m", version)
+        self.advance(clock, 3.0)
+        self.assertEqual([4], [order.version for order in fake.orders])
+
+    def test_unanswered_order_is_repeated_under_the_same_condition(
+        self,
+    ) -> None:
+        clock, agent, fake = self.make()
+        fake.is_answering = False
+        agent.weights_named("m", 2)
+        self.advance(clock, 2.0)
+        self.assertTrue(len(fake.orders) > 1)
+        # Whichever comes first makes the others fail.
+        self.assertEqual({0}, {order.after_orders for order in fake.orders})
+        self.assertEqual({1}, {order.fencing for order in fake.orders})
