Routers learn what caches hold; a keeper gets and gives prompt parts

Change: a watcher asks each target and the keeper for changes; parts that the keeper lacks are sent there, and fetched from it where no target holds more. A cache with watchers enough leaves the router with what it sent itself; restarts, gaps and silence forget. Ruled out: the list of all that is kept, which stalls the engine.

--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 import attrs
+from expression import Result
 
 from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_state import ForwardTarget
@@ -75,6 +76,37 @@
         """Send a request and deliver the answer to the sink."""
 
 
+@attrs.frozen(kw_only=True)
+class PartChange:
+    """A part of which a cache now holds more or fewer tokens."""
+
+    salt: str
+    part: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class CacheNews:
+    """What has changed in a cache since an earlier question."""
+
+    # Changes when the cache restarts, and then is empty.
+    epoch: int
+    # Where to go on.
+    next_number: int
+    # Some changes are missing.
+    has_gap: bool
+    changes: list[PartChange]
+
+
+class CachePort(Protocol):
+    """Asks targets and keepers what they have cached."""
+
+    async def cache_news(
+        self, address: str, since: int, wait_s: float, timeout_s: float
+    ) -> Result[CacheNews, Failure]:
+        """Return the changes behind a number, waiting for a first one."""
+
+
 class ForwardCaller(Protocol):
     """The caller's side of a forwarded request."""
 
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -10,6 +10,7 @@
 
 from sequoiawind import http_client, http_server, logs, metrics
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_plan import ForwardRequest, Planner
 from sequoiawind.forward_readers import OperatorReader, TargetReader
@@ -102,6 +103,7 @@
     def make_forwarder(self) -> Forwarder:
         """Return the decisions about requests."""
         bounds = self.options.bounds
+        engines = EngineClient(client=self.client)
         return Forwarder(
             board=self.board,
             fleet=self.fleet,
@@ -110,7 +112,13 @@
                 freshness=self.freshness,
                 random=self.random,
             ),
-            port=EngineClient(client=self.client),
+            port=engines,
+            caches=CacheWatcher(
+                port=engines,
+                clock=http_server.reactor,
+                random=self.random,
+                log=self.log,
+            ),
             clock=http_server.reactor,
             window=RepeatWindow(
                 ratio=bounds.repeat_ratio,
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -12,14 +12,20 @@
 import structlog
 
 from sequoiawind.blackboard import Blackboard, RequestNote
+from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.fleet import Fleet, TargetView
 from sequoiawind.forward_plan import ForwardRequest, Planner
 from sequoiawind.forward_ports import ForwardCaller, ForwardPort
+from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.ports import Clock, Timer
-from sequoiawind.prompt_cache import HeldParts
 from sequoiawind.repeat_window import RepeatWindow
-from sequoiawind.target_choice import Chosen, PromptChooser, choose_call
+from sequoiawind.target_choice import (
+    Chosen,
+    Keeper,
+    PromptChooser,
+    choose_call,
+)
 from sequoiawind.verdict import Failure, Reason, Verdict
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -56,7 +62,7 @@
     domain: str
     # Time within which all targets must have newer weights, in seconds.
     weights_s: float
-    held: dict[str, HeldParts] = attrs.field(factory=dict)
+    caches: CacheWatcher
     newest: dict[str, NewestWeights] = attrs.field(factory=dict)
     waiting: list[Forwarding] = attrs.field(factory=list)
     ticking: Timer | None = None
@@ -112,8 +118,10 @@
         prompt = plan.request.prompt
         if prompt is None or not plan.pool.models:
             return choose_call(ready, self.fleet.members, self.domain)
+        caches = self.caches.caches
         chooser = PromptChooser(
-            held=self.held,
+            held={name: cache.held for name, cache in caches.items()},
+            keeper=self.keeper(),
             pool=self.fleet.usable(plan.pool.name, now_s),
             now_s=now_s,
         )
@@ -148,23 +156,32 @@
         prompt = forwarding.plan.request.prompt
         if prompt is None or chosen.version is None:
             return
-        name = chosen.view.target.name
-        held = self.held.get(name)
-        if held is None:
-            memory = forwarding.plan.pool.memory_tokens
-            held = HeldParts(capacity_tokens=memory or DEFAULT_MEMORY_TOKENS)
-            self.held[name] = held
-        held.sent(chosen.salt, prompt.parts)
+        target = chosen.view.target
+        memory = forwarding.plan.pool.memory_tokens or DEFAULT_MEMORY_TOKENS
+        self.caches.watch(target.name, target.address, memory)
+        self.caches.caches[target.name].held.sent(chosen.salt, prompt.parts)
         forwarding.note.prompt_tokens = prompt.tokens
         forwarding.note.cached_tokens = prompt.tokens - chosen.missing_tokens
 
+    def keeper(self) -> Keeper | None:
+        """Return the store of kept parts; None if there is none to use."""
+        for pool in self.board.state.pools.values():
+            if not isinstance(pool, ForwardPool) or not pool.keeper:
+                continue
+            memory = pool.memory_tokens or DEFAULT_MEMORY_TOKENS
+            self.caches.watch(pool.name, pool.keeper, memory)
+            cache = self.caches.caches[pool.name]
+            if cache.is_alive:
+                return Keeper(address=pool.keeper, held=cache.held)
+        return None
+
     def has_targets(self, pool: str) -> bool:
         """Whether a pool has a target that may become ready soon."""
         return bool(self.fleet.usable(pool, self.clock.seconds()))
 
     def incarnation_began(self, name: str) -> None:
         """Forget what an earlier start of a target held."""
-        self.held.pop(name, None)
+        self.caches.forget(name)
 
     # Outcomes.
 
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -256,6 +256,7 @@
             version=chosen.version,
             salt=chosen.salt,
             source=chosen.source,
+            keeper=chosen.keeper,
             after_event=self.last_event,
         )
         self.watch_first(attempt)
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -67,6 +67,8 @@
     engine: EngineRecord | None = None
     # Set for a store of cached prompts, which is no target.
     kv_store_addr: str = ""
+    # Room of such a store.
+    kv_capacity_tokens: int = 0
 
 
 class LimitsRecord(msgspec.Struct):
@@ -200,6 +202,6 @@
         service="engine" if record.engine else "plain",
         max_connections=record.max_conns,
         models=tuple(model.name for model in engine.models),
-        memory_tokens=engine.kv_capacity_tokens,
+        memory_tokens=record.kv_capacity_tokens or engine.kv_capacity_tokens,
         keeper=record.kv_store_addr,
     )
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -8,7 +8,13 @@
 from expression import Error, Ok, Result
 
 from sequoiawind import messages, wire
-from sequoiawind.forward_ports import AnswerHead, AttemptSink, SendOrder
+from sequoiawind.forward_ports import (
+    AnswerHead,
+    AttemptSink,
+    CacheNews,
+    PartChange,
+    SendOrder,
+)
 from sequoiawind.forwarding import passed_headers
 from sequoiawind.http1_client import (
     Http1Client,
@@ -26,6 +32,8 @@
 ACCEPTED: Final = 202
 HOLDS_ALREADY: Final = 200
 WRONG_INSTANCE: Final = 421
+# A cache answers this when it serves as many watchers as it may.
+TOO_MANY: Final = 429
 
 
 class ReportRecord(msgspec.Struct):
@@ -44,6 +52,18 @@
     born: int = 0
 
 
+class EventsRecord(msgspec.Struct):
+    """Changes of a cache."""
+
+    # Changes at each start of the cache.
+    boot_epoch: int
+    # The `since` of the next question.
+    next_token: int
+    lost: bool = False
+    # Number, + or -, salt, part, tokens held now, model.
+    events: list[tuple[int, str, str, str, int, str]] = []
+
+
 class OrderRecord(msgspec.Struct):
     """An order to load weights."""
 
@@ -157,6 +177,42 @@
             )
         )
 
+    async def cache_news(
+        self, address: str, since: int, wait_s: float, timeout_s: float
+    ) -> Result[CacheNews, Failure]:
+        """Return the changes of a cache, waiting for a first one."""
+        request = OutgoingRequest(
+            method=b"GET",
+            target=b"%s?since=%d" % (names.CACHE_EVENTS_TARGET, since),
+            headers=[
+                (b"host", address.encode()),
+                (names.WAIT_MS, b"%d" % int(wait_s * 1000)),
+            ],
+        )
+        answered = await fetch(self.client, address, request, timeout_s)
+        if answered.is_error():
+            return Error(answered.error)
+        if answered.ok.status == TOO_MANY:
+            return Error(not_run(Reason.TARGET_BUSY, "too many watch it"))
+        if answered.ok.status != 200:
+            text = f"status {answered.ok.status}"
+            return Error(not_run(Reason.TARGET_ERROR, text))
+        try:
+            record = wire.decode(answered.ok.body, EventsRecord)
+        except wire.WireError as error:
+            return Error(not_run(Reason.TARGET_ERROR, str(error)))
+        return Ok(
+            CacheNews(
+                epoch=record.boot_epoch,
+                next_number=record.next_token,
+                has_gap=record.lost,
+                changes=[
+                    PartChange(salt=salt, part=part, tokens=tokens)
+                    for _, _, salt, part, tokens, _ in record.events
+                ],
+            )
+        )
+
     async def order(
         self, address: str, target: str, order: LoadOrder, timeout_s: float
     ) -> Result[OrderOutcome, Failure]:
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -61,6 +61,8 @@
 
 READY_TARGET: Final = b"/api/ready"
 REPORT_TARGET: Final = b"/api/report"
+CACHE_EVENTS_TARGET: Final = b"/api/kv-events"
+WAIT_MS: Final = b"wait-ms"
 ORDER_TARGET: Final = b"/api/order"
 
 # Topics and keys of the store.
--- a/sequoiawind/prompt_cache.py
+++ b/sequoiawind/prompt_cache.py
@@ -50,25 +50,39 @@
     def sent(self, salt: str, parts: Sequence[PromptPart]) -> None:
         """Note a prompt that the target reads."""
         for part in parts:
-            key = (salt, part.id)
-            if key in self.parts:
-                self.parts.move_to_end(key)
-                continue
-            self.parts[key] = part.tokens
-            self.tokens += part.tokens
+            self.changed(salt, part.id, part.tokens)
+
+    def changed(self, salt: str, part: str, tokens: int) -> None:
+        """Note how many tokens of a part the target holds now."""
+        key = (salt, part)
+        self.tokens += tokens - self.parts.pop(key, 0)
+        if tokens > 0:
+            self.parts[key] = tokens
         while self.tokens > self.capacity_tokens and self.parts:
             _, freed = self.parts.popitem(last=False)
             self.tokens -= freed
 
+    def clear(self) -> None:
+        """Forget all, as after a restart of the target."""
+        self.parts.clear()
+        self.tokens = 0
+
     def held_tokens(self, salt: str, parts: Sequence[PromptPart]) -> int:
         """Return the tokens of a prompt's beginning that are held."""
         held = 0
         for part in parts:
-            if (salt, part.id) not in self.parts:
+            tokens = self.parts.get((salt, part.id), 0)
+            held += min(tokens, part.tokens)
+            if tokens < part.tokens:
                 break
-            held += part.tokens
         return held
 
+    def lacks(self, salt: str, parts: Sequence[PromptPart]) -> bool:
+        """Whether some of the parts are not held."""
+        return self.held_tokens(salt, parts) < sum(
+            part.tokens for part in parts
+        )
+
 
 def cache_salt(
     account: str, model: str, version: int, is_isolated: bool
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -23,8 +23,10 @@
 # one that waits (a prompt of common size).
 RUNNING_TOKENS: Final = 120
 WAITING_TOKENS: Final = 2_000
-# Cost of fetching a token from another target, relative to reading it.
-FETCH_COST: Final = 0.15
+# Cost of fetching a token from another target or from the keeper, relative to
+# reading it: the links of targets are an order of magnitude faster.
+FETCH_COST: Final = 0.1
+KEEPER_FETCH_COST: Final = 0.4
 # Homes of a prompt's shared part, which are weighed before the rest.
 HOMES: Final = 2
 # Cost added to a prompt's second home, in prompt tokens, so that routers that
@@ -48,8 +50,28 @@
     salt: str = ""
     # Prompt tokens that the target is believed to lack.
     missing_tokens: int = 0
-    # Address of a target to fetch cached parts from; empty for none.
+    # Address of a target or keeper to fetch cached parts from, and of the
+    # keeper that should get what is read; empty for none.
     source: str = ""
+    keeper: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Source:
+    """Where a target may fetch the beginning of a prompt."""
+
+    address: str = ""
+    # Tokens beyond those that the target holds itself.
+    tokens: int = 0
+    fetch_cost: float = FETCH_COST
+
+
+@attrs.frozen(kw_only=True)
+class Keeper:
+    """A store of kept parts."""
+
+    address: str
+    held: HeldParts
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +80,8 @@
 
     # What each target holds, by its name.
     held: Mapping[str, HeldParts]
+    # The pool's store of kept parts; None if there is none that answers.
+    keeper: Keeper | None = None
     # Targets of the pool, also those that take no work now.
     pool: Sequence[TargetView]
     now_s: float
@@ -118,16 +142,25 @@
         version = view.version(prompt.model)
         salt = cache_salt(account, prompt.model, version, is_isolated)
         held = self.held_tokens(view.target.name, salt, prompt)
-        source, fetched = self.source(view, salt, prompt, held, homes)
-        missing = prompt.tokens - held - int(fetched * (1.0 - FETCH_COST))
+        source = self.source(view, salt, prompt, held, homes)
+        gained = int(source.tokens * (1.0 - source.fetch_cost))
         return Chosen(
             view=view,
             version=version,
             salt=salt,
-            missing_tokens=max(0, missing),
-            source=source,
+            missing_tokens=max(0, prompt.tokens - held - gained),
+            source=source.address,
+            keeper=self.keeper_address(salt, prompt),
         )
 
+    def keeper_address(self, salt: str, prompt: Prompt) -> str:
+        """Return the keeper that should get what is read, if it lacks it."""
+        keeper = self.keeper
+        shared = prompt.parts[:-1]
+        if keeper is None or not keeper.held.lacks(salt, shared):
+            return ""
+        return keeper.address
+
     def held_tokens(self, name: str, salt: str, prompt: Prompt) -> int:
         """Return the tokens of a prompt that a target holds."""
         held = self.held.get(name)
@@ -140,22 +173,33 @@
         prompt: Prompt,
         held: int,
         homes: Sequence[str],
-    ) -> tuple[str, int]:
-        """Return the target to fetch from, and the tokens gained there."""
-        best, best_tokens = "", held
+    ) -> Source:
+        """Return where a target should fetch the prompt's beginning."""
+        best = Source()
         for other in self.pool:
-            if other is view:
-                continue
-            tokens = self.held_tokens(other.target.name, salt, prompt)
-            if tokens > best_tokens:
-                best, best_tokens = other.target.address, tokens
-        if best or held:
-            return best, best_tokens - held
+            tokens = self.held_tokens(other.target.name, salt, prompt) - held
+            if other is not view and tokens > best.tokens:
+                best = Source(address=other.target.address, tokens=tokens)
+        kept = self.kept(salt, prompt, held)
+        if kept.tokens > best.tokens:
+            return kept
+        if best.tokens or held:
+            return best
         # Another router may have sent the prompt's beginning to its home.
         for other in self.pool:
             if other is not view and other.target.name in homes:
-                return other.target.address, 0
-        return "", 0
+                return Source(address=other.target.address)
+        return best
+
+    def kept(self, salt: str, prompt: Prompt, held: int) -> Source:
+        """Return the keeper as a source."""
+        if self.keeper is None:
+            return Source()
+        return Source(
+            address=self.keeper.address,
+            tokens=self.keeper.held.held_tokens(salt, prompt.parts) - held,
+            fetch_cost=KEEPER_FETCH_COST,
+        )
 
     def cost(self, option: Chosen, homes: Sequence[str]) -> float:
         """Return what a target costs, in prompt tokens to read."""
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -4,13 +4,21 @@
 from typing import Any
 
 import attrs
+import structlog
+from expression import Error, Result
 from twisted.internet.task import Clock
 
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.config_fold import Folded
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_plan import ForwardRequest, Planner
-from sequoiawind.forward_ports import AnswerHead, AttemptSink, SendOrder
+from sequoiawind.forward_ports import (
+    AnswerHead,
+    AttemptSink,
+    CacheNews,
+    SendOrder,
+)
 from sequoiawind.forward_state import (
     ForwardAccount,
     ForwardKind,
@@ -25,7 +33,7 @@
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.router import token_digest
-from sequoiawind.verdict import Failure
+from sequoiawind.verdict import Failure, Reason, not_run
 
 KEY = "key-of-a"
 
@@ -76,6 +84,12 @@
         self.sent.append(Sent(order=order, sink=sink))
         return self.sent[-1].call
 
+    async def cache_news(
+        self, address: str, since: int, wait_s: float, timeout_s: float
+    ) -> Result[CacheNews, Failure]:
+        """Tell that there are watchers enough."""
+        return Error(not_run(Reason.TARGET_BUSY))
+
 
 @attrs.define(kw_only=True, eq=False)
 class FakeCaller:
@@ -197,6 +211,12 @@
                 random=random.Random(1),
             ),
             port=self.port,
+            caches=CacheWatcher(
+                port=self.port,
+                clock=self.clock,
+                random=random.Random(1),
+                log=structlog.get_logger(),
+            ),
             clock=self.clock,
             window=RepeatWindow(ratio=0.2, allowance=200.0, window_s=10.0),
             random=random.Random(1),
--- /dev/null
+++ b/tests/test_cache_watcher.py
@@ -0,0 +1,98 @@
+"""What a router learns of caches, and what it does without."""
+
+import random
+
+import attrs
+import structlog
+from expression import Error, Ok, Result
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.forward_ports import CacheNews, PartChange
+from sequoiawind.prompt_cache import HeldParts, PromptPart
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
+
+PARTS = (PromptPart(id="a", tokens=100), PromptPart(id="b", tokens=50))
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeCache:
+    """Answers what a test has laid out, then that it is crowded."""
+
+    answers: list[Result[CacheNews, Failure]]
+
+    async def cache_news(
+        self, address: str, since: int, wait_s: float, timeout_s: float
+    ) -> Result[CacheNews, Failure]:
+        if self.answers:
+            return self.answers.pop(0)
+        return Error(not_run(Reason.TARGET_BUSY))
+
+
+def news(
+    *changes: tuple[str, int], epoch: int = 1, gap: bool = False
+) -> Result[CacheNews, Failure]:
+    """Return an answer with changes of parts."""
+    return Ok(
+        CacheNews(
+            epoch=epoch,
+            next_number=9,
+            has_gap=gap,
+            changes=[
+                PartChange(salt="s", part=part, tokens=tokens)
+                for part, tokens in changes
+            ],
+        )
+    )
+
+
+class HeldPartsTest(TestCase):
+    """A beginning is held up to its first part that is not whole."""
+
+    def test_held_tokens(self) -> None:
+        for changes, expected in (
+            ((("a", 100), ("b", 50)), 150),
+            ((("a", 60), ("b", 50)), 60),
+            ((("b", 50),), 0),
+            ((("a", 100), ("b", 50), ("a", 0)), 0),
+        ):
+            held = HeldParts(capacity_tokens=1_000)
+            for part, tokens in changes:
+                held.changed("s", part, tokens)
+            self.assertEqual(expected, held.held_tokens("s", PARTS), changes)
+            self.assertEqual(0, held.held_tokens("other", PARTS))
+
+    def test_capacity(self) -> None:
+        held = HeldParts(capacity_tokens=120)
+        held.sent("s", PARTS)
+        self.assertEqual(50, held.tokens)
+        self.assertTrue(held.lacks("s", PARTS))
+
+
+class WatcherTest(TestCase):
+    """Restarts, gaps and silence leave nothing to count on."""
+
+    def held_after(self, *answers: Result[CacheNews, Failure]) -> int:
+        clock = Clock()
+        watcher = CacheWatcher(
+            port=FakeCache(answers=list(answers)),
+            clock=clock,
+            random=random.Random(1),
+            log=structlog.get_logger(),
+        )
+        watcher.watch("e1", "ip:1", 1_000)
+        for _ in range(20):
+            clock.advance(0.1)
+        return watcher.caches["e1"].held.held_tokens("s", PARTS)
+
+    def test_changes(self) -> None:
+        lost = Error(may_have_run(Reason.CONNECTION_LOST))
+        for answers, expected in (
+            ((news(("a", 100)), news(("b", 50))), 150),
+            ((news(("a", 100)), news(("b", 50), epoch=2)), 0),
+            ((news(("a", 100)), news(gap=True)), 0),
+            ((news(("a", 100)), lost), 0),
+            ((news(("a", 100)), lost, news(("a", 100))), 100),
+        ):
+            self.assertEqual(expected, self.held_after(*answers))
