Targets load weights in turns; a controller outlives its own fault

Cause: turns by a fixed time overlapped when runs lasted longer than the step, so that three or four of six targets took no work; and a fault in a controller's step ended it for good, seen when a test's agent stopped. Change: a target begins when the one two places before it has loaded, by asking its agent; versions superseded meanwhile are skipped; a target that waits too long loads without its turn. Controllers run under a supervisor that logs a fault and goes on.

--- a/sequoiawind/cache_watcher.py
+++ b/sequoiawind/cache_watcher.py
@@ -12,7 +12,7 @@
 import structlog
 from twisted.internet.defer import Deferred
 
-from sequoiawind import timing
+from sequoiawind import supervise, timing
 from sequoiawind.forward_ports import CacheNews, CachePort
 from sequoiawind.ports import Clock
 from sequoiawind.prompt_cache import HeldParts
@@ -79,18 +79,26 @@
 
     async def follow(self, name: str, cache: WatchedCache) -> None:
         """Ask one cache until it is forgotten."""
-        while self.caches.get(name) is cache:
-            answered = await self.port.cache_news(
-                cache.address, cache.next_number, WAIT_S, WAIT_S + ANSWER_S
-            )
-            if answered.is_ok():
-                self.alive(name, cache)
-                cache.take(answered.ok)
-                pause_s = PACE_S
-            else:
-                pause_s = self.unanswered(name, cache, answered.error)
-            jittered_s = timing.jittered(pause_s, 0.2, self.random)
-            await timing.sleep(self.clock, jittered_s)
+
+        async def step() -> bool:
+            await self.ask(name, cache)
+            return self.caches.get(name) is cache
+
+        await supervise.repeat(step, f"cache {name}", self.clock, self.log)
+
+    async def ask(self, name: str, cache: WatchedCache) -> None:
+        """Ask a cache once, and pause."""
+        answered = await self.port.cache_news(
+            cache.address, cache.next_number, WAIT_S, WAIT_S + ANSWER_S
+        )
+        if answered.is_ok():
+            self.alive(name, cache)
+            cache.take(answered.ok)
+            pause_s = PACE_S
+        else:
+            pause_s = self.unanswered(name, cache, answered.error)
+        jittered_s = timing.jittered(pause_s, 0.2, self.random)
+        await timing.sleep(self.clock, jittered_s)
 
     def alive(self, name: str, cache: WatchedCache) -> None:
         """Note that a cache answers."""
--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -5,18 +5,19 @@
 """
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 import attrs
 import structlog
 from twisted.internet.defer import Deferred
 
-from sequoiawind import rollout, timing
+from sequoiawind import rollout, supervise, timing
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.ports import Clock
 from sequoiawind.rollout import (
     LoadOrder,
+    NamedVersion,
     OrderOutcome,
     TargetPort,
     TargetReport,
@@ -43,16 +44,17 @@
 UNANSWERED_S: Final = 0.5
 # Change of running or waiting requests that routers are told of.
 LOAD_STEP: Final = 4
+# Named versions that are kept, of a model.
+MAX_NAMED: Final = 16
 # Time for which a router that asked counts as one of the routers, in seconds.
 ROUTER_HEARD_S: Final = 5.0
 
 
-@attrs.define(kw_only=True)
-class NamedVersion:
-    """Newest weights of a model, and when they were named."""
+class PeerPort(Protocol):
+    """Asks the agents of other targets."""
 
-    version: int
-    named_s: float
+    async def status(self, address: str) -> TargetStatus | None:
+        """Return the status of the target at an address; None if unknown."""
 
 
 @attrs.define(kw_only=True)
@@ -69,7 +71,9 @@
     log: Logger
     # Time within which all targets must have newly named weights.
     weights_s: float
-    newest: dict[str, NamedVersion] = attrs.field(factory=dict)
+    peers: PeerPort
+    # Versions by model, in the order in which they were named.
+    named: dict[str, list[NamedVersion]] = attrs.field(factory=dict)
     status: TargetStatus = attrs.field(factory=TargetStatus)
     # Routers by name, and when each asked last.
     routers: dict[str, float] = attrs.field(factory=dict)
@@ -91,9 +95,13 @@
 
     async def run(self) -> None:
         """Watch the target until the process ends."""
-        while True:
-            await self.step()
-            await timing.sleep(self.clock, REPORT_S)
+        await supervise.repeat(self.watch, "target", self.clock, self.log)
+
+    async def watch(self) -> bool:
+        """Take a step after a pause; the agent goes on for ever."""
+        await self.step()
+        await timing.sleep(self.clock, REPORT_S)
+        return True
 
     async def step(self) -> None:
         """Ask the target for its report, and order what it lacks."""
@@ -107,9 +115,11 @@
             self.is_reachable = True
             self.log.info("target regained", orders=answered.ok.orders)
         self.take_report(answered.ok)
-        lacking = self.due(answered.ok)
-        if lacking is not None:
-            await self.load(answered.ok, *lacking)
+        for model in self.named:
+            version = await self.due(answered.ok, model)
+            if version is not None:
+                await self.load(answered.ok, model, version)
+                break
 
     def take_report(self, report: TargetReport) -> None:
         """Tell the routers what has changed."""
@@ -143,33 +153,43 @@
 
     def weights_named(self, model: str, version: int) -> None:
         """Note that an operator has named newer weights."""
-        known = self.newest.get(model)
-        if known is None or version > known.version:
-            self.newest[model] = NamedVersion(
-                version=version, named_s=self.clock.seconds()
-            )
+        known = self.named.setdefault(model, [])
+        if not known or version > known[-1].version:
+            now_s = self.clock.seconds()
+            known.append(NamedVersion(version=version, named_s=now_s))
+            del known[:-MAX_NAMED]
 
-    def due(self, report: TargetReport) -> tuple[str, int] | None:
-        """Return the model and version to load now; None if there is none."""
+    async def due(self, report: TargetReport, model: str) -> int | None:
+        """Return the version of a model to load now; None if there is none."""
         target = self.target
-        if report.is_busy or target is None:
+        lacked = rollout.lacking(report.versions.get(model), self.named[model])
+        if report.is_busy or target is None or not lacked:
             return None
-        versions = {name: item.version for name, item in self.newest.items()}
-        lacking = rollout.wanted(report, versions)
-        if lacking is None:
-            return None
-        model, version = lacking
+        newest = lacked[-1]
+        now_s = self.clock.seconds()
+        if rollout.is_overdue(lacked, self.weights_s, now_s):
+            return newest.version
         pool = [
             view.target.name
             for view in self.fleet.views.values()
             if view.target.pool == target.pool
         ]
-        turn_s = rollout.turn_s(
-            target.name, model, version, pool, self.weights_s
-        )
-        if self.clock.seconds() < self.newest[model].named_s + turn_s:
-            return None
-        return lacking
+        turn = rollout.turn(target.name, pool, self.weights_s)
+        if await self.has_loaded(turn.behind, model, newest.version):
+            return newest.version
+        return None
+
+    async def has_loaded(self, name: str, model: str, version: int) -> bool:
+        """Whether the target whose turn comes before has loaded."""
+        view = self.fleet.views.get(name)
+        if view is None:
+            return True
+        status = await self.peers.status(view.target.address)
+        if status is None:
+            # Its entry tells the same, a heartbeat later.
+            return view.version(model) >= version
+        is_done = status.versions.get(model, 0) >= version
+        return is_done and not status.is_loading
 
     async def load(
         self, report: TargetReport, model: str, version: int
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -1,7 +1,7 @@
 """A forwarding agent put together: decisions, transports, controllers."""
 
 import random
-from typing import Any
+from typing import Any, Final
 
 import attrs
 import klein
@@ -10,6 +10,7 @@
 from twisted.web import server
 
 from sequoiawind import (
+    http_client,
     http_server,
     logs,
     metrics,
@@ -22,6 +23,7 @@
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.freshness import suspended_clock_s
 from sequoiawind.http1_client import Http1Client
+from sequoiawind.http_client import JsonClient
 from sequoiawind.metrics import ForwardAgentMetrics
 from sequoiawind.options import Address, ForwardAgentSettings
 from sequoiawind.platform import codec, names
@@ -29,12 +31,15 @@
 from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.record_follower import RecordFollower
+from sequoiawind.status_watcher import AgentClient
 
 Logger = structlog.typing.FilteringBoundLogger
 
 # For how long the store waits for a change before it answers, in seconds; an
 # agent checks no keys, so an answer without a change tells it little.
-AGENT_STORE_WAIT_S = 3.0
+AGENT_STORE_WAIT_S: Final = 3.0
+# Time for another agent's answer, in seconds.
+PEER_ANSWER_S: Final = 0.3
 
 
 @attrs.define(kw_only=True)
@@ -63,6 +68,12 @@
             clock=http_server.reactor,
             fleet=self.fleet,
             log=self.log,
+            peers=AgentClient(
+                json=JsonClient(
+                    client=http_client.make_client(), timeout_s=PEER_ANSWER_S
+                ),
+                agent_port=options.node.agent_port,
+            ),
             weights_s=options.bounds.weights_ms / 1000,
             on_order=lambda outcome: self.metrics.orders.labels(outcome).inc(),
         )
@@ -93,7 +104,8 @@
         after = arguments.get(b"after", [b"-1"])[0]
         router = arguments.get(b"router", [b""])[0].decode("latin-1")
         number = int(after) if after.lstrip(b"-").isdigit() else -1
-        self.agent.heard_from(router)
+        if router:
+            self.agent.heard_from(router)
         told = await self.agent.newer(number, status_watcher.STATUS_WAIT_S)
         return http_server.json_reply(request, wire.encode(told))
 
@@ -124,6 +136,7 @@
                 random=self.random,
                 wait_s=AGENT_STORE_WAIT_S,
                 age_clock=suspended_clock_s,
+                log=self.log,
             )
             Deferred.fromCoroutine(follower.run())
         Deferred.fromCoroutine(self.agent.run())
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -34,7 +34,11 @@
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.record_follower import RecordFollower
 from sequoiawind.repeat_window import RepeatWindow
-from sequoiawind.status_watcher import STATUS_WAIT_S, StatusWatcher
+from sequoiawind.status_watcher import (
+    STATUS_WAIT_S,
+    AgentClient,
+    StatusWatcher,
+)
 from sequoiawind.verdict import Failure, Reason
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -135,16 +139,19 @@
 
     def make_watcher(self) -> StatusWatcher:
         """Return the controller that asks the agents."""
-        return StatusWatcher(
+        agents = AgentClient(
             router=self.options.node.name,
-            fleet=self.fleet,
             json=JsonClient(
                 client=http_client.make_client(),
                 timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
             ),
+            agent_port=self.options.node.agent_port,
+        )
+        return StatusWatcher(
+            fleet=self.fleet,
+            agents=agents,
             clock=http_server.reactor,
             random=self.random,
-            agent_port=self.options.node.agent_port,
             log=self.log,
             on_change=self.forwarder.serve_waiting,
         )
@@ -251,6 +258,7 @@
                 random=self.random,
                 wait_s=wait_s,
                 age_clock=self.freshness.now,
+                log=self.log,
             )
             Deferred.fromCoroutine(follower.run())
 
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -34,7 +34,7 @@
 WAITING_TICK_S: Final = 0.05
 # Part of the time allowed for new weights after which a request may no longer
 # begin on older ones; the rest is for its way to the target.
-OLD_WEIGHTS_SHARE: Final = 0.7
+OLD_WEIGHTS_SHARE: Final = 0.75
 # Memory assumed for a target whose pool does not state it, in tokens.
 DEFAULT_MEMORY_TOKENS: Final = 50_000
 
--- a/sequoiawind/record_follower.py
+++ b/sequoiawind/record_follower.py
@@ -11,9 +11,10 @@
 from typing import Final, Protocol
 
 import attrs
+import structlog
 from expression import Result
 
-from sequoiawind import timing
+from sequoiawind import supervise, timing
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import (
     KeyedPage,
@@ -23,6 +24,8 @@
     RecordsLost,
 )
 
+Logger = structlog.typing.FilteringBoundLogger
+
 # Pause before the store is asked again after a failure, in seconds, and how
 # far it is spread so that the processes do not ask at once.
 RETRY_PAUSE_S: Final = 0.25
@@ -63,14 +66,19 @@
     wait_s: float
     # The clock of `RecordReader.confirmed`.
     age_clock: Callable[[], float]
+    log: Logger
     # Offset from which to read; None while the newest have to be read first.
     offset: int | None = None
     is_away: bool = False
 
     async def run(self) -> None:
         """Follow the records until the process ends."""
-        while True:
-            await self.step()
+        await supervise.repeat(self.follow, self.topic, self.clock, self.log)
+
+    async def follow(self) -> bool:
+        """Take a step; a follower goes on for ever."""
+        await self.step()
+        return True
 
     async def step(self) -> None:
         """Ask the store once, and pause if it did not answer."""
--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -2,7 +2,9 @@
 
 Answers the pattern in which all targets of a pool reload at once: while one
 loads it takes no work, and loads are slow when many run.  The targets take
-turns in small groups by rendezvous order, which every agent works out alone.
+turns in an order that every agent works out alone: one begins when the one a
+few places before it is done, whose agent it asks.  Versions that are superseded
+meanwhile are skipped.
 Only the agent beside a target gives it orders, so there is one holder, and its
 fencing number need not grow; the number of orders that the target has accepted
 keeps a late order from undoing a newer one.
@@ -20,12 +22,14 @@
 
 # The agent's VM is its target's own, so no other process ever orders there.
 FENCING: Final = 1
-# Targets that load at once.
-LOADS_AT_ONCE: Final = 2
-# Pause between two groups, in seconds: about a drain and a load.
-TURN_S: Final = 0.8
-# Part of the time allowed for new weights by which the last group begins.
-LAST_TURN_SHARE: Final = 0.4
+# Targets of a pool that load at once, at least.
+MIN_LOADS_AT_ONCE: Final = 2
+# Time that a target takes no work for a load, in seconds: its queue and runs
+# end, then it loads.
+TURN_S: Final = 1.2
+# Part of the time allowed for new weights after which a target loads although
+# it is not its turn; the rest is for its queue, its runs and the load.
+LAST_TURN_SHARE: Final = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -78,34 +82,59 @@
         """Order a target to load weights."""
 
 
-def turn_s(
-    name: str, model: str, version: int, pool: Sequence[str], allowed_s: float
-) -> float:
-    """Return how long a target waits for its turn, in seconds.
+@attrs.frozen(kw_only=True)
+class NamedVersion:
+    """A weights version of a model, and when it was named."""
+
+    version: int
+    named_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Turn:
+    """A target's place in the order in which a pool loads weights."""
+
+    # The target that must have loaded first; empty for the first ones.
+    behind: str
+
+
+def turn(name: str, pool: Sequence[str], allowed_s: float) -> Turn:
+    """Return a target's turn; every agent works out the same order.
 
     Args:
       name: The target.
-      model: The model whose weights are new.
-      version: The weights version.
       pool: Names of all targets that serve the model.
-      allowed_s: Time within which all targets must have the weights.
+      allowed_s: Time within which all targets must have new weights.
     """
-    salt = f"{model}/{version}/".encode()
     ordered = sorted(
-        {*pool, name},
-        key=lambda item: (xxh3_64_intdigest(salt + item.encode()), item),
+        {*pool, name}, key=lambda item: (xxh3_64_intdigest(item.encode()), item)
     )
-    group = ordered.index(name) // LOADS_AT_ONCE
-    groups = -(-len(ordered) // LOADS_AT_ONCE)
-    step_s = min(TURN_S, LAST_TURN_SHARE * allowed_s / max(1, groups))
-    return group * step_s
-
-
-def wanted(
-    report: TargetReport, newest: Mapping[str, int]
-) -> tuple[str, int] | None:
-    """Return a model and version that a target lacks; None if it has all."""
-    for model, version in newest.items():
-        if model in report.versions and report.versions[model] < version:
-            return model, version
-    return None
+    at_once = loads_at_once(len(ordered), allowed_s)
+    rank = ordered.index(name)
+    behind = ordered[rank - at_once] if rank >= at_once else ""
+    return Turn(behind=behind)
+
+
+def loads_at_once(targets: int, allowed_s: float) -> int:
+    """Return how many targets of a pool load at once.
+
+    As few as keep the time allowed, so that most of the pool serves.
+    """
+    needed = targets * TURN_S / (LAST_TURN_SHARE * allowed_s)
+    return max(MIN_LOADS_AT_ONCE, round(needed))
+
+
+def lacking(
+    has: int | None, named: Sequence[NamedVersion]
+) -> list[NamedVersion]:
+    """Return the named versions that a target lacks, the oldest first."""
+    if has is None:
+        return []
+    return [item for item in named if item.version > has]
+
+
+def is_overdue(
+    lacked: Sequence[NamedVersion], allowed_s: float, now_s: float
+) -> bool:
+    """Whether a target must load without waiting for its turn."""
+    return now_s >= lacked[0].named_s + LAST_TURN_SHARE * allowed_s
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -8,7 +8,7 @@
 import structlog
 from twisted.internet.defer import Deferred
 
-from sequoiawind import timing
+from sequoiawind import supervise, timing
 from sequoiawind.fleet import Fleet
 from sequoiawind.http_client import JsonClient
 from sequoiawind.ports import Clock
@@ -24,16 +24,54 @@
 RETRY_CAP_S: Final = 1.0
 
 
+@attrs.define(kw_only=True)
+class AgentClient:
+    """Asks the agents beside targets."""
+
+    # Name of a router that asks; empty for an agent.
+    router: str = ""
+    json: JsonClient
+    agent_port: int
+
+    async def status(
+        self, address: str, after: int = -1
+    ) -> TargetStatus | None:
+        """Return the status of the target at an address.
+
+        Args:
+          address: Where the target serves.
+          after: The agent waits for a status with a greater number.
+
+        Returns:
+          The status; None if the agent does not answer.
+        """
+        host = address.rpartition(":")[0]
+        url = (
+            f"http://{host}:{self.agent_port}{STATUS_PATH}"
+            f"?after={after}&router={self.router}"
+        )
+        answered = await self.json.call("GET", url, TargetStatus)
+        return answered.ok if answered.is_ok() else None
+
+
+@attrs.define(kw_only=True)
+class WatchedAgent:
+    """How far one agent has been heard."""
+
+    # Number of its last status; negative before the first.
+    number: int = -1
+    # Questions in a row without an answer.
+    failures: int = 0
+
+
 @attrs.define(kw_only=True)
 class StatusWatcher:
     """The controller that keeps the fleet's statuses fresh."""
 
-    router: str
     fleet: Fleet
-    json: JsonClient
+    agents: AgentClient
     clock: Clock
     random: random.Random
-    agent_port: int
     log: Logger
     # Called after each change.
     on_change: Callable[[], None] = attrs.field(default=lambda: None)
@@ -49,32 +87,33 @@
 
     async def watch(self, name: str) -> None:
         """Ask one target's agent for as long as the target exists."""
-        number, failures = -1, 0
-        while name in self.fleet.views:
-            address = self.fleet.views[name].target.address
-            told = await self.ask(address, number)
-            if told is None:
-                failures += 1
-                if failures == 1:
-                    self.log.info("agent lost", target=name)
-                pause_s = min(RETRY_CAP_S, RETRY_BASE_S * 2.0**failures)
-                jittered_s = timing.jittered(pause_s, 0.3, self.random)
-                await timing.sleep(self.clock, jittered_s)
-                continue
-            if failures or number < 0:
-                self.log.info("agent heard", target=name)
-            failures, number = 0, told.number
-            if told.target == name:
-                self.fleet.heard(name, told, self.clock.seconds())
-                self.on_change()
+        watched = WatchedAgent()
+
+        async def step() -> bool:
+            await self.ask(name, watched)
+            return name in self.fleet.views
+
+        await supervise.repeat(step, f"agent {name}", self.clock, self.log)
         self.watched.discard(name)
 
-    async def ask(self, address: str, number: int) -> TargetStatus | None:
-        """Return an agent's status; None if it does not answer."""
-        host = address.rpartition(":")[0]
-        url = (
-            f"http://{host}:{self.agent_port}{STATUS_PATH}"
-            f"?after={number}&router={self.router}"
-        )
-        answered = await self.json.call("GET", url, TargetStatus)
-        return answered.ok if answered.is_ok() else None
+    async def ask(self, name: str, watched: WatchedAgent) -> None:
+        """Ask an agent once, and pause if it did not answer."""
+        view = self.fleet.views.get(name)
+        if view is None:
+            return
+        told = await self.agents.status(view.target.address, watched.number)
+        if told is None:
+            watched.failures += 1
+            if watched.failures == 1:
+                self.log.info("agent lost", target=name)
+            pause_s = min(RETRY_CAP_S, RETRY_BASE_S * 2.0**watched.failures)
+            jittered_s = timing.jittered(pause_s, 0.3, self.random)
+            await timing.sleep(self.clock, jittered_s)
+            return
+        if watched.failures or watched.number < 0:
+            self.log.info("agent heard", target=name)
+        watched.failures = 0
+        watched.number = told.number
+        if told.target == name:
+            self.fleet.heard(name, told, self.clock.seconds())
+            self.on_change()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 
+import structlog
 from expression import Error, Ok, Result
 from testtools import TestCase
 from twisted.internet.defer import Deferred
@@ -20,7 +21,7 @@
     RecordsLost,
 )
 from sequoiawind.repeat_window import RepeatWindow
-from sequoiawind.rollout import TargetReport
+from sequoiawind.rollout import NamedVersion
 from sequoiawind.target_choice import PromptChooser, choose_call
 from sequoiawind.verdict import Reason, may_have_run
 from sequoiawind.wire import TargetStatus
@@ -124,31 +125,35 @@
 class RolloutTest(TestCase):
     """Targets load new weights in turns, and never older ones."""
 
-    def report(self, **versions: int) -> TargetReport:
-        return TargetReport(
-            versions=versions,
-            is_busy=False,
-            orders=0,
-            waiting=0,
-            running=0,
-            used_tokens=0,
-            is_draining=False,
-            born_ms=1,
-        )
-
     def test_turns(self) -> None:
-        pool = [f"e{number}" for number in range(9)]
-        turns = sorted(rollout.turn_s(name, "m", 2, pool, 6.0) for name in pool)
-        self.assertEqual(0.0, turns[0])
-        self.assertTrue(turns[-1] < 0.5 * 6.0)
-        for start in turns:
-            at_once = turns.count(start)
-            self.assertTrue(at_once <= rollout.LOADS_AT_ONCE, turns)
+        for count in (1, 2, 6, 9, 60):
+            pool = [f"e{number}" for number in range(count)]
+            behind = {
+                name: rollout.turn(name, pool, 6.0).behind for name in pool
+            }
+            at_once = rollout.loads_at_once(count, 6.0)
+            first = [name for name in pool if not behind[name]]
+            self.assertEqual(min(count, at_once), len(first))
+            # Each target but the last ones lets exactly one other begin.
+            followed = [name for name in behind.values() if name]
+            self.assertEqual(len(set(followed)), len(followed))
+            # All have their turn in the time allowed.
+            self.assertTrue(-(-count // at_once) * rollout.TURN_S <= 6.0)
+
+    def test_lacking(self) -> None:
+        named = [
+            NamedVersion(version=item, named_s=float(item)) for item in (2, 3)
+        ]
+        for has, expected in ((1, [2, 3]), (2, [3]), (3, []), (None, [])):
+            lacked = rollout.lacking(has, named)
+            self.assertEqual(expected, [item.version for item in lacked])
 
-    def test_wanted(self) -> None:
-        self.assertEqual(("m", 3), rollout.wanted(self.report(m=2), {"m": 3}))
-        self.assertEqual(None, rollout.wanted(self.report(m=3), {"m": 2}))
-        self.assertEqual(None, rollout.wanted(self.report(n=1), {"m": 2}))
+    def test_overdue_by_the_oldest_version_lacked(self) -> None:
+        named = [
+            NamedVersion(version=item, named_s=float(item)) for item in (2, 4)
+        ]
+        self.assertFalse(rollout.is_overdue(named, 6.0, 4.9))
+        self.assertTrue(rollout.is_overdue(named, 6.0, 5.1))
 
 
 PROMPT = Prompt(
@@ -297,6 +302,7 @@
             random=random.Random(1),
             wait_s=1.0,
             age_clock=clock.seconds,
+            log=structlog.get_logger(),
         )
         for _ in answers:
             if not store.answers:
--- a/tests/test_forward_agent.py
+++ b/tests/test_forward_agent.py
@@ -9,10 +9,12 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from sequoiawind import rollout
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_agent import ForwardAgent
 from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
 from sequoiawind.verdict import Failure, Reason, may_have_run
+from sequoiawind.wire import TargetStatus
 from tests.forward_rig import target
 
 
@@ -60,9 +62,23 @@
 )
 
 
+@attrs.define(kw_only=True, eq=False)
+class FakePeers:
+    """The agents of other targets."""
+
+    told: TargetStatus | None = None
+
+    async def status(self, address: str) -> TargetStatus | None:
+        return self.told
+
+
 class OrderTest(TestCase):
     """Orders to load weights."""
 
+    def setUp(self) -> None:
+        super().setUp()
+        self.peers = FakePeers()
+
     def make(
         self, draining: bool = False, **fields: Any
     ) -> tuple[Clock, ForwardAgent, FakeTarget]:
@@ -77,12 +93,44 @@
             port=fake,
             clock=clock,
             fleet=fleet,
+            peers=self.peers,
             log=CapturingLogger(),  # type: ignore[arg-type]
             weights_s=6.0,
         )
         Deferred.fromCoroutine(agent.run())
         return clock, agent, fake
 
+    def last_in_turn(self) -> tuple[Clock, ForwardAgent, FakeTarget]:
+        clock, agent, fake = self.make()
+        others = [f"f{number}" for number in range(30)]
+        agent.weights_s = 100.0
+        for name in others:
+            agent.fleet.put(target(name, "llm"))
+        pool = ["e1", *others]
+        if not rollout.turn("e1", pool, 100.0).behind:
+            raise AssertionError("the target is among the first")
+        agent.weights_named("m", 2)
+        return clock, agent, fake
+
+    def test_begins_when_the_one_before_is_done(self) -> None:
+        clock, _, fake = self.last_in_turn()
+        for told, orders in (
+            (None, 0),
+            (TargetStatus(versions={"m": 1}), 0),
+            (TargetStatus(versions={"m": 2}, is_loading=True), 0),
+            (TargetStatus(versions={"m": 2}), 1),
+        ):
+            self.peers.told = told
+            self.advance(clock, 1.0)
+            self.assertEqual(orders, len(fake.orders), told)
+
+    def test_begins_late_without_a_turn(self) -> None:
+        clock, _, fake = self.last_in_turn()
+        self.advance(clock, 48.0)
+        self.assertEqual(0, len(fake.orders))
+        self.advance(clock, 4.0)
+        self.assertEqual(1, len(fake.orders))
+
     def advance(self, clock: Clock, seconds: float) -> None:
         for _ in range(round(seconds / 0.01)):
             clock.advance(0.01)
@@ -90,8 +138,11 @@
     def test_announced_before_it_is_given(self) -> None:
         clock, agent, fake = self.make()
         agent.weights_named("m", 2)
-        while not agent.status.is_loading:
+        for _ in range(100):
+            if agent.status.is_loading:
+                break
             clock.advance(0.01)
+        self.assertTrue(agent.status.is_loading)
         self.assertEqual([], fake.orders)
         self.advance(clock, 0.2)
         self.assertEqual([2], [order.version for order in fake.orders])
@@ -130,3 +181,13 @@
         # Whichever comes first makes the others fail.
         self.assertEqual({0}, {order.after_orders for order in fake.orders})
         self.assertEqual({1}, {order.fencing for order in fake.orders})
+
+    def test_a_fault_does_not_end_the_agent(self) -> None:
+        clock, agent, fake = self.make()
+        good = fake.report_now
+        fake.report_now = None  # type: ignore[assignment]
+        self.advance(clock, 0.5)
+        fake.report_now = good
+        agent.weights_named("m", 2)
+        self.advance(clock, 1.0)
+        self.assertEqual(1, len(fake.orders))
