--- /dev/null
+++ b/tests/test_http1_client.py
@@ -0,0 +1,161 @@
+"""Answers from targets: whole, ours, and proof of what was sent."""
+
+import attrs
+from testtools import TestCase
+from twisted.internet import error
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure as TwistedFailure
+
+from sequoiawind.http1_client import Http1Client, OutgoingRequest, keep_s
+from sequoiawind.http1_server import Headers
+from sequoiawind.verdict import Failure, Verdict
+from tests.stand_ins import Peer, accept
+
+ECHO = (b"x-id", b"q1")
+REQUEST = OutgoingRequest(
+    method=b"POST",
+    target=b"/a?b",
+    headers=[(b"host", b"h"), ECHO],
+    body=b"body",
+    echo=ECHO,
+)
+FOREIGN = b"HTTP/1.1 200 OK\r\nx-id: q0\r\ncontent-length: 3\r\n\r\nold"
+OWN = b"HTTP/1.1 200 OK\r\nx-id: q1\r\ncontent-length: 3\r\n\r\nnew"
+OPEN_ENDED = b"HTTP/1.1 200 OK\r\nx-id: q1\r\n\r\nne"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Notes:
+    """A sink that notes what it is told."""
+
+    status: int = 0
+    body: bytes = b""
+    is_done: bool = False
+    failure: Failure | None = None
+
+    def head(self, status: int, headers: Headers) -> None:
+        """Note the head."""
+        self.status = status
+
+    def data(self, data: bytes) -> None:
+        """Note a part."""
+        self.body += data
+
+    def done(self) -> None:
+        """Note the end."""
+        self.is_done = True
+
+    def failed(self, failure: Failure) -> None:
+        """Note the failure."""
+        self.failure = failure
+
+
+class AnswerTest(TestCase):
+    """What counts as an answer."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.reactor = MemoryReactorClock()
+        self.client = Http1Client(reactor=self.reactor)
+
+    def call(self) -> tuple[Peer, Notes]:
+        self.reactor = MemoryReactorClock()
+        self.client = Http1Client(reactor=self.reactor)
+        notes = Notes()
+        self.client.call("10.0.0.1:80", REQUEST, notes)
+        return accept(self.reactor), notes
+
+    def test_request_bytes(self) -> None:
+        peer, _ = self.call()
+        self.assertEqual(
+            b"POST /a?b HTTP/1.1\r\nhost: h\r\nx-id: q1\r\n"
+            b"content-length: 4\r\n\r\nbody",
+            peer.sent(),
+        )
+
+    def test_whole_answer_keeps_the_connection(self) -> None:
+        peer, notes = self.call()
+        peer.protocol.dataReceived(OWN)
+        self.assertTrue(notes.is_done)
+        again = Notes()
+        self.client.call("10.0.0.1:80", REQUEST, again)
+        peer.protocol.dataReceived(OWN)
+        self.assertEqual(1, len(self.reactor.tcpClients))
+        self.assertEqual(b"new", again.body)
+
+    def test_answer_of_another_request_is_skipped(self) -> None:
+        for data in (FOREIGN + OWN, FOREIGN):
+            peer, notes = self.call()
+            peer.protocol.dataReceived(data)
+            if data == FOREIGN:
+                self.assertFalse(notes.is_done)
+                peer.protocol.dataReceived(OWN)
+            self.assertEqual(b"new", notes.body)
+            self.assertTrue(notes.is_done)
+
+    def test_bytes_left_over_close_the_connection(self) -> None:
+        peer, notes = self.call()
+        peer.protocol.dataReceived(OWN + b"more")
+        self.assertTrue(notes.is_done)
+        self.assertTrue(peer.transport.is_aborted)
+
+    def test_bytes_without_a_request_close_the_connection(self) -> None:
+        peer, _ = self.call()
+        peer.protocol.dataReceived(OWN)
+        peer.protocol.dataReceived(FOREIGN)
+        self.assertTrue(peer.transport.is_aborted)
+        self.assertEqual(None, self.client.take_kept("10.0.0.1:80"))
+
+    def test_ends_of_connections(self) -> None:
+        closed = TwistedFailure(error.ConnectionDone())
+        reset = TwistedFailure(error.ConnectionLost())
+        for data, reason, is_done in (
+            (OPEN_ENDED, closed, True),
+            (OPEN_ENDED, reset, False),
+            (OWN[:-1], closed, False),
+            (b"", closed, False),
+            (b"not an answer\r\n\r\n", closed, False),
+        ):
+            peer, notes = self.call()
+            if data:
+                peer.protocol.dataReceived(data)
+            peer.protocol.connectionLost(reason)
+            self.assertEqual(is_done, notes.is_done, data)
+            if not is_done:
+                assert notes.failure is not None
+                self.assertEqual(Verdict.MAY_HAVE_RUN, notes.failure.verdict)
+
+    def test_not_connected_is_not_run(self) -> None:
+        notes = Notes()
+        self.client.call("10.0.0.1:80", REQUEST, notes)
+        factory = self.reactor.tcpClients[-1][2]
+        refused = TwistedFailure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, refused)
+        assert notes.failure is not None
+        self.assertEqual(Verdict.NOT_RUN, notes.failure.verdict)
+
+    def test_idle_connection_is_not_used_for_long(self) -> None:
+        peer, _ = self.call()
+        peer.protocol.dataReceived(OWN)
+        self.reactor.advance(10.0)
+        self.assertEqual(None, self.client.take_kept("10.0.0.1:80"))
+        self.assertTrue(peer.transport.is_aborted)
+
+    def test_cancelled_call_says_nothing(self) -> None:
+        notes = Notes()
+        call = self.client.call("10.0.0.1:80", REQUEST, notes)
+        peer = accept(self.reactor)
+        call.cancel()
+        self.assertTrue(peer.transport.is_aborted)
+        peer.protocol.connectionLost(TwistedFailure(error.ConnectionLost()))
+        self.assertEqual(None, notes.failure)
+
+    def test_keep_alive(self) -> None:
+        for value, expected in (
+            (b"timeout=5", 4.6),
+            (b"timeout=5, max=10", 4.6),
+            (b"max=10", 0.8),
+            (b"timeout=x", 0.8),
+            (b"timeout=0", 0.0),
+        ):
+            self.assertEqual(expected, keep_s(value), value)
--- /dev/null
+++ b/tests/test_http1_server.py
@@ -0,0 +1,146 @@
+"""Callers' bytes: requests, what is no request, and broken answers."""
+
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from sequoiawind.http1_server import (
+    CallerConnection,
+    CallerLimits,
+    CallerSite,
+    HttpRequest,
+)
+from sequoiawind.verdict import Reason
+from tests.stand_ins import FakeTransport
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class CallerTest(TestCase):
+    """One caller's connection."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.taken: list[tuple[HttpRequest, CallerConnection]] = []
+        self.refused: list[Reason] = []
+        self.site = CallerSite(
+            clock=self.clock,
+            on_request=lambda request, caller: self.taken.append(
+                (request, caller)
+            ),
+            limits=lambda: CallerLimits(
+                header_bytes=500,
+                body_bytes=100,
+                header_timeout_s=3.0,
+                idle_timeout_s=15.0,
+            ),
+            on_refusal=self.refused.append,
+        )
+
+    def connect(self) -> tuple[CallerConnection, FakeTransport]:
+        connection = self.site.buildProtocol(None)
+        transport = FakeTransport()
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def test_requests(self) -> None:
+        chunked = (
+            b"POST /a?q=1 HTTP/1.1\r\nHost: h\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        )
+        sized = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+        for data, target, body in (
+            (GET, b"/a", b""),
+            (chunked, b"/a?q=1", b"abc"),
+            (sized, b"/a", b"abc"),
+        ):
+            for size in (1, len(data)):
+                connection, _ = self.connect()
+                for place in range(0, len(data), size):
+                    connection.dataReceived(data[place : place + size])
+                request, _ = self.taken[-1]
+                self.assertEqual(target, request.target)
+                self.assertEqual(body, request.body)
+
+    def test_no_requests(self) -> None:
+        for data, status in (
+            (b"hello\r\n\r\n", b"400"),
+            (b"GET /a HTTP/1.1\r\n\r\n", b"400"),
+            (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 600, b"431"),
+            (
+                b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                b"400",
+            ),
+            (
+                b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                b"Content-Length: 4\r\n\r\nabcd",
+                b"400",
+            ),
+            (
+                b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n"
+                + b"x" * 200,
+                b"413",
+            ),
+        ):
+            connection, transport = self.connect()
+            before = len(self.taken)
+            connection.dataReceived(data)
+            self.assertEqual(before, len(self.taken), data[:60])
+            self.assertIn(status, transport.value()[:20], data[:60])
+            self.assertTrue(transport.disconnecting)
+
+    def test_slow_head_and_idle(self) -> None:
+        connection, transport = self.connect()
+        connection.dataReceived(GET[:5])
+        self.clock.advance(3.1)
+        self.assertIn(b"408", transport.value()[:20])
+        _, transport = self.connect()
+        self.clock.advance(14.0)
+        self.assertFalse(transport.disconnecting)
+        self.clock.advance(1.1)
+        self.assertTrue(transport.disconnecting)
+
+    def test_requests_ahead_are_answered_in_order(self) -> None:
+        connection, transport = self.connect()
+        connection.dataReceived(GET + GET.replace(b"/a", b"/b"))
+        self.assertEqual(1, len(self.taken))
+        connection.reply(200, [], b"one")
+        self.clock.advance(0.0)
+        self.assertEqual(b"/b", self.taken[-1][0].target)
+        connection.reply(200, [], b"two")
+        self.assertTrue(transport.value().endswith(b"two"))
+
+    def test_broken_stream_does_not_look_complete(self) -> None:
+        connection, transport = self.connect()
+        connection.dataReceived(GET)
+        connection.send_head(200, [])
+        connection.send_data(b"part")
+        connection.break_off()
+        self.assertIn(b"chunked", transport.value().lower())
+        self.assertNotIn(b"0\r\n\r\n", transport.value())
+        self.assertTrue(transport.disconnecting)
+
+    def test_caller_gone(self) -> None:
+        connection, _ = self.connect()
+        connection.dataReceived(GET)
+        gone: list[bool] = []
+        connection.on_gone = lambda: gone.append(True)
+        connection.connectionLost()
+        self.assertEqual([True], gone)
+        # Answers for who has gone go nowhere.
+        connection.reply(200, [], b"late")
+
+    def test_leaving(self) -> None:
+        connection, transport = self.connect()
+        idle, idle_transport = self.connect()
+        connection.dataReceived(GET)
+        self.site.is_closing = True
+        self.site.close_idle()
+        self.assertTrue(idle_transport.disconnecting)
+        self.assertFalse(transport.disconnecting)
+        connection.reply(200, [], b"")
+        self.assertIn(b"connection: close", transport.value().lower())
+        self.assertTrue(transport.disconnecting)
+        self.assertFalse(idle.is_answering)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -1,6 +1,7 @@
 """How the package is laid out: who imports whom, and module length."""
 
 import ast
+import re
 from pathlib import Path
 
 from testtools import TestCase
@@ -17,7 +18,19 @@
     "claims",
     "config_fold",
     "config_follower",
+    "cache_watcher",
     "exchange",
+    "fleet",
+    "forward_agent",
+    "forward_plan",
+    "forwarder",
+    "forwarding",
+    "freshness",
+    "prompt_cache",
+    "record_follower",
+    "repeat_window",
+    "rollout",
+    "target_choice",
     "keys",
     "limits",
     "load_slots",
@@ -30,6 +43,15 @@
 )
 TRANSPORTS = ("treq", "klein", "twisted.web", "sequoiawind.http", "socket")
 MAX_LINES = 500
+MAX_ADAPTER_LINES = 300
+# Names of the platform, which only its adapter knows.
+PLATFORM_NAMES = (
+    r"(?i)[^-]sequoiawind-(attempt|deadline|tenant|cache-salt|expect|server)",
+    r"/api/",
+    r"keyed\.(op|servers|status)",
+    r"traffic_split|boot_epoch|api_keys|path_prefix|kv_store_addr",
+    r"\btenants?\b|\bzones?\b",
+)
 
 
 class LayoutTest(TestCase):
@@ -64,3 +86,25 @@
         for file in (PACKAGE / "platform").glob("*.py"):
             text = file.read_text(encoding="utf-8")
             self.assertNotIn("sequoiawind.lab", text, file.name)
+
+    def test_platform_names_stay_in_the_adapter(self) -> None:
+        for file in PACKAGE.rglob("*.py"):
+            if file.parent.name == "platform":
+                continue
+            text = file.read_text(encoding="utf-8")
+            for pattern in PLATFORM_NAMES:
+                found = re.search(pattern, text)
+                self.assertEqual(None, found, (file.name, pattern))
+
+    def test_adapter_decides_nothing(self) -> None:
+        for file in (PACKAGE / "platform").glob("*.py"):
+            text = file.read_text(encoding="utf-8")
+            lines = len(text.splitlines())
+            self.assertTrue(lines <= MAX_ADAPTER_LINES, (file.name, lines))
+            for word in ("callLater", "random", "sleep"):
+                self.assertNotIn(word, text, file.name)
+
+    def test_decisions_know_no_adapter(self) -> None:
+        for name in DECISIONS:
+            text = (PACKAGE / f"{name}.py").read_text(encoding="utf-8")
+            self.assertNotIn("sequoiawind.platform", text, name)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,373 @@
+"""The adapter: what is on the wire, decoded once, and back."""
+
+import base64
+import json
+import struct
+from typing import Any
+
+from expression import Error, Ok
+from testtools import TestCase
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
+
+from sequoiawind.forward_ports import AnswerHead, SendOrder
+from sequoiawind.http1_client import Http1Client
+from sequoiawind.http1_server import HttpRequest
+from sequoiawind.options import Address
+from sequoiawind.platform import callers, configuration, engine, store
+from sequoiawind.platform.targets import decode_target
+from sequoiawind.record_ports import RecordsLost
+from sequoiawind.verdict import Failure, Verdict
+from sequoiawind.wire import WireError
+from tests.forward_rig import target
+from tests.stand_ins import accept
+
+CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "H.example",
+            "path_prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 5000,
+            "target_latency_ms": 600,
+            "priority": 1,
+            "traffic_split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "max_attempts": 1,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 400,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "path_prefix": "/a/b/",
+            "kind": "idempotent",
+            "timeout_ms": 400,
+            "target_latency_ms": 100,
+            "service": "s2",
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "max_conns": 9,
+            "engine": {
+                "kv_capacity_tokens": 500,
+                "models": [{"name": "m"}],
+                "slots": 4,
+            },
+        },
+        {"name": "s2", "max_conns": 5},
+        {"name": "s3", "kv_store_addr": "ip:1", "kv_capacity_tokens": 900},
+    ],
+    "limits": {"idle_timeout_ms": 15000},
+    "tenants": [
+        {"name": "t", "api_keys": ["k1", "k2"], "isolated": True},
+        {"name": "u", "api_keys": [], "priority": 3},
+    ],
+    "unknown": {"field": 1},
+}
+
+
+class ConfigurationTest(TestCase):
+    """The operator's configuration."""
+
+    def test_decoded(self) -> None:
+        state = configuration.decode_configuration(json.dumps(CONFIG).encode())
+        self.assertEqual(7, state.revision)
+        for path, expected in (
+            ("/a/x", "r1"),
+            ("/a/b/x", "r2"),
+            ("/a", None),
+            ("/c/", None),
+        ):
+            route = state.match("h.example", path)
+            self.assertEqual(expected, route.name if route else None, path)
+        stream = state.kinds["r1"]
+        self.assertTrue(stream.is_stream and stream.may_repeat)
+        self.assertEqual("never", stream.repeat)
+        self.assertEqual(5.0, stream.timeout_s)
+        self.assertEqual("idempotent", state.kinds["r2"].repeat)
+        self.assertEqual(
+            ["t", "t"], [item.name for item in state.accounts.values()]
+        )
+        self.assertEqual("ip:1", state.pools["s3"].keeper)
+        self.assertEqual(("m",), state.pools["s1"].models)
+
+    def test_not_a_configuration(self) -> None:
+        for value in (
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            b'{"version": "7"}',
+            b'{"version": 7, "routes": [{}]}',
+        ):
+            self.assertRaises(
+                WireError, configuration.decode_configuration, value
+            )
+
+
+ENTRY: dict[str, Any] = {
+    "service": "s1",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "seq": 4,
+    "born": 12,
+}
+
+
+class TargetEntryTest(TestCase):
+    """Entries of targets; other writers may have left anything."""
+
+    def test_decoded(self) -> None:
+        decoded = decode_target("i1", json.dumps(ENTRY).encode()).ok
+        self.assertEqual(("i1", 12), decoded.incarnation)
+        self.assertEqual({"m": 3}, decoded.versions)
+        self.assertFalse(decoded.is_draining)
+
+    def test_names_no_target(self) -> None:
+        for change in (
+            {"state": "odd"},
+            {"address": 5},
+            {"address": "nowhere"},
+            {"service": None},
+            {"models": "m"},
+        ):
+            value = json.dumps({**ENTRY, **change}).encode()
+            self.assertTrue(decode_target("i1", value).is_error(), change)
+        for value in (b"", b"\x00\xff", b"{", b"null"):
+            self.assertTrue(decode_target("i1", value).is_error(), value)
+
+
+def framed(*records: bytes) -> bytes:
+    """Return records as a read gives them."""
+    return b"".join(struct.pack(">I", len(item)) + item for item in records)
+
+
+class StoreTest(TestCase):
+    """Calls to the store, and torn answers."""
+
+    def answer(self, call: str, reply: bytes) -> Any:
+        reactor = MemoryReactorClock()
+        client = store.StoreClient(
+            client=Http1Client(reactor=reactor),
+            address=Address(host="10.0.0.9", port=80),
+        )
+        if call == "newest":
+            asked = client.newest("keyed.op", "", 1.0)
+        else:
+            asked = client.read("keyed.op", 5, 1.0, 2.0)
+        results: list[Any] = []
+        Deferred.fromCoroutine(asked).addCallback(results.append)
+        peer = accept(reactor)
+        self.request = peer.sent()
+        peer.protocol.dataReceived(reply)
+        return results[0]
+
+    def reply(self, body: bytes, status: int = 200) -> bytes:
+        head = b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n"
+        return head % (status, len(body)) + body
+
+    def test_read(self) -> None:
+        body = struct.pack(">QQ", 7, 0) + framed(b"\x01kvalue", b"\x01k")
+        page = self.answer("read", self.reply(body)).ok
+        self.assertIn(b"from=5", self.request)
+        values = [(item.key, item.value) for item in page.records]
+        self.assertEqual([("k", b"value"), ("k", None)], values)
+        self.assertEqual((7, False), (page.end, page.has_more))
+
+    def test_torn_answers(self) -> None:
+        whole = struct.pack(">QQ", 7, 0) + framed(b"\x01kvalue")
+        for body in (b"", whole[:12], whole[:-2], whole + b"\x00", b"{}"):
+            result = self.answer("read", self.reply(body))
+            self.assertTrue(result.is_error(), body)
+        for body in (b"", b"{", b'{"items": [{"key": "k", "value": "*"}]}'):
+            result = self.answer("newest", self.reply(body))
+            self.assertTrue(result.is_error(), body)
+
+    def test_newest(self) -> None:
+        value = base64.b64encode(b"v").decode()
+        body = json.dumps(
+            {
+                "items": [{"key": "k", "value": value, "offset": 4}],
+                "has_more": True,
+                "end": 6,
+            }
+        ).encode()
+        page = self.answer("newest", self.reply(body)).ok
+        self.assertEqual(b"v", page.records[0].value)
+        self.assertEqual((6, True), (page.end, page.has_more))
+
+    def test_statuses(self) -> None:
+        gone = self.answer("read", self.reply(b"{}", 410))
+        self.assertIsInstance(gone.error, RecordsLost)
+        for status in (429, 500, 503):
+            result = self.answer("read", self.reply(b"", status))
+            self.assertIsInstance(result.error, Failure)
+
+
+class RequestTest(TestCase):
+    """Callers' requests, and what a target gets of them."""
+
+    def decode(self, *headers: tuple[bytes, bytes]) -> Any:
+        return callers.decode_request(
+            HttpRequest(
+                method=b"POST",
+                target=b"/a/b?c=d",
+                headers=[(b"host", b"H.example:80"), *headers],
+                body=b"body",
+                arrived_s=1.0,
+            )
+        )
+
+    def test_decoded(self) -> None:
+        request = self.decode(
+            (b"sequoiawind-attempt-id", b"q1"),
+            (b"sequoiawind-deadline-ms", b"5000"),
+            (b"sequoiawind-model", b"m"),
+            (b"sequoiawind-token-count", b"1460,80"),
+            (b"sequoiawind-prompt-prefix", b"5c:800,91:410,bad,e4:250"),
+            (b"authorization", b"Token k1"),
+        )
+        self.assertEqual(
+            ("q1", "h.example", "/a/b", "k1", 5.0),
+            (
+                request.request_id,
+                request.host,
+                request.path,
+                request.key,
+                request.deadline_s,
+            ),
+        )
+        parts = [(part.id, part.tokens) for part in request.prompt.parts]
+        self.assertEqual([("5c", 800), ("91", 410), ("e4", 250)], parts)
+
+    def test_odd_values(self) -> None:
+        for headers in (
+            [(b"sequoiawind-deadline-ms", b"soon")],
+            [(b"authorization", b"Bearer k1")],
+            [(b"sequoiawind-model", b"m"), (b"sequoiawind-token-count", b"")],
+        ):
+            request = self.decode(*headers)
+            self.assertEqual(None, request.deadline_s)
+            self.assertEqual("", request.key)
+
+    def sent(self, *headers: tuple[bytes, bytes], **fields: Any) -> bytes:
+        reactor = MemoryReactorClock()
+        client = engine.EngineClient(client=Http1Client(reactor=reactor))
+        order = SendOrder(
+            request=self.decode(*headers),
+            target=target("i1", address="10.0.0.1:80"),
+            deadline_s=1.5,
+            account="t",
+            urgency=2,
+            **fields,
+        )
+        client.send(order, Notes())
+        return accept(reactor).sent()
+
+    def test_only_the_system_sets_its_headers(self) -> None:
+        sent = self.sent(
+            (b"sequoiawind-tenant", b"forged"),
+            (b"sequoiawind-kv-hold", b"forged"),
+            (b"sequoiawind-pin-ms", b"forged"),
+            (b"sequoiawind-cache-salt", b"forged"),
+            (b"sequoiawind-expect-version", b"forged"),
+            (b"sequoiawind-kv-backup", b"forged"),
+            (b"kv-from", b"forged"),
+            (b"authorization", b"Token secret"),
+            (b"connection", b"x-hop"),
+            (b"x-hop", b"forged"),
+            (b"x-end", b"kept"),
+            (b"last-event-id", b"4"),
+        )
+        for word in (b"forged", b"secret"):
+            self.assertNotIn(word, sent)
+        for line in (
+            b"POST /a/b?c=d HTTP/1.1",
+            b"sequoiawind-tenant: t",
+            b"sequoiawind-deadline-ms: 1500",
+            b"sequoiawind-expect-instance: i1",
+            b"x-end: kept",
+            b"last-event-id: 4",
+        ):
+            self.assertIn(line + b"\r\n", sent)
+
+    def test_position_of_a_resumed_stream(self) -> None:
+        sent = self.sent((b"last-event-id", b"4"), after_event=9)
+        self.assertIn(b"last-event-id: 9", sent)
+        self.assertNotIn(b"last-event-id: 4", sent)
+
+    def test_refusals(self) -> None:
+        for status, headers, refused in (
+            (503, {b"sequoiawind-not-executed": b"1"}, True),
+            (503, {}, False),
+            (429, {b"sequoiawind-not-executed": b"1"}, True),
+            (421, {}, True),
+            (500, {}, False),
+            (504, {}, False),
+            (200, {}, False),
+        ):
+            refusal = engine.refusal(status, headers)
+            self.assertEqual(refused, refusal is not None, (status, headers))
+            if refusal is not None:
+                self.assertEqual(Verdict.NOT_RUN, refusal.verdict)
+
+
+class Notes:
+    """A sink that forgets."""
+
+    def head(self, head: AnswerHead) -> None:
+        """Forget the head."""
+
+    def data(self, data: bytes) -> None:
+        """Forget a part."""
+
+    def done(self) -> None:
+        """Forget the end."""
+
+    def failed(self, failure: Failure) -> None:
+        """Forget the failure."""
+
+
+class ReportTest(TestCase):
+    """A target's report on itself, and orders to it."""
+
+    def call(self, reply: bytes) -> Any:
+        reactor = MemoryReactorClock()
+        client = engine.EngineClient(client=Http1Client(reactor=reactor))
+        results: list[Any] = []
+        asked = client.report("10.0.0.1:80", 1.0)
+        Deferred.fromCoroutine(asked).addCallback(results.append)
+        accept(reactor).protocol.dataReceived(reply)
+        return results[0]
+
+    def test_reports(self) -> None:
+        good = (
+            b'{"stage":"colocated","models":[{"name":"m","version":1,'
+            b'"adapters":[]}],"busy":true,"seq":2,"waiting":1,"running":12,'
+            b'"kv_used":41000,"kv_total":90000,"handles":0,"born":5}'
+        )
+        for body, expected in (
+            (good, Ok({"m": 1})),
+            (b"{", Error(None)),
+            (b'{"models": 1}', Error(None)),
+        ):
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
+            result = self.call(head % len(body) + body)
+            self.assertEqual(expected.is_ok(), result.is_ok(), body)
+            if result.is_ok():
+                self.assertEqual(expected.ok, result.ok.versions)
+                self.assertTrue(result.ok.is_busy)
