Log lines never hold a process up; bad Base64 is no record

Cause: daemons wrote to standard error and waited for whoever read it; a record of the store with bad Base64 was decoded leniently into an empty value; decision modules imported the HTTP server for the type of headers. Change: a pipe that writes what fits and counts the rest, a budget that leaves out lines about requests that went well before warnings, strict Base64, headers in a module of their own. Ruled out: a thread for the log, which would take the processor at any point.

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -16,7 +16,7 @@
     ForwardState,
 )
 from sequoiawind.freshness import Freshness
-from sequoiawind.http1_server import Headers
+from sequoiawind.headers import Headers
 from sequoiawind.prompt_cache import Prompt
 from sequoiawind.verdict import Failure, Reason, not_run
 
--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -12,7 +12,7 @@
 
 from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_state import ForwardTarget
-from sequoiawind.http1_server import Headers
+from sequoiawind.headers import Headers
 from sequoiawind.ports import Call
 from sequoiawind.verdict import Failure
 
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -18,13 +18,9 @@
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.freshness import Freshness
+from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
-from sequoiawind.http1_server import (
-    CallerConnection,
-    CallerLimits,
-    CallerSite,
-    HttpRequest,
-)
+from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.http_client import JsonClient
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.options import Address, ForwardRouterSettings
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from sequoiawind.http1_server import CallerLimits
+from sequoiawind.headers import CallerLimits
 from sequoiawind.state import Account, Kind, Pool, Route, State, Target
 
 
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -19,7 +19,6 @@
     ForwardCaller,
     SendOrder,
 )
-from sequoiawind.http1_server import Headers
 from sequoiawind.ports import Call, Timer
 from sequoiawind.target_choice import Chosen
 from sequoiawind.verdict import (
@@ -440,18 +439,3 @@
         if self.deadline is not None and self.deadline.active():
             self.deadline.cancel()
         self.forwarder.finished(self, failure)
-
-
-def passed_headers(headers: Headers, dropped: frozenset[bytes]) -> Headers:
-    """Return headers without those that concern one connection only."""
-    named = {
-        name.strip().lower()
-        for key, value in headers
-        if key == b"connection"
-        for name in value.split(b",")
-    }
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in dropped and name not in named
-    ]
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -21,7 +21,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import messages, sockets
-from sequoiawind.http1_server import Headers
+from sequoiawind.headers import Headers
 from sequoiawind.options import Address
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -15,25 +15,14 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import defaults, sockets
+from sequoiawind.headers import CallerLimits, Headers
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.verdict import HTTP_STATUS, Reason
 
-Headers = list[tuple[bytes, bytes]]
-
 # Bytes that a caller may send ahead of its answer before reading stops.
 MAX_AHEAD_BYTES: Final = 65_536
 
 
-@attrs.frozen(kw_only=True)
-class CallerLimits:
-    """Bounds on what a caller may send."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = defaults.MAX_BODY_BYTES
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = defaults.IDLE_TIMEOUT_S
-
-
 @attrs.frozen(kw_only=True)
 class HttpRequest:
     """A whole request as it came."""
--- a/sequoiawind/logs.py
+++ b/sequoiawind/logs.py
@@ -1,18 +1,20 @@
 """Structured logging of the daemons."""
 
 import logging
-import sys
 from typing import Any
 
 import structlog
 from twisted.logger import globalLogPublisher
 
+from sequoiawind import log_pipe
 from sequoiawind.options import LogsOptions
 
 
 def configure(options: LogsOptions) -> None:
-    """Set up structlog for this process; lines go to standard error."""
+    """Set up structlog for this process; lines go to standard output."""
     level = logging.getLevelNamesMapping()[options.level.upper()]
+    # Typed as a file, of which `structlog` uses `write` and `flush` only.
+    pipe: Any = log_pipe.standard_output()
     renderer: structlog.typing.Processor
     if options.format == "json":
         renderer = structlog.processors.JSONRenderer()
@@ -20,13 +22,14 @@
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     structlog.configure(
         processors=[
+            log_pipe.LogBudget(),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=pipe),
         cache_logger_on_first_use=True,
     )
     publisher: Any = globalLogPublisher
--- a/sequoiawind/platform/callers.py
+++ b/sequoiawind/platform/callers.py
@@ -5,8 +5,8 @@
 import attrs
 
 from sequoiawind.forward_plan import ForwardRequest
-from sequoiawind.forwarding import passed_headers
-from sequoiawind.http1_server import CallerConnection, Headers, HttpRequest
+from sequoiawind.headers import Headers, passed_headers
+from sequoiawind.http1_server import CallerConnection, HttpRequest
 from sequoiawind.platform import names
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.verdict import Failure, Verdict, forwarded_status
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -14,7 +14,7 @@
     ForwardState,
     PoolShare,
 )
-from sequoiawind.http1_server import CallerLimits
+from sequoiawind.headers import CallerLimits
 from sequoiawind.platform import names
 
 MS: Final = 0.001
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -15,14 +15,13 @@
     PartChange,
     SendOrder,
 )
-from sequoiawind.forwarding import passed_headers
+from sequoiawind.headers import Headers, passed_headers
 from sequoiawind.http1_client import (
     Http1Client,
     HttpCall,
     OutgoingRequest,
     fetch,
 )
-from sequoiawind.http1_server import Headers
 from sequoiawind.platform import names
 from sequoiawind.platform.targets import ModelVersion
 from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -74,7 +74,10 @@
         try:
             page = wire.decode(answered.ok.body, NewestPage)
             records = [
-                KeyedRecord(key=item.key, value=base64.b64decode(item.value))
+                KeyedRecord(
+                    key=item.key,
+                    value=base64.b64decode(item.value, validate=True),
+                )
                 for item in page.items
             ]
         except (wire.WireError, binascii.Error) as error:
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -29,7 +29,7 @@
 )
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness
-from sequoiawind.http1_server import Headers
+from sequoiawind.headers import Headers
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.router import token_digest
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -6,8 +6,8 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure as TwistedFailure
 
+from sequoiawind.headers import Headers
 from sequoiawind.http1_client import Http1Client, OutgoingRequest, keep_s
-from sequoiawind.http1_server import Headers
 from sequoiawind.verdict import Failure, Verdict
 from tests.stand_ins import Peer, accept
 
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -3,12 +3,8 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
-from sequoiawind.http1_server import (
-    CallerConnection,
-    CallerLimits,
-    CallerSite,
-    HttpRequest,
-)
+from sequoiawind.headers import CallerLimits
+from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.verdict import Reason
 from tests.stand_ins import FakeTransport
 
