Targets that are lost or leave hold up no turn, and get no work

Cause: two engines fell silent while weights were rolled out; the targets behind them in the order waited until all were overdue and loaded at once, and requests went on to the silent ones until their connections failed. Change: an agent that misses two reports says so, routers then send nothing there and avoid a target whose agent has fallen silent; a turn passes over who is lost or drains. Ruled out: that the clients' 3.2 s alone explains the cancelled requests (they sat at the two engines that had loaded first).

--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -17,7 +17,7 @@
 # seconds: the platform promises that live targets are back within about two.
 RETURN_GRACE_S: Final = 2.2
 # A status of an agent that is older says nothing about its target's load.
-STATUS_LIFETIME_S: Final = 1.5
+STATUS_LIFETIME_S: Final = 1.2
 # How long to avoid a target that shed a request, in seconds: about the time
 # in which a target works off a full queue or loads weights.
 SHED_PAUSE_S: Final = 0.25
@@ -45,10 +45,18 @@
             return None
         return self.status
 
-    def is_loading(self, now_s: float) -> bool:
-        """Whether the target takes no work since it loads weights."""
+    def takes_work(self, now_s: float) -> bool:
+        """Whether neither its agent nor itself has said otherwise lately."""
         status = self.fresh_status(now_s)
-        return status is not None and status.is_loading
+        if status is not None and (
+            status.is_loading or not status.is_reachable
+        ):
+            return False
+        return self.shed_until_s <= now_s
+
+    def is_agent_silent(self, now_s: float) -> bool:
+        """Whether an agent that was heard before is not heard any more."""
+        return self.status is not None and self.fresh_status(now_s) is None
 
     def version(self, model: str) -> int:
         """Return the weights version that the target has of a model."""
@@ -143,9 +151,7 @@
     def ready(self, pool: str, now_s: float) -> list[TargetView]:
         """Return the usable targets that would not shed a request now."""
         return [
-            view
-            for view in self.usable(pool, now_s)
-            if view.shed_until_s <= now_s and not view.is_loading(now_s)
+            view for view in self.usable(pool, now_s) if view.takes_work(now_s)
         ]
 
     def shed(self, name: str, now_s: float) -> None:
--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -22,14 +22,16 @@
     TargetPort,
     TargetReport,
 )
-from sequoiawind.verdict import Verdict
+from sequoiawind.verdict import Failure, Verdict
 from sequoiawind.wire import TargetStatus
 
 Logger = structlog.typing.FilteringBoundLogger
 
 # How often the target is asked for its report; free on its own VM.
 REPORT_S: Final = 0.1
-REPORT_TIMEOUT_S: Final = 0.5
+REPORT_TIMEOUT_S: Final = 0.2
+# Reports in a row without an answer after which the target counts as lost.
+LOST_AFTER_MISSES: Final = 2
 ORDER_TIMEOUT_S: Final = 1.0
 # Time between telling the routers of a load and ordering it, in seconds: a
 # round trip inside a region, so that few requests are still on their way.
@@ -81,6 +83,8 @@
     # The order under way is announced or given until then.
     loading_until_s: float = -1.0
     is_reachable: bool = False
+    # Reports in a row that did not come.
+    misses: int = 0
     on_order: Callable[[str], None] = attrs.field(default=lambda outcome: None)
 
     @property
@@ -107,10 +111,9 @@
         """Ask the target for its report, and order what it lacks."""
         answered = await self.port.report(self.address, REPORT_TIMEOUT_S)
         if answered.is_error():
-            if self.is_reachable:
-                self.is_reachable = False
-                self.log.warning("target lost", detail=answered.error.detail)
+            self.missed(answered.error)
             return
+        self.misses = 0
         if not self.is_reachable:
             self.is_reachable = True
             self.log.info("target regained", orders=answered.ok.orders)
@@ -121,6 +124,17 @@
                 await self.load(answered.ok, model, version)
                 break
 
+    def missed(self, failure: Failure) -> None:
+        """Tell the routers of a target that does not answer."""
+        self.misses += 1
+        if self.misses < LOST_AFTER_MISSES or not self.is_reachable:
+            return
+        self.is_reachable = False
+        self.publish(attrs.evolve(self.status, is_reachable=False))
+        self.log.warning(
+            "target lost", misses=self.misses, detail=failure.detail
+        )
+
     def take_report(self, report: TargetReport) -> None:
         """Tell the routers what has changed."""
         now_s = self.clock.seconds()
@@ -175,19 +189,22 @@
             if view.target.pool == target.pool
         ]
         turn = rollout.turn(target.name, pool, self.weights_s)
-        if await self.has_loaded(turn.behind, model, newest.version):
-            return newest.version
-        return None
-
-    async def has_loaded(self, name: str, model: str, version: int) -> bool:
-        """Whether the target whose turn comes before has loaded."""
+        for name in turn.behind:
+            has_loaded = await self.has_loaded(name, model, newest.version)
+            if has_loaded is not None:
+                return newest.version if has_loaded else None
+        return newest.version
+
+    async def has_loaded(
+        self, name: str, model: str, version: int
+    ) -> bool | None:
+        """Whether another target has loaded; None if it will not soon."""
         view = self.fleet.views.get(name)
         if view is None:
-            return True
+            return None
         status = await self.peers.status(view.target.address)
-        if status is None:
-            # Its entry tells the same, a heartbeat later.
-            return view.version(model) >= version
+        if status is None or not status.is_reachable or status.is_draining:
+            return None
         is_done = status.versions.get(model, 0) >= version
         return is_done and not status.is_loading
 
@@ -294,6 +311,7 @@
         or old.born_ms != new.born_ms
         or old.is_loading != new.is_loading
         or old.is_draining != new.is_draining
+        or old.is_reachable != new.is_reachable
         or old.versions != new.versions
         or old.routers != new.routers
     )
--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -94,8 +94,9 @@
 class Turn:
     """A target's place in the order in which a pool loads weights."""
 
-    # The target that must have loaded first; empty for the first ones.
-    behind: str
+    # The targets before it in its file, the nearest first: it begins when the
+    # nearest one that works has loaded.  Empty for the first ones.
+    behind: tuple[str, ...]
 
 
 def turn(name: str, pool: Sequence[str], allowed_s: float) -> Turn:
@@ -111,8 +112,8 @@
     )
     at_once = loads_at_once(len(ordered), allowed_s)
     rank = ordered.index(name)
-    behind = ordered[rank - at_once] if rank >= at_once else ""
-    return Turn(behind=behind)
+    before = range(rank - at_once, -1, -at_once)
+    return Turn(behind=tuple(ordered[place] for place in before))
 
 
 def loads_at_once(targets: int, allowed_s: float) -> int:
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -18,7 +18,7 @@
 
 STATUS_PATH: Final = "/agent/status"
 # For how long an agent may wait for a change before it answers.
-STATUS_WAIT_S: Final = 1.0
+STATUS_WAIT_S: Final = 0.6
 # Pause after a failed call, in seconds; doubles up to the cap.
 RETRY_BASE_S: Final = 0.1
 RETRY_CAP_S: Final = 1.0
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -35,6 +35,8 @@
 # Cost added to targets that are not homes, in prompt tokens: they lack the
 # shared parts, and their own prompts are displaced.
 STRANGER_TOKENS: Final = 1_500
+# Cost added to targets whose agent has fallen silent: their VM may be lost.
+SILENT_AGENT_TOKENS: Final = 10_000
 # Cost of a call at a plain service whose recent calls have all failed, in
 # calls under way.
 FAILING_COST: Final = 8.0
@@ -205,6 +207,8 @@
         """Return what a target costs, in prompt tokens to read."""
         view = option.view
         cost = float(option.missing_tokens) + self.ahead(view)
+        if view.is_agent_silent(self.now_s):
+            cost += SILENT_AGENT_TOKENS
         if view.target.name not in homes:
             return cost + STRANGER_TOKENS
         return cost + SECOND_HOME_TOKENS * homes.index(view.target.name)
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -149,6 +149,8 @@
     # The target refuses new work since it loads weights, or is about to.
     is_loading: bool = False
     is_draining: bool = False
+    # The target answers its agent.
+    is_reachable: bool = True
     # Weights version by model.
     versions: dict[str, int] = attrs.field(factory=dict)
     # Routers that this agent has heard from lately.
