Each attempt that fails has a line with what its target was like

Cause: a request's last line named its targets and not why each had failed, nor what the router believed of it then. Change: a line for each attempt without an answer, with the request's id, the target's start, the verdict and reason, and the age and content of its agent's status; refusals and failures are warnings, which the log's budget leaves out last. Ruled out: a line for each choice of a target, which would double the log.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -11,7 +11,7 @@
 from sequoiawind import http_client, http_server, logs, metrics
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.cache_watcher import CacheWatcher
-from sequoiawind.fleet import Fleet
+from sequoiawind.fleet import Fleet, TargetView
 from sequoiawind.forward_plan import ForwardRequest, Planner
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.forward_state import ForwardState
@@ -134,6 +134,7 @@
             on_end=self.note_end,
             on_retry=self.count_retry,
             on_refusal=self.note_refusal,
+            on_attempt_failed=self.note_attempt_failed,
         )
 
     def make_watcher(self) -> StatusWatcher:
@@ -317,7 +318,7 @@
     def note_refusal(self, request: ForwardRequest, failure: Failure) -> None:
         """Count and log a request refused before it had a plan."""
         self.count_refusal(failure.reason)
-        self.log.info(
+        self.log.warning(
             "request refused",
             request_id=request.request_id,
             host=request.host,
@@ -327,6 +328,28 @@
             config_age_s=round(min(self.freshness.age_s, 1e6), 3),
         )
 
+    def note_attempt_failed(
+        self, forwarding: Forwarding, view: TargetView, failure: Failure
+    ) -> None:
+        """Log an attempt without an answer, and what its target was like."""
+        now_s = http_server.reactor.seconds()
+        status = view.status
+        self.log.warning(
+            "attempt failed",
+            request_id=forwarding.note.request_id,
+            target=view.target.name,
+            born_ms=view.target.born_ms,
+            verdict=failure.verdict.value,
+            reason=failure.reason.value,
+            detail=failure.detail,
+            left_s=round(forwarding.left_s, 3),
+            open_requests=view.open_requests,
+            status_age_s=round(now_s - view.status_s, 3) if status else -1.0,
+            waiting=status.waiting if status else -1,
+            running=status.running if status else -1,
+            is_loading=status.is_loading if status else False,
+        )
+
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
@@ -336,7 +359,8 @@
         if note.first_chunk_s >= 0.0:
             waited_s = note.first_chunk_s - note.began_s
             self.metrics.first_chunk.labels(note.kind).observe(waited_s)
-        self.log.info(
+        write = self.log.info if failure is None else self.log.warning
+        write(
             "request",
             request_id=note.request_id,
             route=note.route,
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -73,6 +73,9 @@
     on_retry: Callable[[Reason], None] = attrs.field(
         default=lambda reason: None
     )
+    on_attempt_failed: Callable[[Forwarding, TargetView, Failure], None] = (
+        attrs.field(default=lambda forwarding, view, failure: None)
+    )
     on_refusal: Callable[[ForwardRequest, Failure], None] = attrs.field(
         default=lambda request, failure: None
     )
@@ -200,8 +203,11 @@
             seen = view.seen_versions.get(model, 0)
             view.seen_versions[model] = max(seen, version)
 
-    def attempt_failed(self, view: TargetView, failure: Failure) -> None:
+    def attempt_failed(
+        self, forwarding: Forwarding, view: TargetView, failure: Failure
+    ) -> None:
         """Note what a failed attempt says about its target."""
+        self.on_attempt_failed(forwarding, view, failure)
         now_s = self.clock.seconds()
         name = view.target.name
         if failure.verdict is Verdict.NOT_RUN and (
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -384,7 +384,7 @@
         if self.is_finished:
             return
         self.last = failure
-        self.forwarder.attempt_failed(attempt.view, failure)
+        self.forwarder.attempt_failed(self, attempt.view, failure)
         if failure.verdict is not Verdict.NOT_RUN:
             self.is_tainted = True
             if not self.plan.kind.may_repeat:
