--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -11,20 +11,16 @@
 from sequoiawind import http_client, http_server, logs, metrics
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.cache_watcher import CacheWatcher
-from sequoiawind.fleet import Fleet
+from sequoiawind.fleet import Fleet, TargetView
 from sequoiawind.forward_plan import ForwardRequest, Planner
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.freshness import Freshness
+from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
-from sequoiawind.http1_server import (
-    CallerConnection,
-    CallerLimits,
-    CallerSite,
-    HttpRequest,
-)
+from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.http_client import JsonClient
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.options import Address, ForwardRouterSettings
@@ -48,6 +44,9 @@
 CONFIG_WAIT_SHARE: Final = 0.22
 # The same of the bound on leaving targets.
 TARGETS_WAIT_SHARE: Final = 0.7
+# Pause after targets have changed, in seconds, so that one question brings
+# several changes; a small part of the bound on leaving targets.
+TARGETS_PACE_S: Final = 0.15
 # Time for an agent's answer beyond the time that it is asked to wait.
 STATUS_ANSWER_S: Final = 0.5
 # Connections that may wait to be accepted.
@@ -135,6 +134,7 @@
             on_end=self.note_end,
             on_retry=self.count_retry,
             on_refusal=self.note_refusal,
+            on_attempt_failed=self.note_attempt_failed,
         )
 
     def make_watcher(self) -> StatusWatcher:
@@ -246,9 +246,9 @@
         store = StoreClient(client=self.client, address=self.options.store)
         config_wait_s = CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000
         targets_wait_s = TARGETS_WAIT_SHARE * bounds.drain_ms / 1000
-        for topic, reader, wait_s in (
-            (names.OPERATOR_TOPIC, operator, config_wait_s),
-            (names.TARGETS_TOPIC, targets, targets_wait_s),
+        for topic, reader, wait_s, pace_s in (
+            (names.OPERATOR_TOPIC, operator, config_wait_s, 0.0),
+            (names.TARGETS_TOPIC, targets, targets_wait_s, TARGETS_PACE_S),
         ):
             follower = RecordFollower(
                 topic=topic,
@@ -257,6 +257,7 @@
                 clock=http_server.reactor,
                 random=self.random,
                 wait_s=wait_s,
+                pace_s=pace_s,
                 age_clock=self.freshness.now,
                 log=self.log,
             )
@@ -268,6 +269,24 @@
         self.watcher.follow()
         self.forwarder.serve_waiting()
 
+    def follow_settings(self, options: ForwardRouterSettings) -> None:
+        """Take over new bounds; addresses need a restart."""
+        changed = attrs.evolve(self.options, bounds=options.bounds)
+        self.log.info(
+            "settings read again",
+            bounds_changed=changed != self.options,
+            restart_needed=options != changed,
+        )
+        self.options = changed
+        bounds = options.bounds
+        self.freshness.revoke_s = bounds.revoke_ms / 1000
+        self.freshness.in_force_s = bounds.in_force_ms / 1000
+        self.forwarder.weights_s = bounds.weights_ms / 1000
+        window = self.forwarder.window
+        window.ratio = bounds.repeat_ratio
+        window.allowance = bounds.repeat_allowance
+        window.window_s = bounds.repeat_window_s
+
     # Leaving.
 
     def leave(self) -> None:
@@ -299,7 +318,7 @@
     def note_refusal(self, request: ForwardRequest, failure: Failure) -> None:
         """Count and log a request refused before it had a plan."""
         self.count_refusal(failure.reason)
-        self.log.info(
+        self.log.warning(
             "request refused",
             request_id=request.request_id,
             host=request.host,
@@ -309,6 +328,28 @@
             config_age_s=round(min(self.freshness.age_s, 1e6), 3),
         )
 
+    def note_attempt_failed(
+        self, forwarding: Forwarding, view: TargetView, failure: Failure
+    ) -> None:
+        """Log an attempt without an answer, and what its target was like."""
+        now_s = http_server.reactor.seconds()
+        status = view.status
+        self.log.warning(
+            "attempt failed",
+            request_id=forwarding.note.request_id,
+            target=view.target.name,
+            born_ms=view.target.born_ms,
+            verdict=failure.verdict.value,
+            reason=failure.reason.value,
+            detail=failure.detail,
+            left_s=round(forwarding.left_s, 3),
+            open_requests=view.open_requests,
+            status_age_s=round(now_s - view.status_s, 3) if status else -1.0,
+            waiting=status.waiting if status else -1,
+            running=status.running if status else -1,
+            is_loading=status.is_loading if status else False,
+        )
+
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
@@ -318,7 +359,8 @@
         if note.first_chunk_s >= 0.0:
             waited_s = note.first_chunk_s - note.began_s
             self.metrics.first_chunk.labels(note.kind).observe(waited_s)
-        self.log.info(
+        write = self.log.info if failure is None else self.log.warning
+        write(
             "request",
             request_id=note.request_id,
             route=note.route,
