A process that has started counts named weights as named before

Change: what is read as the newest record, not as a change, may have been named long ago: routers accept older weights for 1.8 s more, agents load without their turn. Ruled out: a stale read (the record was read at once). Tests seen failing without the change.

--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -165,12 +165,20 @@
 
     # Weights.
 
-    def weights_named(self, model: str, version: int) -> None:
-        """Note that an operator has named newer weights."""
+    def weights_named(self, model: str, version: int, is_late: bool) -> None:
+        """Note that an operator has named newer weights.
+
+        Args:
+          model: The model.
+          version: Its new weights version.
+          is_late: It may have been named long ago, as before a restart; the
+            target then loads it without its turn.
+        """
         known = self.named.setdefault(model, [])
         if not known or version > known[-1].version:
             now_s = self.clock.seconds()
-            known.append(NamedVersion(version=version, named_s=now_s))
+            named_s = float("-inf") if is_late else now_s
+            known.append(NamedVersion(version=version, named_s=named_s))
             del known[:-MAX_NAMED]
 
     async def due(self, report: TargetReport, model: str) -> int | None:
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -38,9 +38,9 @@
 # For how long the store waits for a change before it answers, in seconds; an
 # agent checks no keys, so an answer without a change tells it little.
 AGENT_STORE_WAIT_S: Final = 3.0
-# Pause after targets have changed, in seconds; an agent only needs to know
-# which targets take turns.
-TARGETS_PACE_S: Final = 0.5
+# Pause after a change, in seconds, so that one answer carries several; an agent
+# only needs to know of weights and of the targets that take turns.
+PACE_S: Final = 0.4
 # Time for another agent's answer, in seconds.
 PEER_ANSWER_S: Final = 0.3
 
@@ -138,9 +138,9 @@
             log=self.log,
         )
         store = StoreClient(client=self.client, address=self.options.store)
-        for topic, reader, pace_s in (
-            (names.OPERATOR_TOPIC, operator, 0.0),
-            (names.TARGETS_TOPIC, targets, TARGETS_PACE_S),
+        for topic, reader in (
+            (names.OPERATOR_TOPIC, operator),
+            (names.TARGETS_TOPIC, targets),
         ):
             follower = RecordFollower(
                 topic=topic,
@@ -149,7 +149,7 @@
                 clock=http_server.reactor,
                 random=self.random,
                 wait_s=AGENT_STORE_WAIT_S,
-                pace_s=pace_s,
+                pace_s=PACE_S,
                 age_clock=suspended_clock_s,
                 log=self.log,
             )
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -39,17 +39,23 @@
     log: Logger
     # None where no keys are checked.
     freshness: Freshness | None = None
-    on_weights: Callable[[str, int], None] = attrs.field(
-        default=lambda model, version: None
+    # Called with a model, a version, and whether it may have been named long
+    # before it was read.
+    on_weights: Callable[[str, int, bool], None] = attrs.field(
+        default=lambda model, version, is_late: None
     )
     on_config: Callable[[], None] = attrs.field(default=lambda: None)
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Take in the newest records."""
         for record in records:
-            self.changed(record)
+            self.take(record, is_late=True)
 
     def changed(self, record: KeyedRecord) -> None:
+        """Take in a record that has just been written."""
+        self.take(record, is_late=False)
+
+    def take(self, record: KeyedRecord, is_late: bool) -> None:
         """Take in a record; one that cannot be read changes nothing."""
         if record.value is None:
             return
@@ -58,7 +64,7 @@
                 self.take_config(self.codec.config(record.value))
             elif record.key.startswith(self.codec.weights_prefix):
                 named = self.codec.weights(record.value)
-                self.take_weights(named.model, named.version)
+                self.take_weights(named.model, named.version, is_late)
         except WireError as error:
             self.log.warning(
                 "record not readable", key=record.key, error=str(error)
@@ -81,10 +87,12 @@
         )
         self.on_config()
 
-    def take_weights(self, model: str, version: int) -> None:
+    def take_weights(self, model: str, version: int, is_late: bool) -> None:
         """Note newer weights."""
-        self.log.info("weights named", model=model, version=version)
-        self.on_weights(model, version)
+        self.log.info(
+            "weights named", model=model, version=version, is_late=is_late
+        )
+        self.on_weights(model, version, is_late)
 
     def confirmed(self, asked_s: float) -> None:
         """Note as of when the configuration is current."""
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -131,6 +131,7 @@
             random=self.random,
             domain=self.options.node.failure_domain,
             weights_s=bounds.weights_ms / 1000,
+            settle_s=bounds.settle_ms / 1000,
             on_end=self.note_end,
             on_retry=self.count_retry,
             on_refusal=self.note_refusal,
@@ -282,6 +283,7 @@
         self.freshness.revoke_s = bounds.revoke_ms / 1000
         self.freshness.in_force_s = bounds.in_force_ms / 1000
         self.forwarder.weights_s = bounds.weights_ms / 1000
+        self.forwarder.settle_s = bounds.settle_ms / 1000
         window = self.forwarder.window
         window.ratio = bounds.repeat_ratio
         window.allowance = bounds.repeat_allowance
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -35,6 +35,9 @@
 # Part of the time allowed for new weights after which a request may no longer
 # begin on older ones; the rest is for its way to the target.
 OLD_WEIGHTS_SHARE: Final = 0.75
+# Part of the time in which a router that has started is not held to its bounds
+# for which it accepts older weights; the rest is for queues at the targets.
+LATE_SHARE: Final = 0.6
 # Memory assumed for a target whose pool does not state it, in tokens.
 DEFAULT_MEMORY_TOKENS: Final = 50_000
 
@@ -62,6 +65,8 @@
     domain: str
     # Time within which all targets must have newer weights, in seconds.
     weights_s: float
+    # Time for which a router that has started is not held to that.
+    settle_s: float
     caches: CacheWatcher
     newest: dict[str, NewestWeights] = attrs.field(factory=dict)
     waiting: list[Forwarding] = attrs.field(factory=list)
@@ -146,13 +151,24 @@
         )
         return newest.version if is_due else 0
 
-    def weights_named(self, model: str, version: int) -> None:
-        """Note that an operator has named newer weights."""
+    def weights_named(self, model: str, version: int, is_late: bool) -> None:
+        """Note that an operator has named newer weights.
+
+        Args:
+          model: The model.
+          version: Its new weights version.
+          is_late: It may have been named long ago, as before a restart.
+        """
         known = self.newest.get(model)
-        if known is None or version > known.version:
-            self.newest[model] = NewestWeights(
-                version=version, known_since_s=self.clock.seconds()
-            )
+        if known is not None and version <= known.version:
+            return
+        since_s = self.clock.seconds()
+        if is_late:
+            allowed_s = self.weights_s * OLD_WEIGHTS_SHARE
+            since_s -= max(0.0, allowed_s - self.settle_s * LATE_SHARE)
+        self.newest[model] = NewestWeights(
+            version=version, known_since_s=since_s
+        )
 
     def sent(self, forwarding: Forwarding, chosen: Chosen) -> None:
         """Note what a target reads with a request."""
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -97,6 +97,9 @@
     grace_s: float = 8.0
     # Time within which all targets must have newly named weights.
     weights_ms: float = 8_000.0
+    # Time for which a process that has started, or has found the store again,
+    # is not held to these bounds.
+    settle_ms: float = 3_000.0
     # Repeats allowed for each request, and besides, in a window.
     repeat_ratio: float = 0.2
     repeat_allowance: float = 20.0
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -222,6 +222,7 @@
             random=random.Random(1),
             domain="d1",
             weights_s=6.0,
+            settle_s=3.0,
         )
         self.configure(state())
 
--- a/tests/test_forward_agent.py
+++ b/tests/test_forward_agent.py
@@ -112,7 +112,7 @@
         pool = ["e1", *others]
         if not rollout.turn("e1", pool, 100.0).behind:
             raise AssertionError("the target is among the first")
-        agent.weights_named("m", 2)
+        agent.weights_named("m", 2, False)
         return clock, agent, fake
 
     def test_begins_when_the_one_before_is_done(self) -> None:
@@ -137,6 +137,14 @@
             self.advance(clock, 1.0)
             self.assertEqual(1, len(fake.orders), told)
 
+    def test_named_before_a_restart_needs_no_turn(self) -> None:
+        self.peers.told = TargetStatus(versions={"m": 1})
+        clock, agent, fake = self.last_in_turn()
+        agent.named.clear()
+        agent.weights_named("m", 2, True)
+        self.advance(clock, 1.0)
+        self.assertEqual(1, len(fake.orders))
+
     def test_begins_late_without_a_turn(self) -> None:
         self.peers.told = TargetStatus(versions={"m": 1})
         clock, _, fake = self.last_in_turn()
@@ -151,7 +159,7 @@
 
     def test_announced_before_it_is_given(self) -> None:
         clock, agent, fake = self.make()
-        agent.weights_named("m", 2)
+        agent.weights_named("m", 2, False)
         for _ in range(100):
             if agent.status.is_loading:
                 break
@@ -163,7 +171,7 @@
 
     def test_given_once_the_queue_is_empty(self) -> None:
         clock, agent, fake = self.make(waiting=5, draining=True)
-        agent.weights_named("m", 2)
+        agent.weights_named("m", 2, False)
         self.advance(clock, 0.15)
         self.assertEqual([], fake.orders)
         self.advance(clock, 0.3)
@@ -171,7 +179,7 @@
 
     def test_given_although_the_queue_stays(self) -> None:
         clock, agent, fake = self.make(waiting=5)
-        agent.weights_named("m", 2)
+        agent.weights_named("m", 2, False)
         self.advance(clock, 0.9)
         self.assertEqual([], fake.orders)
         self.advance(clock, 0.4)
@@ -180,7 +188,7 @@
     def test_newest_only_and_forward_only(self) -> None:
         clock, agent, fake = self.make()
         for version in (2, 4, 3):
-            agent.weights_named("m", version)
+            agent.weights_named("m", version, False)
         self.advance(clock, 3.0)
         self.assertEqual([4], [order.version for order in fake.orders])
 
@@ -189,7 +197,7 @@
     ) -> None:
         clock, agent, fake = self.make()
         fake.is_answering = False
-        agent.weights_named("m", 2)
+        agent.weights_named("m", 2, False)
         self.advance(clock, 2.0)
         self.assertTrue(len(fake.orders) > 1)
         # Whichever comes first makes the others fail.
@@ -213,6 +221,6 @@
         fake.report_now = None  # type: ignore[assignment]
         self.advance(clock, 0.5)
         fake.report_now = good
-        agent.weights_named("m", 2)
+        agent.weights_named("m", 2, False)
         self.advance(clock, 1.0)
         self.assertEqual(1, len(fake.orders))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -259,3 +259,29 @@
         self.assertEqual(0, len(rig.port.sent))
         assert caller.failure is not None
         self.assertEqual(401, forwarded_status(caller.failure))
+
+
+class WeightsTest(TestCase):
+    """No request begins on older weights for longer than allowed."""
+
+    def served(self, is_late: bool, after_s: float) -> bool:
+        rig = ForwardRig()
+        rig.add(target("e1", "llm", versions={"m": 3}))
+        rig.forwarder.weights_named("m", 4, is_late)
+        rig.advance(after_s)
+        rig.submit("brief")
+        return bool(rig.port.sent)
+
+    def test_older_weights(self) -> None:
+        # All targets must have the weights within 6 s; a router that has
+        # started cannot know how much of that had passed.
+        for is_late, after_s, expected in (
+            (False, 0.0, True),
+            (False, 4.0, True),
+            (False, 5.5, False),
+            (True, 0.0, True),
+            (True, 1.5, True),
+            (True, 2.5, False),
+        ):
+            served = self.served(is_late, after_s)
+            self.assertEqual(expected, served, (is_late, after_s))
