--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -99,15 +99,6 @@
         self.missing.setdefault(name, now_s)
         self.judge(now_s)
 
-    def replace_all(self, targets: list[ForwardTarget], now_s: float) -> None:
-        """Take in a whole list: what it lacks is gone."""
-        present = {target.name for target in targets}
-        for target in targets:
-            self.put(target)
-        for name in list(self.views):
-            if name not in present:
-                self.remove(name, now_s)
-
     def store_lost(self) -> None:
         """Note that the store does not answer."""
         self.is_store_away = True
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -5,7 +5,7 @@
 
 from sequoiawind import command_line, logs, settings
 from sequoiawind.daemon import Daemon
-from sequoiawind.forward_router_program import LEAVE_S, ForwardRouterProgram
+from sequoiawind.forward_router_program import ForwardRouterProgram
 from sequoiawind.options import ForwardRouterSettings
 
 PURPOSE: Final = "Forward callers' requests to targets on the platform."
@@ -30,7 +30,7 @@
         is_idle=program.is_idle,
         on_leaving=program.leave,
         on_draining=program.drain,
-        balancer_wait_s=LEAVE_S,
+        balancer_wait_s=program.leave_s,
     )
     daemon.on_reload = partial(reload, program, file)
     with daemon:
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -54,6 +54,9 @@
 # Time after SIGTERM in which callers may still begin new requests on their
 # connections; the balancer turns away within two of its questions.
 LEAVE_S: Final = 3.0
+# The same as a part of the time until the process is killed, where that is
+# short; the rest is for answers under way.
+LEAVE_SHARE: Final = 0.4
 
 
 @attrs.define(kw_only=True)
@@ -291,6 +294,11 @@
 
     # Leaving.
 
+    @property
+    def leave_s(self) -> float:
+        """For how long requests are taken after SIGTERM, in seconds."""
+        return min(LEAVE_S, LEAVE_SHARE * self.options.bounds.grace_s)
+
     def leave(self) -> None:
         """Close callers' connections after their answers."""
         self.site.is_closing = True
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -72,8 +72,6 @@
 class ForwardPool(Pool):
     """Targets that serve the same requests."""
 
-    # Connections that one target accepts from all callers together.
-    max_connections: int = 0
     # Models whose weights the targets hold; empty for plain services.
     models: tuple[str, ...] = ()
     # Prompt tokens that one target can keep in memory.
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -60,7 +60,6 @@
         self.timer: Timer | None = None
         # Whether a request has been handed over and its answer is not done.
         self.is_answering = False
-        self.has_head = False
         self.is_lost = False
         # Called once if the caller goes before its answer is done.
         self.on_gone: Callable[[], None] | None = None
@@ -122,7 +121,7 @@
         if self.arrived_s is not None:
             return
         self.arrived_s = self.site.clock.seconds()
-        self.watch(self.site.limits().header_timeout_s, self.head_timed_out)
+        self.watch(self.site.limits().header_timeout_s, self.timed_out)
 
     def read_events(self) -> None:
         """Take what the parser has."""
@@ -149,7 +148,7 @@
                 "both Transfer-Encoding and Content-Length", 400
             )
         self.head = head
-        self.watch(defaults.BODY_TIMEOUT_S, self.body_timed_out)
+        self.watch(defaults.BODY_TIMEOUT_S, self.timed_out)
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.write(self.http.send(go_on))
@@ -177,7 +176,6 @@
         self.body = bytearray()
         self.arrived_s = None
         self.is_answering = True
-        self.has_head = False
         self.site.on_request(request, self)
 
     # The answer.
@@ -190,7 +188,6 @@
         """
         if self.is_lost:
             return
-        self.has_head = True
         out = list(headers)
         if self.site.is_closing:
             out.append((b"connection", b"close"))
@@ -258,12 +255,8 @@
             self.timer.cancel()
         self.timer = None
 
-    def head_timed_out(self) -> None:
-        """Refuse a head that took too long."""
-        self.refuse(Reason.BODY_TIMEOUT)
-
-    def body_timed_out(self) -> None:
-        """Refuse a body that took too long."""
+    def timed_out(self) -> None:
+        """Refuse a request that took too long to arrive."""
         self.refuse(Reason.BODY_TIMEOUT)
 
     def refuse(self, reason: Reason) -> None:
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -63,7 +63,6 @@
     """A service as the operator writes it."""
 
     name: str
-    max_conns: int = 0
     engine: EngineRecord | None = None
     # Set for a store of cached prompts, which is no target.
     kv_store_addr: str = ""
@@ -200,7 +199,6 @@
     return ForwardPool(
         name=record.name,
         service="engine" if record.engine else "plain",
-        max_connections=record.max_conns,
         models=tuple(model.name for model in engine.models),
         memory_tokens=record.kv_capacity_tokens or engine.kv_capacity_tokens,
         keeper=record.kv_store_addr,
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -7,12 +7,11 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from sequoiawind import messages, wire
+from sequoiawind import wire
 from sequoiawind.forward_ports import (
     AnswerHead,
     AttemptSink,
     CacheNews,
-    PartChange,
     SendOrder,
 )
 from sequoiawind.headers import Headers, passed_headers
@@ -22,62 +21,17 @@
     OutgoingRequest,
     fetch,
 )
-from sequoiawind.platform import names
-from sequoiawind.platform.targets import ModelVersion
+from sequoiawind.platform import engine_wire, names
 from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
 from sequoiawind.verdict import Failure, Reason, not_run
 
 # Statuses by which a target refuses an order.
 ACCEPTED: Final = 202
 HOLDS_ALREADY: Final = 200
-WRONG_INSTANCE: Final = 421
 # A cache answers this when it serves as many watchers as it may.
 TOO_MANY: Final = 429
 
 
-class ReportRecord(msgspec.Struct):
-    """A target's report on itself."""
-
-    models: list[ModelVersion] = []
-    # An order is being carried out.
-    busy: bool = False
-    # Orders accepted since the start.
-    seq: int = 0
-    waiting: int = 0
-    running: int = 0
-    # Tokens in memory that cannot yield.
-    kv_used: int = 0
-    state: str = names.READY
-    born: int = 0
-
-
-class EventsRecord(msgspec.Struct):
-    """Changes of a cache."""
-
-    # Changes at each start of the cache.
-    boot_epoch: int
-    # The `since` of the next question.
-    next_token: int
-    lost: bool = False
-    # Number, + or -, salt, part, tokens held now, model.
-    events: list[tuple[int, str, str, str, int, str]] = []
-
-
-class OrderRecord(msgspec.Struct):
-    """An order to load weights."""
-
-    model: str
-    version: int
-    holder: str
-    # Fencing number.
-    fence: int
-    # Orders that the target must have accepted before this one.
-    precondition: int
-    op: str = "version"
-    # Let runs finish first.
-    transfer_mode: str = "wait"
-
-
 @attrs.define(kw_only=True, eq=False)
 class DecodingSink:
     """Turns an answer on the wire into the product's terms."""
@@ -92,7 +46,7 @@
             AnswerHead(
                 status=status,
                 headers=passed_headers(headers, names.HOP_BY_HOP),
-                refusal=refusal(status, found),
+                refusal=engine_wire.refusal(status, found),
                 versions=self.versions(found),
             )
         )
@@ -115,15 +69,6 @@
         self.sink.failed(failure)
 
 
-def refusal(status: int, found: Mapping[bytes, bytes]) -> Failure | None:
-    """Return the target's word that it did not run a request, if it said so."""
-    if status == WRONG_INSTANCE:
-        return not_run(Reason.TARGET_REPLACED, messages.TARGET_REFUSED)
-    if names.NOT_EXECUTED in found:
-        return not_run(Reason.TARGET_BUSY, messages.TARGET_REFUSED)
-    return None
-
-
 @attrs.define(kw_only=True)
 class EngineClient:
     """Calls targets; implements `ForwardPort` and `rollout.TargetPort`."""
@@ -136,7 +81,10 @@
         outgoing = OutgoingRequest(
             method=request.method,
             target=request.target,
-            headers=[*caller_headers(order), *order_headers(order)],
+            headers=[
+                *engine_wire.caller_headers(order),
+                *engine_wire.order_headers(order),
+            ],
             body=request.body,
             echo=(names.ATTEMPT_ID, request.request_id.encode("latin-1")),
         )
@@ -160,21 +108,10 @@
             text = f"status {answered.ok.status}"
             return Error(not_run(Reason.TARGET_ERROR, text))
         try:
-            record = wire.decode(answered.ok.body, ReportRecord)
+            record = wire.decode(answered.ok.body, engine_wire.ReportRecord)
         except wire.WireError as error:
             return Error(not_run(Reason.TARGET_ERROR, str(error)))
-        return Ok(
-            TargetReport(
-                versions={item.name: item.version for item in record.models},
-                is_busy=record.busy,
-                orders=record.seq,
-                waiting=record.waiting,
-                running=record.running,
-                used_tokens=record.kv_used,
-                is_draining=record.state == names.DRAINING,
-                born_ms=record.born,
-            )
-        )
+        return Ok(engine_wire.report(record))
 
     async def cache_news(
         self, address: str, since: int, wait_s: float, timeout_s: float
@@ -197,26 +134,16 @@
             text = f"status {answered.ok.status}"
             return Error(not_run(Reason.TARGET_ERROR, text))
         try:
-            record = wire.decode(answered.ok.body, EventsRecord)
+            record = wire.decode(answered.ok.body, engine_wire.EventsRecord)
         except wire.WireError as error:
             return Error(not_run(Reason.TARGET_ERROR, str(error)))
-        return Ok(
-            CacheNews(
-                epoch=record.boot_epoch,
-                next_number=record.next_token,
-                has_gap=record.lost,
-                changes=[
-                    PartChange(salt=salt, part=part, tokens=tokens)
-                    for _, _, salt, part, tokens, _ in record.events
-                ],
-            )
-        )
+        return Ok(engine_wire.news(record))
 
     async def order(
         self, address: str, target: str, order: LoadOrder, timeout_s: float
     ) -> Result[OrderOutcome, Failure]:
         """Order a target to load weights."""
-        record = OrderRecord(
+        record = engine_wire.OrderRecord(
             model=order.model,
             version=order.version,
             holder=order.holder,
@@ -241,35 +168,3 @@
             HOLDS_ALREADY: OrderOutcome.HOLDS,
         }
         return Ok(outcomes.get(answered.ok.status, OrderOutcome.REFUSED))
-
-
-def caller_headers(order: SendOrder) -> Headers:
-    """Return the caller's headers; a resumed stream has its own position."""
-    if order.after_event is None:
-        return order.request.headers
-    return [
-        item for item in order.request.headers if item[0] != names.LAST_EVENT_ID
-    ]
-
-
-def order_headers(order: SendOrder) -> Headers:
-    """Return the headers that the system sets."""
-    headers: Headers = [
-        (names.DEADLINE_MS, b"%d" % max(1, int(order.deadline_s * 1000))),
-        (names.EXPECT_INSTANCE, order.target.name.encode()),
-    ]
-    if order.account:
-        headers.append((names.TENANT, order.account.encode()))
-    if order.version is not None:
-        headers += [
-            (names.EXPECT_VERSION, b"%d" % order.version),
-            (names.CACHE_SALT, order.salt.encode()),
-            (names.URGENCY, b"%d" % order.urgency),
-        ]
-    if order.source:
-        headers.append((names.KV_SOURCE, order.source.encode()))
-    if order.keeper:
-        headers.append((names.KV_SINK, order.keeper.encode()))
-    if order.after_event is not None:
-        headers.append((names.LAST_EVENT_ID, b"%d" % order.after_event))
-    return headers
--- /dev/null
+++ b/sequoiawind/platform/engine_wire.py
@@ -0,0 +1,133 @@
+"""Bodies and headers of the targets' interfaces."""
+
+from collections.abc import Mapping
+from typing import Final
+
+import msgspec
+
+from sequoiawind import messages
+from sequoiawind.forward_ports import CacheNews, PartChange, SendOrder
+from sequoiawind.headers import Headers
+from sequoiawind.platform import names
+from sequoiawind.platform.targets import ModelVersion
+from sequoiawind.rollout import TargetReport
+from sequoiawind.verdict import Failure, Reason, not_run
+
+# Status of a target that is not the one that the request expects.
+WRONG_INSTANCE: Final = 421
+
+
+class ReportRecord(msgspec.Struct):
+    """A target's report on itself."""
+
+    models: list[ModelVersion] = []
+    # An order is being carried out.
+    busy: bool = False
+    # Orders accepted since the start.
+    seq: int = 0
+    waiting: int = 0
+    running: int = 0
+    # Tokens in memory that cannot yield.
+    kv_used: int = 0
+    state: str = names.READY
+    born: int = 0
+
+
+class EventsRecord(msgspec.Struct):
+    """Changes of a cache."""
+
+    # Changes at each start of the cache.
+    boot_epoch: int
+    # The `since` of the next question.
+    next_token: int
+    lost: bool = False
+    # Number, + or -, salt, part, tokens held now, model.
+    events: list[tuple[int, str, str, str, int, str]] = []
+
+
+class OrderRecord(msgspec.Struct):
+    """An order to load weights."""
+
+    model: str
+    version: int
+    holder: str
+    # Fencing number.
+    fence: int
+    # Orders that the target must have accepted before this one.
+    precondition: int
+    op: str = "version"
+    # Let runs finish first.
+    transfer_mode: str = "wait"
+
+
+def refusal(status: int, found: Mapping[bytes, bytes]) -> Failure | None:
+    """Return the target's word that it did not run a request, if it said so."""
+    if status == WRONG_INSTANCE:
+        return not_run(Reason.TARGET_REPLACED, messages.TARGET_REFUSED)
+    if names.NOT_EXECUTED in found:
+        return not_run(Reason.TARGET_BUSY, messages.TARGET_REFUSED)
+    return None
+
+
+def request_headers(order: SendOrder) -> Headers:
+    """Return the headers of a request to a target."""
+    return [*caller_headers(order), *system_headers(order)]
+
+
+def caller_headers(order: SendOrder) -> Headers:
+    """Return the caller's headers; a resumed stream has its own position."""
+    if order.after_event is None:
+        return order.request.headers
+    return [
+        item for item in order.request.headers if item[0] != names.LAST_EVENT_ID
+    ]
+
+
+def system_headers(order: SendOrder) -> Headers:
+    """Return the headers that the system sets."""
+    headers: Headers = [
+        (names.DEADLINE_MS, b"%d" % max(1, int(order.deadline_s * 1000))),
+        (names.EXPECT_INSTANCE, order.target.name.encode()),
+    ]
+    if order.account:
+        headers.append((names.TENANT, order.account.encode()))
+    if order.version is not None:
+        headers += [
+            (names.EXPECT_VERSION, b"%d" % order.version),
+            (names.CACHE_SALT, order.salt.encode()),
+            (names.URGENCY, b"%d" % order.urgency),
+        ]
+    if order.source:
+        headers.append((names.KV_SOURCE, order.source.encode()))
+    if order.keeper:
+        headers.append((names.KV_SINK, order.keeper.encode()))
+    if order.after_event is not None:
+        headers.append((names.LAST_EVENT_ID, b"%d" % order.after_event))
+    return headers
+
+
+def report(record: ReportRecord) -> TargetReport:
+    """Return a target's report in the product's terms."""
+    return TargetReport(
+        versions={item.name: item.version for item in record.models},
+        is_busy=record.busy,
+        orders=record.seq,
+        waiting=record.waiting,
+        running=record.running,
+        used_tokens=record.kv_used,
+        is_draining=record.state == names.DRAINING,
+        born_ms=record.born,
+    )
+
+
+def news(record: EventsRecord) -> CacheNews:
+    """Return the changes of a cache in the product's terms."""
+    return CacheNews(
+        epoch=record.boot_epoch,
+        next_number=record.next_token,
+        has_gap=record.lost,
+        changes=[
+            PartChange(salt=salt, part=part, tokens=tokens)
+            for _, _, salt, part, tokens, _ in record.events
+        ],
+    )
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -43,7 +43,7 @@
 )
 TRANSPORTS = ("treq", "klein", "twisted.web", "sequoiawind.http", "socket")
 MAX_LINES = 500
-MAX_ADAPTER_LINES = 300
+MAX_ADAPTER_LINES = 250
 # Names of the platform, which only its adapter knows.
 PLATFORM_NAMES = (
     r"(?i)[^-]sequoiawind-(attempt|deadline|tenant|cache-salt|expect|server)",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,13 @@
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.http1_server import HttpRequest
 from sequoiawind.options import Address
-from sequoiawind.platform import callers, configuration, engine, store
+from sequoiawind.platform import (
+    callers,
+    configuration,
+    engine,
+    engine_wire,
+    store,
+)
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.record_ports import RecordsLost
 from sequoiawind.verdict import Failure, Verdict
@@ -320,7 +326,7 @@
             (504, {}, False),
             (200, {}, False),
         ):
-            refusal = engine.refusal(status, headers)
+            refusal = engine_wire.refusal(status, headers)
             self.assertEqual(refused, refusal is not None, (status, headers))
             if refusal is not None:
                 self.assertEqual(Verdict.NOT_RUN, refusal.verdict)
