Adapter: the renamed headers function is called by its new name

Change: the call; all tests and the type checker pass. Ruled out: other uses of the old name (searched).

--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -81,10 +81,7 @@
         outgoing = OutgoingRequest(
             method=request.method,
             target=request.target,
-            headers=[
-                *engine_wire.caller_headers(order),
-                *engine_wire.order_headers(order),
-            ],
+            headers=engine_wire.request_headers(order),
             body=request.body,
             echo=(names.ATTEMPT_ID, request.request_id.encode("latin-1")),
         )
