--- /dev/null
+++ b/tests/test_forward_path.py
@@ -0,0 +1,236 @@
+"""The whole path as processes: a router, an agent, a store, two targets."""
+
+import http.client
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from testtools import TestCase
+
+from tests.platform_standin import SEAL, Store, Target, configuration
+from tests.test_forward_processes import PATIENCE_S, free_ports
+
+NODE = """
+store = "{store}"
+{target}
+
+[node]
+name = "{name}"
+ip = "127.0.0.1"
+agent_port = {agent}
+metrics_port = {metrics}
+"""
+ENTRY = """
+[entry]
+callers = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+"""
+BOUNDS = """
+[bounds]
+revoke_ms = 1500
+in_force_ms = 1500
+"""
+PROMPT = {
+    "Sequoiawind-Model": "m",
+    "Sequoiawind-Token-Count": "100,10",
+    "Sequoiawind-Prompt-Prefix": "aa:80,bb:20",
+}
+
+
+class ForwardPathTest(TestCase):
+    """What callers and targets see."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = Store()
+        self.app = Target(id="a1")
+        self.engine = Target(id="e1")
+        for stand_in in (self.store, self.app, self.engine):
+            stand_in.__enter__()
+            self.addCleanup(stand_in.__exit__)
+        self.store.put("keyed.op", "config", configuration(3))
+        self.store.put("keyed.servers", "junk", {"service": 5})
+        self.store.put("keyed.servers", "a1", self.app.entry("app", models=[]))
+        self.store.put("keyed.servers", "e1", self.engine.entry("llm"))
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.agent_port, self.callers, self.ready, *metrics = free_ports(5)
+        self.start("agent", metrics[0], f'target = "{self.engine.address}"', "")
+        entry = ENTRY.format(callers=self.callers, ready=self.ready)
+        self.router = self.start("router", metrics[1], "", entry)
+        self.wait_until(lambda: self.is_ready() == 200)
+
+    def start(
+        self, name: str, metrics: int, target: str, entry: str
+    ) -> subprocess.Popen[bytes]:
+        """Start a program; it is ended with the test."""
+        file = self.folder / f"{name}.toml"
+        node = NODE.format(
+            store=self.store.address,
+            target=target,
+            name=name,
+            agent=self.agent_port,
+            metrics=metrics,
+        )
+        file.write_text(node + entry + BOUNDS, encoding="utf-8")
+        module = f"sequoiawind.forward_{name}_main"
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, str(file)],
+            stdout=subprocess.DEVNULL,
+            env=dict(os.environ),
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def wait_until(self, holds: Callable[[], bool]) -> None:
+        """Wait for a condition."""
+        ends_s = time.monotonic() + PATIENCE_S
+        while not holds():
+            if time.monotonic() > ends_s:
+                raise AssertionError("the condition did not come to hold")
+            time.sleep(0.02)
+
+    def is_ready(self) -> int:
+        """Return the status that the balancer gets; 0 for none."""
+        try:
+            return self.get(self.ready, "/api/ready", {})[0]
+        except OSError:
+            return 0
+
+    def get(
+        self,
+        port: int,
+        target: str,
+        headers: dict[str, str],
+        body: str | None = None,
+    ) -> tuple[int, bytes, http.client.HTTPMessage]:
+        """Send a request and return the whole answer."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", port, timeout=PATIENCE_S
+        )
+        try:
+            method = "GET" if body is None else "POST"
+            connection.request(method, target, body, headers)
+            response = connection.getresponse()
+            return response.status, response.read(), response.headers
+        finally:
+            connection.close()
+
+    def ask(
+        self,
+        target: str,
+        key: str = "k1",
+        body: str | None = "body",
+        **headers: str,
+    ) -> tuple[int, bytes, http.client.HTTPMessage]:
+        """Send a caller's request."""
+        sent = {
+            "Host": "h.example",
+            "Authorization": f"Token {key}",
+            "Sequoiawind-Attempt-Id": "q1",
+            "Sequoiawind-Deadline-Ms": "20000",
+            **headers,
+        }
+        return self.get(self.callers, target, sent, body)
+
+    def test_forwarded_unchanged(self) -> None:
+        status, body, headers = self.ask("/book/x?y=%20z")
+        self.assertEqual((200, b"done"), (status, body))
+        self.assertEqual("s1", headers[SEAL])
+        ran = self.app.ran[-1]
+        for name, value in (
+            ("path", "/book/x?y=%20z"),
+            ("body", "body"),
+            ("sequoiawind-tenant", "acme"),
+            ("sequoiawind-attempt-id", "q1"),
+            ("sequoiawind-expect-instance", "a1"),
+        ):
+            self.assertEqual(value, ran[name])
+        self.assertNotIn("authorization", ran)
+
+    def test_refused(self) -> None:
+        for target, key, expected in (
+            ("/nowhere/x", "k1", 404),
+            ("/read/x", "k2", 401),
+            ("/open/x", "k2", 200),
+        ):
+            status, _, _ = self.ask(target, key)
+            self.assertEqual(expected, status, target)
+        self.assertEqual(1, len(self.app.ran))
+
+    def test_stream(self) -> None:
+        status, body, headers = self.ask("/brief/x", **PROMPT)
+        self.assertEqual((200, 5), (status, body.count(b"\n\n")))
+        self.assertEqual("s1", headers[SEAL])
+        self.assertEqual("1", self.engine.ran[-1]["sequoiawind-expect-version"])
+
+    def test_new_weights(self) -> None:
+        named = {"model": "m", "version": 2}
+        self.store.put("keyed.op", "version/m", named)
+        self.wait_until(lambda: bool(self.engine.orders))
+        order = self.engine.orders[0]
+        self.assertEqual(
+            ("version", "m", 2, "agent", 0),
+            tuple(
+                order[name]
+                for name in ("op", "model", "version", "holder", "precondition")
+            ),
+        )
+        before = (
+            self.engine.ran and self.engine.ran[-1]["sequoiawind-cache-salt"]
+        )
+        self.wait_until(lambda: self.ask("/brief/x", **PROMPT)[0] == 200)
+        ran = self.engine.ran[-1]
+        self.assertEqual("2", ran["sequoiawind-expect-version"])
+        self.assertNotEqual(before, ran["sequoiawind-cache-salt"])
+        self.assertEqual(1, len(self.engine.orders))
+
+    def test_key_taken_away(self) -> None:
+        self.assertEqual(200, self.ask("/read/x")[0])
+        self.store.put("keyed.op", "config", configuration(9, key="k9"))
+        self.wait_until(lambda: self.ask("/read/x")[0] == 401)
+        self.assertEqual(200, self.ask("/read/x", key="k9")[0])
+        # An older version never comes back.
+        self.store.put("keyed.op", "config", configuration(8, key="k1"))
+        self.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        self.wait_until(lambda: bool(self.engine.orders))
+        self.assertEqual(401, self.ask("/read/x")[0])
+
+    def test_store_away(self) -> None:
+        self.store.is_away = True
+        with self.store.changed:
+            self.store.changed.notify_all()
+        self.wait_until(lambda: self.ask("/read/x")[0] == 503)
+        status, _, headers = self.ask("/read/x")
+        self.assertEqual(503, status)
+        self.assertTrue(float(headers["Retry-After"]) > 0.0)
+        self.assertEqual(200, self.ask("/open/x")[0])
+        self.store.is_away = False
+        self.wait_until(lambda: self.ask("/read/x")[0] == 200)
+
+    def test_sigterm_ends_no_stream(self) -> None:
+        self.engine.pause_s = 0.2
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.callers, timeout=PATIENCE_S
+        )
+        self.addCleanup(connection.close)
+        headers = {
+            "Host": "h.example",
+            "Authorization": "Token k1",
+            "Sequoiawind-Attempt-Id": "q1",
+            **PROMPT,
+        }
+        connection.request("POST", "/brief/x", "body", headers)
+        response = connection.getresponse()
+        self.router.send_signal(signal.SIGTERM)
+        self.wait_until(lambda: self.is_ready() != 200)
+        self.assertEqual(5, response.read().count(b"\n\n"))
+        self.wait_until(lambda: self.router.poll() is not None)
+        self.assertEqual(0, self.router.returncode)
