A newer weights version does not prolong an older one's time

Change: every named version keeps its time, by the same function as at the agent. Ruled out: the late order itself (the target had restarted and asked for none). Test seen failing.

--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -46,8 +46,6 @@
 UNANSWERED_S: Final = 0.5
 # Change of running or waiting requests that routers are told of.
 LOAD_STEP: Final = 4
-# Named versions that are kept, of a model.
-MAX_NAMED: Final = 16
 # Time for which a router that asked counts as one of the routers, in seconds.
 ROUTER_HEARD_S: Final = 5.0
 
@@ -174,12 +172,11 @@
           is_late: It may have been named long ago, as before a restart; the
             target then loads it without its turn.
         """
-        known = self.named.setdefault(model, [])
-        if not known or version > known[-1].version:
-            now_s = self.clock.seconds()
-            named_s = float("-inf") if is_late else now_s
-            known.append(NamedVersion(version=version, named_s=named_s))
-            del known[:-MAX_NAMED]
+        named_s = float("-inf") if is_late else self.clock.seconds()
+        rollout.add_version(
+            self.named.setdefault(model, []),
+            NamedVersion(version=version, named_s=named_s),
+        )
 
     async def due(self, report: TargetReport, model: str) -> int | None:
         """Return the version of a model to load now; None if there is none."""
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -11,6 +11,7 @@
 import attrs
 import structlog
 
+from sequoiawind import rollout
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.fleet import Fleet, TargetView
@@ -20,6 +21,7 @@
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.rollout import NamedVersion
 from sequoiawind.target_choice import (
     Chosen,
     Keeper,
@@ -42,14 +44,6 @@
 DEFAULT_MEMORY_TOKENS: Final = 50_000
 
 
-@attrs.define(kw_only=True)
-class NewestWeights:
-    """The newest weights version of a model, and since when it is known."""
-
-    version: int
-    known_since_s: float
-
-
 @attrs.define(kw_only=True, eq=False)
 class Forwarder:
     """Decides about forwarded requests."""
@@ -68,7 +62,8 @@
     # Time for which a router that has started is not held to that.
     settle_s: float
     caches: CacheWatcher
-    newest: dict[str, NewestWeights] = attrs.field(factory=dict)
+    # Weights versions by model, in the order in which they were named.
+    named: dict[str, list[NamedVersion]] = attrs.field(factory=dict)
     waiting: list[Forwarding] = attrs.field(factory=list)
     ticking: Timer | None = None
     open_requests: int = 0
@@ -143,13 +138,15 @@
 
     def oldest_version(self, model: str, now_s: float) -> int:
         """Return the weights version on which a request may still begin."""
-        newest = self.newest.get(model)
-        if newest is None:
-            return 0
-        is_due = (
-            now_s - newest.known_since_s > self.weights_s * OLD_WEIGHTS_SHARE
+        due_s = now_s - self.weights_s * OLD_WEIGHTS_SHARE
+        return max(
+            (
+                item.version
+                for item in self.named.get(model, ())
+                if item.named_s < due_s
+            ),
+            default=0,
         )
-        return newest.version if is_due else 0
 
     def weights_named(self, model: str, version: int, is_late: bool) -> None:
         """Note that an operator has named newer weights.
@@ -159,15 +156,13 @@
           version: Its new weights version.
           is_late: It may have been named long ago, as before a restart.
         """
-        known = self.newest.get(model)
-        if known is not None and version <= known.version:
-            return
-        since_s = self.clock.seconds()
+        named_s = self.clock.seconds()
         if is_late:
             allowed_s = self.weights_s * OLD_WEIGHTS_SHARE
-            since_s -= max(0.0, allowed_s - self.settle_s * LATE_SHARE)
-        self.newest[model] = NewestWeights(
-            version=version, known_since_s=since_s
+            named_s -= max(0.0, allowed_s - self.settle_s * LATE_SHARE)
+        rollout.add_version(
+            self.named.setdefault(model, []),
+            NamedVersion(version=version, named_s=named_s),
         )
 
     def sent(self, forwarding: Forwarding, chosen: Chosen) -> None:
--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -30,6 +30,8 @@
 # Part of the time allowed for new weights after which a target loads although
 # it is not its turn; the rest is for its queue, its runs and the load.
 LAST_TURN_SHARE: Final = 0.5
+# Named versions of a model that are kept.
+MAX_NAMED: Final = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -125,6 +127,16 @@
     return max(MIN_LOADS_AT_ONCE, round(needed))
 
 
+def add_version(named: list[NamedVersion], item: NamedVersion) -> None:
+    """Note a version if it is newer than those named before.
+
+    Each version keeps its own time: a newer one does not prolong it.
+    """
+    if not named or item.version > named[-1].version:
+        named.append(item)
+        del named[:-MAX_NAMED]
+
+
 def lacking(
     has: int | None, named: Sequence[NamedVersion]
 ) -> list[NamedVersion]:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -285,3 +285,14 @@
         ):
             served = self.served(is_late, after_s)
             self.assertEqual(expected, served, (is_late, after_s))
+
+    def test_newer_version_does_not_prolong_an_older_ones_time(self) -> None:
+        for has, expected in ((1, False), (2, True), (3, True)):
+            rig = ForwardRig()
+            rig.add(target("e1", "llm", versions={"m": has}))
+            rig.forwarder.weights_named("m", 2, False)
+            rig.advance(4.0)
+            rig.forwarder.weights_named("m", 3, False)
+            rig.advance(1.0)
+            rig.submit("brief")
+            self.assertEqual(expected, bool(rig.port.sent), has)
