One course for requests through agents and to targets

Cause: `exchange` and `forwarding` each had their own deadline, attempt timer, cancelling, verdict over all attempts and rule on what may be sent again. Ruled out: one class for both hops. Resuming at an agent by chunk number and resuming a stream at another target by event id share no step.

--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -16,14 +16,14 @@
 
 from sequoiawind import defaults, invariants, messages, openai_format, retries
 from sequoiawind.chunk_order import ChunkOrder
+from sequoiawind.course import Course, OpenAttempt
 from sequoiawind.members import Members
 from sequoiawind.placement import Candidate, Choice
-from sequoiawind.ports import Call, Clock, TargetPort, Timer
+from sequoiawind.ports import Clock, TargetPort
 from sequoiawind.retries import RetryBudgets
 from sequoiawind.verdict import (
     Failure,
     Reason,
-    Verdict,
     may_have_run,
     not_run,
 )
@@ -75,29 +75,24 @@
     )
 
 
-@attrs.define(kw_only=True)
-class AttemptSink:
+@attrs.define(kw_only=True, eq=False)
+class AttemptSink(OpenAttempt):
     """Receives one attempt of an exchange."""
 
     exchange: "Exchange"
     attempt: Attempt
     candidate: Candidate
-    call: Call | None = None
-    timer: Timer | None = None
     has_started: bool = False
     # Whether anything has arrived since the timer was set.
     is_heard: bool = False
-    is_over: bool = False
 
     def started(self, load: LoadReport) -> None:
         """The agent has admitted the attempt."""
         if self.is_over:
             return
         self.has_started = True
-        self.exchange.around.members.report(
-            load, self.exchange.around.clock.seconds()
-        )
-        self.watch(self.exchange.chunk_timeout_s, Reason.CHUNK_TIMEOUT)
+        self.exchange.around.members.report(load, self.clock.seconds())
+        self.watch_for(self.exchange.chunk_timeout_s, Reason.CHUNK_TIMEOUT)
 
     def chunk(self, attempt_id: str, index: int, data: bytes) -> None:
         """Take a chunk, unless it belongs to another attempt."""
@@ -110,21 +105,16 @@
 
     def ended(self, ended: Ended) -> None:
         """Note the end of the attempt."""
-        if self.is_over:
+        if not self.close():
             return
-        self.close()
         if ended.load is not None:
-            now_s = self.exchange.around.clock.seconds()
+            now_s = self.clock.seconds()
             self.exchange.around.members.report(ended.load, now_s)
         self.exchange.attempt_ended(self, ended)
 
-    def watch(self, timeout_s: float, reason: Reason) -> None:
-        """End the attempt if nothing more is heard in time."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.timer = self.exchange.around.clock.callLater(
-            timeout_s, self.timed_out, reason
-        )
+    def watch_for(self, timeout_s: float, reason: Reason) -> None:
+        """End the attempt for a reason if nothing more is heard in time."""
+        self.watch(timeout_s, partial(self.timed_out, reason))
 
     def timed_out(self, reason: Reason) -> None:
         """End an attempt that was silent for too long."""
@@ -132,7 +122,7 @@
             return
         if self.is_heard:
             self.is_heard = False
-            self.watch(self.exchange.chunk_timeout_s, reason)
+            self.watch_for(self.exchange.chunk_timeout_s, reason)
             return
         text = messages.START_TIMEOUT
         if reason is Reason.CHUNK_TIMEOUT:
@@ -141,16 +131,13 @@
             self.call.cancel()
         self.ended(Ended(failure=may_have_run(reason, text)))
 
-    def close(self) -> None:
-        """Take nothing more from this attempt."""
-        self.is_over = True
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+    def release(self) -> None:
+        """Count the attempt no more."""
         self.exchange.around.members.of(self.candidate.name).open_attempts -= 1
 
 
-@attrs.define(kw_only=True)
-class Exchange:
+@attrs.define(kw_only=True, eq=False)
+class Exchange(Course):
     """A request on its way."""
 
     around: Surroundings
@@ -173,8 +160,6 @@
     retried: int = 0
     # The targets tried, in order.
     path: list[str] = attrs.field(factory=list)
-    # Whether some attempt may have run.
-    is_tainted: bool = False
     foreign_chunks: int = 0
     # Waits that refusing targets reported, by place in `choices`.
     refused_waits_s: dict[int, float] = attrs.field(factory=dict)
@@ -182,17 +167,13 @@
     # Chunks known when the answer was last resumed.
     known_at_resume: int = -1
     current: AttemptSink | None = None
-    deadline: Timer | None = None
     deadline_at_s: float = 0.0
-    is_finished: bool = False
 
     def start(self) -> None:
         """Make the first attempt."""
-        clock = self.around.clock
-        self.deadline_at_s = clock.seconds() + self.template.deadline_s
-        self.deadline = clock.callLater(
-            self.template.deadline_s, self.deadline_passed
-        )
+        deadline_s = self.template.deadline_s
+        self.deadline_at_s = self.clock.seconds() + deadline_s
+        self.start_deadline(deadline_s)
         self.order.request_id = self.template.request_id
         self.around.budgets.earn(self.template.account)
         self.next_target(None)
@@ -230,7 +211,7 @@
             # Without the text so far the answer cannot go on elsewhere.
             self.give_up(may_have_run(Reason.TARGET_ERROR, str(error)))
             return
-        left_s = self.deadline_at_s - self.around.clock.seconds()
+        left_s = self.deadline_at_s - self.clock.seconds()
         attempt = attrs.evolve(
             self.template,
             attempt_id=self.new_id(),
@@ -252,10 +233,15 @@
             )
         self.attempts += 1
         self.path.append(candidate.name)
-        sink = AttemptSink(exchange=self, attempt=attempt, candidate=candidate)
+        sink = AttemptSink(
+            clock=self.clock,
+            exchange=self,
+            attempt=attempt,
+            candidate=candidate,
+        )
         self.current = sink
         self.around.members.of(candidate.name).open_attempts += 1
-        sink.watch(self.start_timeout_s, Reason.START_TIMEOUT)
+        sink.watch_for(self.start_timeout_s, Reason.START_TIMEOUT)
         sink.call = self.around.port.open(candidate.address, attempt, sink)
 
     def new_id(self) -> str:
@@ -315,9 +301,8 @@
         self, sink: AttemptSink, failure: Failure, load: LoadReport | None
     ) -> None:
         """Keep what a failure says of the request and of the target."""
-        now_s = self.around.clock.seconds()
-        if failure.verdict is not Verdict.NOT_RUN:
-            self.is_tainted = True
+        now_s = self.clock.seconds()
+        self.note_verdict(failure)
         if failure.reason in TARGET_FAULTS:
             self.around.members.failed(sink.candidate.name, now_s)
         if failure.reason is Reason.QUEUE_TOO_LONG:
@@ -364,21 +349,19 @@
             # A failure, unlike a refusal, may not come again.
             self.position = 0
         pause_s = retries.backoff_s(self.retried, self.around.random)
-        self.around.clock.callLater(pause_s, partial(self.next_target, failure))
+        self.clock.callLater(pause_s, partial(self.next_target, failure))
 
     def give_up(self, failure: Failure | None) -> None:
         """End with a failure whose verdict covers all attempts."""
-        last = failure or not_run(Reason.NO_TARGET, messages.NO_TARGET)
-        verdict = last.verdict
-        if self.is_tainted:
-            verdict = Verdict.MAY_HAVE_RUN
+        last = self.covering(
+            failure or not_run(Reason.NO_TARGET, messages.NO_TARGET)
+        )
         waits_s = [*self.refused_waits_s.values(), last.retry_after_s or 0.0]
         retry_after_s = max(defaults.MIN_RETRY_AFTER_S, *waits_s)
         self.finish(
             Ended(
                 failure=attrs.evolve(
                     last,
-                    verdict=verdict,
                     retry_after_s=min(
                         retry_after_s, defaults.MAX_RETRY_AFTER_S
                     ),
@@ -386,15 +369,6 @@
             )
         )
 
-    def deadline_passed(self) -> None:
-        """End a request that took too long."""
-        if self.is_finished:
-            return
-        was_open = self.current is not None and not self.current.is_over
-        verdict = may_have_run if was_open else not_run
-        self.cancel_current()
-        self.give_up(verdict(Reason.DEADLINE, messages.DEADLINE))
-
     def cancel(self) -> None:
         """End a request whose caller has gone."""
         if self.is_finished:
@@ -404,18 +378,7 @@
             Ended(failure=may_have_run(Reason.CANCELLED, messages.CANCELLED))
         )
 
-    def cancel_current(self) -> None:
-        """Cancel the attempt under way."""
-        sink = self.current
-        if sink is None or sink.is_over:
-            return
-        sink.close()
-        if sink.call is not None:
-            sink.call.cancel()
-
     def finish(self, ended: Ended) -> None:
         """End the exchange."""
-        self.is_finished = True
-        if self.deadline is not None and self.deadline.active():
-            self.deadline.cancel()
+        self.close()
         self.caller.ended(ended)
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -91,6 +91,7 @@
             return None
         plan = planned.ok
         forwarding = Forwarding(
+            clock=self.clock,
             forwarder=self,
             plan=plan,
             caller=caller,
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -5,12 +5,14 @@
 stream that breaks goes on at another target behind the last whole event.
 """
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
-from sequoiawind import messages
+from sequoiawind import messages, retries
 from sequoiawind.blackboard import RequestNote
+from sequoiawind.course import Course, OpenAttempt
 from sequoiawind.event_stream import EventCutter
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_plan import ForwardPlan, urgency
@@ -19,7 +21,6 @@
     ForwardCaller,
     SendOrder,
 )
-from sequoiawind.ports import Call, Timer
 from sequoiawind.target_choice import Chosen
 from sequoiawind.verdict import (
     Failure,
@@ -51,17 +52,14 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class ForwardAttempt:
+class ForwardAttempt(OpenAttempt):
     """One try at one target; the sink of its answer."""
 
     forwarding: "Forwarding"
     chosen: Chosen
-    call: Call | None = None
-    timer: Timer | None = None
     answer: AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
     cutter: EventCutter = attrs.field(factory=EventCutter)
-    is_over: bool = False
 
     @property
     def view(self) -> TargetView:
@@ -101,29 +99,14 @@
             return False
         return self.forwarding.plan.kind.is_stream and answer.status < 300
 
-    def close(self) -> bool:
-        """Take nothing more; whether the attempt was open."""
-        if self.is_over:
-            return False
-        self.is_over = True
-        self.stop_timer()
+    def release(self) -> None:
+        """Count the attempt no more."""
         self.view.open_requests -= 1
         self.view.open_tokens -= self.chosen.missing_tokens
-        return True
-
-    def cancel(self) -> None:
-        """Give the attempt up."""
-        if self.close() and self.call is not None:
-            self.call.cancel()
-
-    def stop_timer(self) -> None:
-        """Stop waiting for the next sign of the target."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
 
 
 @attrs.define(kw_only=True, eq=False)
-class Forwarding:
+class Forwarding(Course):
     """A request on its way."""
 
     forwarder: "Forwarder"
@@ -131,35 +114,28 @@
     caller: ForwardCaller
     note: RequestNote
     current: ForwardAttempt | None = None
-    deadline: Timer | None = None
     # Names of the targets that were sent the request.
     sent_to: list[str] = attrs.field(factory=list)
     # Why the last attempt ended without an answer.
     last: Failure | None = None
-    # Whether some attempt may have run.
-    is_tainted: bool = False
     # Whether the caller has the head of an answer.
     has_head: bool = False
     last_event: int | None = None
     waiting_since_s: float | None = None
-    is_finished: bool = False
 
     def start(self) -> None:
         """Make the first attempt."""
-        now_s = self.now_s
-        if self.left_s <= 0.0:
+        left_s = self.left_s
+        if left_s <= 0.0:
             self.give_up(not_run(Reason.DEADLINE, messages.DEADLINE))
             return
-        clock = self.forwarder.clock
-        self.deadline = clock.callLater(
-            self.plan.ends_s - now_s, self.time_is_up
-        )
+        self.start_deadline(left_s)
         self.next_target()
 
     @property
     def now_s(self) -> float:
         """The time in seconds."""
-        return self.forwarder.clock.seconds()
+        return self.clock.seconds()
 
     @property
     def left_s(self) -> float:
@@ -241,7 +217,9 @@
             self.forwarder.on_retry(reason)
         self.sent_to.append(target.name)
         self.note.path.append(target.name)
-        attempt = ForwardAttempt(forwarding=self, chosen=chosen)
+        attempt = ForwardAttempt(
+            clock=self.clock, forwarding=self, chosen=chosen
+        )
         self.current = attempt
         chosen.view.open_requests += 1
         chosen.view.open_tokens += chosen.missing_tokens
@@ -271,21 +249,14 @@
         silence_s = max(
             FIRST_AIM_FACTOR * kind.aim_s, FIRST_LEFT_SHARE * self.left_s
         )
-        self.watch(attempt, silence_s)
+        attempt.watch(silence_s, partial(self.was_silent, attempt))
 
     def watch_pause(self, attempt: ForwardAttempt) -> None:
         """Go on elsewhere with a stream that has stopped."""
         if not self.may_go_on():
             return
         pause_s = max(MIN_PAUSE_S, PAUSE_FACTOR * self.plan.kind.pause_s)
-        self.watch(attempt, pause_s)
-
-    def watch(self, attempt: ForwardAttempt, silence_s: float) -> None:
-        """Set the timer of an attempt."""
-        attempt.stop_timer()
-        attempt.timer = self.forwarder.clock.callLater(
-            silence_s, self.was_silent, attempt
-        )
+        attempt.watch(pause_s, partial(self.was_silent, attempt))
 
     def was_silent(self, attempt: ForwardAttempt) -> None:
         """Give up on a target that was silent for too long."""
@@ -385,11 +356,10 @@
             return
         self.last = failure
         self.forwarder.attempt_failed(self, attempt.view, failure)
-        if failure.verdict is not Verdict.NOT_RUN:
-            self.is_tainted = True
-            if not self.plan.kind.may_repeat:
-                self.give_up(failure)
-                return
+        self.note_verdict(failure)
+        if not retries.may_retry(failure, self.plan.kind.may_repeat):
+            self.give_up(failure)
+            return
         if failure.reason is Reason.CONNECT_FAILED:
             # Nothing was sent there.
             self.sent_to.remove(attempt.view.target.name)
@@ -397,21 +367,11 @@
 
     # Ends.
 
-    def time_is_up(self) -> None:
-        """Give the caller its final answer at the end of its time."""
-        attempt = self.current
-        is_open = attempt is not None and not attempt.is_over
-        if attempt is not None:
-            attempt.cancel()
-        verdict = may_have_run if is_open or self.is_tainted else not_run
-        self.give_up(verdict(Reason.DEADLINE, messages.DEADLINE))
-
     def give_up(self, failure: Failure) -> None:
         """End with a failure whose verdict covers all attempts."""
         if self.is_finished:
             return
-        if self.is_tainted and failure.verdict is Verdict.NOT_RUN:
-            failure = attrs.evolve(failure, verdict=Verdict.MAY_HAVE_RUN)
+        failure = self.covering(failure)
         if failure.verdict is Verdict.NOT_RUN and not failure.retry_after_s:
             failure = attrs.evolve(failure, retry_after_s=BUSY_RETRY_AFTER_S)
         if self.has_head:
@@ -435,7 +395,5 @@
 
     def finish(self, failure: Failure | None) -> None:
         """End the request."""
-        self.is_finished = True
-        if self.deadline is not None and self.deadline.active():
-            self.deadline.cancel()
+        self.close()
         self.forwarder.finished(self, failure)
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -287,6 +287,7 @@
         if plan.pool.service != "engine":
             timeout_s = plan.kind.deadline_s
         return Exchange(
+            clock=self.around.clock,
             around=self.around,
             caller=handling,
             template=self.template(plan),
