Settings that change without a signal are noticed; the programs share their parts

Cause: a settings file was read again on SIGHUP only, though the platform may change it without one. The two forwarding programs had the same set-up of store followers and the same reading of settings; `forward_program` has it once, and the four daemons start through `command_line.run_daemon`. Ruled out: watching the file's time stamp, which a rewrite within its resolution does not change. Before: test_notices_settings_that_change_without_a_signal waited in vain (ended after 15 s).

--- a/sequoiawind/agent_main.py
+++ b/sequoiawind/agent_main.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from sequoiawind import command_line, logs, settings
+from sequoiawind import command_line, logs
 from sequoiawind.agent_program import AgentProgram
 from sequoiawind.daemon import Daemon
 from sequoiawind.options import AgentSettings
@@ -12,12 +12,12 @@
 
 def main() -> None:
     """Run the program."""
-    parser = command_line.daemon_parser("sequoiawind-agent", PURPOSE)
-    args = parser.parse_args()
-    loaded = settings.load(args.settings, AgentSettings)
-    options = command_line.settings_or_exit(loaded)
-    if not args.check_settings:
-        run(options)
+    command_line.run_daemon(
+        "sequoiawind-agent",
+        PURPOSE,
+        AgentSettings,
+        lambda options, file: run(options),
+    )
 
 
 def run(options: AgentSettings) -> None:
--- a/sequoiawind/command_line.py
+++ b/sequoiawind/command_line.py
@@ -3,11 +3,12 @@
 import argparse
 import os
 import sys
+from collections.abc import Callable
 from typing import Final, NoReturn, TypeVar
 
 from expression import Result
 
-from sequoiawind import VERSION
+from sequoiawind import VERSION, settings
 from sequoiawind.settings import Fault
 
 T = TypeVar("T")
@@ -45,6 +46,23 @@
     return made
 
 
+def run_daemon(
+    name: str, purpose: str, kind: type[T], run: Callable[[T, str], None]
+) -> None:
+    """Read a program's command line and settings, and run it.
+
+    Args:
+      name: The program's name.
+      purpose: What it does, for its help text.
+      kind: The class of its settings.
+      run: Runs it with its settings, which were read from the file named.
+    """
+    args = daemon_parser(name, purpose).parse_args()
+    options = settings_or_exit(settings.load(args.settings, kind))
+    if not args.check_settings:
+        run(options, args.settings)
+
+
 def settings_or_exit(loaded: Result[T, list[Fault]]) -> T:
     """Return checked settings, or name their faults and exit."""
     if loaded.is_ok():
--- a/sequoiawind/forward_agent_main.py
+++ b/sequoiawind/forward_agent_main.py
@@ -1,9 +1,10 @@
 """The program `sequoiawind-forward-agent`."""
 
-from functools import partial
 from typing import Final
 
-from sequoiawind import command_line, logs, settings
+from twisted.internet.defer import Deferred
+
+from sequoiawind import command_line, logs
 from sequoiawind.daemon import Daemon
 from sequoiawind.forward_agent_program import ForwardAgentProgram
 from sequoiawind.options import ForwardAgentSettings
@@ -13,12 +14,9 @@
 
 def main() -> None:
     """Run the program."""
-    parser = command_line.daemon_parser("sequoiawind-forward-agent", PURPOSE)
-    args = parser.parse_args()
-    loaded = settings.load(args.settings, ForwardAgentSettings)
-    options = command_line.settings_or_exit(loaded)
-    if not args.check_settings:
-        run(options, args.settings)
+    command_line.run_daemon(
+        "sequoiawind-forward-agent", PURPOSE, ForwardAgentSettings, run
+    )
 
 
 def run(options: ForwardAgentSettings, file: str) -> None:
@@ -29,24 +27,16 @@
         phase=program.board.phase,
         is_idle=lambda: True,
     )
-    daemon.on_reload = partial(reload, program, file)
+    follower = program.settings_follower(file)
+    daemon.on_reload = follower.reload
     with daemon:
         program.listen()
         program.start()
         daemon.ready()
+        Deferred.fromCoroutine(follower.run())
         daemon.run()
     program.log.info("stopped")
 
 
-def reload(program: ForwardAgentProgram, file: str) -> None:
-    """Follow a settings file that may have changed; faults change nothing."""
-    loaded = settings.load(file, ForwardAgentSettings)
-    if loaded.is_error():
-        faults = [str(fault) for fault in loaded.error]
-        program.log.error("settings not read again", faults=faults)
-        return
-    program.follow_settings(loaded.ok)
-
-
 if __name__ == "__main__":
     main()
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -1,40 +1,34 @@
 """A forwarding agent put together: decisions, transports, controllers."""
 
-import random
 from typing import Any, Final
 
 import attrs
 import klein
-import structlog
 from twisted.internet.defer import Deferred
 from twisted.web import server
 
 from sequoiawind import (
     http_client,
     http_server,
-    logs,
     metrics,
     status_watcher,
     wire,
 )
-from sequoiawind.blackboard import Blackboard
-from sequoiawind.fleet import Fleet
 from sequoiawind.forward_agent import ForwardAgent
+from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
-from sequoiawind.freshness import suspended_clock_s
-from sequoiawind.http1_client import Http1Client
 from sequoiawind.http_client import JsonClient
 from sequoiawind.metrics import ForwardAgentMetrics
-from sequoiawind.options import Address, ForwardAgentSettings
+from sequoiawind.options import (
+    Address,
+    BoundsOptions,
+    ForwardAgentSettings,
+)
 from sequoiawind.platform import codec, names
 from sequoiawind.platform.engine import EngineClient
-from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.targets import decode_target
-from sequoiawind.record_follower import RecordFollower
 from sequoiawind.status_watcher import AgentClient
 
-Logger = structlog.typing.FilteringBoundLogger
-
 # For how long the store waits for a change before it answers, in seconds; an
 # agent checks no keys, so an answer without a change tells it little.
 AGENT_STORE_WAIT_S: Final = 3.0
@@ -46,24 +40,16 @@
 
 
 @attrs.define(kw_only=True)
-class ForwardAgentProgram:
+class ForwardAgentProgram(ForwardProgram[ForwardAgentSettings]):
     """All parts of one agent."""
 
-    options: ForwardAgentSettings
-    log: Logger = attrs.field(init=False)
-    random: "random.Random" = attrs.field(factory=random.Random)
-    board: Blackboard = attrs.field(factory=Blackboard)
-    fleet: Fleet = attrs.field(factory=Fleet)
     metrics: ForwardAgentMetrics = attrs.field(factory=ForwardAgentMetrics)
-    client: Http1Client = attrs.field(
-        factory=lambda: Http1Client(reactor=http_server.reactor)
-    )
     agent: ForwardAgent = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
+        super().__attrs_post_init__()
         options = self.options
-        self.log = logs.get(options.node.name)
         self.agent = ForwardAgent(
             address=str(options.target),
             holder=options.node.name,
@@ -112,16 +98,9 @@
         told = await self.agent.newer(number, status_watcher.STATUS_WAIT_S)
         return http_server.json_reply(request, wire.encode(told))
 
-    def follow_settings(self, options: ForwardAgentSettings) -> None:
-        """Take over new bounds; addresses need a restart."""
-        changed = attrs.evolve(self.options, bounds=options.bounds)
-        self.log.info(
-            "settings read again",
-            bounds_changed=changed != self.options,
-            restart_needed=options != changed,
-        )
-        self.options = changed
-        self.agent.weights_s = options.bounds.weights_ms / 1000
+    def take_bounds(self, bounds: BoundsOptions) -> None:
+        """Put new bounds in force."""
+        self.agent.weights_s = bounds.weights_ms / 1000
 
     def start(self) -> None:
         """Start the controllers."""
@@ -137,21 +116,9 @@
             clock=http_server.reactor,
             log=self.log,
         )
-        store = StoreClient(client=self.client, address=self.options.store)
         for topic, reader in (
             (names.OPERATOR_TOPIC, operator),
             (names.TARGETS_TOPIC, targets),
         ):
-            follower = RecordFollower(
-                topic=topic,
-                port=store,
-                reader=reader,
-                clock=http_server.reactor,
-                random=self.random,
-                wait_s=AGENT_STORE_WAIT_S,
-                pace_s=PACE_S,
-                age_clock=suspended_clock_s,
-                log=self.log,
-            )
-            Deferred.fromCoroutine(follower.run())
+            self.follow_records(topic, reader, AGENT_STORE_WAIT_S, PACE_S)
         Deferred.fromCoroutine(self.agent.run())
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -1,9 +1,10 @@
 """The program `sequoiawind-forward-router`."""
 
-from functools import partial
 from typing import Final
 
-from sequoiawind import command_line, logs, settings
+from twisted.internet.defer import Deferred
+
+from sequoiawind import command_line, logs
 from sequoiawind.daemon import Daemon
 from sequoiawind.forward_router_program import ForwardRouterProgram
 from sequoiawind.options import ForwardRouterSettings
@@ -13,12 +14,9 @@
 
 def main() -> None:
     """Run the program."""
-    parser = command_line.daemon_parser("sequoiawind-forward-router", PURPOSE)
-    args = parser.parse_args()
-    loaded = settings.load(args.settings, ForwardRouterSettings)
-    options = command_line.settings_or_exit(loaded)
-    if not args.check_settings:
-        run(options, args.settings)
+    command_line.run_daemon(
+        "sequoiawind-forward-router", PURPOSE, ForwardRouterSettings, run
+    )
 
 
 def run(options: ForwardRouterSettings, file: str) -> None:
@@ -32,23 +30,15 @@
         on_draining=program.drain,
         balancer_wait_s=program.leave_s,
     )
-    daemon.on_reload = partial(reload, program, file)
+    follower = program.settings_follower(file)
+    daemon.on_reload = follower.reload
     with daemon:
         program.listen()
         program.start(on_prepared=daemon.ready)
+        Deferred.fromCoroutine(follower.run())
         daemon.run()
     program.log.info("stopped")
 
 
-def reload(program: ForwardRouterProgram, file: str) -> None:
-    """Follow a settings file that may have changed; faults change nothing."""
-    loaded = settings.load(file, ForwardRouterSettings)
-    if loaded.is_error():
-        faults = [str(fault) for fault in loaded.error]
-        program.log.error("settings not read again", faults=faults)
-        return
-    program.follow_settings(loaded.ok)
-
-
 if __name__ == "__main__":
     main()
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -1,18 +1,15 @@
 """A forwarding router put together: decisions, transports, controllers."""
 
-import random
 from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
-import structlog
-from twisted.internet.defer import Deferred
 
-from sequoiawind import http_client, http_server, logs, metrics
-from sequoiawind.blackboard import Blackboard
+from sequoiawind import http_client, http_server, metrics
 from sequoiawind.cache_watcher import CacheWatcher
-from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.fleet import TargetView
 from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
@@ -23,12 +20,14 @@
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.http_client import JsonClient
 from sequoiawind.metrics import ForwardMetrics
-from sequoiawind.options import Address, ForwardRouterSettings
+from sequoiawind.options import (
+    Address,
+    BoundsOptions,
+    ForwardRouterSettings,
+)
 from sequoiawind.platform import callers, codec, names
 from sequoiawind.platform.engine import EngineClient
-from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.targets import decode_target
-from sequoiawind.record_follower import RecordFollower
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.status_watcher import (
     STATUS_WAIT_S,
@@ -37,8 +36,6 @@
 )
 from sequoiawind.verdict import Failure, Reason
 
-Logger = structlog.typing.FilteringBoundLogger
-
 # Part of the revocation bound for which the store is asked to wait for a
 # change: two waits in a row must end well within the bound.
 CONFIG_WAIT_SHARE: Final = 0.22
@@ -60,16 +57,10 @@
 
 
 @attrs.define(kw_only=True)
-class ForwardRouterProgram:
+class ForwardRouterProgram(ForwardProgram[ForwardRouterSettings]):
     """All parts of one router."""
 
-    options: ForwardRouterSettings
-    log: Logger = attrs.field(init=False)
-    random: "random.Random" = attrs.field(factory=random.Random)
-    board: Blackboard = attrs.field(factory=Blackboard)
-    fleet: Fleet = attrs.field(factory=Fleet)
     metrics: ForwardMetrics = attrs.field(factory=ForwardMetrics)
-    client: Http1Client = attrs.field(init=False)
     freshness: Freshness = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     watcher: StatusWatcher = attrs.field(init=False)
@@ -81,13 +72,8 @@
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
+        super().__attrs_post_init__()
         bounds = self.options.bounds
-        self.log = logs.get(self.options.node.name)
-        self.client = Http1Client(
-            reactor=http_server.reactor,
-            on_foreign=self.metrics.foreign_answers.inc,
-            on_connect=self.metrics.connects.inc,
-        )
         self.freshness = Freshness(
             revoke_s=bounds.revoke_ms / 1000,
             in_force_s=bounds.in_force_ms / 1000,
@@ -106,6 +92,14 @@
             open_requests=lambda: self.forwarder.open_requests,
         )
 
+    def make_client(self) -> Http1Client:
+        """Return the client of targets and store."""
+        return Http1Client(
+            reactor=http_server.reactor,
+            on_foreign=self.metrics.foreign_answers.inc,
+            on_connect=self.metrics.connects.inc,
+        )
+
     def make_forwarder(self) -> Forwarder:
         """Return the decisions about requests."""
         bounds = self.options.bounds
@@ -247,25 +241,23 @@
             on_change=self.targets_changed,
             on_incarnation=self.forwarder.incarnation_began,
         )
-        store = StoreClient(client=self.client, address=self.options.store)
-        config_wait_s = CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000
-        targets_wait_s = TARGETS_WAIT_SHARE * bounds.drain_ms / 1000
         for topic, reader, wait_s, pace_s in (
-            (names.OPERATOR_TOPIC, operator, config_wait_s, 0.0),
-            (names.TARGETS_TOPIC, targets, targets_wait_s, TARGETS_PACE_S),
+            (
+                names.OPERATOR_TOPIC,
+                operator,
+                CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000,
+                0.0,
+            ),
+            (
+                names.TARGETS_TOPIC,
+                targets,
+                TARGETS_WAIT_SHARE * bounds.drain_ms / 1000,
+                TARGETS_PACE_S,
+            ),
         ):
-            follower = RecordFollower(
-                topic=topic,
-                port=store,
-                reader=reader,
-                clock=http_server.reactor,
-                random=self.random,
-                wait_s=wait_s,
-                pace_s=pace_s,
-                age_clock=self.freshness.now,
-                log=self.log,
+            self.follow_records(
+                topic, reader, wait_s, pace_s, self.freshness.now
             )
-            Deferred.fromCoroutine(follower.run())
 
     def targets_changed(self) -> None:
         """Follow the agents of new targets, and serve who waits."""
@@ -273,16 +265,8 @@
         self.watcher.follow()
         self.forwarder.serve_waiting()
 
-    def follow_settings(self, options: ForwardRouterSettings) -> None:
-        """Take over new bounds; addresses need a restart."""
-        changed = attrs.evolve(self.options, bounds=options.bounds)
-        self.log.info(
-            "settings read again",
-            bounds_changed=changed != self.options,
-            restart_needed=options != changed,
-        )
-        self.options = changed
-        bounds = options.bounds
+    def take_bounds(self, bounds: BoundsOptions) -> None:
+        """Put new bounds in force."""
         self.freshness.revoke_s = bounds.revoke_ms / 1000
         self.freshness.in_force_s = bounds.in_force_ms / 1000
         self.forwarder.weights_s = bounds.weights_ms / 1000
--- a/sequoiawind/router_main.py
+++ b/sequoiawind/router_main.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from sequoiawind import command_line, logs, settings
+from sequoiawind import command_line, logs
 from sequoiawind.daemon import Daemon
 from sequoiawind.options import RouterSettings
 from sequoiawind.router_program import RouterProgram
@@ -12,12 +12,12 @@
 
 def main() -> None:
     """Run the program."""
-    parser = command_line.daemon_parser("sequoiawind-router", PURPOSE)
-    args = parser.parse_args()
-    loaded = settings.load(args.settings, RouterSettings)
-    options = command_line.settings_or_exit(loaded)
-    if not args.check_settings:
-        run(options)
+    command_line.run_daemon(
+        "sequoiawind-router",
+        PURPOSE,
+        RouterSettings,
+        lambda options, file: run(options),
+    )
 
 
 def run(options: RouterSettings) -> None:
--- a/tests/test_forward_processes.py
+++ b/tests/test_forward_processes.py
@@ -112,6 +112,11 @@
         self.wait_for("settings not read again")
         self.assertEqual(503, self.get("callers", "/a/b").status)
 
+    def test_notices_settings_that_change_without_a_signal(self) -> None:
+        self.write(revoke=4000)
+        line = self.wait_for("settings read again")
+        self.assertEqual(True, line["bounds_changed"])
+
     def test_leaves_on_sigterm(self) -> None:
         self.process.send_signal(signal.SIGTERM)
         self.wait_for("stopped")
