Targets wind down before they load weights

Cause: a target that loads first ends its runs, and takes no work meanwhile. Its agent now tells the routers before its turn; for 0.6 s it takes short runs only, by the caller's estimate of the answer's length, and the next in line does so while the one before it loads. The end of a load is told within 30 ms. Ruled out: the estimate is needed, since the allowed length is one figure for each route (208 and 936 tokens); with it alone all runs count as long. Tests: four of agents, two of routers; none passes before.

--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -45,13 +45,19 @@
             return None
         return self.status
 
-    def takes_work(self, now_s: float) -> bool:
-        """Whether neither its agent nor itself has said otherwise lately."""
+    def takes_work(self, now_s: float, is_long: bool = False) -> bool:
+        """Whether neither its agent nor itself has said otherwise lately.
+
+        Args:
+          now_s: The time.
+          is_long: Whether the work may take long.
+        """
         status = self.fresh_status(now_s)
-        if status is not None and (
-            status.is_loading or not status.is_reachable
-        ):
-            return False
+        if status is not None:
+            if status.is_loading or not status.is_reachable:
+                return False
+            if status.is_winding_down and is_long:
+                return False
         return self.shed_until_s <= now_s
 
     def is_agent_silent(self, now_s: float) -> bool:
@@ -139,11 +145,18 @@
         names = {target.name for target in staying}
         return [view for view in views if view.target.name in names]
 
-    def ready(self, pool: str, now_s: float) -> list[TargetView]:
-        """Return the usable targets that would not shed a request now."""
-        return [
-            view for view in self.usable(pool, now_s) if view.takes_work(now_s)
-        ]
+    def ready(
+        self, pool: str, now_s: float, is_long: bool = False
+    ) -> list[TargetView]:
+        """Return the usable targets that would not shed a request now.
+
+        Long work goes to a target that is about to load only if all are.
+        """
+        usable = self.usable(pool, now_s)
+        ready = [view for view in usable if view.takes_work(now_s, is_long)]
+        if not ready and is_long:
+            return [view for view in usable if view.takes_work(now_s)]
+        return ready
 
     def shed(self, name: str, now_s: float) -> None:
         """Note that a target refused a request for want of room."""
--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -16,9 +16,11 @@
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.ports import Clock
 from sequoiawind.rollout import (
+    Due,
     LoadOrder,
     NamedVersion,
     OrderOutcome,
+    Progress,
     TargetPort,
     TargetReport,
 )
@@ -41,6 +43,9 @@
 QUEUE_DRAIN_S: Final = 1.0
 # How often the target is asked meanwhile, in seconds.
 QUEUE_CHECK_S: Final = 0.03
+# Longest time for which the end of a load is watched closely, in seconds; the
+# runs of a target in trouble may take longer.
+LOAD_WATCH_S: Final = 4.0
 # Time after an order without an answer before the target counts as not
 # loading, in seconds.
 UNANSWERED_S: Final = 0.5
@@ -80,6 +85,8 @@
     watchers: list[Deferred[None]] = attrs.field(factory=list)
     # The order under way is announced or given until then.
     loading_until_s: float = -1.0
+    # Since when the target takes short runs only; None if it takes all.
+    winding_since_s: float | None = None
     is_reachable: bool = False
     # Reports in a row that did not come.
     misses: int = 0
@@ -117,10 +124,14 @@
             self.log.info("target regained", orders=answered.ok.orders)
         self.take_report(answered.ok)
         for model in self.named:
-            version = await self.due(answered.ok, model)
-            if version is not None:
-                await self.load(answered.ok, model, version)
-                break
+            due = await self.due(answered.ok, model)
+            if due is None:
+                continue
+            if self.has_wound_down(answered.ok, due):
+                await self.load(answered.ok, model, due.version)
+                self.winding_since_s = None
+            return
+        self.winding_since_s = None
 
     def missed(self, failure: Failure) -> None:
         """Tell the routers of a target that does not answer."""
@@ -145,6 +156,7 @@
                 running=report.running,
                 used_tokens=report.used_tokens,
                 is_loading=report.is_busy or now_s < self.loading_until_s,
+                is_winding_down=self.winding_since_s is not None,
                 is_draining=report.is_draining,
                 versions=dict(report.versions),
                 routers=self.count_routers(now_s),
@@ -178,16 +190,16 @@
             NamedVersion(version=version, named_s=named_s),
         )
 
-    async def due(self, report: TargetReport, model: str) -> int | None:
-        """Return the version of a model to load now; None if there is none."""
+    async def due(self, report: TargetReport, model: str) -> Due | None:
+        """Return what to load of a model; None if nothing is to be done yet."""
         target = self.target
         lacked = rollout.lacking(report.versions.get(model), self.named[model])
         if report.is_busy or target is None or not lacked:
             return None
-        newest = lacked[-1]
+        newest = lacked[-1].version
         now_s = self.clock.seconds()
         if rollout.is_overdue(lacked, self.weights_s, now_s):
-            return newest.version
+            return Due(version=newest, is_overdue=True)
         pool = [
             view.target.name
             for view in self.fleet.views.values()
@@ -195,23 +207,38 @@
         ]
         turn = rollout.turn(target.name, pool, self.weights_s)
         for name in turn.behind:
-            has_loaded = await self.has_loaded(name, model, newest.version)
-            if has_loaded is not None:
-                return newest.version if has_loaded else None
-        return newest.version
-
-    async def has_loaded(
-        self, name: str, model: str, version: int
-    ) -> bool | None:
-        """Whether another target has loaded; None if it will not soon."""
+            progress = await self.progress(name, model, newest)
+            if progress is Progress.WAITING:
+                return None
+            if progress is not Progress.ABSENT:
+                is_turn = progress is Progress.LOADED
+                return Due(version=newest, is_turn=is_turn)
+        return Due(version=newest)
+
+    async def progress(self, name: str, model: str, version: int) -> Progress:
+        """Return how far another target has come with a version."""
         view = self.fleet.views.get(name)
         if view is None:
-            return None
+            return Progress.ABSENT
         status = await self.peers.status(view.target.address)
         if status is None or not status.is_reachable or status.is_draining:
-            return None
+            return Progress.ABSENT
+        if status.is_loading:
+            return Progress.LOADING
         is_done = status.versions.get(model, 0) >= version
-        return is_done and not status.is_loading
+        return Progress.LOADED if is_done else Progress.WAITING
+
+    def has_wound_down(self, report: TargetReport, due: Due) -> bool:
+        """Begin to wind down, if need be; whether the load may begin."""
+        now_s = self.clock.seconds()
+        if self.winding_since_s is None:
+            self.winding_since_s = now_s
+            self.take_report(report)
+        if due.is_overdue:
+            return True
+        waited_s = now_s - self.winding_since_s
+        is_done = report.running == 0 or waited_s >= rollout.WIND_DOWN_S
+        return due.is_turn and is_done
 
     async def load(
         self, report: TargetReport, model: str, version: int
@@ -220,6 +247,7 @@
         target = self.target
         if target is None:
             return
+        began_s = self.clock.seconds()
         report = await self.drain_queue(report)
         order = LoadOrder(
             model=model,
@@ -246,8 +274,34 @@
             version=version,
             replaced=report.versions.get(model, 0),
             after_orders=report.orders,
+            waiting=report.waiting,
+            running=report.running,
             outcome=outcome,
         )
+        await self.watch_load(model, version)
+        self.log.info(
+            "target serves again",
+            target=target.name,
+            versions=dict(self.status.versions),
+            is_loading=self.status.is_loading,
+            seconds=round(self.clock.seconds() - began_s, 3),
+        )
+
+    async def watch_load(self, model: str, version: int) -> None:
+        """Tell the routers without delay when a load has ended."""
+        ends_s = self.clock.seconds() + LOAD_WATCH_S
+        while self.clock.seconds() < ends_s:
+            await timing.sleep(self.clock, QUEUE_CHECK_S)
+            answered = await self.port.report(self.address, REPORT_TIMEOUT_S)
+            if answered.is_error():
+                return
+            report = answered.ok
+            is_loaded = report.versions.get(model, 0) >= version
+            if is_loaded and not report.is_busy:
+                self.loading_until_s = -1.0
+            self.take_report(report)
+            if not self.status.is_loading:
+                return
 
     async def drain_queue(self, report: TargetReport) -> TargetReport:
         """Let the requests that wait at the target begin before an order.
@@ -315,6 +369,7 @@
         old.target != new.target
         or old.born_ms != new.born_ms
         or old.is_loading != new.is_loading
+        or old.is_winding_down != new.is_winding_down
         or old.is_draining != new.is_draining
         or old.is_reachable != new.is_reachable
         or old.versions != new.versions
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -347,6 +347,7 @@
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
+        prompt = plan.request.prompt
         self.metrics.requests.labels(note.kind, note.verdict).inc()
         if failure is not None:
             self.count_refusal(failure.reason)
@@ -363,6 +364,9 @@
             revision=plan.revision,
             config_age_s=round(min(self.freshness.age_s, 1e6), 3),
             targets=note.path,
+            prompt_tokens=note.prompt_tokens,
+            cached_tokens=note.cached_tokens,
+            likely_tokens=prompt.likely_tokens if prompt else 0,
             verdict=note.verdict,
             reason=note.reason,
             detail=failure.detail if failure else "",
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -40,6 +40,9 @@
 # Part of the time in which a router that has started is not held to its bounds
 # for which it accepts older weights; the rest is for queues at the targets.
 LATE_SHARE: Final = 0.6
+# Longest answer of a run that a target still takes before it loads weights, in
+# tokens: engines make about as many in the time for which they wind down.
+SHORT_RUN_TOKENS: Final = 64
 # Memory assumed for a target whose pool does not state it, in tokens.
 DEFAULT_MEMORY_TOKENS: Final = 50_000
 
@@ -114,12 +117,13 @@
         """Return a target for a request; None if none takes it now."""
         plan = forwarding.plan
         now_s = self.clock.seconds()
+        prompt = plan.request.prompt
+        is_long = prompt is not None and prompt.likely_tokens > SHORT_RUN_TOKENS
         ready = [
             view
-            for view in self.fleet.ready(plan.pool.name, now_s)
+            for view in self.fleet.ready(plan.pool.name, now_s, is_long)
             if view.target.name not in forwarding.sent_to
         ]
-        prompt = plan.request.prompt
         if prompt is None or not plan.pool.models:
             return choose_call(ready, self.fleet.members, self.domain)
         caches = self.caches.caches
--- a/sequoiawind/platform/callers.py
+++ b/sequoiawind/platform/callers.py
@@ -58,6 +58,7 @@
         model=model.decode("latin-1"),
         tokens=tokens,
         max_tokens=made,
+        expected_tokens=number(request.header(names.LENGTH_HINT)),
         parts=decode_parts(request.header(names.PROMPT_PREFIX)),
     )
 
--- a/sequoiawind/prompt_cache.py
+++ b/sequoiawind/prompt_cache.py
@@ -28,9 +28,18 @@
     # Tokens of the prompt, and the most that may be made.
     tokens: int
     max_tokens: int
+    # The caller's estimate of what will be made; 0 if it gave none.
+    expected_tokens: int = 0
     # In the prompt's order; the last belongs to the request or its session.
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def likely_tokens(self) -> int:
+        """Tokens that will likely be made; at most those allowed."""
+        if not self.expected_tokens:
+            return self.max_tokens
+        return min(self.expected_tokens, self.max_tokens)
+
     @property
     def placement_key(self) -> str:
         """Id of the deepest part that other prompts share."""
--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -5,6 +5,8 @@
 turns in an order that every agent works out alone: one begins when the one a
 few places before it is done, whose agent it asks.  Versions that are superseded
 meanwhile are skipped.
+A target that loads first ends its runs, and takes no work meanwhile.  So it
+winds down before: for a while it takes short runs only.
 Only the agent beside a target gives it orders, so there is one holder, and its
 fencing number need not grow; the number of orders that the target has accepted
 keeps a late order from undoing a newer one.
@@ -24,12 +26,15 @@
 FENCING: Final = 1
 # Targets of a pool that load at once, at least.
 MIN_LOADS_AT_ONCE: Final = 2
-# Time that a target takes no work for a load, in seconds: its queue and runs
-# end, then it loads.
-TURN_S: Final = 1.2
+# Time from one target's turn to the next's, in seconds: its queue and runs end,
+# then it loads.
+TURN_S: Final = 1.0
 # Part of the time allowed for new weights after which a target loads although
 # it is not its turn; the rest is for its queue, its runs and the load.
 LAST_TURN_SHARE: Final = 0.5
+# For how long a target takes short runs only before it loads, in seconds: most
+# long runs take about that time.
+WIND_DOWN_S: Final = 0.6
 # Named versions of a model that are kept.
 MAX_NAMED: Final = 16
 
@@ -92,6 +97,27 @@
     named_s: float
 
 
+class Progress(enum.Enum):
+    """How far another target has come with new weights."""
+
+    # It will not load soon: nobody waits for it.
+    ABSENT = "absent"
+    WAITING = "waiting"
+    LOADING = "loading"
+    LOADED = "loaded"
+
+
+@attrs.frozen(kw_only=True)
+class Due:
+    """A version that a target has to load, and how soon."""
+
+    version: int
+    # It may load now; if not, it is the next after one that is loading.
+    is_turn: bool = True
+    # There is no time to wind down.
+    is_overdue: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class Turn:
     """A target's place in the order in which a pool loads weights."""
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -148,6 +148,8 @@
     used_tokens: int = 0
     # The target refuses new work since it loads weights, or is about to.
     is_loading: bool = False
+    # It will load soon: a run that begins now should be short.
+    is_winding_down: bool = False
     is_draining: bool = False
     # The target answers its agent.
     is_reachable: bool = True
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -95,6 +95,40 @@
             ready = fleet.ready("llm", 10.0)
             self.assertEqual(expected, len(ready), (status, heard_s))
 
+    def test_winding_down_takes_short_work(self) -> None:
+        fleet = Fleet()
+        fleet.put(target("e1", "llm"))
+        fleet.heard("e1", TargetStatus(is_winding_down=True), 9.5)
+        for other, is_long, expected in (
+            # Long work has no other place yet.
+            (None, True, ["e1"]),
+            ("e2", True, ["e2"]),
+            ("e2", False, ["e1", "e2"]),
+        ):
+            if other:
+                fleet.put(target(other, "llm"))
+            ready = fleet.ready("llm", 10.0, is_long)
+            names = [view.target.name for view in ready]
+            self.assertEqual(expected, names, (other, is_long))
+
+
+class LikelyLengthTest(TestCase):
+    """The caller's estimate counts, but never beyond what is allowed."""
+
+    def test_likely_tokens(self) -> None:
+        for allowed, expected, likely in (
+            (90, 0, 90),
+            (90, 20, 20),
+            (9, 20, 9),
+        ):
+            prompt = Prompt(
+                model="m",
+                tokens=1,
+                max_tokens=allowed,
+                expected_tokens=expected,
+            )
+            self.assertEqual(likely, prompt.likely_tokens)
+
 
 class FreshnessTest(TestCase):
     """Age counts from when the question was sent."""
--- a/tests/test_forward_agent.py
+++ b/tests/test_forward_agent.py
@@ -185,6 +185,47 @@
         self.advance(clock, 0.4)
         self.assertEqual(1, len(fake.orders))
 
+    def test_long_runs_end_before_it_is_given(self) -> None:
+        clock, agent, fake = self.make(running=4)
+        agent.weights_named("m", 2, False)
+        self.advance(clock, 0.2)
+        self.assertTrue(agent.status.is_winding_down)
+        self.assertFalse(agent.status.is_loading)
+        self.advance(clock, rollout.WIND_DOWN_S - 0.2)
+        self.assertEqual([], fake.orders)
+        self.advance(clock, 0.3)
+        self.assertEqual(1, len(fake.orders))
+        self.assertFalse(agent.status.is_winding_down)
+
+    def test_winds_down_while_the_one_before_loads(self) -> None:
+        clock, agent, fake = self.last_in_turn()
+        fake.report_now = attrs.evolve(fake.report_now, running=4)
+        self.peers.told = TargetStatus(versions={"m": 1}, is_loading=True)
+        self.advance(clock, 2.0)
+        self.assertTrue(agent.status.is_winding_down)
+        self.assertEqual([], fake.orders)
+        self.peers.told = TargetStatus(versions={"m": 2})
+        self.advance(clock, 0.2)
+        self.assertEqual(1, len(fake.orders))
+
+    def test_overdue_load_does_not_wait_for_runs(self) -> None:
+        clock, agent, fake = self.make(running=4)
+        agent.weights_named("m", 2, True)
+        self.advance(clock, 0.3)
+        self.assertEqual(1, len(fake.orders))
+
+    def test_end_of_a_load_is_told_at_once(self) -> None:
+        clock, agent, fake = self.make()
+        agent.weights_named("m", 2, False)
+        while not fake.orders:
+            clock.advance(0.01)
+        fake.report_now = attrs.evolve(fake.report_now, is_busy=True)
+        self.advance(clock, 1.0)
+        self.assertTrue(agent.status.is_loading)
+        fake.report_now = attrs.evolve(fake.report_now, is_busy=False)
+        self.advance(clock, 0.05)
+        self.assertFalse(agent.status.is_loading)
+
     def test_newest_only_and_forward_only(self) -> None:
         clock, agent, fake = self.make()
         for version in (2, 4, 3):
