A source of kept parts completes what the target holds itself

Cause: the store of kept parts drops what was used least lately. Targets hold the first part of most prompts, so nobody fetches it there, and it is dropped; the parts behind it stay. And each lack of the first part sent the whole prompt there again, one-off parts included, which displaced shared ones. Now a source counts for what it adds to the target's own parts, and the store gets only what will be read and it lacks. Ruled out: the capacity assumed for the store, which is the configured one. Tests: two, both seen failing.

--- a/sequoiawind/prompt_cache.py
+++ b/sequoiawind/prompt_cache.py
@@ -86,11 +86,21 @@
                 break
         return held
 
-    def lacks(self, salt: str, parts: Sequence[PromptPart]) -> bool:
-        """Whether some of the parts are not held."""
-        return self.held_tokens(salt, parts) < sum(
-            part.tokens for part in parts
-        )
+    def holds(self, salt: str, part: PromptPart) -> bool:
+        """Whether a part is held as a whole."""
+        return self.parts.get((salt, part.id), 0) >= part.tokens
+
+
+def covered_parts(
+    salt: str, parts: Sequence[PromptPart], caches: Sequence[HeldParts]
+) -> int:
+    """Return how many parts at a prompt's beginning some cache holds."""
+    count = 0
+    for part in parts:
+        if not any(cache.holds(salt, part) for cache in caches):
+            break
+        count += 1
+    return count
 
 
 def cache_salt(
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -16,7 +16,12 @@
 
 from sequoiawind.fleet import TargetView
 from sequoiawind.members import Members
-from sequoiawind.prompt_cache import HeldParts, Prompt, cache_salt
+from sequoiawind.prompt_cache import (
+    HeldParts,
+    Prompt,
+    cache_salt,
+    covered_parts,
+)
 
 # Cost of what is ahead at a target, in prompt tokens that could be read in
 # the same time: of a running request (its share of the batch's steps), and of
@@ -63,6 +68,8 @@
     """Where a target may fetch the beginning of a prompt."""
 
     address: str = ""
+    # Parts that the target has then, its own ones included.
+    parts: int = 0
     # Tokens beyond those that the target holds itself.
     tokens: int = 0
     fetch_cost: float = FETCH_COST
@@ -144,7 +151,7 @@
         version = view.version(prompt.model)
         salt = cache_salt(account, prompt.model, version, is_isolated)
         held = self.held_tokens(view.target.name, salt, prompt)
-        source = self.source(view, salt, prompt, held, homes)
+        source = self.source(view, salt, prompt, homes)
         gained = int(source.tokens * (1.0 - source.fetch_cost))
         return Chosen(
             view=view,
@@ -152,14 +159,16 @@
             salt=salt,
             missing_tokens=max(0, prompt.tokens - held - gained),
             source=source.address,
-            keeper=self.keeper_address(salt, prompt),
+            keeper=self.keeper_address(salt, prompt, source),
         )
 
-    def keeper_address(self, salt: str, prompt: Prompt) -> str:
-        """Return the keeper that should get what is read, if it lacks it."""
+    def keeper_address(self, salt: str, prompt: Prompt, source: Source) -> str:
+        """Return the keeper if it lacks a shared part that will be read."""
         keeper = self.keeper
-        shared = prompt.parts[:-1]
-        if keeper is None or not keeper.held.lacks(salt, shared):
+        if keeper is None:
+            return ""
+        to_read = prompt.parts[source.parts : -1]
+        if all(keeper.held.holds(salt, part) for part in to_read):
             return ""
         return keeper.address
 
@@ -173,19 +182,36 @@
         view: TargetView,
         salt: str,
         prompt: Prompt,
-        held: int,
         homes: Sequence[str],
     ) -> Source:
-        """Return where a target should fetch the prompt's beginning."""
-        best = Source()
+        """Return where a target should fetch what it lacks of a prompt.
+
+        A source need not hold the parts that the target holds itself.
+        """
+        own = self.held.get(view.target.name) or HeldParts(capacity_tokens=0)
+        parts = prompt.parts
+        has = covered_parts(salt, parts, [own])
+        best = Source(parts=has)
         for other in self.pool:
-            tokens = self.held_tokens(other.target.name, salt, prompt) - held
-            if other is not view and tokens > best.tokens:
-                best = Source(address=other.target.address, tokens=tokens)
-        kept = self.kept(salt, prompt, held)
-        if kept.tokens > best.tokens:
-            return kept
-        if best.tokens or held:
+            held = self.held.get(other.target.name)
+            if other is view or held is None:
+                continue
+            count = covered_parts(salt, parts, [own, held])
+            if count > best.parts:
+                best = Source(address=other.target.address, parts=count)
+        if self.keeper is not None:
+            count = covered_parts(salt, parts, [own, self.keeper.held])
+            if count > best.parts:
+                best = Source(
+                    address=self.keeper.address,
+                    parts=count,
+                    fetch_cost=KEEPER_FETCH_COST,
+                )
+        if best.address:
+            fetched = parts[has : best.parts]
+            tokens = sum(part.tokens for part in fetched)
+            return attrs.evolve(best, tokens=tokens)
+        if has:
             return best
         # Another router may have sent the prompt's beginning to its home.
         for other in self.pool:
@@ -193,16 +219,6 @@
                 return Source(address=other.target.address)
         return best
 
-    def kept(self, salt: str, prompt: Prompt, held: int) -> Source:
-        """Return the keeper as a source."""
-        if self.keeper is None:
-            return Source()
-        return Source(
-            address=self.keeper.address,
-            tokens=self.keeper.held.held_tokens(salt, prompt.parts) - held,
-            fetch_cost=KEEPER_FETCH_COST,
-        )
-
     def cost(self, option: Chosen, homes: Sequence[str]) -> float:
         """Return what a target costs, in prompt tokens to read."""
         view = option.view
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,7 +22,7 @@
 )
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import NamedVersion
-from sequoiawind.target_choice import PromptChooser, choose_call
+from sequoiawind.target_choice import Keeper, PromptChooser, choose_call
 from sequoiawind.verdict import Reason, may_have_run
 from sequoiawind.wire import TargetStatus
 from tests.forward_rig import target
@@ -281,6 +281,50 @@
         self.assertEqual("e0:80", chosen.source)
         self.assertTrue(chosen.missing_tokens < PROMPT.tokens)
 
+    def test_keeper_completes_what_the_target_holds(self) -> None:
+        # The keeper has dropped the first part, which nobody fetches there.
+        salt = cache_salt("a", "m", 1, False)
+        own = HeldParts(capacity_tokens=10_000)
+        own.sent(salt, PROMPT.parts[:1])
+        kept = HeldParts(capacity_tokens=10_000)
+        kept.sent(salt, PROMPT.parts[1:2])
+        views = self.views(1)
+        chooser = PromptChooser(
+            held={"e0": own},
+            keeper=Keeper(address="keeper:1", held=kept),
+            pool=views,
+            now_s=0.0,
+        )
+        chosen = chooser.choose(views, PROMPT, "a", False, 0)
+        assert chosen is not None
+        self.assertEqual("keeper:1", chosen.source)
+        # What is not read again need not be sent there.
+        self.assertEqual("", chosen.keeper)
+
+    def test_keeper_gets_the_shared_parts_that_are_read(self) -> None:
+        salt = cache_salt("a", "m", 1, False)
+        views = self.views(1)
+        for held, kept, expected in (
+            (0, 0, "keeper:1"),
+            (1, 0, "keeper:1"),
+            (2, 0, ""),
+            (0, 1, "keeper:1"),
+            (0, 2, ""),
+        ):
+            own = HeldParts(capacity_tokens=10_000)
+            own.sent(salt, PROMPT.parts[:held])
+            keeper = HeldParts(capacity_tokens=10_000)
+            keeper.sent(salt, PROMPT.parts[:kept])
+            chooser = PromptChooser(
+                held={"e0": own},
+                keeper=Keeper(address="keeper:1", held=keeper),
+                pool=views,
+                now_s=0.0,
+            )
+            chosen = chooser.choose(views, PROMPT, "a", False, 0)
+            assert chosen is not None
+            self.assertEqual(expected, chosen.keeper, (held, kept))
+
     def test_salts_differ(self) -> None:
         salts = {
             cache_salt(account, model, version, isolated)
