Placement by prompts that are unread; loads that end long runs first

Its report lists the runs that have made something; the others are still read, and cost fifty times as much. Also a router counted its own prompts as unread until the answer's end. So routers crowded old targets (37 to 44 requests each) while those just loaded had none. - Loads take 2 to 4 s since single answers take that long (up to 234 events at 18 ms), not since the target is busy. So turns fell behind and six targets of nine loaded at once when overdue. A target now takes short runs only until the long ones have ended, at most 2 s, and prepares while the second before it still loads; turns are taken to need 1.5 s and are overdue at 0.6 of the time. - Targets whose weights are older than those named cost more, since what they read is soon lost.

--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -31,9 +31,11 @@
     # The agent's last report, and when it came; None before the first.
     status: TargetStatus | None = None
     status_s: float = -1.0
-    # Requests of this router under way there, and their uncached tokens.
+    # Requests of this router under way there.
     open_requests: int = 0
-    open_tokens: int = 0
+    # Those whose answer has not begun, and the tokens that they have to read.
+    unread_requests: int = 0
+    unread_tokens: int = 0
     # New work goes elsewhere until then, in seconds of the clock.
     shed_until_s: float = -1.0
     # Weights version by model that its answers named; newer than `target`'s.
--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -51,6 +51,8 @@
 UNANSWERED_S: Final = 0.5
 # Change of running or waiting requests that routers are told of.
 LOAD_STEP: Final = 4
+# The same of requests whose prompts are being read: they cost far more.
+READING_STEP: Final = 2
 # Time for which a router that asked counts as one of the routers, in seconds.
 ROUTER_HEARD_S: Final = 5.0
 
@@ -154,6 +156,7 @@
                 born_ms=target.born_ms if target else 0,
                 waiting=report.waiting,
                 running=report.running,
+                reading=report.reading,
                 used_tokens=report.used_tokens,
                 is_loading=report.is_busy or now_s < self.loading_until_s,
                 is_winding_down=self.winding_since_s is not None,
@@ -206,14 +209,13 @@
             if view.target.pool == target.pool
         ]
         turn = rollout.turn(target.name, pool, self.weights_s)
+        ahead: list[Progress] = []
         for name in turn.behind:
-            progress = await self.progress(name, model, newest)
-            if progress is Progress.WAITING:
-                return None
-            if progress is not Progress.ABSENT:
-                is_turn = progress is Progress.LOADED
-                return Due(version=newest, is_turn=is_turn)
-        return Due(version=newest)
+            ahead.append(await self.progress(name, model, newest))
+            if ahead.count(Progress.ABSENT) < len(ahead) - 1:
+                break
+        is_turn = rollout.stage(ahead)
+        return None if is_turn is None else Due(version=newest, is_turn=is_turn)
 
     async def progress(self, name: str, model: str, version: int) -> Progress:
         """Return how far another target has come with a version."""
@@ -237,8 +239,7 @@
         if due.is_overdue:
             return True
         waited_s = now_s - self.winding_since_s
-        is_done = report.running == 0 or waited_s >= rollout.WIND_DOWN_S
-        return due.is_turn and is_done
+        return due.is_turn and rollout.has_wound_down(report, waited_s)
 
     async def load(
         self, report: TargetReport, model: str, version: int
@@ -276,6 +277,7 @@
             after_orders=report.orders,
             waiting=report.waiting,
             running=report.running,
+            reading=report.reading,
             outcome=outcome,
         )
         await self.watch_load(model, version)
@@ -361,6 +363,8 @@
     """Whether routers should hear of a new status at once."""
     if abs(old.running - new.running) >= LOAD_STEP:
         return True
+    if abs(old.reading - new.reading) >= READING_STEP:
+        return True
     if (old.waiting == 0) != (new.waiting == 0):
         return True
     if abs(old.waiting - new.waiting) >= LOAD_STEP:
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -341,6 +341,7 @@
             status_age_s=round(now_s - view.status_s, 3) if status else -1.0,
             waiting=status.waiting if status else -1,
             running=status.running if status else -1,
+            reading=status.reading if status else -1,
             is_loading=status.is_loading if status else False,
         )
 
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -23,6 +23,7 @@
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import NamedVersion
 from sequoiawind.target_choice import (
+    USUAL_TOKENS,
     Chosen,
     Keeper,
     PromptChooser,
@@ -43,6 +44,9 @@
 # Longest answer of a run that a target still takes before it loads weights, in
 # tokens: engines make about as many in the time for which they wind down.
 SHORT_RUN_TOKENS: Final = 64
+# Weight of a prompt in the average of what prompts have to read: about the last
+# 30 count.
+USUAL_WEIGHT: Final = 0.03
 # Memory assumed for a target whose pool does not state it, in tokens.
 DEFAULT_MEMORY_TOKENS: Final = 50_000
 
@@ -67,6 +71,8 @@
     caches: CacheWatcher
     # Weights versions by model, in the order in which they were named.
     named: dict[str, list[NamedVersion]] = attrs.field(factory=dict)
+    # Tokens that a prompt has to read, on the average of the last ones.
+    usual_tokens: float = USUAL_TOKENS
     waiting: list[Forwarding] = attrs.field(factory=list)
     ticking: Timer | None = None
     open_requests: int = 0
@@ -132,6 +138,8 @@
             keeper=self.keeper(),
             pool=self.fleet.usable(plan.pool.name, now_s),
             now_s=now_s,
+            newest_version=self.newest_version(prompt.model),
+            usual_tokens=self.usual_tokens,
         )
         return chooser.choose(
             ready,
@@ -141,6 +149,11 @@
             self.oldest_version(prompt.model, now_s),
         )
 
+    def newest_version(self, model: str) -> int:
+        """Return the newest weights version that was named; 0 if none was."""
+        named = self.named.get(model)
+        return named[-1].version if named else 0
+
     def oldest_version(self, model: str, now_s: float) -> int:
         """Return the weights version on which a request may still begin."""
         due_s = now_s - self.weights_s * OLD_WEIGHTS_SHARE
@@ -175,6 +188,9 @@
         prompt = forwarding.plan.request.prompt
         if prompt is None or chosen.version is None:
             return
+        self.usual_tokens += USUAL_WEIGHT * (
+            chosen.missing_tokens - self.usual_tokens
+        )
         target = chosen.view.target
         memory = forwarding.plan.pool.memory_tokens or DEFAULT_MEMORY_TOKENS
         self.caches.watch(target.name, target.address, memory)
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -60,6 +60,8 @@
     answer: AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
     cutter: EventCutter = attrs.field(factory=EventCutter)
+    # Whether the target has read the prompt.
+    has_begun: bool = False
 
     @property
     def view(self) -> TargetView:
@@ -78,6 +80,7 @@
         if not self.is_streaming:
             self.body += data
             return
+        self.begin()
         for event in self.cutter.take(data):
             self.forwarding.take_event(self, event.data, event.id)
 
@@ -102,7 +105,15 @@
     def release(self) -> None:
         """Count the attempt no more."""
         self.view.open_requests -= 1
-        self.view.open_tokens -= self.chosen.missing_tokens
+        self.begin()
+
+    def begin(self) -> None:
+        """Note that the target need not read the prompt any more."""
+        if self.has_begun:
+            return
+        self.has_begun = True
+        self.view.unread_requests -= 1
+        self.view.unread_tokens -= self.chosen.missing_tokens
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -222,7 +233,8 @@
         )
         self.current = attempt
         chosen.view.open_requests += 1
-        chosen.view.open_tokens += chosen.missing_tokens
+        chosen.view.unread_requests += 1
+        chosen.view.unread_tokens += chosen.missing_tokens
         self.forwarder.sent(self, chosen)
         order = SendOrder(
             request=self.plan.request,
--- a/sequoiawind/platform/engine_wire.py
+++ b/sequoiawind/platform/engine_wire.py
@@ -29,6 +29,9 @@
     running: int = 0
     # Tokens in memory that cannot yield.
     kv_used: int = 0
+    # Id, tokens in memory, events made, priority, of each run that has made
+    # some; not all targets tell.
+    runs: list[tuple[str, int, int, int]] | None = None
     state: str = names.READY
     born: int = 0
 
@@ -114,6 +117,9 @@
         orders=record.seq,
         waiting=record.waiting,
         running=record.running,
+        runs=None
+        if record.runs is None
+        else tuple(made for _, _, made, _ in record.runs),
         used_tokens=record.kv_used,
         is_draining=record.state == names.DRAINING,
         born_ms=record.born,
--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -28,13 +28,17 @@
 MIN_LOADS_AT_ONCE: Final = 2
 # Time from one target's turn to the next's, in seconds: its queue and runs end,
 # then it loads.
-TURN_S: Final = 1.0
+TURN_S: Final = 1.5
 # Part of the time allowed for new weights after which a target loads although
 # it is not its turn; the rest is for its queue, its runs and the load.
-LAST_TURN_SHARE: Final = 0.5
-# For how long a target takes short runs only before it loads, in seconds: most
-# long runs take about that time.
-WIND_DOWN_S: Final = 0.6
+LAST_TURN_SHARE: Final = 0.6
+# For how long a target takes short runs only before it loads, in seconds: until
+# its long runs have ended, but no longer than most runs take.
+WIND_DOWN_S: Final = 0.5
+WIND_DOWN_CAP_S: Final = 2.0
+# Events that a run has made when it counts as long: engines make about as many
+# in `WIND_DOWN_S`.
+LONG_RUN_EVENTS: Final = 24
 # Named versions of a model that are kept.
 MAX_NAMED: Final = 16
 
@@ -50,10 +54,26 @@
     orders: int
     waiting: int
     running: int
+    # Events made so far by each run that has read its prompt; None if unknown.
+    runs: tuple[int, ...] | None
     used_tokens: int
     is_draining: bool
     born_ms: int
 
+    @property
+    def reading(self) -> int:
+        """Requests whose prompts are being read; 0 if unknown."""
+        if self.runs is None:
+            return 0
+        return max(0, self.running - len(self.runs))
+
+    @property
+    def has_long_runs(self) -> bool:
+        """Whether some run has gone on for long; unknown ones have."""
+        if self.runs is None:
+            return self.running > 0
+        return any(made >= LONG_RUN_EVENTS for made in self.runs)
+
 
 @attrs.frozen(kw_only=True)
 class LoadOrder:
@@ -163,6 +183,29 @@
         del named[:-MAX_NAMED]
 
 
+def stage(ahead: Sequence[Progress]) -> bool | None:
+    """Return whether it is a target's turn; None if it need not prepare.
+
+    A target prepares once the second before it has loaded, so that it is ready
+    when its turn comes, and most of the pool still takes long runs.
+
+    Args:
+      ahead: How far those before it are, the nearest first.
+    """
+    present = [item for item in ahead if item is not Progress.ABSENT]
+    if not present or present[0] is Progress.LOADED:
+        return True
+    is_next = present[0] is Progress.LOADING or len(present) < 2
+    return False if is_next or present[1] is Progress.LOADED else None
+
+
+def has_wound_down(report: TargetReport, waited_s: float) -> bool:
+    """Whether a target that takes short runs only may load."""
+    if report.running == 0 or waited_s >= WIND_DOWN_CAP_S:
+        return True
+    return waited_s >= WIND_DOWN_S and not report.has_long_runs
+
+
 def lacking(
     has: int | None, named: Sequence[NamedVersion]
 ) -> list[NamedVersion]:
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -23,11 +23,12 @@
     covered_parts,
 )
 
-# Cost of what is ahead at a target, in prompt tokens that could be read in
-# the same time: of a running request (its share of the batch's steps), and of
-# one that waits (a prompt of common size).
+# Cost of a running request ahead, in prompt tokens that could be read in the
+# time of its share of the batch's steps.
 RUNNING_TOKENS: Final = 120
-WAITING_TOKENS: Final = 2_000
+# Tokens that a prompt of another router has to read, until this router has
+# sent prompts of its own: a prompt of common size.
+USUAL_TOKENS: Final = 2_000
 # Cost of fetching a token from another target or from the keeper, relative to
 # reading it: the links of targets are an order of magnitude faster.
 FETCH_COST: Final = 0.1
@@ -40,6 +41,9 @@
 # Cost added to targets that are not homes, in prompt tokens: they lack the
 # shared parts, and their own prompts are displaced.
 STRANGER_TOKENS: Final = 1_500
+# Cost added to targets that will load newer weights, in prompt tokens: what
+# they read is soon lost, and what they have to read holds up the load.
+OLD_WEIGHTS_TOKENS: Final = 6_000
 # Cost added to targets whose agent has fallen silent: their VM may be lost.
 SILENT_AGENT_TOKENS: Final = 10_000
 # Cost of a call at a plain service whose recent calls have all failed, in
@@ -94,6 +98,10 @@
     # Targets of the pool, also those that take no work now.
     pool: Sequence[TargetView]
     now_s: float
+    # The newest weights version that was named; 0 if none was.
+    newest_version: int = 0
+    # Tokens that a prompt has to read, on the average of this router's.
+    usual_tokens: float = USUAL_TOKENS
 
     def choose(
         self,
@@ -223,6 +231,8 @@
         """Return what a target costs, in prompt tokens to read."""
         view = option.view
         cost = float(option.missing_tokens) + self.ahead(view)
+        if option.version is not None and option.version < self.newest_version:
+            cost += OLD_WEIGHTS_TOKENS
         if view.is_agent_silent(self.now_s):
             cost += SILENT_AGENT_TOKENS
         if view.target.name not in homes:
@@ -230,16 +240,20 @@
         return cost + SECOND_HOME_TOKENS * homes.index(view.target.name)
 
     def ahead(self, view: TargetView) -> float:
-        """Return the work ahead at a target, in prompt tokens to read."""
-        running, waiting = view.open_requests, 0
+        """Return the work ahead at a target, in prompt tokens to read.
+
+        This router knows what its own prompts have to read; those that the
+        target reports beyond them are other routers', of the usual size.
+        """
+        running, unread = view.open_requests, 0
         status = view.fresh_status(self.now_s)
         if status is not None:
             running = max(running, status.running)
-            waiting = status.waiting
+            unread = status.reading + status.waiting - view.unread_requests
         return (
-            view.open_tokens
+            view.unread_tokens
+            + max(0, unread) * self.usual_tokens
             + running * RUNNING_TOKENS
-            + waiting * WAITING_TOKENS
         )
 
 
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -144,6 +144,8 @@
     born_ms: int = 0
     waiting: int = 0
     running: int = 0
+    # Those of the running ones whose prompts are still being read.
+    reading: int = 0
     # Tokens in memory that cannot yield.
     used_tokens: int = 0
     # The target refuses new work since it loads weights, or is about to.
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -125,6 +125,21 @@
         self.assertTrue(caller.is_ended)
         self.assertEqual([200], caller.statuses)
 
+    def test_prompt_is_ahead_until_the_stream_begins(self) -> None:
+        rig = ForwardRig()
+        rig.add(target("e1", "llm"))
+        rig.submit("draft")
+        view = rig.fleet.views["e1"]
+        self.assertEqual((1, 300), (view.unread_requests, view.unread_tokens))
+        rig.port.sent[0].begin(200, event(1))
+        self.assertEqual((0, 0), (view.unread_requests, view.unread_tokens))
+        self.assertEqual(1, view.open_requests)
+        rig.port.sent[0].sink.done()
+        self.assertEqual(
+            (0, 0, 0),
+            (view.unread_requests, view.unread_tokens, view.open_requests),
+        )
+
     def test_repeated_events_are_dropped(self) -> None:
         rig = self.rig()
         caller = rig.submit("draft")
