Moves stay inside the failure domain; agents ask for targets less often

Cause: among caches that hold equally much, the first one was asked; between failure domains a move takes twice as long and is priced. And each target's change woke every agent at the store, though an agent needs the targets for its turn only. Ruled out: longer waits for the operator's records, which carry new weights.

--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -29,12 +29,14 @@
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.status_watcher import AgentClient
 
-# For how long the store waits for a change before it answers, in seconds; an
-# agent checks no keys, so an answer without a change tells it little.
-AGENT_STORE_WAIT_S: Final = 3.0
-# Pause after a change, in seconds, so that one answer carries several; an agent
-# only needs to know of weights and of the targets that take turns.
-PACE_S: Final = 0.4
+# For how long the store waits for a change before it answers, in seconds, and
+# the pause after a change, so that one answer carries several.  An agent checks
+# no keys; it has to hear of weights soon, even if a connection falls silent.
+OPERATOR_WAIT_S: Final = 3.0
+OPERATOR_PACE_S: Final = 0.4
+# The same of the targets: an agent needs them for its turn only.
+TARGETS_WAIT_S: Final = 8.0
+TARGETS_PACE_S: Final = 1.0
 # Time for another agent's answer, in seconds.
 PEER_ANSWER_S: Final = 0.3
 
@@ -116,9 +118,10 @@
             clock=http_server.reactor,
             log=self.log,
         )
-        for topic, reader in (
-            (names.OPERATOR_TOPIC, operator),
-            (names.TARGETS_TOPIC, targets),
-        ):
-            self.follow_records(topic, reader, AGENT_STORE_WAIT_S, PACE_S)
+        self.follow_records(
+            names.OPERATOR_TOPIC, operator, OPERATOR_WAIT_S, OPERATOR_PACE_S
+        )
+        self.follow_records(
+            names.TARGETS_TOPIC, targets, TARGETS_WAIT_S, TARGETS_PACE_S
+        )
         Deferred.fromCoroutine(self.agent.run())
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -200,7 +200,12 @@
         parts = prompt.parts
         has = covered_parts(salt, parts, [own])
         best = Source(parts=has)
-        for other in self.pool:
+        # Between failure domains a move takes twice as long.
+        near_first = sorted(
+            self.pool,
+            key=lambda other: other.target.domain != view.target.domain,
+        )
+        for other in near_first:
             held = self.held.get(other.target.name)
             if other is view or held is None:
                 continue
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -363,6 +363,21 @@
         self.assertEqual("e0:80", chosen.source)
         self.assertTrue(chosen.missing_tokens < PROMPT.tokens)
 
+    def test_fetches_inside_the_failure_domain(self) -> None:
+        salt = cache_salt("a", "m", 1, False)
+        held = HeldParts(capacity_tokens=10_000)
+        held.sent(salt, PROMPT.parts[:2])
+        far, near, here = (
+            TargetView(target=target(name, "llm", domain=domain))
+            for name, domain in (("e0", "d2"), ("e1", "d1"), ("e2", "d1"))
+        )
+        chooser = PromptChooser(
+            held={"e0": held, "e1": held}, pool=[far, near, here], now_s=0.0
+        )
+        chosen = chooser.choose([here], PROMPT, "a", False, 0)
+        assert chosen is not None
+        self.assertEqual("e1:80", chosen.source)
+
     def test_keeper_completes_what_the_target_holds(self) -> None:
         # The keeper has dropped the first part, which nobody fetches there.
         salt = cache_salt("a", "m", 1, False)
