Forwarding daemons start without a second HTTP server and client

Cause: callers whose router was killed wait for the platform's pause and for the program's start, most of which is imports. Status and metrics pages went through klein and twisted.web, the agents were asked through treq, and the planner imported the OpenAI interface's router for two functions on tokens. Both now go through the HTTP/1.1 code that callers and targets use (`pages`, `AgentClient`); tokens have a module of their own; the reactor is in `event_loop`. Ruled out: imports put off until first use, which move the time to a caller.

--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -15,6 +15,7 @@
 
 from sequoiawind import (
     agent_http,
+    event_loop,
     http_client,
     http_ports,
     http_server,
@@ -75,7 +76,7 @@
             target=options.target,
             address=str(options.target_address),
             port=port,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             service=options.service,
             checks_fencing=options.checks_fencing,
             queue=FairQueue(
@@ -104,7 +105,7 @@
         follower = ConfigFollower(
             board=self.board,
             log=http_ports.log_port(self.client, self.options.platform.log),
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             wall=time.time,
             retention_s=self.options.platform.log_retention_s,
@@ -113,7 +114,7 @@
         seeker = ConfigSeeker(
             peers=PeerClient(json=self.json),
             board=self.board,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             addresses=self.options.peers.routers,
             on_found=self.follow_config,
         )
@@ -130,7 +131,7 @@
             port=EngineControlPort(
                 json=self.json, address=self.options.agent.target_address
             ),
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             board=self.board,
             slots=LoadSlots(
--- a/sequoiawind/ctl_main.py
+++ b/sequoiawind/ctl_main.py
@@ -18,7 +18,7 @@
     defaults,
     language,
     query,
-    router,
+    tokens,
     wire,
 )
 from sequoiawind.query import Answer
@@ -32,7 +32,7 @@
     """Run the program."""
     args = make_parser().parse_args()
     if args.action == "digest":
-        print(router.token_digest(args.token))
+        print(tokens.token_digest(args.token))
     elif args.action == "publish":
         publish(args)
     else:
--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from sequoiawind import http_server
+from sequoiawind import event_loop
 from sequoiawind.lifecycle import Phase, make_lifecycle
 
 IDLE_CHECK_S: Final = 0.05
@@ -35,7 +35,7 @@
 
     def __enter__(self) -> "Daemon":
         """Take over the signals."""
-        reactor = http_server.reactor
+        reactor = event_loop.reactor
         self.phase.on_stopped = reactor.stop
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(
@@ -55,7 +55,7 @@
 
     def run(self) -> None:
         """Run until the daemon has stopped."""
-        http_server.reactor.run(installSignalHandlers=False)
+        event_loop.reactor.run(installSignalHandlers=False)
 
     def ready(self) -> None:
         """Note that the daemon can serve."""
@@ -67,7 +67,7 @@
             return
         self.lifecycle.shut_down()
         self.on_leaving()
-        http_server.reactor.callLater(self.balancer_wait_s, self.drain)
+        event_loop.reactor.callLater(self.balancer_wait_s, self.drain)
 
     def drain(self) -> None:
         """Take no more work and stop when idle."""
@@ -80,6 +80,6 @@
         if self.is_idle():
             # The last answers still have to leave the sockets.
             stop = partial(self.lifecycle.idle)
-            http_server.reactor.callLater(IDLE_CHECK_S, stop)
+            event_loop.reactor.callLater(IDLE_CHECK_S, stop)
             return
-        http_server.reactor.callLater(IDLE_CHECK_S, self.stop_when_idle)
+        event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_when_idle)
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -1,33 +1,27 @@
 """A forwarding agent put together: decisions, transports, controllers."""
 
-from typing import Any, Final
+from typing import Final
+from urllib.parse import parse_qsl
 
 import attrs
-import klein
 from twisted.internet.defer import Deferred
-from twisted.web import server
 
-from sequoiawind import (
-    http_client,
-    http_server,
-    metrics,
-    status_watcher,
-    wire,
-)
+from sequoiawind import event_loop, wire
 from sequoiawind.forward_agent import ForwardAgent
 from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
-from sequoiawind.http_client import JsonClient
+from sequoiawind.http1_server import HttpRequest
 from sequoiawind.metrics import ForwardAgentMetrics
 from sequoiawind.options import (
     Address,
     BoundsOptions,
     ForwardAgentSettings,
 )
+from sequoiawind.pages import METRICS_PATH, Page, Pages, metrics_page
 from sequoiawind.platform import codec, names
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.platform.targets import decode_target
-from sequoiawind.status_watcher import AgentClient
+from sequoiawind.status_watcher import STATUS_PATH, STATUS_WAIT_S, AgentClient
 
 # For how long the store waits for a change before it answers, in seconds, and
 # the pause after a change, so that one answer carries several.  An agent checks
@@ -56,14 +50,14 @@
             address=str(options.target),
             holder=options.node.name,
             port=EngineClient(client=self.client),
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             fleet=self.fleet,
             log=self.log,
             peers=AgentClient(
-                json=JsonClient(
-                    client=http_client.make_client(), timeout_s=PEER_ANSWER_S
-                ),
+                client=self.client,
                 agent_port=options.node.agent_port,
+                timeout_s=PEER_ANSWER_S,
+                log=self.log,
             ),
             weights_s=options.bounds.weights_ms / 1000,
             on_order=lambda outcome: self.metrics.orders.labels(outcome).inc(),
@@ -72,33 +66,25 @@
     def listen(self) -> None:
         """Open the ports for routers and for metrics."""
         node = self.options.node
-        for port, app in (
-            (node.agent_port, self.app()),
-            (node.metrics_port, metrics.app(self.metrics.registry)),
+        status = Page(content_type="application/json", body=self.status_body)
+        metrics = metrics_page(self.metrics.registry)
+        for port, path, page in (
+            (node.agent_port, STATUS_PATH, status),
+            (node.metrics_port, METRICS_PATH, metrics),
         ):
-            http_server.listen(app, Address(host=node.ip, port=port))
+            pages = Pages(pages={path: page}, log=self.log)
+            pages.listen(Address(host=node.ip, port=port))
         self.log.info("listening", port=node.agent_port)
 
-    def app(self) -> klein.Klein:
-        """Return the interface for routers."""
-        app = klein.Klein()
-
-        @app.route(status_watcher.STATUS_PATH, methods=["GET"])
-        async def status(request: server.Request) -> bytes:
-            return await self.answer_status(request)
-
-        return app
-
-    async def answer_status(self, request: server.Request) -> bytes:
-        """Answer a router once there is news."""
-        arguments: Any = request.args
-        after = arguments.get(b"after", [b"-1"])[0]
-        router = arguments.get(b"router", [b""])[0].decode("latin-1")
-        number = int(after) if after.lstrip(b"-").isdigit() else -1
-        if router:
-            self.agent.heard_from(router)
-        told = await self.agent.newer(number, status_watcher.STATUS_WAIT_S)
-        return http_server.json_reply(request, wire.encode(told))
+    async def status_body(self, request: HttpRequest) -> bytes:
+        """Return the target's status, for a router once there is news."""
+        query = request.target.partition(b"?")[2].decode("latin-1")
+        arguments = dict(parse_qsl(query))
+        after = arguments.get("after", "-1")
+        number = int(after) if after.lstrip("-").isdigit() else -1
+        if arguments.get("router"):
+            self.agent.heard_from(arguments["router"])
+        return wire.encode(await self.agent.newer(number, STATUS_WAIT_S))
 
     def take_bounds(self, bounds: BoundsOptions) -> None:
         """Put new bounds in force."""
@@ -115,7 +101,7 @@
         targets = TargetReader(
             fleet=self.fleet,
             decode=decode_target,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             log=self.log,
         )
         self.follow_records(
--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -6,7 +6,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from sequoiawind import defaults, messages, router
+from sequoiawind import defaults, messages, tokens
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.forward_state import (
     ForwardAccount,
@@ -140,7 +140,7 @@
         self, request: ForwardRequest, route: ForwardRoute, state: ForwardState
     ) -> Result[ForwardAccount, Failure]:
         """Return whom a request belongs to."""
-        known = router.holder_of(request.key, self.board.accounts_by_digest)
+        known = tokens.holder_of(request.key, self.board.accounts_by_digest)
         if route.is_public or not state.accounts:
             # A key that may be revoked by now names nobody.
             if isinstance(known, ForwardAccount) and self.trusts_keys:
--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -12,7 +12,7 @@
 import structlog
 from twisted.internet.defer import Deferred
 
-from sequoiawind import http_server, logs
+from sequoiawind import event_loop, logs
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.fleet import Fleet
 from sequoiawind.freshness import suspended_clock_s
@@ -50,7 +50,7 @@
 
     def make_client(self) -> Http1Client:
         """Return the client of targets and store."""
-        return Http1Client(reactor=http_server.reactor)
+        return Http1Client(reactor=event_loop.reactor)
 
     def follow_records(
         self,
@@ -73,7 +73,7 @@
             topic=topic,
             port=self.store,
             reader=reader,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             wait_s=wait_s,
             pace_s=pace_s,
@@ -87,7 +87,7 @@
         return SettingsFollower(
             file=file,
             kind=type(self.options),
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             log=self.log,
             on_change=self.follow_settings,
         )
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from sequoiawind import http_client, http_server, metrics
+from sequoiawind import event_loop
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_plan import ForwardRequest, Planner
@@ -18,13 +18,13 @@
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
-from sequoiawind.http_client import JsonClient
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.options import (
     Address,
     BoundsOptions,
     ForwardRouterSettings,
 )
+from sequoiawind.pages import METRICS_PATH, Pages, metrics_page
 from sequoiawind.platform import callers, codec, names
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.platform.targets import decode_target
@@ -46,8 +46,6 @@
 TARGETS_PACE_S: Final = 0.15
 # Time for an agent's answer beyond the time that it is asked to wait.
 STATUS_ANSWER_S: Final = 0.5
-# Connections that may wait to be accepted.
-BACKLOG: Final = http_server.LISTEN_BACKLOG
 # Time after SIGTERM in which callers may still begin new requests on their
 # connections; the balancer turns away within two of its questions.
 LEAVE_S: Final = 3.0
@@ -81,7 +79,7 @@
         self.forwarder = self.make_forwarder()
         self.watcher = self.make_watcher()
         self.site = CallerSite(
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             on_request=self.take_request,
             limits=self.limits,
             on_refusal=self.count_refusal,
@@ -95,7 +93,7 @@
     def make_client(self) -> Http1Client:
         """Return the client of targets and store."""
         return Http1Client(
-            reactor=http_server.reactor,
+            reactor=event_loop.reactor,
             on_foreign=self.metrics.foreign_answers.inc,
             on_connect=self.metrics.connects.inc,
         )
@@ -115,11 +113,11 @@
             port=engines,
             caches=CacheWatcher(
                 port=engines,
-                clock=http_server.reactor,
+                clock=event_loop.reactor,
                 random=self.random,
                 log=self.log,
             ),
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             window=RepeatWindow(
                 ratio=bounds.repeat_ratio,
                 allowance=bounds.repeat_allowance,
@@ -139,16 +137,15 @@
         """Return the controller that asks the agents."""
         agents = AgentClient(
             router=self.options.node.name,
-            json=JsonClient(
-                client=http_client.make_client(),
-                timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
-            ),
+            client=self.client,
             agent_port=self.options.node.agent_port,
+            timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
+            log=self.log,
         )
         return StatusWatcher(
             fleet=self.fleet,
             agents=agents,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             log=self.log,
             on_change=self.forwarder.serve_waiting,
@@ -200,21 +197,22 @@
         """Open the ports for callers, the balancer and metrics."""
         entry, node = self.options.entry, self.options.node
         ready = CallerSite(
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             on_request=self.answer_ready,
             limits=self.limits,
             on_refusal=self.count_refusal,
         )
         for address, site in ((entry.callers, self.site), (entry.ready, ready)):
             self.ports.append(
-                http_server.reactor.listenTCP(
-                    address.port, site, BACKLOG, address.host
+                event_loop.reactor.listenTCP(
+                    address.port, site, event_loop.LISTEN_BACKLOG, address.host
                 )
             )
-        http_server.listen(
-            metrics.app(self.metrics.registry),
-            Address(host=node.ip, port=node.metrics_port),
+        pages = Pages(
+            pages={METRICS_PATH: metrics_page(self.metrics.registry)},
+            log=self.log,
         )
+        pages.listen(Address(host=node.ip, port=node.metrics_port))
         self.log.info("listening", port=entry.callers.port)
 
     def start(self, on_prepared: Callable[[], None]) -> None:
@@ -236,7 +234,7 @@
         targets = TargetReader(
             fleet=self.fleet,
             decode=decode_target,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             log=self.log,
             on_change=self.targets_changed,
             on_incarnation=self.forwarder.incarnation_began,
@@ -326,7 +324,7 @@
         self, forwarding: Forwarding, view: TargetView, failure: Failure
     ) -> None:
         """Log an attempt without an answer, and what its target was like."""
-        now_s = http_server.reactor.seconds()
+        now_s = event_loop.reactor.seconds()
         status = view.status
         self.log.warning(
             "attempt failed",
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -247,7 +247,7 @@
 class Http1Client:
     """Calls to targets over kept connections."""
 
-    # A Twisted reactor; untyped like `http_server.reactor`.
+    # A Twisted reactor; untyped like `event_loop.reactor`.
     reactor: Any
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     idle: dict[str, list[TargetConnection]] = attrs.field(
--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -20,7 +20,8 @@
 from twisted.web.http_headers import Headers
 
 from sequoiawind import defaults, messages, sse, timing, wire
-from sequoiawind.http_server import SECRET_HEADER, reactor
+from sequoiawind.event_loop import reactor
+from sequoiawind.http_server import SECRET_HEADER
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 
 T = TypeVar("T")
--- a/sequoiawind/http_ports.py
+++ b/sequoiawind/http_ports.py
@@ -15,13 +15,13 @@
 
 from sequoiawind import defaults, messages, openai_format, sse, timing, wire
 from sequoiawind.cache_index import CacheEvents, CacheList
+from sequoiawind.event_loop import reactor
 from sequoiawind.http_client import NOT_SENT, EventCall, JsonClient
 from sequoiawind.http_server import (
     JSON_TYPE,
     KEY_HEADER,
     REQUEST_ID_HEADER,
     SECRET_HEADER,
-    reactor,
 )
 from sequoiawind.options import Address
 from sequoiawind.ports import Call, LogPage, Sink
--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -9,12 +9,12 @@
 from typing import Any, Final
 
 import klein
-from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IListeningPort
 from twisted.web import http, server
 
 from sequoiawind import defaults
+from sequoiawind.event_loop import LISTEN_BACKLOG, reactor
 from sequoiawind.options import Address
 from sequoiawind.verdict import HTTP_STATUS, Reason
 
@@ -24,13 +24,8 @@
 ATTEMPTS_HEADER: Final = "X-Sequoiawind-Attempts"
 CACHED_HEADER: Final = "X-Sequoiawind-Cached-Tokens"
 KEY_HEADER: Final = "Idempotency-Key"
-# Connections that may wait to be accepted, as after a balancer's switch.
-LISTEN_BACKLOG: Final = 1024
 JSON_TYPE: Final = "application/json"
 
-# The reactor's type cannot be expressed without a plugin for its interfaces.
-reactor: Any = default_reactor
-
 
 class BoundedRequest(server.Request):
     """A request whose body is bounded in size and time."""
--- a/sequoiawind/lab/http_load.py
+++ b/sequoiawind/lab/http_load.py
@@ -10,7 +10,8 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from sequoiawind import http_client, openai_format, sse, timing
-from sequoiawind.http_server import JSON_TYPE, reactor
+from sequoiawind.event_loop import reactor
+from sequoiawind.http_server import JSON_TYPE
 from sequoiawind.lab import engine_model, workload
 from sequoiawind.lab.workload import Prompt
 from sequoiawind.verdict import Failure
--- a/sequoiawind/lab/load_main.py
+++ b/sequoiawind/lab/load_main.py
@@ -8,7 +8,7 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from sequoiawind import command_line, http_client, http_server
+from sequoiawind import command_line, event_loop, http_client
 from sequoiawind.lab import (
     experiment_report,
     http_bench,
@@ -141,13 +141,13 @@
 
     def keep(result: Any) -> None:
         outcome.append(result)
-        http_server.reactor.stop()
+        event_loop.reactor.stop()
 
     def start() -> None:
         Deferred.fromCoroutine(coroutine).addBoth(keep)
 
-    http_server.reactor.callWhenRunning(start)
-    http_server.reactor.run()
+    event_loop.reactor.callWhenRunning(start)
+    event_loop.reactor.run()
     if hasattr(outcome[0], "raiseException"):
         outcome[0].raiseException()
     return outcome[0]
--- a/sequoiawind/lab/rig.py
+++ b/sequoiawind/lab/rig.py
@@ -13,7 +13,7 @@
 from expression import Result
 from twisted.internet.defer import Deferred
 
-from sequoiawind import config_fold, defaults, keys, router
+from sequoiawind import config_fold, defaults, keys, tokens
 from sequoiawind.admission import FairQueue
 from sequoiawind.agent import Agent
 from sequoiawind.blackboard import Blackboard
@@ -288,5 +288,5 @@
     return Create(
         table="accounts",
         name=name,
-        fields={"token_digest": router.token_digest(token), **fields},
+        fields={"token_digest": tokens.token_digest(token), **fields},
     )
--- a/sequoiawind/lab/slopes.py
+++ b/sequoiawind/lab/slopes.py
@@ -20,7 +20,7 @@
     keys,
     placement,
     prefix,
-    router,
+    tokens,
     wire,
 )
 from sequoiawind.blackboard import Blackboard
@@ -186,7 +186,7 @@
         command = Create(
             table="accounts",
             name=f"account-{number}",
-            fields={"token_digest": router.token_digest(str(number))},
+            fields={"token_digest": tokens.token_digest(str(number))},
         )
         record = config_fold.make_record(f"id-{number}", "boot", command)
         folded = config_fold.fold(folded, number, record)
--- a/sequoiawind/lab/standin_http.py
+++ b/sequoiawind/lab/standin_http.py
@@ -12,6 +12,7 @@
 
 from sequoiawind import (
     defaults,
+    event_loop,
     http_server,
     openai_format,
     prefix,
@@ -351,7 +352,7 @@
     def change(self, request: server.Request) -> bytes:
         """Change the list, after its lag."""
         body = json_object(http_server.body_of(request)) or {}
-        http_server.reactor.callLater(self.lag_s, self.vms.update, body)
+        event_loop.reactor.callLater(self.lag_s, self.vms.update, body)
         return http_server.json_reply(request, b"{}")
 
 
@@ -394,7 +395,7 @@
         while (
             await self.json.call("POST", url, dict[str, Any], load_time_s)
         ).is_error():
-            await timing.sleep(http_server.reactor, 1.0)
+            await timing.sleep(event_loop.reactor, 1.0)
 
 
 def make_source(seed: int) -> random.Random:
--- a/sequoiawind/lab/standin_main.py
+++ b/sequoiawind/lab/standin_main.py
@@ -6,7 +6,13 @@
 
 import klein
 
-from sequoiawind import command_line, http_client, http_server, settings
+from sequoiawind import (
+    command_line,
+    event_loop,
+    http_client,
+    http_server,
+    settings,
+)
 from sequoiawind.http_client import JsonClient
 from sequoiawind.lab import standin_http
 from sequoiawind.lab.engine_model import EngineModel, EngineParameters
@@ -34,7 +40,7 @@
     if address is None:
         command_line.fail(f"{args.listen}: expected an address as host:port")
     http_server.listen(make_app(args), address)
-    http_server.reactor.run()
+    event_loop.reactor.run()
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -72,7 +78,7 @@
 
 def make_app(args: argparse.Namespace) -> klein.Klein:
     """Return the application of a stand-in."""
-    reactor = http_server.reactor
+    reactor = event_loop.reactor
     source = standin_http.make_source(args.seed)
     if args.role == "engine":
         engine = EngineModel(
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -3,9 +3,7 @@
 from collections.abc import Callable
 
 import attrs
-import klein
 from prometheus_client import (
-    CONTENT_TYPE_LATEST,
     CollectorRegistry,
     Counter,
     Gauge,
@@ -13,7 +11,6 @@
     ProcessCollector,
     generate_latest,
 )
-from twisted.web import server
 
 from sequoiawind.verdict import Reason
 
@@ -200,7 +197,7 @@
         )
         self.connects = Counter(
             "sequoiawind_connects",
-            "Connections opened to targets and the store.",
+            "Connections opened to targets, agents and the store.",
             registry=registry,
         )
         self.config_age = Gauge(
@@ -260,18 +257,6 @@
     return counter
 
 
-def app(registry: CollectorRegistry) -> klein.Klein:
-    """Return the interface that serves metrics."""
-    made = klein.Klein()
-
-    @made.route("/metrics", methods=["GET"])
-    def metrics(request: server.Request) -> bytes:
-        request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
-        return render(registry)
-
-    return made
-
-
 def render(registry: CollectorRegistry) -> bytes:
     """Return all metrics in Prometheus' text format."""
     return generate_latest(registry)
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -5,7 +5,7 @@
 import attrs
 import msgspec
 
-from sequoiawind import router, wire
+from sequoiawind import tokens, wire
 from sequoiawind.forward_state import (
     ForwardAccount,
     ForwardKind,
@@ -151,7 +151,7 @@
     return {
         f"{tenant.name}/{number}": ForwardAccount(
             name=tenant.name,
-            token_digest=router.token_digest(key),
+            token_digest=tokens.token_digest(key),
             is_isolated=tenant.isolated,
             priority=tenant.priority,
         )
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -5,11 +5,9 @@
 no transport; ``router_http`` gives it requests and takes its chunks.
 """
 
-import hashlib
-import hmac
 import random
-from collections.abc import Callable, Mapping
-from typing import Final, TypeVar
+from collections.abc import Callable
+from typing import Final
 
 import attrs
 from expression import Error, Ok, Result
@@ -23,6 +21,7 @@
     keys,
     messages,
     openai_format,
+    tokens,
 )
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.claimant import Claimant
@@ -42,7 +41,6 @@
 from sequoiawind.wire import Attempt, Ended, Usage
 
 LOGGER: Final = Logger()
-Holder = TypeVar("Holder", Account, Operator)
 
 
 @attrs.define(kw_only=True)
@@ -208,11 +206,11 @@
 
     def authenticate(self, token: str) -> Account | None:
         """Return the account of a bearer token."""
-        return holder_of(token, self.board.accounts_by_digest)
+        return tokens.holder_of(token, self.board.accounts_by_digest)
 
     def authenticate_operator(self, token: str) -> Operator | None:
         """Return the operator of a bearer token."""
-        return holder_of(token, self.board.operators_by_digest)
+        return tokens.holder_of(token, self.board.operators_by_digest)
 
     def match(self, request: CallerRequest) -> Route | None:
         """Return the route of a request, the longest path first."""
@@ -350,25 +348,6 @@
         self.on_end(note, ended)
 
 
-def token_digest(token: str) -> str:
-    """Return the digest by which a bearer token is kept."""
-    return hashlib.sha256(token.encode()).hexdigest()
-
-
-def holder_of(token: str, by_digest: Mapping[str, Holder]) -> Holder | None:
-    """Return whom a bearer token belongs to.
-
-    The look-up is by digest; the comparison is in constant time.
-    """
-    digest = token_digest(token)
-    holder = by_digest.get(digest)
-    if holder is None:
-        return None
-    if not hmac.compare_digest(holder.token_digest, digest):
-        return None
-    return holder
-
-
 def path_matches(route_path: str, path: str) -> bool:
     """Whether a route's path covers a request's path."""
     if not route_path:
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -12,7 +12,14 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
 
-from sequoiawind import http_client, http_ports, http_server, keys, logs
+from sequoiawind import (
+    event_loop,
+    http_client,
+    http_ports,
+    http_server,
+    keys,
+    logs,
+)
 from sequoiawind.admin import Admin
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.claimant import Claimant
@@ -79,7 +86,7 @@
         incarnation = f"{self.random.getrandbits(32):08x}"
         return Claimant(
             log=self.log_port,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             owner=f"{self.options.router.name}.{incarnation}",
             on_step=self.count_claim_step,
@@ -89,7 +96,7 @@
         """Return the decisions about requests."""
         port = AgentPort(client=self.client, secret=self.options.peers.secret)
         around = Surroundings(
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             port=port,
             members=self.board.members,
@@ -100,7 +107,7 @@
             board=self.board,
             around=around,
             placer=ProbingPlacer(
-                board=self.board, clock=http_server.reactor, port=port
+                board=self.board, clock=event_loop.reactor, port=port
             ),
             claimant=self.claimant,
             random=self.random,
@@ -115,7 +122,7 @@
         return ConfigFollower(
             board=self.board,
             log=self.log_port,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             wall=time.time,
             retention_s=self.options.platform.log_retention_s,
@@ -129,7 +136,7 @@
             board=self.board,
             follower=self.follower,
             claimant=self.claimant,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             ask=self.peers.report,
             routers=[str(peer) for peer in self.options.peers.routers],
         )
@@ -138,7 +145,7 @@
             admin=admin,
             board=self.board,
             metrics=self.metrics,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             secret=self.options.peers.secret,
         )
@@ -161,7 +168,7 @@
         seeker = ConfigSeeker(
             peers=self.peers,
             board=self.board,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             addresses=[
                 *self.options.peers.routers,
                 *self.options.peers.agents,
@@ -172,7 +179,7 @@
             name=self.options.router.name,
             peers=self.peers,
             board=self.board,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             addresses=self.options.peers.routers,
         )
         controllers = [self.follower.run(), seeker.run(), teller.run()]
@@ -190,7 +197,7 @@
             json=self.peers.json,
             address=self.options.platform.vm_list,
             board=self.board,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
         )
 
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -3,20 +3,25 @@
 import random
 from collections.abc import Callable
 from typing import Final
+from urllib.parse import quote
 
 import attrs
 import structlog
 from twisted.internet.defer import Deferred
 
-from sequoiawind import supervise, timing
+from sequoiawind import supervise, timing, wire
 from sequoiawind.fleet import Fleet
-from sequoiawind.http_client import JsonClient
+from sequoiawind.http1_client import (
+    Http1Client,
+    OutgoingRequest,
+    fetch,
+)
 from sequoiawind.ports import Clock
 from sequoiawind.wire import TargetStatus
 
 Logger = structlog.typing.FilteringBoundLogger
 
-STATUS_PATH: Final = "/agent/status"
+STATUS_PATH: Final = b"/agent/status"
 # For how long an agent may wait for a change before it answers.
 STATUS_WAIT_S: Final = 0.6
 # Pause after a failed call, in seconds; doubles up to the cap.
@@ -30,8 +35,11 @@
 
     # Name of a router that asks; empty for an agent.
     router: str = ""
-    json: JsonClient
+    client: Http1Client
     agent_port: int
+    # Time for an answer, the agent's wait for a change included.
+    timeout_s: float
+    log: Logger
 
     async def status(
         self, address: str, after: int = -1
@@ -45,13 +53,23 @@
         Returns:
           The status; None if the agent does not answer.
         """
-        host = address.rpartition(":")[0]
-        url = (
-            f"http://{host}:{self.agent_port}{STATUS_PATH}"
-            f"?after={after}&router={self.router}"
+        agent = f"{address.rpartition(':')[0]}:{self.agent_port}"
+        router = quote(self.router)
+        request = OutgoingRequest(
+            method=b"GET",
+            target=STATUS_PATH + f"?after={after}&router={router}".encode(),
+            headers=[(b"host", agent.encode())],
         )
-        answered = await self.json.call("GET", url, TargetStatus)
-        return answered.ok if answered.is_ok() else None
+        answered = await fetch(self.client, agent, request, self.timeout_s)
+        if answered.is_error() or answered.ok.status != 200:
+            return None
+        try:
+            return wire.decode(answered.ok.body, TargetStatus)
+        except wire.WireError as error:
+            self.log.warning(
+                "status not readable", agent=agent, error=str(error)
+            )
+            return None
 
 
 @attrs.define(kw_only=True)
--- /dev/null
+++ b/sequoiawind/tokens.py
@@ -0,0 +1,29 @@
+"""Callers' and operators' bearer tokens, kept as digests."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+from typing import TypeVar
+
+from sequoiawind.state import Account, Operator
+
+Holder = TypeVar("Holder", Account, Operator)
+
+
+def token_digest(token: str) -> str:
+    """Return the digest by which a bearer token is kept."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def holder_of(token: str, by_digest: Mapping[str, Holder]) -> Holder | None:
+    """Return whom a bearer token belongs to.
+
+    The look-up is by digest; the comparison is in constant time.
+    """
+    digest = token_digest(token)
+    holder = by_digest.get(digest)
+    if holder is None:
+        return None
+    if not hmac.compare_digest(holder.token_digest, digest):
+        return None
+    return holder
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -32,7 +32,7 @@
 from sequoiawind.headers import Headers
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.repeat_window import RepeatWindow
-from sequoiawind.router import token_digest
+from sequoiawind.tokens import token_digest
 from sequoiawind.verdict import Failure, Reason, not_run
 
 KEY = "key-of-a"
--- a/tests/live.py
+++ b/tests/live.py
@@ -12,7 +12,14 @@
 import attrs
 from twisted.internet.threads import blockingCallFromThread
 
-from sequoiawind import config_fold, defaults, http_server, language, logs
+from sequoiawind import (
+    config_fold,
+    defaults,
+    event_loop,
+    http_server,
+    language,
+    logs,
+)
 from sequoiawind.agent_program import AgentProgram
 from sequoiawind.commands import Command, Create
 from sequoiawind.lab.engine_model import EngineModel, EngineParameters
@@ -29,8 +36,8 @@
     RouterOptions,
     RouterSettings,
 )
-from sequoiawind.router import token_digest
 from sequoiawind.router_program import RouterProgram
+from sequoiawind.tokens import token_digest
 
 ANY_PORT = Address(host="127.0.0.1", port=0)
 SECRET = "test-secret-0123456789"
@@ -41,10 +48,10 @@
 
 def reactor_thread() -> None:
     """Start the reactor once for all tests."""
-    if not http_server.reactor.running:
+    if not event_loop.reactor.running:
         logs.configure(LogsOptions(level="error"))
         threading.Thread(
-            target=http_server.reactor.run,
+            target=event_loop.reactor.run,
             kwargs={"installSignalHandlers": False},
             daemon=True,
         ).start()
@@ -52,7 +59,7 @@
 
 def in_reactor(function: Any, *args: Any) -> Any:
     """Call a function in the reactor's thread and return its result."""
-    return blockingCallFromThread(http_server.reactor, function, *args)
+    return blockingCallFromThread(event_loop.reactor, function, *args)
 
 
 def address_of(port: Any) -> Address:
@@ -86,7 +93,7 @@
 
     def start_in_reactor(self) -> None:
         """Start everything."""
-        reactor = http_server.reactor
+        reactor = event_loop.reactor
         source = random.Random(1)
         self.log = LogModel(
             clock=reactor,
--- a/tests/test_cache_watcher.py
+++ b/tests/test_cache_watcher.py
@@ -67,7 +67,10 @@
         held = HeldParts(capacity_tokens=120)
         held.sent("s", PARTS)
         self.assertEqual(50, held.tokens)
-        self.assertTrue(held.lacks("s", PARTS))
+        self.assertEqual(
+            [False, True], [held.holds("s", part) for part in PARTS]
+        )
+        self.assertEqual(0, held.held_tokens("s", PARTS))
 
 
 class WatcherTest(TestCase):
