--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -1,81 +1,63 @@
 """A forwarding agent put together: decisions, transports, controllers."""
 
-import random
-from typing import Any, Final
+from typing import Final
+from urllib.parse import parse_qsl
 
 import attrs
-import klein
-import structlog
 from twisted.internet.defer import Deferred
-from twisted.web import server
 
-from sequoiawind import (
-    http_client,
-    http_server,
-    logs,
-    metrics,
-    status_watcher,
-    wire,
-)
-from sequoiawind.blackboard import Blackboard
-from sequoiawind.fleet import Fleet
+from sequoiawind import event_loop, wire
 from sequoiawind.forward_agent import ForwardAgent
+from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
-from sequoiawind.freshness import suspended_clock_s
-from sequoiawind.http1_client import Http1Client
-from sequoiawind.http_client import JsonClient
+from sequoiawind.http1_server import HttpRequest
 from sequoiawind.metrics import ForwardAgentMetrics
-from sequoiawind.options import Address, ForwardAgentSettings
+from sequoiawind.options import (
+    Address,
+    BoundsOptions,
+    ForwardAgentSettings,
+)
+from sequoiawind.pages import METRICS_PATH, Page, Pages, metrics_page
 from sequoiawind.platform import codec, names
 from sequoiawind.platform.engine import EngineClient
-from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.targets import decode_target
-from sequoiawind.record_follower import RecordFollower
-from sequoiawind.status_watcher import AgentClient
-
-Logger = structlog.typing.FilteringBoundLogger
-
-# For how long the store waits for a change before it answers, in seconds; an
-# agent checks no keys, so an answer without a change tells it little.
-AGENT_STORE_WAIT_S: Final = 3.0
-# Pause after a change, in seconds, so that one answer carries several; an agent
-# only needs to know of weights and of the targets that take turns.
-PACE_S: Final = 0.4
+from sequoiawind.status_watcher import STATUS_PATH, STATUS_WAIT_S, AgentClient
+
+# For how long the store waits for a change before it answers, in seconds, and
+# the pause after a change, so that one answer carries several.  An agent checks
+# no keys; it has to hear of weights soon, even if a connection falls silent.
+OPERATOR_WAIT_S: Final = 3.0
+OPERATOR_PACE_S: Final = 0.4
+# The same of the targets: an agent needs them for its turn only.
+TARGETS_WAIT_S: Final = 8.0
+TARGETS_PACE_S: Final = 1.0
 # Time for another agent's answer, in seconds.
 PEER_ANSWER_S: Final = 0.3
 
 
 @attrs.define(kw_only=True)
-class ForwardAgentProgram:
+class ForwardAgentProgram(ForwardProgram[ForwardAgentSettings]):
     """All parts of one agent."""
 
-    options: ForwardAgentSettings
-    log: Logger = attrs.field(init=False)
-    random: "random.Random" = attrs.field(factory=random.Random)
-    board: Blackboard = attrs.field(factory=Blackboard)
-    fleet: Fleet = attrs.field(factory=Fleet)
     metrics: ForwardAgentMetrics = attrs.field(factory=ForwardAgentMetrics)
-    client: Http1Client = attrs.field(
-        factory=lambda: Http1Client(reactor=http_server.reactor)
-    )
     agent: ForwardAgent = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
+        super().__attrs_post_init__()
         options = self.options
-        self.log = logs.get(options.node.name)
         self.agent = ForwardAgent(
             address=str(options.target),
             holder=options.node.name,
             port=EngineClient(client=self.client),
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             fleet=self.fleet,
             log=self.log,
             peers=AgentClient(
-                json=JsonClient(
-                    client=http_client.make_client(), timeout_s=PEER_ANSWER_S
-                ),
+                client=self.client,
                 agent_port=options.node.agent_port,
+                timeout_s=PEER_ANSWER_S,
+                log=self.log,
             ),
             weights_s=options.bounds.weights_ms / 1000,
             on_order=lambda outcome: self.metrics.orders.labels(outcome).inc(),
@@ -84,44 +66,29 @@
     def listen(self) -> None:
         """Open the ports for routers and for metrics."""
         node = self.options.node
-        for port, app in (
-            (node.agent_port, self.app()),
-            (node.metrics_port, metrics.app(self.metrics.registry)),
+        status = Page(content_type="application/json", body=self.status_body)
+        metrics = metrics_page(self.metrics.registry)
+        for port, path, page in (
+            (node.agent_port, STATUS_PATH, status),
+            (node.metrics_port, METRICS_PATH, metrics),
         ):
-            http_server.listen(app, Address(host=node.ip, port=port))
+            pages = Pages(pages={path: page}, log=self.log)
+            pages.listen(Address(host=node.ip, port=port))
         self.log.info("listening", port=node.agent_port)
 
-    def app(self) -> klein.Klein:
-        """Return the interface for routers."""
-        app = klein.Klein()
-
-        @app.route(status_watcher.STATUS_PATH, methods=["GET"])
-        async def status(request: server.Request) -> bytes:
-            return await self.answer_status(request)
-
-        return app
+    async def status_body(self, request: HttpRequest) -> bytes:
+        """Return the target's status, for a router once there is news."""
+        query = request.target.partition(b"?")[2].decode("latin-1")
+        arguments = dict(parse_qsl(query))
+        after = arguments.get("after", "-1")
+        number = int(after) if after.lstrip("-").isdigit() else -1
+        if arguments.get("router"):
+            self.agent.heard_from(arguments["router"])
+        return wire.encode(await self.agent.newer(number, STATUS_WAIT_S))
 
-    async def answer_status(self, request: server.Request) -> bytes:
-        """Answer a router once there is news."""
-        arguments: Any = request.args
-        after = arguments.get(b"after", [b"-1"])[0]
-        router = arguments.get(b"router", [b""])[0].decode("latin-1")
-        number = int(after) if after.lstrip(b"-").isdigit() else -1
-        if router:
-            self.agent.heard_from(router)
-        told = await self.agent.newer(number, status_watcher.STATUS_WAIT_S)
-        return http_server.json_reply(request, wire.encode(told))
-
-    def follow_settings(self, options: ForwardAgentSettings) -> None:
-        """Take over new bounds; addresses need a restart."""
-        changed = attrs.evolve(self.options, bounds=options.bounds)
-        self.log.info(
-            "settings read again",
-            bounds_changed=changed != self.options,
-            restart_needed=options != changed,
-        )
-        self.options = changed
-        self.agent.weights_s = options.bounds.weights_ms / 1000
+    def take_bounds(self, bounds: BoundsOptions) -> None:
+        """Put new bounds in force."""
+        self.agent.weights_s = bounds.weights_ms / 1000
 
     def start(self) -> None:
         """Start the controllers."""
@@ -134,24 +101,13 @@
         targets = TargetReader(
             fleet=self.fleet,
             decode=decode_target,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             log=self.log,
         )
-        store = StoreClient(client=self.client, address=self.options.store)
-        for topic, reader in (
-            (names.OPERATOR_TOPIC, operator),
-            (names.TARGETS_TOPIC, targets),
-        ):
-            follower = RecordFollower(
-                topic=topic,
-                port=store,
-                reader=reader,
-                clock=http_server.reactor,
-                random=self.random,
-                wait_s=AGENT_STORE_WAIT_S,
-                pace_s=PACE_S,
-                age_clock=suspended_clock_s,
-                log=self.log,
-            )
-            Deferred.fromCoroutine(follower.run())
+        self.follow_records(
+            names.OPERATOR_TOPIC, operator, OPERATOR_WAIT_S, OPERATOR_PACE_S
+        )
+        self.follow_records(
+            names.TARGETS_TOPIC, targets, TARGETS_WAIT_S, TARGETS_PACE_S
+        )
         Deferred.fromCoroutine(self.agent.run())
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -1,18 +1,15 @@
 """A forwarding router put together: decisions, transports, controllers."""
 
-import random
 from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
-import structlog
-from twisted.internet.defer import Deferred
 
-from sequoiawind import http_client, http_server, logs, metrics
-from sequoiawind.blackboard import Blackboard
+from sequoiawind import event_loop
 from sequoiawind.cache_watcher import CacheWatcher
-from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.fleet import TargetView
 from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
@@ -21,14 +18,16 @@
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
-from sequoiawind.http_client import JsonClient
 from sequoiawind.metrics import ForwardMetrics
-from sequoiawind.options import Address, ForwardRouterSettings
+from sequoiawind.options import (
+    Address,
+    BoundsOptions,
+    ForwardRouterSettings,
+)
+from sequoiawind.pages import METRICS_PATH, Pages, metrics_page
 from sequoiawind.platform import callers, codec, names
 from sequoiawind.platform.engine import EngineClient
-from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.targets import decode_target
-from sequoiawind.record_follower import RecordFollower
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.status_watcher import (
     STATUS_WAIT_S,
@@ -37,8 +36,6 @@
 )
 from sequoiawind.verdict import Failure, Reason
 
-Logger = structlog.typing.FilteringBoundLogger
-
 # Part of the revocation bound for which the store is asked to wait for a
 # change: two waits in a row must end well within the bound.
 CONFIG_WAIT_SHARE: Final = 0.22
@@ -49,8 +46,6 @@
 TARGETS_PACE_S: Final = 0.15
 # Time for an agent's answer beyond the time that it is asked to wait.
 STATUS_ANSWER_S: Final = 0.5
-# Connections that may wait to be accepted.
-BACKLOG: Final = http_server.LISTEN_BACKLOG
 # Time after SIGTERM in which callers may still begin new requests on their
 # connections; the balancer turns away within two of its questions.
 LEAVE_S: Final = 3.0
@@ -60,16 +55,10 @@
 
 
 @attrs.define(kw_only=True)
-class ForwardRouterProgram:
+class ForwardRouterProgram(ForwardProgram[ForwardRouterSettings]):
     """All parts of one router."""
 
-    options: ForwardRouterSettings
-    log: Logger = attrs.field(init=False)
-    random: "random.Random" = attrs.field(factory=random.Random)
-    board: Blackboard = attrs.field(factory=Blackboard)
-    fleet: Fleet = attrs.field(factory=Fleet)
     metrics: ForwardMetrics = attrs.field(factory=ForwardMetrics)
-    client: Http1Client = attrs.field(init=False)
     freshness: Freshness = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     watcher: StatusWatcher = attrs.field(init=False)
@@ -81,13 +70,8 @@
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
+        super().__attrs_post_init__()
         bounds = self.options.bounds
-        self.log = logs.get(self.options.node.name)
-        self.client = Http1Client(
-            reactor=http_server.reactor,
-            on_foreign=self.metrics.foreign_answers.inc,
-            on_connect=self.metrics.connects.inc,
-        )
         self.freshness = Freshness(
             revoke_s=bounds.revoke_ms / 1000,
             in_force_s=bounds.in_force_ms / 1000,
@@ -95,7 +79,7 @@
         self.forwarder = self.make_forwarder()
         self.watcher = self.make_watcher()
         self.site = CallerSite(
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             on_request=self.take_request,
             limits=self.limits,
             on_refusal=self.count_refusal,
@@ -106,6 +90,14 @@
             open_requests=lambda: self.forwarder.open_requests,
         )
 
+    def make_client(self) -> Http1Client:
+        """Return the client of targets and store."""
+        return Http1Client(
+            reactor=event_loop.reactor,
+            on_foreign=self.metrics.foreign_answers.inc,
+            on_connect=self.metrics.connects.inc,
+        )
+
     def make_forwarder(self) -> Forwarder:
         """Return the decisions about requests."""
         bounds = self.options.bounds
@@ -121,11 +113,11 @@
             port=engines,
             caches=CacheWatcher(
                 port=engines,
-                clock=http_server.reactor,
+                clock=event_loop.reactor,
                 random=self.random,
                 log=self.log,
             ),
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             window=RepeatWindow(
                 ratio=bounds.repeat_ratio,
                 allowance=bounds.repeat_allowance,
@@ -145,16 +137,15 @@
         """Return the controller that asks the agents."""
         agents = AgentClient(
             router=self.options.node.name,
-            json=JsonClient(
-                client=http_client.make_client(),
-                timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
-            ),
+            client=self.client,
             agent_port=self.options.node.agent_port,
+            timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
+            log=self.log,
         )
         return StatusWatcher(
             fleet=self.fleet,
             agents=agents,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             random=self.random,
             log=self.log,
             on_change=self.forwarder.serve_waiting,
@@ -206,21 +197,22 @@
         """Open the ports for callers, the balancer and metrics."""
         entry, node = self.options.entry, self.options.node
         ready = CallerSite(
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             on_request=self.answer_ready,
             limits=self.limits,
             on_refusal=self.count_refusal,
         )
         for address, site in ((entry.callers, self.site), (entry.ready, ready)):
             self.ports.append(
-                http_server.reactor.listenTCP(
-                    address.port, site, BACKLOG, address.host
+                event_loop.reactor.listenTCP(
+                    address.port, site, event_loop.LISTEN_BACKLOG, address.host
                 )
             )
-        http_server.listen(
-            metrics.app(self.metrics.registry),
-            Address(host=node.ip, port=node.metrics_port),
+        pages = Pages(
+            pages={METRICS_PATH: metrics_page(self.metrics.registry)},
+            log=self.log,
         )
+        pages.listen(Address(host=node.ip, port=node.metrics_port))
         self.log.info("listening", port=entry.callers.port)
 
     def start(self, on_prepared: Callable[[], None]) -> None:
@@ -242,30 +234,28 @@
         targets = TargetReader(
             fleet=self.fleet,
             decode=decode_target,
-            clock=http_server.reactor,
+            clock=event_loop.reactor,
             log=self.log,
             on_change=self.targets_changed,
             on_incarnation=self.forwarder.incarnation_began,
         )
-        store = StoreClient(client=self.client, address=self.options.store)
-        config_wait_s = CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000
-        targets_wait_s = TARGETS_WAIT_SHARE * bounds.drain_ms / 1000
         for topic, reader, wait_s, pace_s in (
-            (names.OPERATOR_TOPIC, operator, config_wait_s, 0.0),
-            (names.TARGETS_TOPIC, targets, targets_wait_s, TARGETS_PACE_S),
+            (
+                names.OPERATOR_TOPIC,
+                operator,
+                CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000,
+                0.0,
+            ),
+            (
+                names.TARGETS_TOPIC,
+                targets,
+                TARGETS_WAIT_SHARE * bounds.drain_ms / 1000,
+                TARGETS_PACE_S,
+            ),
         ):
-            follower = RecordFollower(
-                topic=topic,
-                port=store,
-                reader=reader,
-                clock=http_server.reactor,
-                random=self.random,
-                wait_s=wait_s,
-                pace_s=pace_s,
-                age_clock=self.freshness.now,
-                log=self.log,
+            self.follow_records(
+                topic, reader, wait_s, pace_s, self.freshness.now
             )
-            Deferred.fromCoroutine(follower.run())
 
     def targets_changed(self) -> None:
         """Follow the agents of new targets, and serve who waits."""
@@ -273,16 +263,8 @@
         self.watcher.follow()
         self.forwarder.serve_waiting()
 
-    def follow_settings(self, options: ForwardRouterSettings) -> None:
-        """Take over new bounds; addresses need a restart."""
-        changed = attrs.evolve(self.options, bounds=options.bounds)
-        self.log.info(
-            "settings read again",
-            bounds_changed=changed != self.options,
-            restart_needed=options != changed,
-        )
-        self.options = changed
-        bounds = options.bounds
+    def take_bounds(self, bounds: BoundsOptions) -> None:
+        """Put new bounds in force."""
         self.freshness.revoke_s = bounds.revoke_ms / 1000
         self.freshness.in_force_s = bounds.in_force_ms / 1000
         self.forwarder.weights_s = bounds.weights_ms / 1000
@@ -342,7 +324,7 @@
         self, forwarding: Forwarding, view: TargetView, failure: Failure
     ) -> None:
         """Log an attempt without an answer, and what its target was like."""
-        now_s = http_server.reactor.seconds()
+        now_s = event_loop.reactor.seconds()
         status = view.status
         self.log.warning(
             "attempt failed",
@@ -357,12 +339,14 @@
             status_age_s=round(now_s - view.status_s, 3) if status else -1.0,
             waiting=status.waiting if status else -1,
             running=status.running if status else -1,
+            reading=status.reading if status else -1,
             is_loading=status.is_loading if status else False,
         )
 
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
+        prompt = plan.request.prompt
         self.metrics.requests.labels(note.kind, note.verdict).inc()
         if failure is not None:
             self.count_refusal(failure.reason)
@@ -379,6 +363,9 @@
             revision=plan.revision,
             config_age_s=round(min(self.freshness.age_s, 1e6), 3),
             targets=note.path,
+            prompt_tokens=note.prompt_tokens,
+            cached_tokens=note.cached_tokens,
+            likely_tokens=prompt.likely_tokens if prompt else 0,
             verdict=note.verdict,
             reason=note.reason,
             detail=failure.detail if failure else "",
--- a/sequoiawind/prompt_cache.py
+++ b/sequoiawind/prompt_cache.py
@@ -28,9 +28,18 @@
     # Tokens of the prompt, and the most that may be made.
     tokens: int
     max_tokens: int
+    # The caller's estimate of what will be made; 0 if it gave none.
+    expected_tokens: int = 0
     # In the prompt's order; the last belongs to the request or its session.
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def likely_tokens(self) -> int:
+        """Tokens that will likely be made; at most those allowed."""
+        if not self.expected_tokens:
+            return self.max_tokens
+        return min(self.expected_tokens, self.max_tokens)
+
     @property
     def placement_key(self) -> str:
         """Id of the deepest part that other prompts share."""
@@ -77,11 +86,21 @@
                 break
         return held
 
-    def lacks(self, salt: str, parts: Sequence[PromptPart]) -> bool:
-        """Whether some of the parts are not held."""
-        return self.held_tokens(salt, parts) < sum(
-            part.tokens for part in parts
-        )
+    def holds(self, salt: str, part: PromptPart) -> bool:
+        """Whether a part is held as a whole."""
+        return self.parts.get((salt, part.id), 0) >= part.tokens
+
+
+def covered_parts(
+    salt: str, parts: Sequence[PromptPart], caches: Sequence[HeldParts]
+) -> int:
+    """Return how many parts at a prompt's beginning some cache holds."""
+    count = 0
+    for part in parts:
+        if not any(cache.holds(salt, part) for cache in caches):
+            break
+        count += 1
+    return count
 
 
 def cache_salt(
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -16,13 +16,19 @@
 
 from sequoiawind.fleet import TargetView
 from sequoiawind.members import Members
-from sequoiawind.prompt_cache import HeldParts, Prompt, cache_salt
-
-# Cost of what is ahead at a target, in prompt tokens that could be read in
-# the same time: of a running request (its share of the batch's steps), and of
-# one that waits (a prompt of common size).
+from sequoiawind.prompt_cache import (
+    HeldParts,
+    Prompt,
+    cache_salt,
+    covered_parts,
+)
+
+# Cost of a running request ahead, in prompt tokens that could be read in the
+# time of its share of the batch's steps.
 RUNNING_TOKENS: Final = 120
-WAITING_TOKENS: Final = 2_000
+# Tokens that a prompt of another router has to read, until this router has
+# sent prompts of its own: a prompt of common size.
+USUAL_TOKENS: Final = 2_000
 # Cost of fetching a token from another target or from the keeper, relative to
 # reading it: the links of targets are an order of magnitude faster.
 FETCH_COST: Final = 0.1
@@ -35,6 +41,9 @@
 # Cost added to targets that are not homes, in prompt tokens: they lack the
 # shared parts, and their own prompts are displaced.
 STRANGER_TOKENS: Final = 1_500
+# Cost added to targets that will load newer weights, in prompt tokens: what
+# they read is soon lost, and what they have to read holds up the load.
+OLD_WEIGHTS_TOKENS: Final = 6_000
 # Cost added to targets whose agent has fallen silent: their VM may be lost.
 SILENT_AGENT_TOKENS: Final = 10_000
 # Cost of a call at a plain service whose recent calls have all failed, in
@@ -63,6 +72,8 @@
     """Where a target may fetch the beginning of a prompt."""
 
     address: str = ""
+    # Parts that the target has then, its own ones included.
+    parts: int = 0
     # Tokens beyond those that the target holds itself.
     tokens: int = 0
     fetch_cost: float = FETCH_COST
@@ -87,6 +98,10 @@
     # Targets of the pool, also those that take no work now.
     pool: Sequence[TargetView]
     now_s: float
+    # The newest weights version that was named; 0 if none was.
+    newest_version: int = 0
+    # Tokens that a prompt has to read, on the average of this router's.
+    usual_tokens: float = USUAL_TOKENS
 
     def choose(
         self,
@@ -144,7 +159,7 @@
         version = view.version(prompt.model)
         salt = cache_salt(account, prompt.model, version, is_isolated)
         held = self.held_tokens(view.target.name, salt, prompt)
-        source = self.source(view, salt, prompt, held, homes)
+        source = self.source(view, salt, prompt, homes)
         gained = int(source.tokens * (1.0 - source.fetch_cost))
         return Chosen(
             view=view,
@@ -152,14 +167,16 @@
             salt=salt,
             missing_tokens=max(0, prompt.tokens - held - gained),
             source=source.address,
-            keeper=self.keeper_address(salt, prompt),
+            keeper=self.keeper_address(salt, prompt, source),
         )
 
-    def keeper_address(self, salt: str, prompt: Prompt) -> str:
-        """Return the keeper that should get what is read, if it lacks it."""
+    def keeper_address(self, salt: str, prompt: Prompt, source: Source) -> str:
+        """Return the keeper if it lacks a shared part that will be read."""
         keeper = self.keeper
-        shared = prompt.parts[:-1]
-        if keeper is None or not keeper.held.lacks(salt, shared):
+        if keeper is None:
+            return ""
+        to_read = prompt.parts[source.parts : -1]
+        if all(keeper.held.holds(salt, part) for part in to_read):
             return ""
         return keeper.address
 
@@ -173,19 +190,41 @@
         view: TargetView,
         salt: str,
         prompt: Prompt,
-        held: int,
         homes: Sequence[str],
     ) -> Source:
-        """Return where a target should fetch the prompt's beginning."""
-        best = Source()
-        for other in self.pool:
-            tokens = self.held_tokens(other.target.name, salt, prompt) - held
-            if other is not view and tokens > best.tokens:
-                best = Source(address=other.target.address, tokens=tokens)
-        kept = self.kept(salt, prompt, held)
-        if kept.tokens > best.tokens:
-            return kept
-        if best.tokens or held:
+        """Return where a target should fetch what it lacks of a prompt.
+
+        A source need not hold the parts that the target holds itself.
+        """
+        own = self.held.get(view.target.name) or HeldParts(capacity_tokens=0)
+        parts = prompt.parts
+        has = covered_parts(salt, parts, [own])
+        best = Source(parts=has)
+        # Between failure domains a move takes twice as long.
+        near_first = sorted(
+            self.pool,
+            key=lambda other: other.target.domain != view.target.domain,
+        )
+        for other in near_first:
+            held = self.held.get(other.target.name)
+            if other is view or held is None:
+                continue
+            count = covered_parts(salt, parts, [own, held])
+            if count > best.parts:
+                best = Source(address=other.target.address, parts=count)
+        if self.keeper is not None:
+            count = covered_parts(salt, parts, [own, self.keeper.held])
+            if count > best.parts:
+                best = Source(
+                    address=self.keeper.address,
+                    parts=count,
+                    fetch_cost=KEEPER_FETCH_COST,
+                )
+        if best.address:
+            fetched = parts[has : best.parts]
+            tokens = sum(part.tokens for part in fetched)
+            return attrs.evolve(best, tokens=tokens)
+        if has:
             return best
         # Another router may have sent the prompt's beginning to its home.
         for other in self.pool:
@@ -193,20 +232,12 @@
                 return Source(address=other.target.address)
         return best
 
-    def kept(self, salt: str, prompt: Prompt, held: int) -> Source:
-        """Return the keeper as a source."""
-        if self.keeper is None:
-            return Source()
-        return Source(
-            address=self.keeper.address,
-            tokens=self.keeper.held.held_tokens(salt, prompt.parts) - held,
-            fetch_cost=KEEPER_FETCH_COST,
-        )
-
     def cost(self, option: Chosen, homes: Sequence[str]) -> float:
         """Return what a target costs, in prompt tokens to read."""
         view = option.view
         cost = float(option.missing_tokens) + self.ahead(view)
+        if option.version is not None and option.version < self.newest_version:
+            cost += OLD_WEIGHTS_TOKENS
         if view.is_agent_silent(self.now_s):
             cost += SILENT_AGENT_TOKENS
         if view.target.name not in homes:
@@ -214,16 +245,20 @@
         return cost + SECOND_HOME_TOKENS * homes.index(view.target.name)
 
     def ahead(self, view: TargetView) -> float:
-        """Return the work ahead at a target, in prompt tokens to read."""
-        running, waiting = view.open_requests, 0
+        """Return the work ahead at a target, in prompt tokens to read.
+
+        This router knows what its own prompts have to read; those that the
+        target reports beyond them are other routers', of the usual size.
+        """
+        running, unread = view.open_requests, 0
         status = view.fresh_status(self.now_s)
         if status is not None:
             running = max(running, status.running)
-            waiting = status.waiting
+            unread = status.reading + status.waiting - view.unread_requests
         return (
-            view.open_tokens
+            view.unread_tokens
+            + max(0, unread) * self.usual_tokens
             + running * RUNNING_TOKENS
-            + waiting * WAITING_TOKENS
         )
 
 
