Streams move off a target that is about to load weights

A router now has the memory of such a run copied to a target with the same weights, where the stream goes on behind its last event (`stream_move`). Only streams that may be resumed are moved, so that a move that fails in its midst is resumed like any that broke; where nothing was stopped, the stream goes on as before. Ruled out: counting moves as repeats.

--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -38,6 +38,18 @@
     keeper: str = ""
     # Id of the last event that the caller has; None to begin.
     after_event: int | None = None
+    # Where the memory of the run that goes on lies, as `ForwardPort.move` told;
+    # empty for a run of its own.
+    moved_from: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class MoveOrder:
+    """A run that another target is to go on with."""
+
+    request_id: str
+    source: ForwardTarget
+    goal: ForwardTarget
 
 
 @attrs.frozen(kw_only=True)
@@ -75,6 +87,19 @@
     def send(self, order: SendOrder, sink: AttemptSink) -> Call:
         """Send a request and deliver the answer to the sink."""
 
+    async def move(
+        self, order: MoveOrder, timeout_s: float
+    ) -> Result[str, Failure]:
+        """Stop a run and copy its memory to another target.
+
+        Returns:
+          Where the memory is, for `SendOrder.moved_from`; or why the run was
+          not moved: it goes on, or its stream ends without its end.
+        """
+
+    def drop_move(self, moved_from: str) -> None:
+        """Free the memory of a run that nobody goes on with."""
+
 
 @attrs.frozen(kw_only=True)
 class PartChange:
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -34,6 +34,7 @@
     AgentClient,
     StatusWatcher,
 )
+from sequoiawind.stream_move import StreamMove
 from sequoiawind.verdict import Failure, Reason
 
 # Part of the revocation bound for which the store is asked to wait for a
@@ -128,6 +129,7 @@
             weights_s=bounds.weights_ms / 1000,
             settle_s=bounds.settle_ms / 1000,
             on_end=self.note_end,
+            on_move=self.note_move,
             on_retry=self.count_retry,
             on_refusal=self.note_refusal,
             on_attempt_failed=self.note_attempt_failed,
@@ -148,7 +150,7 @@
             clock=event_loop.reactor,
             random=self.random,
             log=self.log,
-            on_change=self.forwarder.serve_waiting,
+            on_change=self.forwarder.status_changed,
         )
 
     def limits(self) -> CallerLimits:
@@ -343,6 +345,20 @@
             is_loading=status.is_loading if status else False,
         )
 
+    def note_move(self, move: StreamMove) -> None:
+        """Count and log a stream's move to another target."""
+        outcome = "moved" if move.moved_from else "not moved"
+        self.metrics.moves.labels(outcome).inc()
+        self.log.info(
+            "stream move",
+            request_id=move.forwarding.note.request_id,
+            outcome=outcome,
+            source=move.attempt.view.target.name,
+            goal=move.goal.view.target.name,
+            after_event=move.forwarding.last_event,
+            detail=move.failure.detail if move.failure else "",
+        )
+
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -76,6 +76,8 @@
     models: tuple[str, ...] = ()
     # Prompt tokens that one target can keep in memory.
     memory_tokens: int = 0
+    # Whether its targets copy the memory of runs to each other.
+    has_moves: bool = False
     # Address of the pool's store of kept prompts; empty for pools of targets.
     keeper: str = ""
 
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -15,13 +15,14 @@
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.fleet import Fleet, TargetView
-from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_plan import ForwardPlan, ForwardRequest, Planner
 from sequoiawind.forward_ports import ForwardCaller, ForwardPort
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import NamedVersion
+from sequoiawind.stream_move import StreamMove
 from sequoiawind.target_choice import (
     USUAL_TOKENS,
     Chosen,
@@ -75,7 +76,12 @@
     usual_tokens: float = USUAL_TOKENS
     waiting: list[Forwarding] = attrs.field(factory=list)
     ticking: Timer | None = None
-    open_requests: int = 0
+    # Requests under way.
+    open: set[Forwarding] = attrs.field(factory=set)
+    # Called with each move of a stream that was tried.
+    on_move: Callable[[StreamMove], None] = attrs.field(
+        default=lambda move: None
+    )
     on_end: Callable[[Forwarding, Failure | None], None] = attrs.field(
         default=lambda forwarding, failure: None
     )
@@ -112,11 +118,16 @@
                 began_s=request.arrived_s,
             ),
         )
-        self.open_requests += 1
+        self.open.add(forwarding)
         self.board.note_request(forwarding.note)
         forwarding.start()
         return forwarding
 
+    @property
+    def open_requests(self) -> int:
+        """Requests under way."""
+        return len(self.open)
+
     # Placement.
 
     def choose(self, forwarding: Forwarding) -> Chosen | None:
@@ -132,21 +143,48 @@
         ]
         if prompt is None or not plan.pool.models:
             return choose_call(ready, self.fleet.members, self.domain)
+        return self.chooser(plan, prompt.model).choose(
+            ready,
+            prompt,
+            plan.account.name,
+            plan.account.is_isolated,
+            self.oldest_version(prompt.model, now_s),
+        )
+
+    def chooser(self, plan: ForwardPlan, model: str) -> PromptChooser:
+        """Return what chooses targets for a prompt now."""
+        now_s = self.clock.seconds()
         caches = self.caches.caches
-        chooser = PromptChooser(
+        return PromptChooser(
             held={name: cache.held for name, cache in caches.items()},
             keeper=self.keeper(),
             pool=self.fleet.usable(plan.pool.name, now_s),
             now_s=now_s,
-            newest_version=self.newest_version(prompt.model),
+            newest_version=self.newest_version(model),
             usual_tokens=self.usual_tokens,
         )
-        return chooser.choose(
-            ready,
-            prompt,
-            plan.account.name,
-            plan.account.is_isolated,
-            self.oldest_version(prompt.model, now_s),
+
+    def goal_of_move(
+        self, forwarding: Forwarding, chosen: Chosen
+    ) -> Chosen | None:
+        """Return where a run may go on: a target with the same weights."""
+        plan, prompt = forwarding.plan, forwarding.plan.request.prompt
+        if prompt is None or chosen.version is None:
+            return None
+        ready = self.fleet.ready(plan.pool.name, self.clock.seconds())
+        able = [
+            view
+            for view in ready
+            if view is not chosen.view
+            and view.version(prompt.model) == chosen.version
+        ]
+        if not able:
+            return None
+        ahead = self.chooser(plan, prompt.model).ahead
+        return Chosen(
+            view=min(able, key=lambda view: (ahead(view), view.target.name)),
+            version=chosen.version,
+            salt=chosen.salt,
         )
 
     def newest_version(self, model: str) -> int:
@@ -250,6 +288,17 @@
         is_certain = failure.reason is Reason.CONNECT_FAILED
         self.fleet.failed(name, now_s, is_certain)
 
+    def status_changed(self, name: str) -> None:
+        """Move streams off a target that is to load; serve who waits."""
+        view = self.fleet.views.get(name)
+        status = view.fresh_status(self.clock.seconds()) if view else None
+        if status is not None and status.is_loading:
+            for forwarding in list(self.open):
+                attempt = forwarding.current
+                if attempt is not None and attempt.view is view:
+                    forwarding.move_away()
+        self.serve_waiting()
+
     # Waiting.
 
     def wait(self, forwarding: Forwarding) -> None:
@@ -269,7 +318,7 @@
 
     def finished(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Account for the end of a request."""
-        self.open_requests -= 1
+        self.open.discard(forwarding)
         note = forwarding.note
         note.ended_s = self.clock.seconds()
         note.state = "ended"
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -21,6 +21,7 @@
     ForwardCaller,
     SendOrder,
 )
+from sequoiawind.stream_move import StreamMove
 from sequoiawind.target_choice import Chosen
 from sequoiawind.verdict import (
     Failure,
@@ -62,6 +63,8 @@
     cutter: EventCutter = attrs.field(factory=EventCutter)
     # Whether the target has read the prompt.
     has_begun: bool = False
+    # The move to another target that is under way; None if there is none.
+    move: StreamMove | None = None
 
     @property
     def view(self) -> TargetView:
@@ -91,7 +94,11 @@
 
     def failed(self, failure: Failure) -> None:
         """Take the answer's failure."""
-        if self.close():
+        if not self.close():
+            return
+        if self.move is not None:
+            self.move.source_ended(failure)
+        else:
             self.forwarding.attempt_failed(self, failure)
 
     @property
@@ -222,10 +229,15 @@
 
     def send(self, chosen: Chosen) -> None:
         """Send the request to a target."""
-        target = chosen.view.target
         if self.sent_to:
             reason = self.last.reason if self.last else Reason.TARGET_LOST
             self.forwarder.on_retry(reason)
+        self.forwarder.sent(self, chosen)
+        self.open_attempt(chosen)
+
+    def open_attempt(self, chosen: Chosen, moved_from: str = "") -> None:
+        """Begin an attempt, or go on with a run that was moved."""
+        target = chosen.view.target
         self.sent_to.append(target.name)
         self.note.path.append(target.name)
         attempt = ForwardAttempt(
@@ -235,7 +247,6 @@
         chosen.view.open_requests += 1
         chosen.view.unread_requests += 1
         chosen.view.unread_tokens += chosen.missing_tokens
-        self.forwarder.sent(self, chosen)
         order = SendOrder(
             request=self.plan.request,
             target=target,
@@ -247,10 +258,32 @@
             source=chosen.source,
             keeper=chosen.keeper,
             after_event=self.last_event,
+            moved_from=moved_from,
         )
         self.watch_first(attempt)
         attempt.call = self.forwarder.port.send(order, attempt)
 
+    # Moves.
+
+    def move_away(self) -> None:
+        """Move the run off its target, if it may be resumed and has begun."""
+        attempt = self.current
+        if attempt is None or attempt.is_over or attempt.move is not None:
+            return
+        if not self.plan.pool.has_moves or not self.plan.kind.may_repeat:
+            return
+        if not attempt.is_streaming or self.last_event is None:
+            return
+        goal = self.forwarder.goal_of_move(self, attempt.chosen)
+        if goal is not None:
+            StreamMove(forwarding=self, attempt=attempt, goal=goal).start()
+
+    def go_on_at(self, goal: Chosen, moved_from: str) -> None:
+        """Go on with the run at the target that has its memory now."""
+        # It is the same run, so it takes the place of the one before.
+        self.sent_to.pop()
+        self.open_attempt(goal, moved_from)
+
     # Silence.
 
     def watch_first(self, attempt: ForwardAttempt) -> None:
@@ -293,7 +326,8 @@
         """Pass a whole event on, once."""
         if self.is_finished or attempt.answer is None:
             return
-        self.watch_pause(attempt)
+        if attempt.move is None:
+            self.watch_pause(attempt)
         if event is not None:
             if self.last_event is not None and event <= self.last_event:
                 self.note.repeated_chunks += 1
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -158,6 +158,7 @@
     retries: Counter = attrs.field(init=False)
     first_chunk: Histogram = attrs.field(init=False)
     foreign_answers: Counter = attrs.field(init=False)
+    moves: Counter = attrs.field(init=False)
     connects: Counter = attrs.field(init=False)
     config_age: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
@@ -195,6 +196,12 @@
             "Answers of targets that belonged to another request.",
             registry=registry,
         )
+        self.moves = Counter(
+            "sequoiawind_stream_moves",
+            "Streams moved to another target in their midst, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
         self.connects = Counter(
             "sequoiawind_connects",
             "Connections opened to targets, agents and the store.",
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -56,6 +56,8 @@
     """What the operator says of a service's engines."""
 
     kv_capacity_tokens: int = 0
+    # Whether the memory of a run can be copied to another engine.
+    moves: bool = False
     models: list[ModelRecord] = []
 
 
@@ -201,5 +203,6 @@
         service="engine" if record.engine else "plain",
         models=tuple(model.name for model in engine.models),
         memory_tokens=record.kv_capacity_tokens or engine.kv_capacity_tokens,
+        has_moves=engine.moves,
         keeper=record.kv_store_addr,
     )
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -12,6 +12,7 @@
     AnswerHead,
     AttemptSink,
     CacheNews,
+    MoveOrder,
     SendOrder,
 )
 from sequoiawind.headers import Headers, passed_headers
@@ -23,13 +24,15 @@
 )
 from sequoiawind.platform import engine_wire, names
 from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
-from sequoiawind.verdict import Failure, Reason, not_run
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 
 # Statuses by which a target refuses an order.
 ACCEPTED: Final = 202
 HOLDS_ALREADY: Final = 200
 # A cache answers this when it serves as many watchers as it may.
 TOO_MANY: Final = 429
+# Time to free the memory of a run, in seconds; a round trip and some waiting.
+DROP_TIMEOUT_S: Final = 0.5
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -89,6 +92,47 @@
         decoding = DecodingSink(model=model, sink=sink)
         return self.client.call(order.target.address, outgoing, decoding)
 
+    async def move(
+        self, order: MoveOrder, timeout_s: float
+    ) -> Result[str, Failure]:
+        """Stop a run and copy its memory to another target."""
+        address = order.source.address
+        record = engine_wire.MoveRecord(
+            id=order.request_id, to=order.goal.address
+        )
+        request = OutgoingRequest(
+            method=b"POST",
+            target=names.MOVE_TARGET,
+            headers=[
+                (b"host", address.encode()),
+                (b"content-type", b"application/json"),
+                (names.EXPECT_INSTANCE, order.source.name.encode()),
+            ],
+            body=msgspec.json.encode(record),
+        )
+        answered = await fetch(self.client, address, request, timeout_s)
+        if answered.is_error():
+            return Error(answered.error)
+        if answered.ok.status != 200:
+            text = f"status {answered.ok.status}"
+            return Error(may_have_run(Reason.TARGET_ERROR, text))
+        try:
+            moved = wire.decode(answered.ok.body, engine_wire.MovedRecord)
+        except wire.WireError as error:
+            return Error(may_have_run(Reason.TARGET_ERROR, str(error)))
+        return Ok(f"{address}/{moved.handle}")
+
+    def drop_move(self, moved_from: str) -> None:
+        """Free the memory of a run that nobody goes on with."""
+        address, _, handle = moved_from.partition("/")
+        request = OutgoingRequest(
+            method=b"DELETE",
+            target=names.MOVED_TARGET + handle.encode(),
+            headers=[(b"host", address.encode())],
+        )
+        # The target frees it by itself if this fails.
+        fetch(self.client, address, request, DROP_TIMEOUT_S)
+
     async def report(
         self, address: str, timeout_s: float
     ) -> Result[TargetReport, Failure]:
--- a/sequoiawind/platform/engine_wire.py
+++ b/sequoiawind/platform/engine_wire.py
@@ -63,6 +63,23 @@
     transfer_mode: str = "wait"
 
 
+class MoveRecord(msgspec.Struct):
+    """An order to move a run."""
+
+    # The caller's id of the attempt.
+    id: str
+    # Address of the target that is to have the memory.
+    to: str
+    # Stop the run first.
+    last: bool = True
+
+
+class MovedRecord(msgspec.Struct):
+    """Where the memory of a run is."""
+
+    handle: str | int
+
+
 def refusal(status: int, found: Mapping[bytes, bytes]) -> Failure | None:
     """Return the target's word that it did not run a request, if it said so."""
     if status == WRONG_INSTANCE:
@@ -104,6 +121,8 @@
         headers.append((names.KV_SOURCE, order.source.encode()))
     if order.keeper:
         headers.append((names.KV_SINK, order.keeper.encode()))
+    if order.moved_from:
+        headers.append((names.KV_FROM, order.moved_from.encode()))
     if order.after_event is not None:
         headers.append((names.LAST_EVENT_ID, b"%d" % order.after_event))
     return headers
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -16,6 +16,7 @@
 URGENCY: Final = b"sequoiawind-request-urgency"
 KV_SOURCE: Final = b"sequoiawind-kv-source"
 KV_SINK: Final = b"sequoiawind-kv-sink"
+KV_FROM: Final = b"kv-from"
 NOT_EXECUTED: Final = b"sequoiawind-not-executed"
 WEIGHT_VERSIONS: Final = b"sequoiawind-weight-versions"
 LAST_EVENT_ID: Final = b"last-event-id"
@@ -56,7 +57,7 @@
         b"sequoiawind-pin-ms",
         b"sequoiawind-kv-hold",
         b"sequoiawind-kv-backup",
-        b"kv-from",
+        KV_FROM,
     }
 )
 
@@ -65,6 +66,8 @@
 CACHE_EVENTS_TARGET: Final = b"/api/kv-events"
 WAIT_MS: Final = b"wait-ms"
 ORDER_TARGET: Final = b"/api/order"
+MOVE_TARGET: Final = b"/api/kv-move"
+MOVED_TARGET: Final = b"/api/kv-handle/"
 
 # Topics and keys of the store.
 OPERATOR_TOPIC: Final = "keyed.op"
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -91,8 +91,8 @@
     clock: Clock
     random: random.Random
     log: Logger
-    # Called after each change.
-    on_change: Callable[[], None] = attrs.field(default=lambda: None)
+    # Called with a target's name after each change.
+    on_change: Callable[[str], None] = attrs.field(default=lambda name: None)
     # Names of the targets whose agents are being asked.
     watched: set[str] = attrs.field(factory=set)
 
@@ -134,4 +134,4 @@
         watched.number = told.number
         if told.target == name:
             self.fleet.heard(name, told, self.clock.seconds())
-            self.on_change()
+            self.on_change(name)
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -6,6 +6,7 @@
 import attrs
 import structlog
 from expression import Error, Result
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from sequoiawind.blackboard import Blackboard
@@ -17,6 +18,7 @@
     AnswerHead,
     AttemptSink,
     CacheNews,
+    MoveOrder,
     SendOrder,
 )
 from sequoiawind.forward_state import (
@@ -78,6 +80,24 @@
     """Collects what is sent."""
 
     sent: list[Sent] = attrs.field(factory=list)
+    # Moves asked for, and the answers to come.
+    moves: list[MoveOrder] = attrs.field(factory=list)
+    move_answers: list[Deferred[Result[str, Failure]]] = attrs.field(
+        factory=list
+    )
+    dropped: list[str] = attrs.field(factory=list)
+
+    async def move(
+        self, order: MoveOrder, timeout_s: float
+    ) -> Result[str, Failure]:
+        """Collect a move, and wait for the test's answer."""
+        self.moves.append(order)
+        self.move_answers.append(Deferred())
+        return await self.move_answers[-1]
+
+    def drop_move(self, moved_from: str) -> None:
+        """Collect what nobody goes on with."""
+        self.dropped.append(moved_from)
 
     def send(self, order: SendOrder, sink: AttemptSink) -> FakeCall:
         """Collect a request."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
-from sequoiawind.forward_ports import AnswerHead, SendOrder
+from sequoiawind.forward_ports import AnswerHead, MoveOrder, SendOrder
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.http1_server import HttpRequest
 from sequoiawind.options import Address
@@ -315,6 +315,13 @@
         sent = self.sent((b"last-event-id", b"4"), after_event=9)
         self.assertIn(b"last-event-id: 9", sent)
         self.assertNotIn(b"last-event-id: 4", sent)
+        self.assertNotIn(b"kv-from", sent)
+
+    def test_run_that_was_moved(self) -> None:
+        forged = (b"kv-from", b"forged")
+        sent = self.sent(forged, after_event=9, moved_from="ip:1/h")
+        self.assertIn(b"kv-from: ip:1/h\r\n", sent)
+        self.assertNotIn(b"forged", sent)
 
     def test_refusals(self) -> None:
         for status, headers, refused in (
@@ -348,6 +355,57 @@
         """Forget the failure."""
 
 
+class MoveTest(TestCase):
+    """The memory of a run on its way to another target."""
+
+    def move(self, reply: bytes) -> Any:
+        reactor = MemoryReactorClock()
+        client = engine.EngineClient(client=Http1Client(reactor=reactor))
+        order = MoveOrder(
+            request_id="q1",
+            source=target("e1", "llm", address="10.0.0.1:80"),
+            goal=target("e2", "llm", address="10.0.0.2:80"),
+        )
+        results: list[Any] = []
+        asked = client.move(order, 1.0)
+        Deferred.fromCoroutine(asked).addCallback(results.append)
+        peer = accept(reactor)
+        self.request = peer.sent()
+        peer.protocol.dataReceived(reply)
+        return results[0]
+
+    def reply(self, status: int, body: bytes) -> bytes:
+        head = b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n"
+        return head % (status, len(body)) + body
+
+    def test_answers(self) -> None:
+        for status, body, expected in (
+            (200, b'{"handle":"h7","created_rev":3}', "10.0.0.1:80/h7"),
+            (200, b'{"handle":7}', "10.0.0.1:80/7"),
+            (200, b"{}", None),
+            (200, b"torn", None),
+            (404, b"{}", None),
+            (409, b"{}", None),
+            (503, b'{"handle":"h7"}', None),
+        ):
+            moved = self.move(self.reply(status, body))
+            self.assertEqual(expected, moved.ok if moved.is_ok() else None)
+        head, _, sent = self.request.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"POST /api/kv-move HTTP/1.1"))
+        self.assertIn(b"sequoiawind-expect-instance: e1", head.lower())
+        self.assertEqual(
+            {"id": "q1", "to": "10.0.0.2:80", "last": True}, json.loads(sent)
+        )
+
+    def test_dropped(self) -> None:
+        reactor = MemoryReactorClock()
+        engine.EngineClient(client=Http1Client(reactor=reactor)).drop_move(
+            "10.0.0.1:80/h7"
+        )
+        sent = accept(reactor).sent()
+        self.assertTrue(sent.startswith(b"DELETE /api/kv-handle/h7 HTTP/1.1"))
+
+
 class ReportTest(TestCase):
     """A target's report on itself, and orders to it."""
 
