Targets wind down for 0.6 s at most, since streams can move

Cause: with moves, what winding down gains is that fewer streams have to move; 2.0 s and 1.0 s delayed the loads.

--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -33,9 +33,9 @@
 # it is not its turn; the rest is for its queue, its runs and the load.
 LAST_TURN_SHARE: Final = 0.6
 # For how long a target takes short runs only before it loads, in seconds: until
-# its long runs have ended, but no longer than most runs take.
+# its long runs have ended, but no longer, as those that are left can move.
 WIND_DOWN_S: Final = 0.5
-WIND_DOWN_CAP_S: Final = 1.0
+WIND_DOWN_CAP_S: Final = 0.6
 # Events that a run has made when it counts as long: engines make about as many
 # in `WIND_DOWN_S`.
 LONG_RUN_EVENTS: Final = 24
