A target that another has replaced at its address gets no requests

Cause: the entry of a target that crashed stays until it lapses. Ruled out: leaving out entries of other pools at the address, since an entry that names an unknown service may be anybody's; those are answered 421 as before.

--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -4,6 +4,7 @@
 that lives registers again soon after the store's return, and is judged then.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
@@ -138,8 +139,8 @@
         self.judge(now_s)
         views = [
             view
-            for view in self.views.values()
-            if view.target.pool == pool and not is_leaving(view)
+            for view in newest_by_address(self.views.values(), pool)
+            if not is_leaving(view)
         ]
         staying = self.members.without_ejected(
             [view.target for view in views], now_s
@@ -192,6 +193,24 @@
         return max(told, default=0)
 
 
+def newest_by_address(
+    views: Iterable[TargetView], pool: str
+) -> list[TargetView]:
+    """Return a pool's targets without those that another has replaced.
+
+    The entry of a target that crashed stays for a while; one that has started
+    later at the same address shows that it is gone.
+    """
+    newest: dict[str, TargetView] = {}
+    for view in views:
+        if view.target.pool != pool:
+            continue
+        known = newest.get(view.target.address)
+        if known is None or known.target.born_ms < view.target.born_ms:
+            newest[view.target.address] = view
+    return list(newest.values())
+
+
 def is_leaving(view: TargetView) -> bool:
     """Whether a target drains, by its entry or by its agent."""
     if view.target.is_draining:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -46,6 +46,18 @@
         fleet.put(target("t1", born_ms=1, address="old:1"))
         self.assertEqual("new:1", fleet.views["t1"].target.address)
 
+    def test_replaced_at_its_address(self) -> None:
+        # As read after a restart, in any order; the old entry has not lapsed.
+        old = target("t1", address="ip:1", born_ms=1)
+        new = target("t2", address="ip:1", born_ms=2)
+        other = target("t3", "llm", address="ip:1", born_ms=3)
+        for entries in ((old, new, other), (other, new, old)):
+            fleet = Fleet()
+            for entry in entries:
+                fleet.put(entry)
+            usable = fleet.usable("app", 0.0)
+            self.assertEqual(["t2"], [view.target.name for view in usable])
+
     def test_draining_gets_no_work(self) -> None:
         fleet = Fleet()
         fleet.put(target("t1"))
