The soak covers the forwarding: real routers and agents on a modelled platform

Asserted: one run of what must not repeat, no refusal for what ran, no key past its bound, no older configuration, one holder of orders, no cached part or memory of other accounts, weights or runs, whole answers, every end in time, newest weights everywhere at the end.

--- /dev/null
+++ b/sequoiawind/lab/forward_callers.py
@@ -0,0 +1,137 @@
+"""Callers of the soak of forwarding, and what they are told."""
+
+from typing import Final
+
+import attrs
+
+from sequoiawind import invariants
+from sequoiawind.forward_plan import ForwardRequest
+from sequoiawind.forward_state import ForwardKind
+from sequoiawind.headers import Headers
+from sequoiawind.lab.forward_world import event_bytes, events_of
+from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.virtual_clock import VirtualClock
+from sequoiawind.verdict import Failure, Verdict
+
+ISOLATED: Final = "walled"
+KEYS: Final = {
+    "k-a": "open-a",
+    "k-b": "open-b",
+    "k-b2": "open-b",
+    "k-w": ISOLATED,
+    "k-w2": ISOLATED,
+}
+KINDS: Final = {
+    item.name: item
+    for item in (
+        ForwardKind(
+            name="read",
+            repeat="idempotent",
+            max_targets=2,
+            timeout_s=2.0,
+            aim_s=0.3,
+            pause_s=0.4,
+        ),
+        ForwardKind(
+            name="book",
+            repeat="never",
+            max_targets=2,
+            timeout_s=2.0,
+            aim_s=0.3,
+            pause_s=0.4,
+        ),
+        ForwardKind(
+            name="brief",
+            repeat="never",
+            is_stream=True,
+            max_targets=1,
+            timeout_s=4.0,
+            aim_s=0.6,
+            pause_s=0.4,
+        ),
+        ForwardKind(
+            name="draft",
+            repeat="never",
+            is_stream=True,
+            is_resumable=True,
+            max_targets=2,
+            timeout_s=6.0,
+            aim_s=0.4,
+            pause_s=0.4,
+        ),
+    )
+}
+
+
+@attrs.define(kw_only=True, eq=False)
+class ForwardSoakCaller:
+    """One request of a caller, and what it was told."""
+
+    request: ForwardRequest
+    kind: ForwardKind
+    node: Node
+    epoch: int
+    clock: VirtualClock
+    body: bytes = b""
+    status: int = 0
+    failure: Failure | None = None
+    is_whole: bool = False
+    is_broken: bool = False
+    ended_s: float = -1.0
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Take a head."""
+        invariants.check(self.status == 0, "one-head", self.request.request_id)
+        self.status = status
+
+    def send_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.body += data
+
+    def send_end(self) -> None:
+        """Take the end."""
+        self.is_whole = True
+        self.ended()
+
+    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+        """Take a whole answer."""
+        self.send_head(status, headers)
+        self.body = body
+        self.send_end()
+
+    def break_off(self) -> None:
+        """Take the end of an incomplete answer."""
+        self.is_broken = True
+        self.ended()
+
+    def refuse(self, failure: Failure) -> None:
+        """Take a failure."""
+        self.failure = failure
+        self.ended()
+
+    def ended(self) -> None:
+        """Check that there is one end, and that it comes in time."""
+        request = self.request
+        invariants.check(self.ended_s < 0.0, "one-end", request.request_id)
+        self.ended_s = self.clock.seconds()
+
+    def check(self, runs: int) -> None:
+        """Check what the caller was told against what ran."""
+        name, kind = self.request.request_id, self.kind
+        if not kind.may_repeat:
+            invariants.check(runs <= 1, "at-most-once", f"{name}: {runs}")
+        if self.failure and self.failure.verdict is Verdict.NOT_RUN:
+            invariants.check(runs == 0, "not-run-is-not-run", name)
+        if not self.is_whole:
+            return
+        if not kind.is_stream:
+            expected = name.encode()
+        else:
+            numbers = range(1, events_of(name) + 1)
+            expected = b"".join(event_bytes(name, item) for item in numbers)
+        invariants.check(self.body == expected, "whole-answer", name)
+
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller got the answer of a run."""
+        return self.is_whole and self.status == 200
--- /dev/null
+++ b/sequoiawind/lab/forward_mutants.py
@@ -0,0 +1,124 @@
+"""Mutants of the forwarding: one mechanism broken at a time."""
+
+from typing import Any, Final
+
+from sequoiawind import prompt_cache, retries, rollout, target_choice
+from sequoiawind.course import Course
+from sequoiawind.forward_plan import Planner
+from sequoiawind.forwarding import ForwardAttempt, Forwarding
+from sequoiawind.lab import forward_soak
+from sequoiawind.lab.mutants import Mutant
+from sequoiawind.rollout import NamedVersion
+from sequoiawind.stream_move import StreamMove
+from sequoiawind.verdict import Failure
+
+
+def salt_without_account(
+    account: str, model: str, version: int, is_isolated: bool
+) -> str:
+    """Share cached parts among all accounts."""
+    return prompt_cache.cache_salt("", model, version, False)
+
+
+def salt_without_version(
+    account: str, model: str, version: int, is_isolated: bool
+) -> str:
+    """Share cached parts among versions."""
+    return prompt_cache.cache_salt(account, model, 0, is_isolated)
+
+
+def always_not_run(self: Course, failure: Failure) -> Failure:
+    """Tell only the verdict of the last attempt."""
+    return failure
+
+
+def no_deadline(self: Course, left_s: float) -> None:
+    """Let requests take as long as they like."""
+
+
+def failed_is_done(self: ForwardAttempt, failure: Failure) -> None:
+    """Take a broken answer for a whole one."""
+    self.done()
+
+
+def pass_all_events(
+    self: Forwarding, attempt: ForwardAttempt, data: bytes, event: int | None
+) -> None:
+    """Pass on what the caller has already, and resume from the beginning."""
+    if self.is_finished or attempt.answer is None:
+        return
+    self.pass_head(attempt.answer)
+    self.caller.send_data(data)
+
+
+def all_versions(has: int | None, named: Any) -> list[NamedVersion]:
+    """Order what the target has already."""
+    return list(named)
+
+
+def foreign_memory(self: StreamMove) -> None:
+    """Go on with whatever memory of a run lies at the goal."""
+    self.attempt.cancel()
+    self.attempt.move = None
+    port: Any = self.forwarding.forwarder.port
+    goal = port.world.targets[self.goal.view.target.name]
+    moved_from = next(iter(goal.memories), self.moved_from)
+    self.forwarding.go_on_at(self.goal, moved_from)
+
+
+MUTANTS: Final = tuple(
+    Mutant(
+        name=name,
+        owner=owner,
+        attribute=attribute,
+        replacement=replacement,
+        run_seed=forward_soak.run_seed,
+    )
+    for name, owner, attribute, replacement in (
+        (
+            "keys are trusted for ever",
+            Planner,
+            "trusts_keys",
+            property(lambda self: True),
+        ),
+        (
+            "salts have no account",
+            target_choice,
+            "cache_salt",
+            salt_without_account,
+        ),
+        (
+            "salts have no version",
+            target_choice,
+            "cache_salt",
+            salt_without_version,
+        ),
+        (
+            "forwarded requests that may have run are sent again",
+            retries,
+            "may_retry",
+            lambda failure, is_idempotent: True,
+        ),
+        (
+            "a refusal speaks of the last attempt only",
+            Course,
+            "covering",
+            always_not_run,
+        ),
+        ("requests have no deadline", Course, "start_deadline", no_deadline),
+        ("a broken answer is whole", ForwardAttempt, "failed", failed_is_done),
+        (
+            "events are passed on twice",
+            Forwarding,
+            "take_event",
+            pass_all_events,
+        ),
+        ("weights are ordered again", rollout, "lacking", all_versions),
+        (
+            "a run goes on from any memory",
+            StreamMove,
+            "settle_moved",
+            foreign_memory,
+        ),
+    )
+)
--- /dev/null
+++ b/sequoiawind/lab/forward_nodes.py
@@ -0,0 +1,261 @@
+"""Processes of the soak of forwarding: real decisions, transports in memory."""
+
+import random
+from typing import Any, Final, cast
+
+import attrs
+import structlog
+from expression import Ok, Result
+from twisted.internet.defer import Deferred
+
+from sequoiawind import timing
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_agent import ForwardAgent
+from sequoiawind.forward_plan import Planner
+from sequoiawind.forward_readers import (
+    OperatorCodec,
+    OperatorReader,
+    TargetReader,
+)
+from sequoiawind.forward_state import ForwardState
+from sequoiawind.forwarder import Forwarder
+from sequoiawind.freshness import Freshness
+from sequoiawind.lab.forward_world import (
+    MODEL,
+    StorePort,
+    TargetPorts,
+    World,
+)
+from sequoiawind.lab.memory_network import Node, NodeClock
+from sequoiawind.record_follower import RecordFollower, RecordReader
+from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.rollout import NamedVersion
+from sequoiawind.status_watcher import (
+    STATUS_WAIT_S,
+    AgentClient,
+    StatusWatcher,
+)
+from sequoiawind.wire import TargetStatus
+
+WEIGHTS_S: Final = 6.0
+STATUS_POLL_S: Final = 0.04
+
+
+@attrs.define(kw_only=True, eq=False)
+class ModelAgents:
+    """One process's way to the agents, for routers and for agents."""
+
+    processes: "Processes"
+    node: Node
+    clock: NodeClock
+
+    async def status(
+        self, address: str, after: int = -1
+    ) -> TargetStatus | None:
+        """Return the status of the target at an address."""
+        ends_s = self.clock.seconds() + STATUS_WAIT_S
+        while True:
+            await timing.sleep(self.clock, STATUS_POLL_S)
+            made = self.processes.agents.get(address)
+            if made is None or not made.node.is_up or made.node.is_paused:
+                return None
+            agent = made.agent
+            if self.node.name.startswith("r"):
+                agent.heard_from(self.node.name)
+            is_over = self.clock.seconds() >= ends_s
+            if agent.status.number > after or is_over:
+                return agent.status
+
+
+@attrs.define(kw_only=True, eq=False)
+class SoakRouter:
+    """A router process."""
+
+    node: Node
+    clock: NodeClock
+    board: Blackboard
+    fleet: Fleet
+    forwarder: Forwarder
+    # The newest configuration that was seen in force there; -1 for none.
+    revision: int = -1
+
+
+@attrs.define(kw_only=True, eq=False)
+class SoakAgent:
+    """An agent process."""
+
+    node: Node
+    agent: ForwardAgent
+
+
+@attrs.define(kw_only=True, eq=False)
+class Processes:
+    """The routers and agents of one run."""
+
+    world: World
+    source: random.Random
+    log: Any = attrs.field(init=False)
+    routers: dict[str, SoakRouter] = attrs.field(factory=dict)
+    agents: dict[str, SoakAgent] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Make a log that nobody reads."""
+        self.log = structlog.wrap_logger(structlog.PrintLogger(file=NOWHERE))
+
+    def follow(
+        self, node: Node, topic: str, reader: RecordReader, wait_s: float
+    ) -> None:
+        """Keep a reader of a process up to date."""
+        clock = NodeClock(clock=self.world.clock, node=node)
+        follower = RecordFollower(
+            topic=topic,
+            port=StorePort(world=self.world, node=node.name, clock=clock),
+            reader=reader,
+            clock=clock,
+            random=self.source,
+            wait_s=wait_s,
+            age_clock=self.world.clock.seconds,
+            log=self.log,
+        )
+        Deferred.fromCoroutine(follower.run())
+
+    def codec(self) -> OperatorCodec:
+        """Return how records stand for objects."""
+        return OperatorCodec(
+            config_key="config",
+            weights_prefix="weights/",
+            config=lambda data: cast(ForwardState, self.object(data)),
+            weights=lambda data: NamedWeights(
+                version=cast(NamedVersion, self.object(data)).version
+            ),
+        )
+
+    def object(self, data: bytes) -> object:
+        """Return what a record stands for."""
+        return self.world.objects[int(data)]
+
+    def decode_target(self, name: str, data: bytes) -> Result[Any, str]:
+        """Return the entry that a record stands for."""
+        return Ok(self.object(data))
+
+    def start_router(self, node: Node) -> None:
+        """Start a router process."""
+        clock = NodeClock(clock=self.world.clock, node=node)
+        board, fleet = Blackboard(), Fleet()
+        freshness = Freshness(
+            revoke_s=self.world.revoke_s,
+            in_force_s=2.0,
+            now=self.world.clock.seconds,
+        )
+        port = TargetPorts(world=self.world, node=node)
+        forwarder = Forwarder(
+            board=board,
+            fleet=fleet,
+            planner=Planner(
+                board=board, freshness=freshness, random=self.source
+            ),
+            port=port,
+            caches=CacheWatcher(
+                port=port, clock=clock, random=self.source, log=self.log
+            ),
+            clock=clock,
+            window=RepeatWindow(ratio=0.2, allowance=60.0, window_s=10.0),
+            random=self.source,
+            domain="d1",
+            weights_s=WEIGHTS_S,
+            settle_s=3.0,
+        )
+        router = SoakRouter(
+            node=node,
+            clock=clock,
+            board=board,
+            fleet=fleet,
+            forwarder=forwarder,
+        )
+        self.routers[node.name] = router
+        agents = ModelAgents(processes=self, node=node, clock=clock)
+        watcher = StatusWatcher(
+            fleet=fleet,
+            agents=cast(AgentClient, agents),
+            clock=clock,
+            random=self.source,
+            log=self.log,
+            on_change=forwarder.status_changed,
+        )
+        operator = OperatorReader(
+            board=board,
+            codec=self.codec(),
+            log=self.log,
+            freshness=freshness,
+            on_weights=forwarder.weights_named,
+        )
+
+        def changed() -> None:
+            watcher.follow()
+            forwarder.serve_waiting()
+
+        targets = TargetReader(
+            fleet=fleet,
+            decode=self.decode_target,
+            clock=clock,
+            log=self.log,
+            on_change=changed,
+            on_incarnation=forwarder.incarnation_began,
+        )
+        self.follow(node, "operator", operator, 1.1)
+        self.follow(node, "targets", targets, 1.4)
+
+    def start_agent(self, address: str) -> None:
+        """Start the agent beside a target."""
+        old = self.agents.get(address)
+        node = old.node if old else Node(name=f"agent-{address}")
+        clock = NodeClock(clock=self.world.clock, node=node)
+        fleet = Fleet()
+        first = next(iter(self.world.targets.values()))
+        agent = ForwardAgent(
+            address=address,
+            holder=node.name,
+            port=first,
+            clock=clock,
+            fleet=fleet,
+            log=self.log,
+            weights_s=WEIGHTS_S,
+            peers=ModelAgents(processes=self, node=node, clock=clock),
+        )
+        self.agents[address] = SoakAgent(node=node, agent=agent)
+        operator = OperatorReader(
+            board=Blackboard(),
+            codec=self.codec(),
+            log=self.log,
+            on_weights=agent.weights_named,
+        )
+        targets = TargetReader(
+            fleet=fleet, decode=self.decode_target, clock=clock, log=self.log
+        )
+        self.follow(node, "operator", operator, 3.0)
+        self.follow(node, "targets", targets, 8.0)
+        Deferred.fromCoroutine(agent.run())
+
+
+@attrs.frozen(kw_only=True)
+class NamedWeights:
+    """Newly named weights, as their record tells."""
+
+    version: int
+    model: str = MODEL
+
+
+class Nowhere:
+    """A file that keeps nothing."""
+
+    def write(self, text: str) -> int:
+        """Forget a text."""
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing."""
+
+
+NOWHERE: Final[Any] = Nowhere()
--- /dev/null
+++ b/sequoiawind/lab/forward_soak.py
@@ -0,0 +1,314 @@
+"""A random run of the forwarding routers and agents under faults.
+
+The decision code and the controllers are the real ones; the platform is
+`forward_world`.  Promises are asserted there, and here against what callers
+were told.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from sequoiawind import invariants
+from sequoiawind.forward_plan import ForwardRequest
+from sequoiawind.forward_state import (
+    ForwardAccount,
+    ForwardPool,
+    ForwardRoute,
+    ForwardState,
+    ForwardTarget,
+)
+from sequoiawind.forwarding import Forwarding
+from sequoiawind.lab.forward_callers import (
+    ISOLATED,
+    KEYS,
+    KINDS,
+    ForwardSoakCaller,
+)
+from sequoiawind.lab.forward_faults import ForwardFaults
+from sequoiawind.lab.forward_nodes import Processes
+from sequoiawind.lab.forward_world import (
+    KEEPER,
+    MODEL,
+    ModelTarget,
+    World,
+)
+from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.virtual_clock import VirtualClock
+from sequoiawind.prompt_cache import Prompt, PromptPart
+from sequoiawind.rollout import NamedVersion
+from sequoiawind.tokens import token_digest
+
+ROUTERS: Final = 3
+ENGINES: Final = 4
+FAULTY_S: Final = 30.0
+SETTLE_S: Final = 15.0
+REQUESTS_PER_S: Final = 14.0
+FAULTS_PER_S: Final = 0.6
+REVOKE_S: Final = 5.0
+# Answers may be that late, in seconds: a few turns of the event loop.
+LATE_S: Final = 0.05
+
+
+@attrs.define(kw_only=True, eq=False)
+class ForwardSoak:
+    """One run."""
+
+    seed: int
+    clock: VirtualClock = attrs.field(factory=VirtualClock)
+    source: random.Random = attrs.field(init=False)
+    world: World = attrs.field(init=False)
+    processes: Processes = attrs.field(init=False)
+    callers: list[ForwardSoakCaller] = attrs.field(factory=list)
+    keys: set[str] = attrs.field(factory=lambda: set(KEYS))
+    revision: int = 0
+    # Weights in the order in which they were named.
+    named: list[NamedVersion] = attrs.field(factory=list)
+    made: int = 0
+    faults: ForwardFaults = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the platform and the processes."""
+        self.source = random.Random(f"forward-soak-{self.seed}")
+        self.world = World(
+            clock=self.clock,
+            random=self.source,
+            revoke_s=REVOKE_S,
+            isolated=frozenset({ISOLATED}),
+        )
+        self.processes = Processes(world=self.world, source=self.source)
+        self.faults = ForwardFaults(soak=self)
+        self.write_config()
+        for number in range(ENGINES):
+            self.add_target(f"e{number}", "llm", f"e{number}:1")
+            self.processes.start_agent(f"e{number}:1")
+        for number in range(2):
+            self.add_target(f"p{number}", "app", f"p{number}:1")
+        for number in range(ROUTERS):
+            self.processes.start_router(Node(name=f"r{number}"))
+
+    def run(self) -> list[str]:
+        """Run, and return the violations found."""
+        invariants.violations.clear()
+        try:
+            self.clock.advance_to(2.0)
+            self.repeat(REQUESTS_PER_S, self.send_request)
+            self.repeat(FAULTS_PER_S, self.faults.inject)
+            self.repeat(10.0, self.check_revisions)
+            self.clock.advance_to(FAULTY_S)
+            self.faults.heal()
+            self.clock.advance_to(FAULTY_S + SETTLE_S)
+            self.check_end()
+        except invariants.InvariantError:
+            # Remembered by `invariants`.
+            pass
+        return list(invariants.violations)
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """What the run did."""
+        told = {
+            "forwarded": len(self.callers),
+            "forward_served": sum(item.is_served for item in self.callers),
+        }
+        return {**self.world.counts, **told}
+
+    def repeat(self, rate: float, action: Callable[[], None]) -> None:
+        """Do something at random times for the whole run."""
+
+        def act() -> None:
+            action()
+            self.clock.callLater(self.source.expovariate(rate), act)
+
+        self.clock.callLater(self.source.expovariate(rate), act)
+
+    # The platform.
+
+    def write_config(self) -> None:
+        """Write a configuration with the keys that hold now."""
+        self.revision += self.source.randrange(1, 4)
+        accounts = {
+            key: ForwardAccount(
+                name=KEYS[key],
+                token_digest=token_digest(key),
+                is_isolated=KEYS[key] == ISOLATED,
+            )
+            for key in sorted(self.keys)
+        }
+        routes = {
+            name: ForwardRoute(
+                name=name,
+                host="h",
+                path=f"/{name}/",
+                kind=name,
+                pool="llm" if kind.is_stream else "app",
+            )
+            for name, kind in KINDS.items()
+        }
+        pools = {
+            "app": ForwardPool(name="app", service="plain"),
+            "llm": ForwardPool(
+                name="llm",
+                models=(MODEL,),
+                memory_tokens=100_000,
+                has_moves=True,
+            ),
+            "kept": ForwardPool(name="kept", keeper=KEEPER),
+        }
+        state = ForwardState(
+            revision=self.revision,
+            accounts=accounts,
+            kinds=dict(KINDS),
+            routes=routes,
+            pools=pools,
+        )
+        self.world.write("operator", "config", state)
+
+    def name_weights(self) -> None:
+        """Name newer weights."""
+        version = self.named[-1].version + 1 if self.named else 2
+        now_s = self.clock.seconds()
+        self.named.append(NamedVersion(version=version, named_s=now_s))
+        self.world.write("operator", "weights/m", self.named[-1])
+
+    def add_target(self, name: str, pool: str, address: str) -> None:
+        """Start a target and register it."""
+        self.made += 1
+        entry = ForwardTarget(
+            name=name,
+            pool=pool,
+            address=address,
+            born_ms=self.made,
+            slots=8,
+            versions={MODEL: self.newest} if pool == "llm" else {},
+        )
+        self.world.targets[name] = ModelTarget(
+            world=self.world, entry=entry, version=self.newest
+        )
+        self.world.write("targets", name, entry)
+
+    @property
+    def newest(self) -> int:
+        """The newest weights."""
+        return self.named[-1].version if self.named else 1
+
+    # Callers.
+
+    def send_request(self) -> None:
+        """Send a request to a router that is up."""
+        up = [
+            item for item in self.processes.routers.values() if item.node.is_up
+        ]
+        if not up:
+            return
+        router = self.source.choice(up)
+        name = self.source.choice(("read", "book", "brief", "draft", "draft"))
+        request = self.make_request(name)
+        caller = ForwardSoakCaller(
+            request=request,
+            kind=KINDS[name],
+            node=router.node,
+            epoch=router.node.epoch,
+            clock=self.clock,
+        )
+        self.callers.append(caller)
+
+        def arrive() -> None:
+            made = router.forwarder.submit(request, caller)
+            if made is not None and self.source.random() < 0.05:
+                later_s = self.source.uniform(0.0, 0.5)
+                router.clock.callLater(later_s, self.leave, made, caller)
+
+        router.node.run(router.node.epoch, arrive)
+
+    def leave(self, made: Forwarding, caller: ForwardSoakCaller) -> None:
+        """Let a caller go away."""
+        if not made.is_finished:
+            made.caller_gone()
+            caller.is_broken = True
+            caller.ended()
+
+    def make_request(self, name: str) -> ForwardRequest:
+        """Return a request with a key of some account."""
+        number = len(self.callers)
+        shared = f"shared{self.source.randrange(4)}"
+        prompt = Prompt(
+            model=MODEL,
+            tokens=3_000,
+            max_tokens=200,
+            expected_tokens=self.source.choice((10, 150)),
+            parts=(
+                PromptPart(id="root", tokens=1_000),
+                PromptPart(id=shared, tokens=1_500),
+                PromptPart(id=f"own{number}", tokens=500),
+            ),
+        )
+        return ForwardRequest(
+            request_id=f"q{number}",
+            host="h",
+            path=f"/{name}/x",
+            method=b"POST",
+            target=f"/{name}/x".encode(),
+            headers=[],
+            body=b"",
+            key=self.source.choice(sorted(KEYS)),
+            arrived_s=self.clock.seconds(),
+            deadline_s=KINDS[name].timeout_s,
+            prompt=prompt if KINDS[name].is_stream else None,
+        )
+
+    # Checks.
+
+    def check_revisions(self) -> None:
+        """No process goes back to an older configuration."""
+        for router in self.processes.routers.values():
+            revision = router.board.state.revision
+            invariants.revision_forward(router.revision, revision)
+            router.revision = revision
+
+    def check_end(self) -> None:
+        """Check what callers were told, and that all is well again."""
+        for caller in self.callers:
+            caller.check(self.world.runs[caller.request.request_id])
+            self.check_ended(caller)
+        for target in self.world.targets.values():
+            is_current = target.version == self.newest
+            is_engine = target.is_up and target.entry.pool == "llm"
+            invariants.check(
+                is_current or not is_engine,
+                "weights-arrive",
+                f"{target.entry.name} has {target.version} of {self.newest}",
+            )
+        since_s = FAULTY_S + SETTLE_S / 2
+        last = [
+            caller
+            for caller in self.callers
+            if since_s <= caller.request.arrived_s <= since_s + 3.0
+            and caller.request.key in self.keys
+        ]
+        served = sum(item.is_served or item.is_broken for item in last)
+        invariants.check(
+            served >= 0.95 * len(last), "recovers", f"{served} of {len(last)}"
+        )
+
+    def check_ended(self, caller: ForwardSoakCaller) -> None:
+        """A process that lives gives every request its end in time."""
+        request, node = caller.request, caller.node
+        limit_s = request.arrived_s + caller.kind.timeout_s + LATE_S
+        if limit_s > self.clock.seconds() or node.epoch != caller.epoch:
+            return
+        if self.faults.was_paused(node.name, request.arrived_s, limit_s):
+            return
+        invariants.check(
+            0.0 <= caller.ended_s <= limit_s,
+            "final-answer",
+            f"{request.request_id} at {caller.ended_s}, due {limit_s}",
+        )
+
+
+def run_seed(seed: int) -> tuple[list[str], dict[str, int]]:
+    """Run one seed; return its violations and counts."""
+    soak = ForwardSoak(seed=seed)
+    return soak.run(), soak.counts
--- a/sequoiawind/lab/load_main.py
+++ b/sequoiawind/lab/load_main.py
@@ -11,6 +11,8 @@
 from sequoiawind import command_line, event_loop, http_client
 from sequoiawind.lab import (
     experiment_report,
+    forward_mutants,
+    forward_soak,
     http_bench,
     mutants,
     slopes,
@@ -96,6 +98,9 @@
     red = 0
     for seed in range(args.seed, args.seed + args.seeds):
         violations, counts = soak.run_seed(seed)
+        forward_violations, forward_counts = forward_soak.run_seed(seed)
+        violations = violations + forward_violations
+        counts = {**counts, **forward_counts}
         done = ", ".join(f"{key} {counts[key]}" for key in sorted(counts))
         print(f"seed {seed}: {len(violations)} violations; {done}")
         for violation in violations:
@@ -107,7 +112,7 @@
 def run_mutants() -> int:
     """Break one mechanism at a time; each must be found."""
     missed = 0
-    for mutant in mutants.MUTANTS:
+    for mutant in (*mutants.MUTANTS, *forward_mutants.MUTANTS):
         seed, violation = mutants.hunt(mutant)
         if seed < 0:
             missed += 1
--- a/sequoiawind/lab/mutants.py
+++ b/sequoiawind/lab/mutants.py
@@ -43,6 +43,8 @@
     owner: Any
     attribute: str
     replacement: Any
+    # The soak that has to find it.
+    run_seed: Callable[[int], tuple[list[str], dict[str, int]]] = soak.run_seed
 
     @contextmanager
     def applied(self) -> Iterator[None]:
@@ -243,7 +245,7 @@
     """
     with mutant.applied():
         for seed in range(MAX_SEEDS):
-            violations, _ = soak.run_seed(seed)
+            violations, _ = mutant.run_seed(seed)
             if violations:
                 return seed, violations[0]
     return -1, ""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from sequoiawind.lab import soak
+from sequoiawind.lab import forward_mutants, forward_soak, mutants, soak
 
 
 class SoakTest(TestCase):
@@ -13,3 +13,23 @@
             violations, counts = soak.run_seed(seed)
             self.assertEqual([], violations, f"seed {seed}")
             self.assertTrue(counts["told_done"] > 50, counts)
+
+    def test_forwarding_seeds(self) -> None:
+        moved = 0
+        for seed in range(5):
+            violations, counts = forward_soak.run_seed(seed)
+            self.assertEqual([], violations, f"seed {seed}")
+            self.assertTrue(counts["forward_served"] > 100, counts)
+            moved += counts.get("runs moved", 0)
+        self.assertTrue(moved > 10, moved)
+
+    def test_forwarding_mutant_is_found(self) -> None:
+        # All of them: `make mutants`.
+        (salts,) = [
+            mutant
+            for mutant in forward_mutants.MUTANTS
+            if mutant.name == "salts have no version"
+        ]
+        seed, violation = mutants.hunt(salts)
+        self.assertTrue(seed >= 0)
+        self.assertIn("cache-version", violation)
