--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -34,10 +34,23 @@
 from sequoiawind.headers import Headers
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.rollout import TargetReport
 from sequoiawind.tokens import token_digest
 from sequoiawind.verdict import Failure, Reason, not_run
 
 KEY = "key-of-a"
+# What an idle target reports.
+REPORT = TargetReport(
+    versions={"m": 1},
+    is_busy=False,
+    orders=0,
+    waiting=0,
+    running=0,
+    runs=(),
+    used_tokens=0,
+    is_draining=False,
+    born_ms=1,
+)
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,11 +22,11 @@
     RecordsLost,
 )
 from sequoiawind.repeat_window import RepeatWindow
-from sequoiawind.rollout import NamedVersion, Progress, TargetReport
+from sequoiawind.rollout import NamedVersion, Progress
 from sequoiawind.target_choice import Keeper, PromptChooser, choose_call
 from sequoiawind.verdict import Reason, may_have_run
 from sequoiawind.wire import TargetStatus
-from tests.forward_rig import target
+from tests.forward_rig import REPORT, target
 
 
 class IncarnationTest(TestCase):
@@ -266,17 +266,6 @@
             self.assertEqual(reading, report.reading)
 
 
-REPORT = TargetReport(
-    versions={},
-    is_busy=False,
-    orders=0,
-    waiting=0,
-    running=0,
-    runs=(),
-    used_tokens=0,
-    is_draining=False,
-    born_ms=1,
-)
 PROMPT = Prompt(
     model="m",
     tokens=3_000,
--- a/tests/test_forward_agent.py
+++ b/tests/test_forward_agent.py
@@ -15,7 +15,7 @@
 from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
 from sequoiawind.verdict import Failure, Reason, may_have_run
 from sequoiawind.wire import TargetStatus
-from tests.forward_rig import target
+from tests.forward_rig import REPORT, target
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -53,19 +53,6 @@
         return Ok(OrderOutcome.ACCEPTED)
 
 
-REPORT = TargetReport(
-    versions={"m": 1},
-    is_busy=False,
-    orders=0,
-    waiting=0,
-    running=0,
-    runs=(),
-    used_tokens=0,
-    is_draining=False,
-    born_ms=1,
-)
-
-
 @attrs.define(kw_only=True, eq=False)
 class FakePeers:
     """The agents of other targets."""
