--- a/sequoiawind/cache_watcher.py
+++ b/sequoiawind/cache_watcher.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -14,6 +15,7 @@
 from twisted.internet.defer import Deferred
 
 from sequoiawind import supervise, timing
+from sequoiawind.feed_cover import FeedCover
 from sequoiawind.forward_ports import CacheChanges, CachePort
 from sequoiawind.ports import Clock
 from sequoiawind.prompt_cache import HeldParts, PartIndex
@@ -39,14 +41,18 @@
 class WatchedCache:
     """A cache, the parts it holds, and how far its changes have been read."""
 
+    # Empty if the cache is only known from a relay.
     address: str
     held: HeldParts
     # Changes when the cache restarts; None before the first response.
     epoch: int | None = None
     # Number of the next change to read.
     next_number: int = 0
-    # Whether the last request got a response, if only that it is busy.
+    # Whether the last request got a response, if only that it is busy; or
+    # whether a relay says so.
     is_alive: bool = False
+    # Generation of the parts that a relay tells of; None if none does.
+    generation: int | None = None
 
     def apply(self, update: CacheChanges) -> None:
         """Apply changes; after a restart or a gap, clear the parts first."""
@@ -70,19 +76,32 @@
     caches: dict[str, WatchedCache] = attrs.field(factory=dict)
     # Holders of each part over all caches.
     index: PartIndex = attrs.field(factory=PartIndex)
+    # While it is given, a relay tells of the caches.
+    cover: FeedCover | None = None
+    # Whether the target with a name wants no requests now.
+    is_paused: Callable[[str], bool] = attrs.field(default=lambda name: False)
 
     def watch(self, name: str, address: str, capacity_tokens: int) -> None:
         """Start watching a cache unless it is watched already."""
-        if name in self.caches:
+        known = self.caches.get(name)
+        if known is not None and known.address:
             return
-        cache = WatchedCache(
+        if known is None:
+            known = self.add(name, address, capacity_tokens)
+        known.address = address
+        Deferred.fromCoroutine(self.follow(name, known))
+
+    def add(
+        self, name: str, address: str, capacity_tokens: int
+    ) -> WatchedCache:
+        """Add a cache and return it."""
+        cache = self.caches[name] = WatchedCache(
             address=address,
             held=HeldParts(
                 capacity_tokens=capacity_tokens, name=name, index=self.index
             ),
         )
-        self.caches[name] = cache
-        Deferred.fromCoroutine(self.follow(name, cache))
+        return cache
 
     def forget(self, name: str) -> None:
         """Stop watching a cache."""
@@ -90,6 +109,34 @@
         if cache is not None:
             cache.held.clear()
 
+    def clear(self) -> None:
+        """Drop what is known of all caches."""
+        for cache in self.caches.values():
+            cache.held.clear()
+
+    def set_generation(
+        self, name: str, capacity_tokens: int, generation: int, is_alive: bool
+    ) -> None:
+        """Record a cache's generation; a new one begins with no parts."""
+        if name not in self.caches:
+            self.add(name, "", capacity_tokens)
+        cache = self.caches[name]
+        if cache.generation != generation:
+            cache.held.clear()
+            cache.generation = generation
+        cache.is_alive = is_alive
+
+    def part_changed(
+        self, name: str, generation: int, salt: str, part: str, tokens: int
+    ) -> None:
+        """Record how many tokens of a part a cache holds now.
+
+        Parts of another generation than the cache's are ignored.
+        """
+        cache = self.caches.get(name)
+        if cache is not None and cache.generation == generation:
+            cache.held.changed(salt, part, tokens)
+
     async def follow(self, name: str, cache: WatchedCache) -> None:
         """Poll one cache until it is forgotten."""
 
@@ -101,6 +148,14 @@
 
     async def poll(self, name: str, cache: WatchedCache) -> None:
         """Poll a cache once, and pause."""
+        if self.cover is not None and self.cover.is_given():
+            cache.epoch, cache.next_number = None, 0
+            await self.cover.wait_until_lost()
+            return
+        if self.is_paused(name):
+            await timing.sleep(self.clock, RETRY_S)
+            return
+        cache.generation = None
         result = await self.port.cache_changes(
             cache.address, cache.next_number, WAIT_S, WAIT_S + RESPONSE_MARGIN_S
         )
--- /dev/null
+++ b/sequoiawind/feed_client.py
@@ -0,0 +1,195 @@
+"""Reads the feed of another process: from a relay, or from a single agent."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Final, Protocol
+from urllib.parse import urlencode
+
+import attrs
+import structlog
+
+from sequoiawind import feed_messages, supervise, timing
+from sequoiawind.feed_messages import FEED_PATH, FeedReply
+from sequoiawind.feed_table import Level
+from sequoiawind.http1_client import Http1Client, OutgoingRequest, fetch
+from sequoiawind.ports import Clock
+from sequoiawind.wire import WireError
+
+Logger = structlog.typing.FilteringBoundLogger
+
+# How long a process may hold a request until something changes, in seconds.
+HOLD_S: Final = 0.5
+# Time allowed for a response, in seconds, in addition to that.
+RESPONSE_MARGIN_S: Final = 0.35
+# How long a process that did not answer is avoided, in seconds.
+AVOID_S: Final = 3.0
+# Pause when no process answers, in seconds, and its jitter as a share.
+RETRY_S: Final = 0.25
+RETRY_JITTER: Final = 0.5
+# Age of the last reply after which the feed counts as lost, in seconds.
+LIVE_S: Final = 1.2
+
+
+@attrs.frozen(kw_only=True)
+class FeedQuery:
+    """What a reader asks for."""
+
+    # Name of the reader, and whether it is a router.
+    reader: str
+    is_router: bool
+    run: int
+    after: int
+    level: Level
+    # Whether only the store's records are wanted.
+    is_records_only: bool = False
+
+
+class FeedPort(Protocol):
+    """Sends requests for the feed."""
+
+    async def read(
+        self, address: str, query: FeedQuery, timeout_s: float
+    ) -> FeedReply | None:
+        """Return the reply; None if there was no valid one in time."""
+
+
+@attrs.define(kw_only=True)
+class HttpFeedPort:
+    """Reads feeds over HTTP."""
+
+    client: Http1Client
+    log: Logger
+
+    async def read(
+        self, address: str, query: FeedQuery, timeout_s: float
+    ) -> FeedReply | None:
+        """Return the reply; None if there was no valid one in time."""
+        arguments = urlencode(
+            {
+                "reader": query.reader,
+                "router": int(query.is_router),
+                "run": query.run,
+                "after": query.after,
+                "level": int(query.level),
+                "records": int(query.is_records_only),
+            }
+        )
+        request = OutgoingRequest(
+            method=b"GET",
+            request_target=FEED_PATH + b"?" + arguments.encode(),
+            headers=[(b"host", address.encode())],
+        )
+        result = await fetch(self.client, address, request, timeout_s)
+        if result.is_error() or result.ok.status != 200:
+            return None
+        try:
+            return feed_messages.decode(result.ok.body)
+        except WireError as error:
+            self.log.warning(
+                "cannot decode feed", agent=address, error=str(error)
+            )
+            return None
+
+
+@attrs.define(kw_only=True)
+class FeedClient:
+    """Controller that reads one feed from the first process that answers."""
+
+    reader: str
+    is_router: bool = False
+    level: Level
+    is_records_only: bool = False
+    # Returns the addresses to read from, preferred ones first.
+    candidates: Callable[[], Sequence[str]]
+    port: FeedPort
+    clock: Clock
+    # Clock for the age of what the replies say; it counts suspensions.
+    age_clock: Callable[[], float]
+    random: random.Random
+    log: Logger
+    # Called with each reply and the time at which its request was sent, in
+    # seconds of `age_clock`.
+    on_reply: Callable[[FeedReply, float], None]
+    # Address of the last reply; empty if the last request failed.
+    address: str = ""
+    run_id: int = 0
+    after: int = -1
+    # Time of the last reply, in seconds of the clock.
+    replied_s: float = float("-inf")
+    # Times until which addresses are avoided, in seconds of the clock.
+    avoided_until_s: dict[str, float] = attrs.field(factory=dict)
+    is_stopped: bool = False
+
+    @property
+    def is_live(self) -> bool:
+        """Whether a reply has arrived within the last `LIVE_S`."""
+        return self.clock.seconds() - self.replied_s < LIVE_S
+
+    async def run(self) -> None:
+        """Read until the client is stopped."""
+        await supervise.repeat(self.step, "feed", self.clock, self.log)
+
+    def stop(self) -> None:
+        """Stop after the request in progress."""
+        self.is_stopped = True
+
+    def choose(self) -> str:
+        """Return the address to read from next; empty if there is none."""
+        now_s = self.clock.seconds()
+        for address in self.candidates():
+            if self.avoided_until_s.get(address, now_s) <= now_s:
+                return address
+        return ""
+
+    async def step(self) -> bool:
+        """Read once; return False once the client is stopped."""
+        address = self.choose()
+        if not address:
+            self.lose("no process to read from")
+            pause_s = timing.jittered(RETRY_S, RETRY_JITTER, self.random)
+            await timing.sleep(self.clock, pause_s)
+            return not self.is_stopped
+        if address != self.address:
+            self.after = -1
+        query = FeedQuery(
+            reader=self.reader,
+            is_router=self.is_router,
+            run=self.run_id,
+            after=self.after,
+            level=self.level,
+            is_records_only=self.is_records_only,
+        )
+        sent_s = self.age_clock()
+        reply = await self.port.read(address, query, HOLD_S + RESPONSE_MARGIN_S)
+        if self.is_stopped:
+            return False
+        if reply is None:
+            self.avoided_until_s[address] = self.clock.seconds() + AVOID_S
+            self.lose(f"{address} did not answer")
+            return True
+        self.take(address, reply, sent_s)
+        return True
+
+    def take(self, address: str, reply: FeedReply, sent_s: float) -> None:
+        """Pass on a reply and continue after it."""
+        if address != self.address:
+            self.log.info(
+                "feed reached",
+                agent=address,
+                relay=reply.relay,
+                level=self.level.name.lower(),
+                is_whole=reply.is_whole,
+                operator_age_s=round(reply.operator_age_s, 3),
+            )
+        self.address = address
+        self.run_id, self.after = reply.run, reply.number
+        self.replied_s = self.clock.seconds()
+        self.on_reply(reply, sent_s)
+
+    def lose(self, detail: str) -> None:
+        """Record that the last request failed."""
+        if self.address:
+            self.log.warning(
+                "feed lost", level=self.level.name.lower(), detail=detail
+            )
+        self.address = ""
--- /dev/null
+++ b/sequoiawind/feed_reader.py
@@ -0,0 +1,115 @@
+"""Applies what a relay tells a router about the fleet."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import attrs
+
+from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.feed_messages import FeedReply, RecordItem
+from sequoiawind.feed_table import Topic
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_readers import OperatorReader, TargetReader
+from sequoiawind.freshness import suspended_clock_s
+from sequoiawind.ports import Clock
+from sequoiawind.record_ports import KeyedRecord
+
+# Age of the targets' entries at a relay, in seconds, up to which a target that
+# it does not have is taken as removed.
+WHOLE_TARGETS_AGE_S: Final = 3.0
+
+
+@attrs.define(kw_only=True)
+class FeedReader:
+    """Passes the parts of each reply to the components that need them."""
+
+    fleet: Fleet
+    operator: OperatorReader
+    targets: TargetReader
+    caches: CacheWatcher
+    clock: Clock
+    # Returns how many tokens a cache can hold.
+    capacity_of: Callable[[str], int]
+    # Called with a target's name after a change of its status.
+    on_status: Callable[[str], None]
+    age_clock: Callable[[], float] = suspended_clock_s
+    # Times as of which the operator's records and the targets' entries are
+    # known, in seconds of the age clock.
+    operator_as_of_s: float = float("-inf")
+    targets_as_of_s: float = float("-inf")
+    is_first: bool = True
+
+    @property
+    def operator_age_s(self) -> float:
+        """Maximum age of the operator's records, in seconds."""
+        return self.age_clock() - self.operator_as_of_s
+
+    @property
+    def targets_age_s(self) -> float:
+        """Maximum age of the targets' entries, in seconds."""
+        return self.age_clock() - self.targets_as_of_s
+
+    def take(self, reply: FeedReply, sent_s: float) -> None:
+        """Apply a reply.
+
+        Args:
+          reply: The reply.
+          sent_s: When its request was sent, in seconds of the age clock.
+        """
+        self.take_records(reply)
+        if reply.operator_age_s >= 0.0:
+            self.operator_as_of_s = sent_s - reply.operator_age_s
+            self.operator.confirmed(self.operator_as_of_s)
+        if reply.targets_age_s >= 0.0:
+            self.targets_as_of_s = sent_s - reply.targets_age_s
+            self.targets.confirmed(self.targets_as_of_s)
+        now_s = self.clock.seconds()
+        self.fleet.set_routers(reply.routers, now_s)
+        self.take_caches(reply)
+        for item in reply.statuses:
+            if item.status.target == item.target:
+                self.fleet.record_status(item.target, item.status, now_s)
+                self.on_status(item.target)
+
+    def take_records(self, reply: FeedReply) -> None:
+        """Apply the store's records."""
+        operator = records_of(reply.records, Topic.OPERATOR)
+        if self.is_first:
+            self.operator.replaced(operator)
+            self.is_first = False
+        else:
+            for record in operator:
+                self.operator.changed(record)
+        targets = records_of(reply.records, Topic.TARGET)
+        if reply.is_whole and 0.0 <= reply.targets_age_s < WHOLE_TARGETS_AGE_S:
+            self.targets.replaced(targets)
+        else:
+            for record in targets:
+                self.targets.changed(record)
+
+    def take_caches(self, reply: FeedReply) -> None:
+        """Apply the changes of the caches."""
+        if reply.is_whole:
+            self.caches.clear()
+        for cache in reply.caches:
+            self.caches.set_generation(
+                cache.cache,
+                self.capacity_of(cache.cache),
+                cache.generation,
+                cache.is_alive,
+            )
+        for part in reply.parts:
+            self.caches.part_changed(
+                part.cache, part.stamp[0], part.salt, part.part, part.tokens
+            )
+
+
+def records_of(
+    records: Sequence[RecordItem], topic: Topic
+) -> list[KeyedRecord]:
+    """Return the records of a topic."""
+    return [
+        KeyedRecord(key=item.key, value=item.value, stamp=item.stamp)
+        for item in records
+        if item.topic == topic.value
+    ]
--- /dev/null
+++ b/sequoiawind/feed_relay.py
@@ -0,0 +1,336 @@
+"""Gathers the knowledge of the fleet at an agent, and serves it to readers.
+
+An agent publishes the status of its target and the parts that its cache holds.
+Asked for more, it becomes a relay: it also reads from the agents of its failure
+domain and from the store, and for routers from one relay of each other failure
+domain.  It stops when nobody has asked for a while.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+from twisted.internet.defer import Deferred
+
+from sequoiawind import feed_messages
+from sequoiawind.feed_client import HOLD_S, FeedClient, FeedQuery
+from sequoiawind.feed_messages import FeedReply
+from sequoiawind.feed_table import (
+    FeedChanges,
+    FeedEntry,
+    FeedTable,
+    Key,
+    Level,
+    Stamp,
+    Topic,
+)
+from sequoiawind.fleet import Fleet
+from sequoiawind.ports import Clock
+from sequoiawind.relay_choice import agent_address, has_agent, ranked
+from sequoiawind.wire import TargetStatus
+
+# How long changes that are not urgent are gathered for one reply, in seconds.
+GATHER_S: Final = 0.25
+# Time without a request at a level after which an agent stops to relay at it,
+# in seconds: readers that have left it for a moment find it still relaying.
+DEMAND_LIFETIME_S: Final = 5.0
+# Time for which a router counts after its last request, in seconds.
+ROUTER_ACTIVE_S: Final = 5.0
+RECORD_TOPICS: Final = frozenset({Topic.OPERATOR, Topic.TARGET})
+
+
+@attrs.define(kw_only=True)
+class Waiting:
+    """A request that waits for changes."""
+
+    changed: Deferred[None]
+    after: int
+    level: Level
+    # Whether changes that are not urgent end the wait too.
+    is_patient: bool = True
+
+
+@attrs.define(kw_only=True)
+class RouterCount:
+    """The routers that another relay has stated."""
+
+    routers: int
+    stated_s: float
+
+
+@attrs.define(kw_only=True)
+class FeedRelay:
+    """The table of one agent, its readers, and the feeds that it reads."""
+
+    name: str
+    # Address at which the other agents reach this one.
+    address: str
+    agent_port: int
+    domain: str
+    fleet: Fleet
+    clock: Clock
+    age_clock: Callable[[], float]
+    table: FeedTable
+    # Creates a client for a level and a function that returns its candidates.
+    make_client: Callable[..., FeedClient]
+    # When each level was last asked for, in seconds of the clock.
+    asked_s: dict[Level, float] = attrs.field(factory=dict)
+    # When each router last asked, in seconds of the clock.
+    routers: dict[str, float] = attrs.field(factory=dict)
+    # Routers of other failure domains, by the relay that stated them.
+    other_routers: dict[str, RouterCount] = attrs.field(factory=dict)
+    waiting: list[Waiting] = attrs.field(factory=list)
+    # The feeds that are read: by agent address, or by failure domain.
+    clients: dict[str, FeedClient] = attrs.field(factory=dict)
+    # Times, in seconds of `age_clock`, as of which the operator's records and
+    # the targets' entries are known; None if they are not.
+    operator_as_of_s: float | None = None
+    targets_as_of_s: float | None = None
+    # Called with the records that another process has sent.
+    on_records: Callable[[FeedReply], None] = attrs.field(
+        default=lambda reply: None
+    )
+
+    # Publishing.
+
+    def put(
+        self,
+        key: Key,
+        stamp: Stamp,
+        value: Any,
+        level: Level = Level.OWN,
+        is_urgent: bool = False,
+    ) -> None:
+        """Publish a fact."""
+        self.put_entry(
+            FeedEntry(
+                key=key,
+                stamp=stamp,
+                value=value,
+                level=level,
+                is_urgent=is_urgent,
+            )
+        )
+
+    def put_entry(self, entry: FeedEntry) -> None:
+        """Store an entry, and wake the readers that it concerns."""
+        if entry.key[0] is Topic.STATUS and not entry.is_urgent:
+            entry = self.with_urgency(entry)
+        if self.table.put(entry):
+            self.wake(entry)
+
+    def with_urgency(self, entry: FeedEntry) -> FeedEntry:
+        """Mark a status as urgent if it begins or ends to keep work away."""
+        known = self.table.entries.get(entry.key)
+        before = keeps_away(known.entry.value) if known else ()
+        if keeps_away(entry.value) == before:
+            return entry
+        return attrs.evolve(entry, is_urgent=True)
+
+    def wake(self, entry: FeedEntry) -> None:
+        """End the waits of the readers that an entry concerns."""
+        for waiting in self.waiting[:]:
+            if waiting.level >= entry.level and (
+                entry.is_urgent or not waiting.is_patient
+            ):
+                self.end_wait(waiting)
+
+    def end_wait(self, waiting: Waiting) -> None:
+        """End one wait, unless it has ended."""
+        if waiting in self.waiting:
+            self.waiting.remove(waiting)
+            waiting.changed.callback(None)
+
+    def drop_cache(self, cache: str) -> None:
+        """Drop the entries of a cache's parts, as it has been emptied."""
+        self.table.discard(
+            [
+                key
+                for key in self.table.entries
+                if key[0] is Topic.PART and key[1] == cache
+            ]
+        )
+
+    def drop_target(self, name: str) -> None:
+        """Drop the status and the cache of a target that is gone."""
+        self.drop_cache(name)
+        self.table.discard([(Topic.STATUS, name), (Topic.CACHE, name)])
+
+    # Serving.
+
+    async def serve(self, query: FeedQuery) -> bytes:
+        """Return the encoded reply to a request, once there is news."""
+        now_s = self.clock.seconds()
+        self.asked_s[query.level] = now_s
+        if query.is_router:
+            self.routers[query.reader] = now_s
+        self.adjust_clients()
+        if query.run == self.table.run and query.after >= 0:
+            await self.wait_for_news(query)
+        return feed_messages.encode(self.reply(query))
+
+    async def wait_for_news(self, query: FeedQuery) -> None:
+        """Wait for urgent changes, or gather others for a while."""
+        level = Level.DOMAIN if query.is_records_only else query.level
+        if self.table.has_urgent_news(query.after, level):
+            return
+        waiting = Waiting(changed=Deferred(), after=query.after, level=level)
+        self.waiting.append(waiting)
+        gathering = self.clock.callLater(
+            HOLD_S if query.is_records_only else GATHER_S,
+            self.end_gathering,
+            waiting,
+        )
+        holding = self.clock.callLater(HOLD_S, self.end_wait, waiting)
+        await waiting.changed
+        for timer in (gathering, holding):
+            if timer.active():
+                timer.cancel()
+
+    def end_gathering(self, waiting: Waiting) -> None:
+        """End a wait if anything has changed, else at the next change."""
+        waiting.is_patient = False
+        if self.table.has_news(waiting.after, waiting.level):
+            self.end_wait(waiting)
+
+    def reply(self, query: FeedQuery) -> FeedReply:
+        """Return the reply to a request."""
+        topics = RECORD_TOPICS if query.is_records_only else frozenset(Topic)
+        changes: FeedChanges = self.table.since(
+            query.run, query.after, query.level, topics
+        )
+        reply = FeedReply(
+            run=self.table.run,
+            number=changes.number,
+            is_whole=changes.is_whole,
+            relay=self.name,
+            operator_age_s=self.age_s(self.operator_as_of_s),
+            targets_age_s=self.age_s(self.targets_as_of_s),
+            routers=self.count_routers(query.level),
+        )
+        feed_messages.add_entries(reply, changes)
+        return reply
+
+    def age_s(self, as_of_s: float | None) -> float:
+        """Return the age of what was known at a time; negative if unknown."""
+        return -1.0 if as_of_s is None else self.age_clock() - as_of_s
+
+    def count_routers(self, level: Level) -> int:
+        """Return the active routers of this relay, or of all relays."""
+        oldest_s = self.clock.seconds() - ROUTER_ACTIVE_S
+        for name, asked_s in list(self.routers.items()):
+            if asked_s < oldest_s:
+                del self.routers[name]
+        count = len(self.routers)
+        if level is Level.ALL:
+            count += sum(
+                item.routers
+                for item in self.other_routers.values()
+                if item.stated_s >= oldest_s
+            )
+        return count
+
+    # Reading.
+
+    def is_asked_for(self, level: Level) -> bool:
+        """Whether a level, or one above it, was asked for recently."""
+        oldest_s = self.clock.seconds() - DEMAND_LIFETIME_S
+        return any(
+            asked_s >= oldest_s
+            for asked, asked_s in self.asked_s.items()
+            if asked >= level
+        )
+
+    def adjust_clients(self) -> None:
+        """Start to read the feeds that the readers need, and stop others."""
+        wanted: dict[str, tuple[Level, str]] = {}
+        targets = [view.target for view in self.fleet.views.values()]
+        if self.is_asked_for(Level.DOMAIN):
+            for target in ranked(targets, self.domain):
+                address = agent_address(target, self.agent_port)
+                if address != self.address:
+                    wanted[address] = (Level.OWN, target.domain)
+        if self.is_asked_for(Level.ALL):
+            for target in targets:
+                if target.domain != self.domain and has_agent(target):
+                    wanted[target.domain] = (Level.DOMAIN, target.domain)
+        for name in self.clients.keys() - wanted.keys():
+            self.clients.pop(name).stop()
+        for name in wanted.keys() - self.clients.keys():
+            self.start_client(name, *wanted[name])
+
+    def start_client(self, name: str, level: Level, domain: str) -> None:
+        """Start to read from an agent, or from a relay of a domain."""
+
+        def candidates() -> list[str]:
+            if level is Level.OWN:
+                return [name]
+            targets = [view.target for view in self.fleet.views.values()]
+            return [
+                agent_address(target, self.agent_port)
+                for target in ranked(targets, domain)
+            ]
+
+        client = self.make_client(
+            level=level,
+            candidates=candidates,
+            on_reply=lambda reply, sent_s: self.take(
+                reply, sent_s, name, level
+            ),
+        )
+        self.clients[name] = client
+        Deferred.fromCoroutine(client.run())
+
+    def take(
+        self, reply: FeedReply, sent_s: float, source: str, level: Level
+    ) -> None:
+        """Store what another process has replied."""
+        at_level = Level.DOMAIN if level is Level.OWN else Level.ALL
+        if level is Level.DOMAIN:
+            self.take_records(reply, sent_s)
+            self.other_routers[source] = RouterCount(
+                routers=reply.routers, stated_s=self.clock.seconds()
+            )
+        for entry in feed_messages.entries_of(reply, at_level):
+            topic = entry.key[0]
+            if topic in RECORD_TOPICS:
+                continue
+            if topic is Topic.CACHE:
+                known = self.table.entries.get(entry.key)
+                generation = known.entry.value[0] if known else None
+                if generation != entry.value[0]:
+                    self.drop_cache(entry.key[1])
+            self.put_entry(entry)
+
+    def take_records(self, reply: FeedReply, sent_s: float) -> None:
+        """Use the store's records that another process has sent.
+
+        Their age is counted from when the request for them was sent.
+        """
+        self.on_records(reply)
+        if reply.operator_age_s >= 0.0:
+            self.note_operator(sent_s - reply.operator_age_s)
+        if reply.targets_age_s >= 0.0:
+            self.note_targets(sent_s - reply.targets_age_s)
+
+    def note_operator(self, as_of_s: float) -> None:
+        """Record the time as of which the operator's records are known."""
+        if self.operator_as_of_s is None or as_of_s > self.operator_as_of_s:
+            self.operator_as_of_s = as_of_s
+
+    def note_targets(self, as_of_s: float) -> None:
+        """Record the time as of which the targets' entries are known."""
+        if self.targets_as_of_s is None or as_of_s > self.targets_as_of_s:
+            self.targets_as_of_s = as_of_s
+
+
+def keeps_away(status: TargetStatus | None) -> tuple[bool, ...]:
+    """Return the parts of a status that keep work away from its target."""
+    if status is None:
+        return ()
+    return (
+        status.is_loading,
+        status.is_winding_down,
+        status.is_draining,
+        not status.is_reachable,
+    )
--- /dev/null
+++ b/sequoiawind/feed_table.py
@@ -0,0 +1,183 @@
+"""The newest known facts about the fleet, numbered so that readers can resume.
+
+Each entry has a stamp that its origin gives it.  An entry replaces another one
+only if its stamp is greater, so the order and the number of the paths on which
+entries arrive do not matter.  A reader names the last number that it received
+and gets the entries that have changed since.
+"""
+
+import enum
+from collections import OrderedDict, deque
+from typing import Any, Final
+
+import attrs
+
+from sequoiawind.ports import Clock
+
+# Removed entries that are kept, so that readers that resume learn of them.
+MAX_REMOVED: Final = 20_000
+# Time without a newer entry after which one from another run of its origin
+# replaces it whatever its stamp, in seconds: the origin's clock may have been
+# set back before it started again.  Origins repeat such entries more often.
+STAMP_LIFETIME_S: Final = 3.0
+
+
+class Level(enum.IntEnum):
+    """How far from its origin a process has learned a fact."""
+
+    # From the target or the cache beside it.
+    OWN = 0
+    # From the store, or from the agents of its failure domain.
+    DOMAIN = 1
+    # From the agents of other failure domains, or not meant for those.
+    ALL = 2
+
+
+class Topic(enum.Enum):
+    """What an entry is about."""
+
+    STATUS = "status"
+    OPERATOR = "operator"
+    TARGET = "target"
+    CACHE = "cache"
+    PART = "part"
+
+
+# Topics whose entries their origins repeat.
+REPEATED_TOPICS: Final = frozenset({Topic.STATUS, Topic.CACHE})
+
+# A topic and the names of what the entry is about.
+Key = tuple[Any, ...]
+# Compared as tuples; an origin's later stamps are greater.
+Stamp = tuple[int, int]
+
+
+@attrs.frozen(kw_only=True)
+class FeedEntry:
+    """A fact with its stamp; a value of None removes it."""
+
+    key: Key
+    stamp: Stamp
+    value: Any
+    level: Level
+    # Readers that wait get it without delay.
+    is_urgent: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class StoredEntry:
+    """An entry with its place in the table's order of changes."""
+
+    number: int
+    entry: FeedEntry
+    # When it was stored, in seconds of the clock.
+    changed_s: float
+
+
+@attrs.frozen(kw_only=True)
+class FeedChanges:
+    """The entries that a reader lacks."""
+
+    entries: list[FeedEntry]
+    # The number to resume from.
+    number: int
+    # The entries are all there are: what is not among them does not exist.
+    is_whole: bool
+
+
+@attrs.define(kw_only=True)
+class FeedTable:
+    """The newest entry of each key, in the order in which they changed."""
+
+    # Identifies this numbering; another process numbers anew.
+    run: int
+    clock: Clock
+    number: int = 0
+    # Entries, the last changed one last.
+    entries: OrderedDict[Key, StoredEntry] = attrs.field(factory=OrderedDict)
+    # Numbers of the last change and of the last urgent one, by level.
+    newest: list[int] = attrs.field(factory=lambda: [0] * len(Level))
+    newest_urgent: list[int] = attrs.field(factory=lambda: [0] * len(Level))
+    # Numbers and keys of removed entries, the oldest first.
+    removed: deque[tuple[int, Key]] = attrs.field(factory=deque)
+    # Removals up to this number are no longer known.
+    forgotten: int = 0
+
+    def put(self, entry: FeedEntry) -> bool:
+        """Store an entry; return False if it is not newer than the known."""
+        known = self.entries.get(entry.key)
+        if known is not None and not self.replaces(entry, known):
+            return False
+        self.number += 1
+        self.entries[entry.key] = StoredEntry(
+            number=self.number, entry=entry, changed_s=self.clock.seconds()
+        )
+        self.entries.move_to_end(entry.key)
+        self.newest[entry.level] = self.number
+        if entry.is_urgent:
+            self.newest_urgent[entry.level] = self.number
+        if entry.value is None:
+            self.removed.append((self.number, entry.key))
+            self.forget_removed()
+        return True
+
+    def replaces(self, entry: FeedEntry, known: StoredEntry) -> bool:
+        """Whether an entry takes the place of the known one."""
+        if entry.stamp > known.entry.stamp:
+            return True
+        if entry.key[0] not in REPEATED_TOPICS:
+            return False
+        age_s = self.clock.seconds() - known.changed_s
+        return (
+            entry.stamp[0] != known.entry.stamp[0] and age_s > STAMP_LIFETIME_S
+        )
+
+    def forget_removed(self) -> None:
+        """Drop the oldest removed entries beyond `MAX_REMOVED`."""
+        while len(self.removed) > MAX_REMOVED:
+            number, key = self.removed.popleft()
+            if key in self.entries and self.entries[key].number == number:
+                del self.entries[key]
+                self.forgotten = number
+
+    def discard(self, keys: list[Key]) -> None:
+        """Drop entries that no reader needs to be told of."""
+        for key in keys:
+            self.entries.pop(key, None)
+
+    def has_news(self, after: int, level: Level) -> bool:
+        """Whether entries of a level or below have changed since."""
+        return max(self.newest[: level + 1]) > after
+
+    def has_urgent_news(self, after: int, level: Level) -> bool:
+        """Whether urgent entries of a level or below have changed since."""
+        return max(self.newest_urgent[: level + 1]) > after
+
+    def since(
+        self,
+        run: int,
+        after: int,
+        level: Level,
+        topics: frozenset[Topic] = frozenset(Topic),
+    ) -> FeedChanges:
+        """Return the entries that have changed since a number, oldest first.
+
+        Args:
+          run: The numbering that the number belongs to.
+          after: The last number that the reader has received.
+          level: The highest level that the reader gets.
+          topics: The topics that the reader gets.
+        """
+        is_whole = run != self.run or not self.forgotten <= after <= self.number
+        start = -1 if is_whole else after
+        found: list[FeedEntry] = []
+        for stored in reversed(self.entries.values()):
+            entry = stored.entry
+            if stored.number <= start:
+                break
+            if is_whole and entry.value is None:
+                continue
+            if entry.level <= level and entry.key[0] in topics:
+                found.append(entry)
+        found.reverse()
+        return FeedChanges(entries=found, number=self.number, is_whole=is_whole)
--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -5,6 +5,7 @@
 missing after an outage are dropped only after a grace period.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -20,12 +21,28 @@
 RETURN_GRACE_S: Final = 2.2
 # Age above which an agent's status is too old to indicate its target's load,
 # in seconds.
-STATUS_LIFETIME_S: Final = 1.2
+STATUS_LIFETIME_S: Final = 1.6
+# Number of incarnations whose notices are kept.
+MAX_NOTICES: Final = 1_000
+# Age above which a relay's number of routers is too old, in seconds.
+ROUTERS_LIFETIME_S: Final = 10.0
 # How long to avoid a target that shed a request, in seconds: about the time
 # in which a target drains a full queue or loads weights.
 SHED_PAUSE_S: Final = 0.25
 
 
+@attrs.define(kw_only=True)
+class TargetNotice:
+    """What an incarnation has stated in its answers to this router.
+
+    It holds also if the incarnation's entry vanishes for a while.
+    """
+
+    is_leaving: bool = False
+    # Time until which it wants nothing from this VM, in seconds of the clock.
+    paused_until_s: float = -1.0
+
+
 @attrs.define(kw_only=True)
 class TargetView:
     """One router's state for one incarnation of a target."""
@@ -43,6 +60,8 @@
     pending_prefill_tokens: int = 0
     # Time until which the target gets no new work, in seconds of the clock.
     shed_until_s: float = -1.0
+    # What the target has stated itself.
+    notice: TargetNotice = attrs.field(factory=TargetNotice)
     # Newest weights version by model that its answers reported.
     seen_versions: dict[str, int] = attrs.field(factory=dict)
 
@@ -68,7 +87,7 @@
                 return False
             if status.is_winding_down and is_long:
                 return False
-        return self.shed_until_s <= now_s
+        return max(self.shed_until_s, self.notice.paused_until_s) <= now_s
 
     def is_agent_silent(self, now_s: float) -> bool:
         """Whether the agent has reported, but its last status is too old."""
@@ -109,6 +128,14 @@
     # By pool; cleared whenever a target's entry, status or health changes in a
     # way that matters to it.
     pools: dict[str, UsablePool] = attrs.field(factory=dict)
+    # Notices by incarnation, the oldest first.
+    notices: OrderedDict[tuple[str, int], TargetNotice] = attrs.field(
+        factory=OrderedDict
+    )
+    # Number of active routers that a relay has stated, and when, in seconds of
+    # the clock.
+    stated_routers: int = 0
+    stated_routers_s: float = float("-inf")
 
     def put(self, target: ForwardTarget) -> bool:
         """Add or update an entry; return whether it is a new incarnation.
@@ -124,7 +151,8 @@
             return False
         if known is not None and known.target.born_ms > target.born_ms:
             return False
-        self.views[target.name] = TargetView(target=target)
+        view = self.views[target.name] = TargetView(target=target)
+        view.notice = self.notices.get(target.incarnation, view.notice)
         self.members.health.pop(target.name, None)
         return True
 
@@ -235,6 +263,26 @@
             self.pools.clear()
         self.members.record_success(name)
 
+    def record_notice(
+        self, view: TargetView, is_leaving: bool, pause_s: float, now_s: float
+    ) -> None:
+        """Record what a target has stated in an answer.
+
+        Args:
+          view: The target.
+          is_leaving: Whether it is leaving.
+          pause_s: For how long it wants nothing from this VM, in seconds.
+          now_s: The time, in seconds of the clock.
+        """
+        notice = view.notice
+        notice.paused_until_s = max(notice.paused_until_s, now_s + pause_s)
+        if is_leaving and not notice.is_leaving:
+            notice.is_leaving = True
+            self.pools.clear()
+        self.notices[view.target.incarnation] = notice
+        while len(self.notices) > MAX_NOTICES:
+            self.notices.popitem(last=False)
+
     def record_failure(self, name: str, now_s: float, is_certain: bool) -> None:
         """Count a failure of a target.
 
@@ -251,16 +299,23 @@
         if health.ejected_until_s > now_s:
             self.pools.clear()
 
+    def set_routers(self, routers: int, now_s: float) -> None:
+        """Record the number of active routers that a relay states."""
+        self.stated_routers = routers
+        self.stated_routers_s = now_s
+
     def routers(self, now_s: float) -> int:
         """Return the number of active routers; 0 if unknown.
 
-        It is the highest number that an agent's fresh status states.
+        It is the highest number that a relay or an agent's fresh status states.
         """
         counts = [
             status.routers
             for view in self.views.values()
             if (status := view.fresh_status(now_s)) is not None
         ]
+        if now_s - self.stated_routers_s < ROUTERS_LIFETIME_S:
+            counts.append(self.stated_routers)
         return max(counts, default=0)
 
 
@@ -283,7 +338,7 @@
 
 
 def is_leaving(view: TargetView) -> bool:
-    """Whether a target's entry or its agent's status says that it drains."""
-    if view.target.is_draining:
+    """Whether a target, its entry or its agent says that it drains."""
+    if view.target.is_draining or view.notice.is_leaving:
         return True
     return view.status is not None and view.status.is_draining
--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -29,8 +29,9 @@
 
 Logger = structlog.typing.FilteringBoundLogger
 
-# Interval at which the target is polled for its report, in seconds.  Polling is
-# cheap, as the agent runs on the target's VM.
+# Interval at which the target is polled for its report, in seconds, and while
+# newer weights were named than it has.
+IDLE_REPORT_S: Final = 0.2
 REPORT_S: Final = 0.1
 REPORT_TIMEOUT_S: Final = 0.2
 # Consecutive unanswered report requests after which the target counts as lost.
@@ -54,6 +55,8 @@
 REQUESTS_STEP: Final = 4
 # The same for requests in prefill, which cost far more.
 READING_STEP: Final = 2
+# Interval at which an unchanged status is passed on again, in seconds.
+STATUS_REPEAT_S: Final = 0.5
 # Time for which a router counts as active after its last poll, in seconds.
 ROUTER_ACTIVE_S: Final = 5.0
 
@@ -98,6 +101,14 @@
     # Consecutive report requests without an answer.
     misses: int = 0
     on_order: Callable[[str], None] = attrs.field(default=lambda outcome: None)
+    # Called with each published status, and with the current one at intervals.
+    on_status: Callable[[TargetStatus], None] = attrs.field(
+        default=lambda status: None
+    )
+    # When that was last called, in seconds of the clock.
+    status_passed_s: float = float("-inf")
+    # Fires at the end of the pause between two steps; None during a step.
+    pause: Deferred[None] | None = None
 
     @property
     def target(self) -> ForwardTarget | None:
@@ -109,6 +120,14 @@
         ]
         return max(found, key=lambda item: item.born_ms, default=None)
 
+    @property
+    def lacks_weights(self) -> bool:
+        """Whether newer weights were named than the target has."""
+        return any(
+            rollout.lacking(self.status.versions.get(model), named)
+            for model, named in self.named.items()
+        )
+
     async def run(self) -> None:
         """Run `watch` repeatedly until the process ends."""
         await supervise.repeat(self.watch, "target", self.clock, self.log)
@@ -116,9 +135,20 @@
     async def watch(self) -> bool:
         """Take a step, then pause; always return True, to be repeated."""
         await self.step()
-        await timing.sleep(self.clock, REPORT_S)
+        interval_s = REPORT_S if self.lacks_weights else IDLE_REPORT_S
+        pause = self.pause = Deferred()
+        timer = self.clock.callLater(interval_s, self.end_pause)
+        await pause
+        if timer.active():
+            timer.cancel()
         return True
 
+    def end_pause(self) -> None:
+        """End the pause between two steps."""
+        pause, self.pause = self.pause, None
+        if pause is not None:
+            pause.callback(None)
+
     async def step(self) -> None:
         """Get and publish the target's report; order weights that are due."""
         answered = await self.port.report(self.address, REPORT_TIMEOUT_S)
@@ -178,12 +208,21 @@
         """Store a status and notify waiting routers, if it differs enough."""
         old = self.status
         if not needs_publishing(old, status):
+            now_s = self.clock.seconds()
+            if now_s - self.status_passed_s >= STATUS_REPEAT_S:
+                self.pass_status(attrs.evolve(status, number=old.number))
             return
         self.status = attrs.evolve(status, number=old.number + 1)
+        self.pass_status(self.status)
         watchers, self.watchers = self.watchers, []
         for watcher in watchers:
             watcher.callback(None)
 
+    def pass_status(self, status: TargetStatus) -> None:
+        """Pass a status on, so that readers know that the agent is alive."""
+        self.status_passed_s = self.clock.seconds()
+        self.on_status(status)
+
     # Weights.
 
     def weights_named(self, model: str, version: int, is_late: bool) -> None:
@@ -201,6 +240,7 @@
             self.named.setdefault(model, []),
             NamedVersion(version=version, named_s=named_s),
         )
+        self.clock.callLater(REPORT_S, self.end_pause)
 
     async def due(self, report: TargetReport, model: str) -> Due | None:
         """Return a model's version to load; None if nothing is due yet."""
--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -63,6 +63,10 @@
     refusal: Failure | None = None
     # Weights version by model that the answer reports.
     versions: Mapping[str, int] = attrs.field(factory=dict)
+    # The target states that it is leaving.
+    is_leaving: bool = False
+    # For how long the target wants nothing from this VM, in seconds.
+    pause_s: float = 0.0
 
 
 class ForwardSink(Protocol):
--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Any, Final, Generic, TypeVar
 
 import attrs
 import structlog
@@ -14,6 +14,8 @@
 
 from sequoiawind import event_loop, logs
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.feed_client import FeedClient, HttpFeedPort
+from sequoiawind.feed_cover import FeedCover
 from sequoiawind.fleet import Fleet
 from sequoiawind.freshness import suspended_clock_s
 from sequoiawind.http1_client import Http1Client
@@ -24,11 +26,15 @@
 )
 from sequoiawind.platform.store import StoreClient
 from sequoiawind.record_follower import RecordFollower, RecordReader
+from sequoiawind.relay_choice import agent_address, relays_for
 from sequoiawind.settings_follower import SettingsFollower
 
 Logger = structlog.typing.FilteringBoundLogger
 S = TypeVar("S", ForwardRouterSettings, ForwardAgentSettings)
 
+# How long the list of relays is used before it is made anew, in seconds.
+RELAYS_LIFETIME_S: Final = 0.5
+
 
 @attrs.define(kw_only=True)
 class ForwardProgram(Generic[S]):
@@ -41,6 +47,9 @@
     fleet: Fleet = attrs.field(factory=Fleet)
     client: Http1Client = attrs.field(init=False)
     store: StoreClient = attrs.field(init=False)
+    known_relays: list[str] = attrs.field(factory=list)
+    # When that list was made, in seconds of the clock.
+    relays_made_s: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
         """Create the components."""
@@ -57,8 +66,8 @@
         topic: str,
         reader: RecordReader,
         wait_s: float,
-        read_pause_s: float,
-        age_clock: Callable[[], float] = suspended_clock_s,
+        read_pause_s: Callable[[], float],
+        is_covered: Callable[[], bool] = lambda: False,
     ) -> None:
         """Keep a reader up to date with a topic of the store.
 
@@ -67,10 +76,9 @@
           reader: Processes its records.
           wait_s: How long the store may wait for a change before it answers,
             in seconds.
-          read_pause_s: Pause after each read that returned records, in
+          read_pause_s: Returns the pause after a read that returned records, in
             seconds, so that the next read returns several changes.
-          age_clock: Returns the time in seconds from which the records' age
-            is computed.
+          is_covered: Returns whether another process provides the records.
         """
         follower = RecordFollower(
             topic=topic,
@@ -80,11 +88,42 @@
             random=self.random,
             wait_s=wait_s,
             read_pause_s=read_pause_s,
-            age_clock=age_clock,
+            age_clock=suspended_clock_s,
+            cover=FeedCover(clock=event_loop.reactor, is_given=is_covered),
             log=self.log,
         )
         Deferred.fromCoroutine(follower.run())
 
+    def make_feed_client(self, **fields: Any) -> FeedClient:
+        """Return a client for the feed of other processes."""
+        return FeedClient(
+            reader=self.options.node.name,
+            port=HttpFeedPort(client=self.client, log=self.log),
+            clock=event_loop.reactor,
+            age_clock=suspended_clock_s,
+            random=self.random,
+            log=self.log,
+            **fields,
+        )
+
+    def relays(self) -> list[str]:
+        """Return the addresses of relays to read from, preferred ones first.
+
+        The list is made anew at most once in `RELAYS_LIFETIME_S`.
+        """
+        now_s = event_loop.reactor.seconds()
+        if now_s - self.relays_made_s >= RELAYS_LIFETIME_S:
+            self.relays_made_s = now_s
+            node = self.options.node
+            targets = [view.target for view in self.fleet.views.values()]
+            self.known_relays = [
+                agent_address(target, node.agent_port)
+                for target in relays_for(
+                    node.name, node.failure_domain, targets
+                )
+            ]
+        return self.known_relays
+
     def settings_follower(self, file: str) -> SettingsFollower[S]:
         """Return the controller that follows the settings file."""
         return SettingsFollower(
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -47,6 +47,14 @@
     )
     # Called after a newer configuration has been put in force.
     on_config: Callable[[], None] = attrs.field(default=lambda: None)
+    # Whether the store has an older configuration than this process, as it has
+    # returned from a copy: its records prove nothing about what is current.
+    is_store_behind: bool = False
+    # Revision or version of the last record that was read, by key; lower than
+    # the one in force if the record is old.
+    read_versions: dict[str, int] = attrs.field(factory=dict)
+    # Whether records that were read now may be taken as current.
+    may_confirm: Callable[[], bool] = attrs.field(default=lambda: True)
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the newest records."""
@@ -63,9 +71,12 @@
             return
         try:
             if record.key == self.codec.config_key:
-                self.apply_config(self.codec.config(record.value))
+                state = self.codec.config(record.value)
+                self.read_versions[record.key] = state.revision
+                self.apply_config(state)
             elif record.key.startswith(self.codec.weights_prefix):
                 named = self.codec.weights(record.value)
+                self.read_versions[record.key] = named.version
                 self.apply_weights(named.model, named.version, is_late)
         except WireError as error:
             self.log.warning(
@@ -74,6 +85,7 @@
 
     def apply_config(self, state: ForwardState) -> None:
         """Put a configuration in force if it is newer."""
+        self.is_store_behind = state.revision < self.board.state.revision
         if state.revision <= self.board.state.revision:
             return
         old = self.board.state.revision
@@ -101,7 +113,9 @@
 
     def confirmed(self, request_time_s: float) -> None:
         """Record the time as of which the configuration is current."""
-        if self.freshness is not None:
+        if self.freshness is None or self.is_store_behind:
+            return
+        if self.may_confirm():
             self.freshness.confirmed(request_time_s)
 
     def store_lost(self, detail: str) -> None:
@@ -118,6 +132,15 @@
         """Log that the store is regained."""
         self.log.info("store regained", topic="operator")
 
+    def store_rewound(self, era: int) -> None:
+        """Log that the store has returned from an older copy."""
+        self.log.warning(
+            "store rewound",
+            topic="operator",
+            era=era,
+            revision=self.board.state.revision,
+        )
+
 
 @attrs.define(kw_only=True)
 class TargetReader:
@@ -133,6 +156,9 @@
     on_incarnation: Callable[[str], None] = attrs.field(
         default=lambda name: None
     )
+    # Stamp of the last record of each target, by which older ones that arrive
+    # by another way are ignored.
+    stamps: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Apply all entries; targets without one are removed."""
@@ -144,7 +170,13 @@
                 self.remove(name)
 
     def changed(self, record: KeyedRecord) -> None:
-        """Apply an entry; one that cannot be decoded removes its target."""
+        """Apply an entry; one that cannot be decoded removes its target.
+
+        An entry that is older than the last one of its target is ignored.
+        """
+        if record.stamp < self.stamps.get(record.key, record.stamp):
+            return
+        self.stamps[record.key] = record.stamp
         if record.value is None:
             self.remove(record.key)
             return
@@ -205,3 +237,13 @@
         """Give missing targets time to register again."""
         self.fleet.store_back(self.clock.seconds())
         self.log.info("store regained", topic="targets")
+
+    def store_rewound(self, era: int) -> None:
+        """Give targets whose entries were lost time to register again."""
+        self.fleet.store_back(self.clock.seconds())
+        self.log.warning(
+            "store rewound",
+            topic="targets",
+            era=era,
+            targets=len(self.fleet.views),
+        )
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -4,11 +4,17 @@
 from typing import Any, Final
 
 import attrs
+from twisted.internet.defer import Deferred
 
 from sequoiawind import event_loop
 from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.feed_client import FeedClient
+from sequoiawind.feed_cover import FeedCover
+from sequoiawind.feed_reader import FeedReader
+from sequoiawind.feed_table import Level
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_ports import AnswerHead
 from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.forward_state import ForwardState
@@ -42,9 +48,19 @@
 CONFIG_WAIT_SHARE: Final = 0.22
 # The same share of the bound on leaving targets.
 TARGETS_WAIT_SHARE: Final = 0.7
+# Age of a relay's records, as a share of the revocation bound or of the bound
+# on leaving targets, from which a router reads the store itself.
+COVERED_AGE_SHARE: Final = 0.5
+# Time after its start, in seconds, in which a router trusts the store's records
+# only once a relay has answered too: the store may just have returned from an
+# old copy.
+START_CHECK_S: Final = 1.0
 # Pause after targets have changed, in seconds, so that one read returns several
 # changes; a small part of the bound on leaving targets.
 TARGETS_READ_PAUSE_S: Final = 0.15
+# The same until a relay has answered: when all VMs start, the targets register
+# one after the other.
+START_READ_PAUSE_S: Final = 1.0
 # Time allowed for an agent's answer, in seconds, beyond the time for which the
 # agent may wait for a change.
 STATUS_ANSWER_S: Final = 0.5
@@ -66,6 +82,10 @@
     forwarder: Forwarder = attrs.field(init=False)
     watcher: StatusWatcher = attrs.field(init=False)
     site: CallerSite = attrs.field(init=False)
+    feed: FeedClient = attrs.field(init=False)
+    feed_reader: FeedReader = attrs.field(init=False)
+    # When the controllers were started, in seconds of the clock.
+    started_s: float = 0.0
     # The listening ports; empty before `listen`.
     ports: list[Any] = attrs.field(factory=list)
     # Called once a request can be served; None afterwards.
@@ -134,6 +154,7 @@
             on_move=self.note_move,
             on_retry=self.count_retry,
             on_refusal=self.note_refusal,
+            on_notice=self.note_notice,
             on_attempt_failed=self.note_attempt_failed,
         )
 
@@ -226,12 +247,13 @@
           on_prepared: Called once a request can be served.
         """
         self.on_prepared = on_prepared
-        bounds = self.options.bounds
+        self.started_s = event_loop.reactor.seconds()
         operator = OperatorReader(
             board=self.board,
             codec=codec.OPERATOR,
             log=self.log,
             freshness=self.freshness,
+            may_confirm=self.may_trust_records,
             on_weights=self.forwarder.weights_named,
             on_config=self.check_prepared,
         )
@@ -243,28 +265,68 @@
             on_change=self.targets_changed,
             on_incarnation=self.forwarder.incarnation_began,
         )
-        for topic, reader, wait_s, read_pause_s in (
-            (
-                names.OPERATOR_TOPIC,
-                operator,
-                CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000,
-                0.0,
-            ),
-            (
-                names.TARGETS_TOPIC,
-                targets,
-                TARGETS_WAIT_SHARE * bounds.drain_ms / 1000,
-                TARGETS_READ_PAUSE_S,
-            ),
-        ):
-            self.follow_records(
-                topic, reader, wait_s, read_pause_s, self.freshness.now
-            )
+        self.feed_reader = FeedReader(
+            fleet=self.fleet,
+            operator=operator,
+            targets=targets,
+            caches=self.forwarder.caches,
+            clock=event_loop.reactor,
+            capacity_of=self.forwarder.memory_of,
+            on_status=self.forwarder.status_changed,
+        )
+        self.feed = self.make_feed_client(
+            is_router=True,
+            level=Level.ALL,
+            candidates=self.relays,
+            on_reply=self.feed_reader.take,
+        )
+        cover = FeedCover(
+            clock=event_loop.reactor, is_given=lambda: self.feed.is_live
+        )
+        self.watcher.cover = cover
+        self.forwarder.caches.cover = cover
+        bounds = self.options.bounds
+        self.follow_records(
+            names.OPERATOR_TOPIC,
+            operator,
+            CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000,
+            lambda: 0.0,
+            self.has_operator_records,
+        )
+        self.follow_records(
+            names.TARGETS_TOPIC,
+            targets,
+            TARGETS_WAIT_SHARE * bounds.drain_ms / 1000,
+            self.targets_read_pause_s,
+            self.has_target_records,
+        )
+        Deferred.fromCoroutine(self.feed.run())
+
+    def targets_read_pause_s(self) -> float:
+        """Return the pause between two reads of changed targets, in seconds."""
+        is_new = self.feed_reader.is_first and self.relays()
+        return START_READ_PAUSE_S if is_new else TARGETS_READ_PAUSE_S
+
+    def has_operator_records(self) -> bool:
+        """Whether a relay provides the operator's records, new enough."""
+        limit_s = COVERED_AGE_SHARE * self.options.bounds.revoke_ms / 1000
+        return self.feed.is_live and self.feed_reader.operator_age_s < limit_s
+
+    def has_target_records(self) -> bool:
+        """Whether a relay provides the targets' entries, new enough."""
+        limit_s = COVERED_AGE_SHARE * self.options.bounds.drain_ms / 1000
+        return self.feed.is_live and self.feed_reader.targets_age_s < limit_s
+
+    def may_trust_records(self) -> bool:
+        """Whether the store's records may be taken as current."""
+        age_s = event_loop.reactor.seconds() - self.started_s
+        return age_s >= START_CHECK_S or self.feed.is_live or not self.relays()
 
     def targets_changed(self) -> None:
         """Follow the agents of new targets, and serve waiting requests."""
         self.check_prepared()
         self.watcher.follow()
+        self.forwarder.forget_targets()
         self.forwarder.serve_waiting()
 
     def apply_bounds(self, bounds: BoundsOptions) -> None:
@@ -347,6 +409,17 @@
             is_loading=status.is_loading if status else False,
         )
 
+    def note_notice(self, view: TargetView, head: AnswerHead) -> None:
+        """Log what a target has stated about itself in an answer."""
+        self.log.info(
+            "target notice",
+            target=view.target.name,
+            born_ms=view.target.born_ms,
+            is_leaving=head.is_leaving,
+            pause_s=head.pause_s,
+            status=head.status,
+        )
+
     def note_move(self, move: StreamMove) -> None:
         """Count and log a stream's move to another target."""
         outcome = "moved" if move.moved_from else "not moved"
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -17,7 +17,7 @@
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.fleet import Fleet, TargetView
 from sequoiawind.forward_plan import ForwardPlan, ForwardRequest, Planner
-from sequoiawind.forward_ports import ForwardCaller, ForwardPort
+from sequoiawind.forward_ports import AnswerHead, ForwardCaller, ForwardPort
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.home_order import HomeOrder
@@ -116,10 +116,24 @@
     on_attempt_failed: Callable[[Forwarding, TargetView, Failure], None] = (
         attrs.field(default=lambda forwarding, view, failure: None)
     )
+    # Called when a target states that it leaves, or wants nothing for a while.
+    on_notice: Callable[[TargetView, AnswerHead], None] = attrs.field(
+        default=lambda view, head: None
+    )
     on_refusal: Callable[[ForwardRequest, Failure], None] = attrs.field(
         default=lambda request, failure: None
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Let the watcher of caches respect what targets have stated."""
+        self.caches.is_paused = self.is_paused
+
+    def is_paused(self, name: str) -> bool:
+        """Whether a target wants nothing from this VM now."""
+        view = self.fleet.views.get(name)
+        now_s = self.clock.seconds()
+        return view is not None and view.notice.paused_until_s > now_s
+
     def submit(
         self, request: ForwardRequest, caller: ForwardCaller
     ) -> Forwarding | None:
@@ -284,7 +298,7 @@
             chosen.prefill_tokens - self.average_prefill_tokens
         )
         target = chosen.view.target
-        memory = forwarding.plan.pool.memory_tokens or DEFAULT_MEMORY_TOKENS
+        memory = self.memory_of(target.name)
         self.caches.watch(target.name, target.address, memory)
         self.caches.caches[target.name].held.sent(chosen.salt, prompt.parts)
         forwarding.note.prompt_tokens = prompt.tokens
@@ -295,17 +309,32 @@
         for pool in self.board.state.pools.values():
             if not isinstance(pool, ForwardPool) or not pool.cache_store:
                 continue
-            memory = pool.memory_tokens or DEFAULT_MEMORY_TOKENS
+            memory = self.memory_of(pool.name)
             self.caches.watch(pool.name, pool.cache_store, memory)
             cache = self.caches.caches[pool.name]
             if cache.is_alive:
                 return CacheStore(name=pool.name, address=pool.cache_store)
         return None
 
+    def memory_of(self, cache: str) -> int:
+        """Return how many tokens a target or cache store can hold."""
+        view = self.fleet.views.get(cache)
+        name = view.target.pool if view is not None else cache
+        pool = self.board.state.pools.get(name)
+        if isinstance(pool, ForwardPool) and pool.memory_tokens:
+            return pool.memory_tokens
+        return DEFAULT_MEMORY_TOKENS
+
     def has_targets(self, pool: str) -> bool:
         """Whether a pool has a usable target, ready or not."""
         return bool(self.fleet.pool(pool, self.clock.seconds()).usable)
 
+    def forget_targets(self) -> None:
+        """Drop the caches of targets that are gone."""
+        known = self.fleet.views.keys() | self.board.state.pools.keys()
+        for name in self.caches.caches.keys() - known:
+            self.caches.forget(name)
+
     def incarnation_began(self, name: str) -> None:
         """Drop the cache state of a target's previous incarnation."""
         self.caches.forget(name)
@@ -319,6 +348,16 @@
         else:
             self.fleet.record_success(name)
 
+    def head_received(self, view: TargetView, head: AnswerHead) -> None:
+        """Record what a target states about itself in an answer."""
+        if not head.is_leaving and not head.pause_s:
+            return
+        now_s = self.clock.seconds()
+        was_leaving = view.notice.is_leaving
+        self.fleet.record_notice(view, head.is_leaving, head.pause_s, now_s)
+        if head.pause_s or not was_leaving:
+            self.on_notice(view, head)
+
     def versions_seen(
         self, view: TargetView, versions: Mapping[str, int]
     ) -> None:
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -73,9 +73,10 @@
         return self.chosen.view
 
     def head(self, head: AnswerHead) -> None:
-        """Store the answer's head."""
+        """Store the answer's head, and note what the target states."""
         if not self.is_over:
             self.answer = head
+            self.forwarding.forwarder.head_received(self.view, head)
 
     def data(self, data: bytes) -> None:
         """Receive a part of the body; stream events are passed on directly."""
@@ -300,6 +301,8 @@
             return
         if not attempt.is_streaming or self.last_event is None:
             return
+        if attempt.view.notice.paused_until_s > self.now_s:
+            return
         destination = self.forwarder.move_destination(self, attempt.chosen)
         if destination is not None:
             StreamMove(
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -52,6 +52,8 @@
                 headers=passed_headers(headers, names.HOP_BY_HOP),
                 refusal=engine_wire.refusal(status, found),
                 versions=self.versions(found),
+                is_leaving=engine_wire.is_leaving(found),
+                pause_s=engine_wire.pause_s(status, found),
             )
         )
 
@@ -153,7 +155,8 @@
             record = wire.decode(answered.ok.body, engine_wire.ReportRecord)
         except wire.WireError as error:
             return Error(not_run(Reason.TARGET_ERROR, str(error)))
-        return Ok(engine_wire.report(record))
+        is_leaving = engine_wire.is_leaving(dict(answered.ok.headers))
+        return Ok(engine_wire.report(record, is_leaving))
 
     async def cache_changes(
         self, address: str, since: int, wait_s: float, timeout_s: float
--- a/sequoiawind/platform/engine_wire.py
+++ b/sequoiawind/platform/engine_wire.py
@@ -15,6 +15,8 @@
 
 # Status of a target that is not the instance which the request expects.
 WRONG_INSTANCE: Final = 421
+# Status by which a target turns a request away; it may state for how long.
+TURNED_AWAY: Final = 503
 
 
 class ReportRecord(msgspec.Struct):
@@ -90,6 +92,23 @@
     return None
 
 
+def pause_s(status: int, found: Mapping[bytes, bytes]) -> float:
+    """Return for how long a target wants nothing, in seconds; 0 if unstated."""
+    text = found.get(names.RETRY_AFTER, b"").strip()
+    if status != TURNED_AWAY or not text:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if 0.0 < seconds < float("inf") else 0.0
+
+
+def is_leaving(found: Mapping[bytes, bytes]) -> bool:
+    """Whether an answer states that its target is leaving."""
+    return found.get(names.SERVER_LEAVING, b"").strip() == b"1"
+
+
 def request_headers(order: SendOrder) -> Headers:
     """Return the headers of a request to a target."""
     return [*caller_headers(order), *system_headers(order)]
@@ -132,8 +151,13 @@
     return headers
 
 
-def report(record: ReportRecord) -> TargetReport:
-    """Convert a target's report to the product's type."""
+def report(record: ReportRecord, is_leaving: bool = False) -> TargetReport:
+    """Convert a target's report to the product's type.
+
+    Args:
+      record: The report.
+      is_leaving: Whether the answer states that the target is leaving.
+    """
     return TargetReport(
         versions={item.name: item.version for item in record.models},
         is_busy=record.busy,
@@ -144,7 +168,7 @@
         if record.runs is None
         else tuple(events for _, _, events, _ in record.runs),
         used_tokens=record.kv_used,
-        is_draining=record.state == names.DRAINING,
+        is_draining=is_leaving or record.state == names.DRAINING,
         born_ms=record.born,
     )
 
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -22,6 +22,10 @@
 LAST_EVENT_ID: Final = b"last-event-id"
 AUTHORIZATION: Final = b"authorization"
 RETRY_AFTER: Final = b"retry-after"
+# In all answers of a target that is leaving: 1.
+SERVER_LEAVING: Final = b"server-leaving"
+# In all answers of the store: rises each time it returns from a copy.
+STORE_ERA: Final = b"store-era"
 
 # Scheme of the `Authorization` header, before the key.
 KEY_SCHEME: Final = b"token"
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from sequoiawind import wire
+from sequoiawind.headers import Headers
 from sequoiawind.http1_client import (
     Http1Client,
     HttpReply,
@@ -18,6 +19,7 @@
     fetch,
 )
 from sequoiawind.options import Address
+from sequoiawind.platform import names
 from sequoiawind.record_ports import (
     KeyedPage,
     KeyedRecord,
@@ -76,19 +78,26 @@
         answered = await self.get(NEWEST, query, timeout_s)
         if answered.is_error():
             return Error(answered.error)
+        era = decode_era(answered.ok.headers)
         try:
             page = wire.decode(answered.ok.body, NewestPage)
             records = [
                 KeyedRecord(
                     key=item.key,
-                    value=base64.b64decode(item.value, validate=True),
+                    value=base64.b64decode(item.value.encode(), validate=True),
+                    stamp=(era, item.offset),
                 )
                 for item in page.items
             ]
         except (wire.WireError, binascii.Error) as error:
             return Error(may_have_run(Reason.TARGET_ERROR, str(error)))
         return Ok(
-            KeyedPage(records=records, end=page.end, has_more=page.has_more)
+            KeyedPage(
+                records=records,
+                end=page.end,
+                has_more=page.has_more,
+                era=era,
+            )
         )
 
     async def read(
@@ -108,7 +117,8 @@
         if answered.is_error():
             return Error(answered.error)
         try:
-            return Ok(decode_page(answered.ok.body, start))
+            era = decode_era(answered.ok.headers)
+            return Ok(decode_page(answered.ok.body, start, era))
         except (struct.error, UnicodeDecodeError, IndexError) as error:
             return Error(may_have_run(Reason.TARGET_ERROR, repr(error)))
 
@@ -126,20 +136,27 @@
             return Error(answered.error)
         status = answered.ok.status
         if status == GONE:
-            return Error(RecordsLost())
+            return Error(RecordsLost(era=decode_era(answered.ok.headers)))
         if status != 200:
             return Error(may_have_run(Reason.TARGET_ERROR, f"status {status}"))
         return Ok(answered.ok)
 
 
-def decode_page(body: bytes, start: int) -> KeyedPage:
+def decode_era(headers: Headers) -> int:
+    """Return the store's era; 0 if an answer does not state it."""
+    text = dict(headers).get(names.STORE_ERA, b"").strip()
+    return int(text) if text.isdigit() else 0
+
+
+def decode_page(body: bytes, start: int, era: int = 0) -> KeyedPage:
     """Decode the body of a read.
 
     Raises:
       struct.error, IndexError: The body is truncated.
     """
     end, _ = END_AND_FIRST.unpack_from(body)
-    position, records = END_AND_FIRST.size, []
+    position = END_AND_FIRST.size
+    records: list[KeyedRecord] = []
     while position < len(body):
         (length,) = LENGTH.unpack_from(body, position)
         position += LENGTH.size
@@ -147,18 +164,21 @@
         if len(content) < length:
             raise IndexError("a record is truncated")
         position += length
-        records.append(decode_record(content))
+        records.append(decode_record(content, (era, start + len(records))))
     # A read may return fewer records than there are before the end.
     return KeyedPage(
         records=records,
         end=start + len(records),
         has_more=start + len(records) < end,
+        era=era,
     )
 
 
-def decode_record(content: bytes) -> KeyedRecord:
+def decode_record(
+    content: bytes, stamp: tuple[int, int] = (0, 0)
+) -> KeyedRecord:
     """Decode a record: the key's length in a byte, the key, the value."""
     length = content[0]
     key = content[1 : 1 + length].decode("utf-8", "replace")
     value = content[1 + length :]
-    return KeyedRecord(key=key, value=value or None)
+    return KeyedRecord(key=key, value=value or None, stamp=stamp)
--- a/sequoiawind/record_follower.py
+++ b/sequoiawind/record_follower.py
@@ -4,6 +4,13 @@
 records.  After a failure, or if the records to read next have been deleted, it
 reads the newest ones again.  This never reverts a reader to an older state,
 because readers keep the greatest version.
+
+The store may return from a copy that is some seconds old, which it shows by a
+greater era.  Offsets mean nothing then, so the newest records are read again;
+what the copy lacks is written again soon, and until then the records prove
+nothing about what is current.
+
+While another process provides the records, the follower does not read.
 """
 
 import random
@@ -15,6 +22,7 @@
 from expression import Result
 
 from sequoiawind import supervise, timing
+from sequoiawind.feed_cover import FeedCover
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import (
     KeyedPage,
@@ -32,6 +40,9 @@
 RETRY_JITTER: Final = 0.4
 # Time allowed for a response, in seconds, in addition to the wait.
 RESPONSE_MARGIN_S: Final = 0.8
+# Time after which everything that a copy of the store lacked is written again,
+# in seconds.
+ERA_SETTLE_S: Final = 2.0
 
 
 class RecordReader(Protocol):
@@ -56,6 +67,9 @@
     def store_back(self) -> None:
         """Called when the store answers again."""
 
+    def store_rewound(self, era: int) -> None:
+        """Called when the store has returned from an older copy."""
+
 
 @attrs.define(kw_only=True)
 class RecordFollower:
@@ -71,11 +85,18 @@
     # The clock of `RecordReader.confirmed`.
     age_clock: Callable[[], float]
     log: Logger
-    # Pause after new records, in seconds, so that one response carries more.
-    read_pause_s: float = 0.0
+    # Returns the pause after new records, in seconds, so that one response
+    # carries more.
+    read_pause_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     # Offset of the next read; None if the newest records must be read first.
     offset: int | None = None
     is_store_lost: bool = False
+    # The store's era, and when it was last seen to rise, in seconds of the
+    # clock; None before the first answer.
+    era: int | None = None
+    era_began_s: float = float("-inf")
+    # While it is given, another process provides the records.
+    cover: FeedCover | None = None
 
     async def run(self) -> None:
         """Follow the records until the process ends."""
@@ -88,6 +109,9 @@
 
     async def step(self) -> None:
         """Read from the store once; pause after a failure or new records."""
+        if self.cover is not None and self.cover.is_given():
+            await self.rest(self.cover)
+            return
         request_time_s = self.age_clock()
         if self.offset is None:
             result = await self.read_newest()
@@ -104,11 +128,41 @@
         if self.is_store_lost:
             self.is_store_lost = False
             self.reader.store_back()
+        if self.has_new_era(result.ok.era) and self.offset is not None:
+            self.offset = None
+            return
         self.deliver(result.ok)
-        if not result.ok.has_more:
+        if not result.ok.has_more and self.is_era_settled:
             self.reader.confirmed(request_time_s)
-        if result.ok.records and self.read_pause_s:
-            await timing.sleep(self.clock, self.read_pause_s)
+        pause_s = self.read_pause_s() if result.ok.records else 0.0
+        if pause_s:
+            await timing.sleep(self.clock, pause_s)
+
+    async def rest(self, cover: FeedCover) -> None:
+        """Pause while another process provides the records.
+
+        The jitter after it keeps the processes from all reading at once.
+        """
+        self.offset = None
+        if self.is_store_lost:
+            self.is_store_lost = False
+            self.reader.store_back()
+        await cover.wait_until_lost()
+        await timing.sleep(self.clock, self.random.uniform(0.0, RETRY_PAUSE_S))
+
+    def has_new_era(self, era: int) -> bool:
+        """Record the store's era; return whether it has risen."""
+        known, self.era = self.era, max(era, self.era or 0)
+        if known is None or era <= known:
+            return False
+        self.era_began_s = self.clock.seconds()
+        self.reader.store_rewound(era)
+        return True
+
+    @property
+    def is_era_settled(self) -> bool:
+        """Whether the records lost with the last era are there again."""
+        return self.clock.seconds() - self.era_began_s >= ERA_SETTLE_S
 
     async def read_newest(self) -> Result[KeyedPage, ReadFailure]:
         """Return the newest records of all keys as one page."""
@@ -129,7 +183,7 @@
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
-        return Result.Ok(KeyedPage(records=records, end=end))
+        return Result.Ok(KeyedPage(records=records, end=end, era=page.era))
 
     def deliver(self, page: KeyedPage) -> None:
         """Pass the records of a page to the reader."""
@@ -144,6 +198,7 @@
         """Read the newest records next; pause first if the store failed."""
         self.offset = None
         if isinstance(failure, RecordsLost):
+            self.has_new_era(failure.era)
             return
         if not self.is_store_lost:
             self.is_store_lost = True
--- a/sequoiawind/record_ports.py
+++ b/sequoiawind/record_ports.py
@@ -14,6 +14,9 @@
 
     key: str
     value: bytes | None
+    # The store's era and the record's offset in it; later records of a key have
+    # greater stamps.
+    stamp: tuple[int, int] = (0, 0)
 
 
 @attrs.frozen(kw_only=True)
@@ -24,12 +27,17 @@
     # Offset of the next read.
     end: int
     has_more: bool = False
+    # Rises when the store returns from a copy: records written shortly before
+    # are lost, and offsets are given out again.
+    era: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class RecordsLost:
     """The requested records have been deleted; only the newest are left."""
 
+    era: int = 0
+
 
 ReadFailure = Failure | RecordsLost
 
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from sequoiawind import supervise, timing, wire
+from sequoiawind.feed_cover import FeedCover
 from sequoiawind.fleet import Fleet
 from sequoiawind.http1_client import (
     Http1Client,
@@ -96,6 +97,8 @@
     log: Logger
     # Called with a target's name after each change.
     on_change: Callable[[str], None] = attrs.field(default=lambda name: None)
+    # While it is given, a relay tells the statuses.
+    cover: FeedCover | None = None
     # Names of the targets whose agents are polled.
     watched: set[str] = attrs.field(factory=set)
 
@@ -125,6 +128,10 @@
         view = self.fleet.views.get(name)
         if view is None:
             return
+        if self.cover is not None and self.cover.is_given():
+            watched.number = -1
+            await self.cover.wait_until_lost()
+            return
         status = await self.agents.status(view.target.address, watched.number)
         if status is None:
             watched.failures += 1
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,7 +4,8 @@
 
 from testtools import TestCase
 
-from sequoiawind.forward_state import ForwardAccount
+from sequoiawind.forward_ports import AnswerHead
+from sequoiawind.forward_state import ForwardAccount, ForwardPool
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.verdict import (
@@ -14,6 +15,7 @@
     may_have_run,
     not_run,
 )
+from sequoiawind.wire import TargetStatus
 from tests.forward_rig import FakeCaller, ForwardRig, state, target
 
 BUSY = not_run(Reason.TARGET_BUSY, "busy")
@@ -178,6 +180,92 @@
         self.assertEqual(event(1) + event(2), caller.body)
 
 
+class NoticeTest(TestCase):
+    """What a target states of itself holds whatever else is known of it."""
+
+    def rig(self) -> ForwardRig:
+        rig = ForwardRig()
+        rig.add(target("t1"), target("t2"))
+        return rig
+
+    def names(self, rig: ForwardRig, count: int) -> set[str]:
+        """Return the targets of the next calls, which succeed."""
+        found = set()
+        for _ in range(count):
+            rig.submit("read")
+            sent = rig.port.sent[-1]
+            found.add(sent.order.target.name)
+            sent.answer(200)
+        return found
+
+    def state_notice(self, rig: ForwardRig, status: int, **stated: Any) -> str:
+        """Let the next target state something; return its name."""
+        rig.submit("read")
+        sent = rig.port.sent[-1]
+        sent.sink.head(AnswerHead(status=status, headers=[], **stated))
+        sent.sink.done()
+        rig.port.sent[-1].answer(200)
+        return sent.order.target.name
+
+    def test_leaving_target_gets_no_more_requests(self) -> None:
+        rig = self.rig()
+        name = self.state_notice(rig, 200, is_leaving=True)
+        self.assertNotIn(name, self.names(rig, 6))
+        # Its entry lapses, and returns with the same start.
+        rig.fleet.remove(name, rig.clock.seconds())
+        rig.add(target(name))
+        self.assertNotIn(name, self.names(rig, 6))
+        rig.fleet.put(target(name, born_ms=9))
+        self.assertIn(name, self.names(rig, 6))
+
+    def test_target_that_wants_nothing_for_a_while_gets_nothing(self) -> None:
+        rig = self.rig()
+        name = self.state_notice(rig, 503, refusal=BUSY, pause_s=3.0)
+        for _ in range(5):
+            rig.advance(0.55)
+            self.assertNotIn(name, self.names(rig, 4))
+        rig.fleet.remove(name, rig.clock.seconds())
+        rig.add(target(name))
+        self.assertNotIn(name, self.names(rig, 4))
+        rig.advance(0.5)
+        self.assertIn(name, self.names(rig, 8))
+
+    def test_requests_wait_or_end_while_no_target_wants_them(self) -> None:
+        rig = ForwardRig()
+        rig.add(target("t1"))
+        caller = rig.submit("book")
+        rig.port.sent[0].sink.head(
+            AnswerHead(status=503, headers=[], refusal=BUSY, pause_s=4.0)
+        )
+        rig.port.sent[0].sink.done()
+        rig.advance(3.0)
+        self.assertEqual(1, len(rig.port.sent))
+        assert caller.failure is not None
+        self.assertEqual(503, forwarded_status(caller.failure))
+
+    def test_run_is_not_moved_from_a_target_that_wants_nothing(self) -> None:
+        rig = ForwardRig()
+        pool = ForwardPool(
+            name="llm", models=("m",), memory_tokens=10_000, has_moves=True
+        )
+        pools = {**rig.board.state.pools, "llm": pool}
+        rig.configure(state(2, pools=pools))
+        rig.add(target("e1", "llm"), target("e2", "llm"))
+        rig.submit("draft")
+        sent = rig.port.sent[0]
+        name = sent.order.target.name
+        sent.begin(200, event(1))
+        view = rig.fleet.views[name]
+        rig.fleet.record_notice(view, False, 5.0, rig.clock.seconds())
+        loading = TargetStatus(target=name, is_loading=True)
+        rig.fleet.record_status(name, loading, rig.clock.seconds())
+        rig.forwarder.status_changed(name)
+        self.assertEqual([], rig.port.moves)
+        view.notice.paused_until_s = -1.0
+        rig.forwarder.status_changed(name)
+        self.assertEqual(1, len(rig.port.moves))
+
+
 class TimeTest(TestCase):
     """Requests end within their time limit, and pass on the time left."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -182,9 +182,27 @@
         peer.protocol.dataReceived(reply)
         return results[0]
 
-    def reply(self, body: bytes, status: int = 200) -> bytes:
-        head = b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n"
-        return head % (status, len(body)) + body
+    def reply(
+        self, body: bytes, status: int = 200, more_head: bytes = b""
+    ) -> bytes:
+        head = b"HTTP/1.1 %d x\r\n%scontent-length: %d\r\n\r\n"
+        return head % (status, more_head, len(body)) + body
+
+    def test_era_of_each_answer(self) -> None:
+        era = b"Store-Era: 3\r\n"
+        body = struct.pack(">QQ", 7, 0) + framed(b"\x01kvalue", b"\x01k")
+        page = self.answer("read", self.reply(body, more_head=era)).ok
+        self.assertEqual(3, page.era)
+        self.assertEqual([(3, 5), (3, 6)], [r.stamp for r in page.records])
+        items = b'{"items": [{"key": "k", "value": "dg==", "offset": 4}]}'
+        page = self.answer("newest", self.reply(items, more_head=era)).ok
+        self.assertEqual((3, (3, 4)), (page.era, page.records[0].stamp))
+        gone = self.answer("read", self.reply(b"{}", 410, more_head=era))
+        self.assertEqual(RecordsLost(era=3), gone.error)
+        for text in (b"x", b"", "²".encode()):
+            era = b"Store-Era: " + text + b"\r\n"
+            page = self.answer("newest", self.reply(b"{}", more_head=era)).ok
+            self.assertEqual(0, page.era)
 
     def test_read(self) -> None:
         body = struct.pack(">QQ", 7, 0) + framed(b"\x01kvalue", b"\x01k")
@@ -199,7 +217,13 @@
         for body in (b"", whole[:12], whole[:-2], whole + b"\x00", b"{}"):
             result = self.answer("read", self.reply(body))
             self.assertTrue(result.is_error(), body)
-        for body in (b"", b"{", b'{"items": [{"key": "k", "value": "*"}]}'):
+        item = '{"items": [{"key": "k", "value": "é"}]}'.encode()
+        for body in (
+            b"",
+            b"{",
+            b'{"items": [{"key": "k", "value": "*"}]}',
+            item,
+        ):
             result = self.answer("newest", self.reply(body))
             self.assertTrue(result.is_error(), body)
 
@@ -338,6 +362,27 @@
             if refusal is not None:
                 self.assertEqual(Verdict.NOT_RUN, refusal.verdict)
 
+    def test_what_a_target_states_of_itself(self) -> None:
+        for status, text, expected in (
+            (503, b"2", 2.0),
+            (503, b" 0.5 ", 0.5),
+            (503, b"", 0.0),
+            (503, b"soon", 0.0),
+            (503, b"-1", 0.0),
+            (503, b"nan", 0.0),
+            (503, b"inf", 0.0),
+            (429, b"2", 0.0),
+            (200, b"2", 0.0),
+        ):
+            found = {b"retry-after": text}
+            self.assertEqual(
+                expected, engine_wire.pause_s(status, found), (status, text)
+            )
+        self.assertEqual(0.0, engine_wire.pause_s(503, {}))
+        for text, is_leaving in ((b"1", True), (b"0", False), (b"", False)):
+            found = {b"server-leaving": text}
+            self.assertEqual(is_leaving, engine_wire.is_leaving(found))
+
 
 class IgnoringSink:
     """A sink that ignores the answer."""
