Order weights under leases where there are no agents; mutants of the feed

Change: routers to which no agent has ever answered share the targets by the partitions of a topic of the store (weights_holder, platform/leases). The holder of a target's partition orders it, in the turns that agents use, with the group's generation and the store's era as fencing number, only while its lease surely holds on a clock that counts suspensions, and not before a former holder's lease has ended. It leaves the group once an agent answers. The fencing number of agents is above those of leases, so that an agent that comes later wins. The settings of routers get a table [lease].

--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -125,6 +125,11 @@
         """Whether a reply has arrived within the last `LIVE_S`."""
         return self.clock.seconds() - self.replied_s < LIVE_S
 
+    @property
+    def has_replied(self) -> bool:
+        """Whether a reply has ever arrived."""
+        return self.replied_s > float("-inf")
+
     async def run(self) -> None:
         """Read until the client is stopped."""
         await supervise.repeat(self.step, "feed", self.clock, self.log)
--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -57,12 +57,7 @@
           sent_s: When its request was sent, in seconds of the age clock.
         """
         self.take_records(reply)
-        if reply.operator_age_s >= 0.0:
-            self.operator_as_of_s = sent_s - reply.operator_age_s
-            self.operator.confirmed(self.operator_as_of_s)
-        if reply.targets_age_s >= 0.0:
-            self.targets_as_of_s = sent_s - reply.targets_age_s
-            self.targets.confirmed(self.targets_as_of_s)
+        self.note_ages(reply, sent_s)
         now_s = self.clock.seconds()
         self.fleet.set_routers(reply.routers, now_s)
         self.take_caches(reply)
@@ -71,6 +66,18 @@
                 self.fleet.record_status(item.target, item.status, now_s)
                 self.on_status(item.target)
 
+    def note_ages(self, reply: FeedReply, sent_s: float) -> None:
+        """Record how old the relay's records are.
+
+        The time since the request was sent is added to the relay's ages.
+        """
+        if reply.operator_age_s >= 0.0:
+            self.operator_as_of_s = sent_s - reply.operator_age_s
+            self.operator.confirmed(self.operator_as_of_s)
+        if reply.targets_age_s >= 0.0:
+            self.targets_as_of_s = sent_s - reply.targets_age_s
+            self.targets.confirmed(self.targets_as_of_s)
+
     def take_records(self, reply: FeedReply) -> None:
         """Apply the store's records."""
         operator = records_of(reply.records, Topic.OPERATOR)
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -20,7 +20,7 @@
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.forwarding import Forwarding
-from sequoiawind.freshness import Freshness
+from sequoiawind.freshness import Freshness, suspended_clock_s
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
@@ -33,6 +33,7 @@
 from sequoiawind.pages import METRICS_PATH, Pages, metrics_page
 from sequoiawind.platform import callers, codec, names
 from sequoiawind.platform.engine import EngineClient
+from sequoiawind.platform.leases import LeaseClient
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.status_watcher import (
@@ -42,6 +43,7 @@
 )
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.verdict import Failure, Reason
+from sequoiawind.weights_holder import WeightsHolder
 
 # Share of the revocation bound for which the store may wait for a change before
 # it answers: two waits in a row must end well within the bound.
@@ -55,6 +57,9 @@
 # only once a relay has answered too: the store may just have returned from an
 # old copy.
 START_CHECK_S: Final = 1.0
+# Time after its start, in seconds, from which a router to which no agent has
+# answered takes part in ordering weights.
+AGENTLESS_S: Final = 5.0
 # Pause after targets have changed, in seconds, so that one read returns several
 # changes; a small part of the bound on leaving targets.
 TARGETS_READ_PAUSE_S: Final = 0.15
@@ -84,6 +89,7 @@
     site: CallerSite = attrs.field(init=False)
     feed: FeedClient = attrs.field(init=False)
     feed_reader: FeedReader = attrs.field(init=False)
+    holder: WeightsHolder = attrs.field(init=False)
     # When the controllers were started, in seconds of the clock.
     started_s: float = 0.0
     # The listening ports; empty before `listen`.
@@ -300,7 +306,32 @@
             self.targets_read_pause_s,
             self.has_target_records,
         )
-        Deferred.fromCoroutine(self.feed.run())
+        self.holder = self.make_holder()
+        for controller in (self.feed, self.holder):
+            Deferred.fromCoroutine(controller.run())
+
+    def make_holder(self) -> WeightsHolder:
+        """Return the controller that orders weights where no agent does."""
+        lease = self.options.lease
+        return WeightsHolder(
+            member=self.options.node.name,
+            port=LeaseClient(store=self.store),
+            targets=EngineClient(client=self.client),
+            fleet=self.fleet,
+            clock=event_loop.reactor,
+            age_clock=suspended_clock_s,
+            lease_s=lease.lease_ms / 1000,
+            partitions=lease.partitions,
+            weights_s=self.options.bounds.weights_ms / 1000,
+            named=self.forwarder.named,
+            has_agents=self.may_have_agents,
+            log=self.log,
+        )
+
+    def may_have_agents(self) -> bool:
+        """Whether an agent has answered since the start, or still may soon."""
+        age_s = event_loop.reactor.seconds() - self.started_s
+        return age_s < AGENTLESS_S or self.feed.has_replied
 
     def targets_read_pause_s(self) -> float:
         """Return the pause between two reads of changed targets, in seconds."""
@@ -334,6 +365,7 @@
         self.freshness.revoke_s = bounds.revoke_ms / 1000
         self.freshness.in_force_s = bounds.in_force_ms / 1000
         self.forwarder.weights_s = bounds.weights_ms / 1000
+        self.holder.weights_s = bounds.weights_ms / 1000
         self.forwarder.settle_s = bounds.settle_ms / 1000
         window = self.forwarder.window
         window.ratio = bounds.repeat_ratio
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -106,6 +106,16 @@
     repeat_window_s: float = 10.0
 
 
+@attrs.frozen(kw_only=True)
+class LeaseOptions:
+    """Leases in the store, by which routers share work."""
+
+    # Duration of a lease.
+    lease_ms: float = 3_000.0
+    # Number of partitions of each topic of the store.
+    partitions: int = 16
+
+
 @attrs.frozen(kw_only=True)
 class NodeOptions:
     """Name, address and ports of one process."""
@@ -134,6 +144,7 @@
     store: Address
     entry: EntryOptions
     bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
+    lease: LeaseOptions = attrs.field(factory=LeaseOptions)
     logs: LogsOptions = attrs.field(factory=LogsOptions)
 
 
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -26,7 +26,7 @@
     ReadFailure,
     RecordsLost,
 )
-from sequoiawind.verdict import Reason, may_have_run
+from sequoiawind.verdict import Failure, Reason, may_have_run
 
 NEWEST: Final = "/api/log-newest"
 READ: Final = "/api/log-read"
@@ -122,6 +122,25 @@
         except (struct.error, UnicodeDecodeError, IndexError) as error:
             return Error(may_have_run(Reason.TARGET_ERROR, repr(error)))
 
+    async def post(
+        self, path: str, record: msgspec.Struct, timeout_s: float
+    ) -> Result[HttpReply, Failure]:
+        """Send a record to the store and check the answer's status."""
+        request = OutgoingRequest(
+            method=b"POST",
+            request_target=path.encode(),
+            headers=[
+                (b"host", str(self.address).encode()),
+                (b"content-type", b"application/json"),
+            ],
+            body=msgspec.json.encode(record),
+        )
+        answered = await fetch(self.client, self.address, request, timeout_s)
+        if answered.is_ok() and answered.ok.status != 200:
+            text = f"status {answered.ok.status}"
+            return Error(may_have_run(Reason.TARGET_ERROR, text))
+        return answered
+
     async def get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> Result[HttpReply, ReadFailure]:
--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -25,8 +25,9 @@
 from sequoiawind.verdict import Failure
 
 # Constant, as an agent shares the VM of its target and is the only process
-# that sends it orders.
-FENCING: Final = 1
+# that sends it orders; greater than the fencing numbers of leases, which
+# routers may have used before there was an agent.
+FENCING: Final = 2**30
 # Minimum number of a pool's targets that load concurrently.
 MIN_CONCURRENT_LOADS: Final = 2
 # Time from one target's turn to the next's, in seconds: for its queue to empty,
--- /dev/null
+++ b/tests/test_feed_mutants.py
@@ -0,0 +1,224 @@
+"""Each mechanism behind the feed is needed by the test that shows it.
+
+A mutant replaces one function; the test named with it must fail then.
+"""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from testtools import TestCase
+
+from sequoiawind.feed_client import FeedClient
+from sequoiawind.feed_reader import FeedReader
+from sequoiawind.feed_relay import FeedRelay
+from sequoiawind.feed_table import FeedTable
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_readers import OperatorReader, TargetReader
+from sequoiawind.platform import engine_wire
+from sequoiawind.record_follower import RecordFollower
+from sequoiawind.weights_holder import Lease, WeightsHolder
+from tests import (
+    test_feed,
+    test_feed_programs,
+    test_forwarding,
+    test_platform,
+    test_record_followers,
+    test_weights_holder,
+)
+
+Notice = Callable[..., None]
+record_notice: Notice = Fleet.record_notice
+
+
+def without_leaving(
+    self: Fleet, view: Any, is_leaving: bool, pause_s: float, now_s: float
+) -> None:
+    """Record a notice without what it says of leaving."""
+    record_notice(self, view, False, pause_s, now_s)
+
+
+def without_pause(
+    self: Fleet, view: Any, is_leaving: bool, pause_s: float, now_s: float
+) -> None:
+    """Record a notice without the pause that it asks for."""
+    record_notice(self, view, is_leaving, 0.0, now_s)
+
+
+def always_behind(self: OperatorReader, state: Any) -> None:
+    """Put a configuration in force, and never find the store behind."""
+    if state.revision > self.board.state.revision:
+        self.board.put_config(
+            type(self.board.folded)(state=state, next_offset=state.revision + 1)
+        )
+
+
+@attrs.frozen(kw_only=True)
+class FeedMutant:
+    """A replaced attribute, and the test that must fail with it."""
+
+    name: str
+    owner: Any
+    attribute: str
+    replacement: Any
+    case: type[TestCase]
+    test: str
+
+
+MUTANTS = (
+    FeedMutant(
+        name="a rise of the store's era is not seen",
+        owner=RecordFollower,
+        attribute="has_new_era",
+        replacement=lambda self, era: False,
+        case=test_record_followers.FollowerTest,
+        test="test_new_era_makes_all_offsets_void",
+    ),
+    FeedMutant(
+        name="records of a new era prove at once what is current",
+        owner=RecordFollower,
+        attribute="is_era_settled",
+        replacement=True,
+        case=test_record_followers.FollowerTest,
+        test="test_new_era_makes_all_offsets_void",
+    ),
+    FeedMutant(
+        name="an older configuration confirms a newer one",
+        owner=OperatorReader,
+        attribute="apply_config",
+        replacement=always_behind,
+        case=test_record_followers.OperatorReaderTest,
+        test="test_older_configuration_does_not_confirm",
+    ),
+    FeedMutant(
+        name="entries that arrive late replace newer ones",
+        owner=TargetReader,
+        attribute="changed",
+        replacement=lambda self, record: (
+            self.apply(self.decode(record.key, record.value).ok)
+            if record.value is not None
+            else self.remove(record.key)
+        ),
+        case=test_record_followers.TargetReaderTest,
+        test="test_older_entries_are_ignored",
+    ),
+    FeedMutant(
+        name="targets that state that they leave get requests",
+        owner=Fleet,
+        attribute="record_notice",
+        replacement=without_leaving,
+        case=test_forwarding.NoticeTest,
+        test="test_leaving_target_gets_no_more_requests",
+    ),
+    FeedMutant(
+        name="targets that want nothing for a while get requests",
+        owner=Fleet,
+        attribute="record_notice",
+        replacement=without_pause,
+        case=test_forwarding.NoticeTest,
+        test="test_target_that_wants_nothing_for_a_while_gets_nothing",
+    ),
+    FeedMutant(
+        name="Retry-After of a target is not read",
+        owner=engine_wire,
+        attribute="pause_s",
+        replacement=lambda status, found: 0.0,
+        case=test_platform.RequestTest,
+        test="test_what_a_target_states_of_itself",
+    ),
+    FeedMutant(
+        name="a relay passes its records on as new",
+        owner=FeedRelay,
+        attribute="age_s",
+        replacement=lambda self, as_of_s: -1.0 if as_of_s is None else 0.0,
+        case=test_feed.AgeTest,
+        test="test_age_counts_from_the_first_request",
+    ),
+    FeedMutant(
+        name="a relay passes on records of which it knows no age",
+        owner=FeedRelay,
+        attribute="age_s",
+        replacement=lambda self, as_of_s: 0.0,
+        case=test_feed.AgeTest,
+        test="test_age_counts_from_the_first_request",
+    ),
+    FeedMutant(
+        name="a router counts a relay's records as of their arrival",
+        owner=FeedReader,
+        attribute="note_ages",
+        replacement=lambda self, reply, sent_s: self.operator.confirmed(
+            self.age_clock()
+        ),
+        case=test_feed_programs.FeedReaderTest,
+        test="test_age_of_a_relays_records",
+    ),
+    FeedMutant(
+        name="older facts replace newer ones",
+        owner=FeedTable,
+        attribute="replaces",
+        replacement=lambda self, entry, known: True,
+        case=test_feed.FeedTableTest,
+        test="test_older_entries_change_nothing",
+    ),
+    FeedMutant(
+        name="a silent relay is asked again and again",
+        owner=FeedClient,
+        attribute="choose",
+        replacement=lambda self: self.candidates()[0],
+        case=test_feed.RelayTest,
+        test="test_silent_relay_is_left_for_another",
+    ),
+    FeedMutant(
+        name="routers order without regard to the end of their lease",
+        owner=WeightsHolder,
+        attribute="may_order",
+        replacement=lambda self, view: self.lease is not None,
+        case=test_weights_holder.WeightsHolderTest,
+        test="test_suspended_router_does_not_use_a_lease_that_ran_out",
+    ),
+    FeedMutant(
+        name="routers order before a former lease has ended",
+        owner=WeightsHolder,
+        attribute="may_order",
+        replacement=lambda self, view: self.lease is not None,
+        case=test_weights_holder.WeightsHolderTest,
+        test="test_nothing_is_ordered_before_a_former_lease_has_ended",
+    ),
+    FeedMutant(
+        name="fencing numbers begin again in a new era",
+        owner=Lease,
+        attribute="fencing",
+        replacement=property(lambda self: self.generation),
+        case=test_weights_holder.WeightsHolderTest,
+        test="test_rewound_store_gives_no_fencing_number_out_again",
+    ),
+    FeedMutant(
+        name="routers go on to order beside agents",
+        owner=WeightsHolder,
+        attribute="give_up",
+        replacement=WeightsHolder.renew,
+        case=test_weights_holder.WeightsHolderTest,
+        test="test_work_is_left_to_agents_once_there_are_some",
+    ),
+)
+
+
+class FeedMutantTest(TestCase):
+    """Every mutant is found by its test, which passes without it."""
+
+    def passes(self, mutant: FeedMutant) -> bool:
+        result = unittest.TestResult()
+        mutant.case(mutant.test).run(result)
+        self.assertEqual(1, result.testsRun)
+        return result.wasSuccessful()
+
+    def test_each_mutant_is_found(self) -> None:
+        for mutant in MUTANTS:
+            self.assertTrue(self.passes(mutant), mutant.test)
+            original = mutant.owner.__dict__[mutant.attribute]
+            setattr(mutant.owner, mutant.attribute, mutant.replacement)
+            try:
+                self.assertFalse(self.passes(mutant), mutant.name)
+            finally:
+                setattr(mutant.owner, mutant.attribute, original)
