Keep the decoded form of unchanged routes; give the router's notes a module

Cause: each version of a configuration of 1,460 routes was built anew in 44 ms on a full core, 0.11 s on a small VM, while requests wait.

Counters and log lines of the router stand in router_notes, moved unchanged.

Tests: an unchanged route is the same object in the next version.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -12,14 +12,11 @@
 from sequoiawind.feed_cover import FeedCover
 from sequoiawind.feed_reader import FeedReader
 from sequoiawind.feed_table import Level
-from sequoiawind.fleet import TargetView
-from sequoiawind.forward_plan import ForwardRequest, Planner
-from sequoiawind.forward_ports import AnswerHead
+from sequoiawind.forward_plan import Planner
 from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
-from sequoiawind.forwarding import Forwarding
 from sequoiawind.freshness import Freshness, suspended_clock_s
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
@@ -36,13 +33,12 @@
 from sequoiawind.platform.leases import LeaseClient
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.router_notes import RouterNotes
 from sequoiawind.status_watcher import (
     STATUS_WAIT_S,
     AgentClient,
     StatusWatcher,
 )
-from sequoiawind.stream_move import StreamMove
-from sequoiawind.verdict import Failure, Reason
 from sequoiawind.weights_holder import WeightsHolder
 
 # Share of the revocation bound for which the store may wait for a change before
@@ -84,6 +80,7 @@
 
     metrics: ForwardMetrics = attrs.field(factory=ForwardMetrics)
     freshness: Freshness = attrs.field(init=False)
+    notes: RouterNotes = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     watcher: StatusWatcher = attrs.field(init=False)
     site: CallerSite = attrs.field(init=False)
@@ -105,13 +102,20 @@
             revoke_s=bounds.revoke_ms / 1000,
             in_force_s=bounds.in_force_ms / 1000,
         )
+        self.notes = RouterNotes(
+            metrics=self.metrics,
+            log=self.log,
+            board=self.board,
+            freshness=self.freshness,
+            clock=event_loop.reactor,
+        )
         self.forwarder = self.make_forwarder()
         self.watcher = self.make_watcher()
         self.site = CallerSite(
             clock=event_loop.reactor,
             on_request=self.take_request,
             limits=self.limits,
-            on_refusal=self.count_refusal,
+            on_refusal=self.notes.count_refusal,
         )
         self.metrics.set_gauge_functions(
             age_s=lambda: self.freshness.age_s,
@@ -129,7 +133,7 @@
 
     def make_forwarder(self) -> Forwarder:
         """Return the component that decides about requests."""
-        bounds = self.options.bounds
+        bounds, notes = self.options.bounds, self.notes
         engines = EngineClient(client=self.client)
         return Forwarder(
             board=self.board,
@@ -156,12 +160,12 @@
             domain=self.options.node.failure_domain,
             weights_s=bounds.weights_ms / 1000,
             settle_s=bounds.settle_ms / 1000,
-            on_end=self.note_end,
-            on_move=self.note_move,
-            on_retry=self.count_retry,
-            on_refusal=self.note_refusal,
-            on_notice=self.note_notice,
-            on_attempt_failed=self.note_attempt_failed,
+            on_end=notes.note_end,
+            on_move=notes.note_move,
+            on_retry=notes.count_retry,
+            on_refusal=notes.note_refusal,
+            on_notice=notes.note_notice,
+            on_attempt_failed=notes.note_attempt_failed,
         )
 
     def make_watcher(self) -> StatusWatcher:
@@ -231,7 +235,7 @@
             clock=event_loop.reactor,
             on_request=self.answer_ready,
             limits=self.limits,
-            on_refusal=self.count_refusal,
+            on_refusal=self.notes.count_refusal,
         )
         for address, site in ((entry.callers, self.site), (entry.ready, ready)):
             self.ports.append(
@@ -394,107 +398,3 @@
         return self.forwarder.open_requests == 0 and all(
             connection.is_idle for connection in self.site.connections
         )
-
-    # Metrics and log lines.
-
-    def count_retry(self, reason: Reason) -> None:
-        """Count a retry by its reason."""
-        self.metrics.retries.labels(reason.value).inc()
-
-    def count_refusal(self, reason: Reason) -> None:
-        """Count a refusal by its reason."""
-        self.metrics.refusals.labels(reason.value).inc()
-
-    def note_refusal(self, request: ForwardRequest, failure: Failure) -> None:
-        """Count and log a request refused before it had a plan."""
-        self.count_refusal(failure.reason)
-        self.log.warning(
-            "request refused",
-            request_id=request.request_id,
-            host=request.host,
-            path=request.path[:80],
-            reason=failure.reason.value,
-            revision=self.board.state.revision,
-            config_age_s=round(min(self.freshness.age_s, 1e6), 3),
-        )
-
-    def note_attempt_failed(
-        self, forwarding: Forwarding, view: TargetView, failure: Failure
-    ) -> None:
-        """Log a failed attempt with the last known status of its target."""
-        now_s = event_loop.reactor.seconds()
-        status = view.status
-        self.log.warning(
-            "attempt failed",
-            request_id=forwarding.note.request_id,
-            target=view.target.name,
-            born_ms=view.target.born_ms,
-            verdict=failure.verdict.value,
-            reason=failure.reason.value,
-            detail=failure.detail,
-            left_s=round(forwarding.left_s, 3),
-            open_requests=view.open_requests,
-            status_age_s=round(now_s - view.status_s, 3) if status else -1.0,
-            waiting=status.waiting if status else -1,
-            running=status.running if status else -1,
-            reading=status.reading if status else -1,
-            is_loading=status.is_loading if status else False,
-        )
-
-    def note_notice(self, view: TargetView, head: AnswerHead) -> None:
-        """Log what a target has stated about itself in an answer."""
-        self.log.info(
-            "target notice",
-            target=view.target.name,
-            born_ms=view.target.born_ms,
-            is_leaving=head.is_leaving,
-            pause_s=head.pause_s,
-            status=head.status,
-        )
-
-    def note_move(self, move: StreamMove) -> None:
-        """Count and log a stream's move to another target."""
-        outcome = "moved" if move.moved_from else "not moved"
-        self.metrics.moves.labels(outcome).inc()
-        self.log.info(
-            "stream move",
-            request_id=move.forwarding.note.request_id,
-            outcome=outcome,
-            source=move.attempt.view.target.name,
-            goal=move.destination.view.target.name,
-            after_event=move.forwarding.last_event,
-            detail=move.failure.detail if move.failure else "",
-        )
-
-    def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
-        """Count and log the end of a request."""
-        note, plan = forwarding.note, forwarding.plan
-        prompt = plan.request.prompt
-        self.metrics.requests.labels(note.kind, note.verdict).inc()
-        if failure is not None:
-            self.count_refusal(failure.reason)
-        if note.first_chunk_s >= 0.0:
-            waited_s = note.first_chunk_s - note.began_s
-            self.metrics.first_chunk.labels(note.kind).observe(waited_s)
-        write = self.log.info if failure is None else self.log.warning
-        write(
-            "request",
-            request_id=note.request_id,
-            route=note.route,
-            account=note.account,
-            pool=plan.pool.name,
-            revision=plan.revision,
-            config_age_s=round(min(self.freshness.age_s, 1e6), 3),
-            targets=note.targets_tried,
-            prompt_tokens=note.prompt_tokens,
-            cached_tokens=note.cached_tokens,
-            likely_tokens=prompt.likely_tokens if prompt else 0,
-            verdict=note.verdict,
-            reason=note.reason,
-            detail=failure.detail if failure else "",
-            first_s=round(note.first_chunk_s - note.began_s, 4)
-            if note.first_chunk_s >= 0.0
-            else -1.0,
-            seconds=round(note.ended_s - note.began_s, 4),
-            time_s=round(plan.ends_s - note.began_s, 3),
-        )
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decoding of the operator's records to the product's configuration."""
 
+from functools import lru_cache
 from typing import Final
 
 import attrs
@@ -18,16 +19,19 @@
 from sequoiawind.platform import names
 
 S_PER_MS: Final = 0.001
+# Routes whose decoded form is kept: a new version of a large configuration
+# leaves most of its routes as they were.
+MAX_KEPT_ROUTES: Final = 4_096
 
 
-class Split(msgspec.Struct):
+class Split(msgspec.Struct, frozen=True):
     """A service's share of a route's traffic."""
 
     service: str
     weight: float
 
 
-class RouteRecord(msgspec.Struct):
+class RouteRecord(msgspec.Struct, frozen=True):
     """A route as the operator writes it."""
 
     name: str
@@ -38,7 +42,7 @@
     target_latency_ms: float = 1_000
     priority: int = 5
     service: str = ""
-    traffic_split: list[Split] = []
+    traffic_split: tuple[Split, ...] = ()
     max_attempts: int = 1
     # Whether requests need no API key.
     public: bool = False
@@ -162,6 +166,7 @@
     }
 
 
+@lru_cache(maxsize=MAX_KEPT_ROUTES)
 def kind(record: RouteRecord) -> ForwardKind:
     """Return the rules for a route's requests: priority, repeats, times."""
     may_repeat = record.kind == names.IDEMPOTENT
@@ -178,6 +183,7 @@
     )
 
 
+@lru_cache(maxsize=MAX_KEPT_ROUTES)
 def route(record: RouteRecord) -> ForwardRoute:
     """Return a route of the product's configuration."""
     shares = tuple(
--- /dev/null
+++ b/sequoiawind/router_notes.py
@@ -0,0 +1,130 @@
+"""Counts and logs what a forwarding router decides about requests."""
+
+import attrs
+import structlog
+
+from sequoiawind.blackboard import Blackboard
+from sequoiawind.fleet import TargetView
+from sequoiawind.forward_plan import ForwardRequest
+from sequoiawind.forward_ports import AnswerHead
+from sequoiawind.forwarding import Forwarding
+from sequoiawind.freshness import Freshness
+from sequoiawind.metrics import ForwardMetrics
+from sequoiawind.ports import Clock
+from sequoiawind.stream_move import StreamMove
+from sequoiawind.verdict import Failure, Reason
+
+Logger = structlog.typing.FilteringBoundLogger
+
+
+@attrs.define(kw_only=True)
+class RouterNotes:
+    """The counters and log lines of one router."""
+
+    metrics: ForwardMetrics
+    log: Logger
+    board: Blackboard
+    freshness: Freshness
+    clock: Clock
+
+    def count_retry(self, reason: Reason) -> None:
+        """Count a retry by its reason."""
+        self.metrics.retries.labels(reason.value).inc()
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a refusal by its reason."""
+        self.metrics.refusals.labels(reason.value).inc()
+
+    def note_refusal(self, request: ForwardRequest, failure: Failure) -> None:
+        """Count and log a request refused before it had a plan."""
+        self.count_refusal(failure.reason)
+        self.log.warning(
+            "request refused",
+            request_id=request.request_id,
+            host=request.host,
+            path=request.path[:80],
+            reason=failure.reason.value,
+            revision=self.board.state.revision,
+            config_age_s=round(min(self.freshness.age_s, 1e6), 3),
+        )
+
+    def note_attempt_failed(
+        self, forwarding: Forwarding, view: TargetView, failure: Failure
+    ) -> None:
+        """Log a failed attempt with the last known status of its target."""
+        now_s = self.clock.seconds()
+        status = view.status
+        self.log.warning(
+            "attempt failed",
+            request_id=forwarding.note.request_id,
+            target=view.target.name,
+            born_ms=view.target.born_ms,
+            verdict=failure.verdict.value,
+            reason=failure.reason.value,
+            detail=failure.detail,
+            left_s=round(forwarding.left_s, 3),
+            open_requests=view.open_requests,
+            status_age_s=round(now_s - view.status_s, 3) if status else -1.0,
+            waiting=status.waiting if status else -1,
+            running=status.running if status else -1,
+            reading=status.reading if status else -1,
+            is_loading=status.is_loading if status else False,
+        )
+
+    def note_notice(self, view: TargetView, head: AnswerHead) -> None:
+        """Log what a target has stated about itself in an answer."""
+        self.log.info(
+            "target notice",
+            target=view.target.name,
+            born_ms=view.target.born_ms,
+            is_leaving=head.is_leaving,
+            pause_s=head.pause_s,
+            status=head.status,
+        )
+
+    def note_move(self, move: StreamMove) -> None:
+        """Count and log a stream's move to another target."""
+        outcome = "moved" if move.moved_from else "not moved"
+        self.metrics.moves.labels(outcome).inc()
+        self.log.info(
+            "stream move",
+            request_id=move.forwarding.note.request_id,
+            outcome=outcome,
+            source=move.attempt.view.target.name,
+            goal=move.destination.view.target.name,
+            after_event=move.forwarding.last_event,
+            detail=move.failure.detail if move.failure else "",
+        )
+
+    def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
+        """Count and log the end of a request."""
+        note, plan = forwarding.note, forwarding.plan
+        prompt = plan.request.prompt
+        self.metrics.requests.labels(note.kind, note.verdict).inc()
+        if failure is not None:
+            self.count_refusal(failure.reason)
+        if note.first_chunk_s >= 0.0:
+            waited_s = note.first_chunk_s - note.began_s
+            self.metrics.first_chunk.labels(note.kind).observe(waited_s)
+        write = self.log.info if failure is None else self.log.warning
+        write(
+            "request",
+            request_id=note.request_id,
+            route=note.route,
+            account=note.account,
+            pool=plan.pool.name,
+            revision=plan.revision,
+            config_age_s=round(min(self.freshness.age_s, 1e6), 3),
+            targets=note.targets_tried,
+            prompt_tokens=note.prompt_tokens,
+            cached_tokens=note.cached_tokens,
+            likely_tokens=prompt.likely_tokens if prompt else 0,
+            verdict=note.verdict,
+            reason=note.reason,
+            detail=failure.detail if failure else "",
+            first_s=round(note.first_chunk_s - note.began_s, 4)
+            if note.first_chunk_s >= 0.0
+            else -1.0,
+            seconds=round(note.ended_s - note.began_s, 4),
+            time_s=round(plan.ends_s - note.began_s, 3),
+        )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -102,6 +102,18 @@
         self.assertEqual("ip:1", state.pools["s3"].cache_store)
         self.assertEqual(("m",), state.pools["s1"].models)
 
+    def test_unchanged_routes_are_not_built_again(self) -> None:
+        # A version of 1,400 routes differs from the last one in a few; building
+        # all of them took 0.1 s on a small VM.
+        changed = [CONFIG["routes"][0], {**CONFIG["routes"][1], "host": "n"}]
+        first, second = (
+            configuration.decode_configuration(json.dumps(value).encode())
+            for value in (CONFIG, {**CONFIG, "version": 8, "routes": changed})
+        )
+        self.assertIs(first.routes["r1"], second.routes["r1"])
+        self.assertIs(first.kinds["r1"], second.kinds["r1"])
+        self.assertEqual("n", second.routes["r2"].host)
+
     def test_not_a_configuration(self) -> None:
         for value in (
             b"",
