Use all cache stores; restart stream timeouts without a new timer

And targets that register one after the other when all VMs start woke each process for every one of them.

Change: a prompt has a home store by rendezvous; parts are fetched from any store that completes the longest prefix. A restarted timeout keeps the running timer, which is set again when it is due. Changed records are read at most four times a second by relays, every 2 s by other agents, and every 1.5 s by a router to which no relay has answered.

--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -42,9 +42,9 @@
 # the pause after a change, so that one answer carries several.  Relays pass the
 # age of the records on, which the wait adds to.
 RECORDS_WAIT_S: Final = 0.8
-RECORDS_READ_PAUSE_S: Final = 0.1
+RECORDS_READ_PAUSE_S: Final = 0.25
 # The pause while this agent is no relay: nothing that it does is urgent.
-IDLE_READ_PAUSE_S: Final = 1.0
+IDLE_READ_PAUSE_S: Final = 2.0
 # Age of a relay's records from which an agent reads the store itself, in
 # seconds.
 COVERED_AGE_S: Final = 3.0
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -61,7 +61,7 @@
 TARGETS_READ_PAUSE_S: Final = 0.15
 # The same until a relay has answered: when all VMs start, the targets register
 # one after the other.
-START_READ_PAUSE_S: Final = 1.0
+START_READ_PAUSE_S: Final = 1.5
 # Time allowed for an agent's answer, in seconds, beyond the time for which the
 # agent may wait for a change.
 STATUS_ANSWER_S: Final = 0.5
@@ -339,7 +339,7 @@
 
     def targets_read_pause_s(self) -> float:
         """Return the pause between two reads of changed targets, in seconds."""
-        is_new = self.feed_reader.is_first and self.relays()
+        is_new = self.may_have_agents() and not self.feed.has_replied
         return START_READ_PAUSE_S if is_new else TARGETS_READ_PAUSE_S
 
     def has_operator_records(self) -> bool:
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -59,7 +59,7 @@
 # that it is made of are older.
 SPARE_LIFETIME_S: Final = 0.1
 # Number of least loaded targets that are kept, and of those drawn from them as
-# candidates for one prompt: drawn, so that not all routers choose the same one.
+# candidates for one prompt.
 SPARE_COUNT: Final = 8
 SPARE_CANDIDATES: Final = 2
 
@@ -197,31 +197,37 @@
         pool = self.fleet.pool(plan.pool.name, now_s)
         homes = self.homes.setdefault(plan.pool.name, HomeOrder())
         homes.set_members(pool.members)
+        spare = self.spare_targets(plan.pool.name, now_s)
+        drawn = min(SPARE_CANDIDATES, len(spare.names))
         return PromptChooser(
             index=self.caches.index,
             homes=homes,
             pool=pool.usable,
-            spare=self.draw_spare(plan.pool.name, now_s),
-            cache_store=self.cache_store(),
+            # Drawn at random, so that not all routers choose the same one.
+            spare=self.random.sample(spare.names, drawn),
+            cache_stores=self.cache_stores(),
             now_s=now_s,
             newest_version=self.newest_version(model),
             average_prefill_tokens=self.average_prefill_tokens,
         )
 
-    def draw_spare(self, pool: str, now_s: float) -> list[str]:
-        """Return some of a pool's least loaded targets, drawn at random."""
+    def spare_targets(self, pool: str, now_s: float) -> SpareTargets:
+        """Return a pool's least loaded targets, made anew if they are old."""
         known = self.spare.get(pool)
-        if known is None or now_s - known.made_s > SPARE_LIFETIME_S:
-            ready = [
-                (backlog_tokens(view, now_s, self.average_prefill_tokens), name)
-                for name, view in self.fleet.pool(pool, now_s).usable.items()
-                if view.takes_work(now_s)
-            ]
-            names = [name for _, name in sorted(ready)[:SPARE_COUNT]]
-            known = SpareTargets(names=tuple(names), made_s=now_s)
-            self.spare[pool] = known
-        count = min(SPARE_CANDIDATES, len(known.names))
-        return self.random.sample(known.names, count)
+        if known is not None and now_s - known.made_s <= SPARE_LIFETIME_S:
+            return known
+        views = self.fleet.pool(pool, now_s).usable.values()
+        average = self.average_prefill_tokens
+        ready = [
+            (backlog_tokens(view, now_s, average), view.target.name)
+            for view in views
+            if view.takes_work(now_s)
+        ]
+        self.spare[pool] = SpareTargets(
+            names=tuple(name for _, name in sorted(ready)[:SPARE_COUNT]),
+            made_s=now_s,
+        )
+        return self.spare[pool]
 
     def move_destination(
         self, forwarding: Forwarding, chosen: Chosen
@@ -304,17 +310,19 @@
         forwarding.note.prompt_tokens = prompt.tokens
         forwarding.note.cached_tokens = prompt.tokens - chosen.prefill_tokens
 
-    def cache_store(self) -> CacheStore | None:
-        """Return a reachable cache store; None if there is none."""
+    def cache_stores(self) -> list[CacheStore]:
+        """Return the cache stores that can be reached."""
+        found = []
         for pool in self.board.state.pools.values():
             if not isinstance(pool, ForwardPool) or not pool.cache_store:
                 continue
             memory = self.memory_of(pool.name)
             self.caches.watch(pool.name, pool.cache_store, memory)
-            cache = self.caches.caches[pool.name]
-            if cache.is_alive:
-                return CacheStore(name=pool.name, address=pool.cache_store)
-        return None
+            if self.caches.caches[pool.name].is_alive:
+                found.append(
+                    CacheStore(name=pool.name, address=pool.cache_store)
+                )
+        return found
 
     def memory_of(self, cache: str) -> int:
         """Return how many tokens a target or cache store can hold."""
--- a/sequoiawind/request_execution.py
+++ b/sequoiawind/request_execution.py
@@ -27,6 +27,10 @@
     clock: Clock
     call: Call | None = None
     timer: Timer | None = None
+    # When the timer is due, and when the timeout is; in seconds of the clock.
+    timer_due_s: float = 0.0
+    timeout_at_s: float = 0.0
+    on_timeout: Callable[[], None] | None = None
     is_over: bool = False
 
     def set_timeout(
@@ -39,8 +43,28 @@
           on_timeout: Called at the timeout, unless the timer was stopped or
             restarted before.
         """
-        self.stop_timer()
-        self.timer = self.clock.callLater(timeout_s, on_timeout)
+        self.on_timeout = on_timeout
+        self.timeout_at_s = self.clock.seconds() + timeout_s
+        if self.timer is not None and self.timer.active():
+            if self.timer_due_s <= self.timeout_at_s:
+                # A stream restarts its timeout at each event: the timer is set
+                # again only when it is due.
+                return
+            self.timer.cancel()
+        self.start_timer(timeout_s)
+
+    def start_timer(self, delay_s: float) -> None:
+        """Start the timer, due in `delay_s` seconds."""
+        self.timer_due_s = self.clock.seconds() + delay_s
+        self.timer = self.clock.callLater(delay_s, self.timer_ended)
+
+    def timer_ended(self) -> None:
+        """Call the timeout's function, or set the timer for the rest."""
+        left_s = self.timeout_at_s - self.clock.seconds()
+        if left_s > 0.0:
+            self.start_timer(left_s)
+        elif self.on_timeout is not None:
+            self.on_timeout()
 
     def stop_timer(self) -> None:
         """Cancel the attempt's timeout, if one is pending."""
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -19,6 +19,7 @@
 from typing import Final
 
 import attrs
+from xxhash import xxh3_64_intdigest
 
 from sequoiawind.fleet import TargetView
 from sequoiawind.home_order import HomeOrder
@@ -169,8 +170,8 @@
     # Names of targets with little pending work, as candidates beside the homes
     # and holders.
     spare: Sequence[str] = ()
-    # The pool's cache store; None if there is none that answers.
-    cache_store: CacheStore | None = None
+    # The cache stores that answer.
+    cache_stores: Sequence[CacheStore] = ()
     now_s: float
     # The newest weights version that was named; 0 if none was.
     newest_version: int = 0
@@ -282,18 +283,30 @@
             cache_store=self.cache_store_address(holders, source),
         )
 
+    def home_store(self, prompt: Prompt) -> CacheStore | None:
+        """Return the cache store that keeps a prompt's parts.
+
+        Each prompt has one, so that the stores together keep more prompts.
+        """
+        key = b"/" + prompt.placement_key.encode()
+        return max(
+            self.cache_stores,
+            key=lambda store: xxh3_64_intdigest(store.name.encode() + key),
+            default=None,
+        )
+
     def cache_store_address(self, holders: Holders, source: Source) -> str:
         """Return the cache store's address if it lacks a part to prefill.
 
         The prompt's last part is not shared and does not count.
         """
-        cache_store = self.cache_store
-        if cache_store is None:
+        store = self.home_store(holders.prompt)
+        if store is None:
             return ""
         to_prefill = range(source.parts, len(holders.prompt.parts) - 1)
-        if all(holders.holds(cache_store.name, place) for place in to_prefill):
+        if all(holders.holds(store.name, place) for place in to_prefill):
             return ""
-        return cache_store.address
+        return store.address
 
     def source(
         self, view: TargetView, holders: Holders, homes: Sequence[str]
@@ -317,11 +330,11 @@
             )
             address = self.pool[chosen].target.address
             best = Source(address=address, parts=count)
-        if self.cache_store is not None:
-            count = holders.leading_parts(name, self.cache_store.name)
+        for store in self.cache_stores:
+            count = holders.leading_parts(name, store.name)
             if count > best.parts:
                 best = Source(
-                    address=self.cache_store.address,
+                    address=store.address,
                     parts=count,
                     fetch_cost=CACHE_STORE_FETCH_COST,
                 )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -170,6 +170,24 @@
         self.assertTrue(caller.is_broken)
         self.assertFalse(caller.is_ended)
 
+    def test_slow_stream_is_kept_and_a_stalled_one_is_not(self) -> None:
+        # Events that come just before each timeout never end the stream, and
+        # the timeout counts from the last of them.
+        rig = self.rig()
+        rig.submit("draft")
+        sent = rig.port.sent[0]
+        sent.begin(200, event(1))
+        for number in range(2, 4):
+            rig.advance(1.1)
+            sent.sink.data(event(number))
+        self.assertFalse(sent.call.is_cancelled)
+        rig.advance(1.1)
+        self.assertEqual(1, len(rig.port.sent))
+        rig.advance(0.2)
+        self.assertTrue(sent.call.is_cancelled)
+        self.assertEqual(2, len(rig.port.sent))
+        self.assertEqual(3, rig.port.sent[1].order.after_event)
+
     def test_silent_stream_is_resumed_at_another_target(self) -> None:
         rig = self.rig()
         caller = rig.submit("draft")
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import attrs
 from testtools import TestCase
 
 from sequoiawind.fleet import TargetView
@@ -211,7 +212,7 @@
         chooser = chooser_of(
             views,
             {"e0": local, "kept": stored},
-            cache_store=CacheStore(name="kept", address="cache-store:1"),
+            cache_stores=[CacheStore(name="kept", address="cache-store:1")],
         )
         chosen = chooser.choose(PROMPT, "a", False)
         assert chosen is not None
@@ -237,7 +238,7 @@
             chooser = chooser_of(
                 views,
                 {"e0": local, "kept": stored},
-                cache_store=CacheStore(name="kept", address="cache-store:1"),
+                cache_stores=[CacheStore(name="kept", address="cache-store:1")],
             )
             chosen = chooser.choose(PROMPT, "a", False)
             assert chosen is not None
@@ -245,6 +246,49 @@
                 expected, chosen.cache_store, (held_count, stored_count)
             )
 
+    def test_cache_stores_share_the_prompts(self) -> None:
+        # All prompts went to the first store, which evicted them before their
+        # next use while the others stood empty.
+        stores = [
+            CacheStore(name=name, address=f"{name}:1") for name in ("k1", "k2")
+        ]
+        kept: dict[str, set[str]] = {}
+        for number in range(40):
+            prompt = attrs.evolve(
+                PROMPT,
+                parts=(
+                    PROMPT.parts[0],
+                    PromptPart(id=f"b{number}", tokens=1_500),
+                    PROMPT.parts[2],
+                ),
+            )
+            for given in (stores, stores[::-1]):
+                chooser = chooser_of(self.views(1), {}, cache_stores=given)
+                chosen = chooser.choose(prompt, "a", False)
+                assert chosen is not None
+                kept.setdefault(prompt.placement_key, set()).add(
+                    chosen.cache_store
+                )
+        self.assertTrue(all(len(item) == 1 for item in kept.values()))
+        self.assertEqual(
+            {"k1:1", "k2:1"}, {next(iter(item)) for item in kept.values()}
+        )
+
+    def test_fetches_from_any_cache_store_that_holds_the_parts(self) -> None:
+        salt = cache_salt("a", "m", 1, False)
+        stored = HeldParts(capacity_tokens=10_000)
+        stored.sent(salt, PROMPT.parts[:2])
+        stores = [
+            CacheStore(name=name, address=f"{name}:1") for name in ("k1", "k2")
+        ]
+        for name in ("k1", "k2"):
+            chooser = chooser_of(
+                self.views(1), {name: stored}, cache_stores=stores
+            )
+            chosen = chooser.choose(PROMPT, "a", False)
+            assert chosen is not None
+            self.assertEqual(f"{name}:1", chosen.source)
+
     def test_salts_are_shared_only_among_accounts_not_isolated(self) -> None:
         salts = {
             cache_salt(account, model, version, isolated)
