Keep removed targets removed; take a relay's whole table as of any age

Cause, by reading: a target that a router had removed by reading the store could return from a relay that lagged behind, with the same stamp; weights in a whole table of a new relay counted as named just now; and a relay ranked all targets at each of its hundred requests a second.

Change: a removal raises the target's stamp; records of a whole table count as written any time ago; feeds to read are compared with the fleet twice a second.

Tests: a removed entry that arrives again is ignored until it is written anew; seen failing without the change.

--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -37,7 +37,6 @@
     # known, in seconds of the age clock.
     operator_as_of_s: float = float("-inf")
     targets_as_of_s: float = float("-inf")
-    is_first: bool = True
 
     @property
     def operator_age_s(self) -> float:
@@ -81,9 +80,9 @@
     def take_records(self, reply: FeedReply) -> None:
         """Apply the store's records."""
         operator = records_of(reply.records, Topic.OPERATOR)
-        if self.is_first:
+        if reply.is_whole:
+            # The records may have been written long ago.
             self.operator.replaced(operator)
-            self.is_first = False
         else:
             for record in operator:
                 self.operator.changed(record)
--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -34,6 +34,8 @@
 # Time without a request at a level after which an agent stops to relay at it,
 # in seconds: readers that have left it for a moment find it still relaying.
 DEMAND_LIFETIME_S: Final = 5.0
+# Interval at which the feeds to read are compared with the fleet, in seconds.
+ADJUST_S: Final = 0.5
 # Time for which a router counts after its last request, in seconds.
 ROUTER_ACTIVE_S: Final = 5.0
 RECORD_TOPICS: Final = frozenset({Topic.OPERATOR, Topic.TARGET})
@@ -82,6 +84,8 @@
     waiting: list[Waiting] = attrs.field(factory=list)
     # The feeds that are read: by agent address, or by failure domain.
     clients: dict[str, FeedClient] = attrs.field(factory=dict)
+    # When they were last compared with the fleet, in seconds of the clock.
+    adjusted_s: float = float("-inf")
     # Times, in seconds of `age_clock`, as of which the operator's records and
     # the targets' entries are known; None if they are not.
     operator_as_of_s: float | None = None
@@ -161,10 +165,12 @@
     async def serve(self, query: FeedQuery) -> bytes:
         """Return the encoded reply to a request, once there is news."""
         now_s = self.clock.seconds()
+        is_new = not self.is_asked_for(query.level)
         self.asked_s[query.level] = now_s
         if query.is_router:
             self.routers[query.reader] = now_s
-        self.adjust_clients()
+        if is_new or now_s - self.adjusted_s >= ADJUST_S:
+            self.adjust_clients()
         if query.run == self.table.run and query.after >= 0:
             await self.wait_for_news(query)
         return feed_messages.encode(self.reply(query))
@@ -243,6 +249,7 @@
 
     def adjust_clients(self) -> None:
         """Start to read the feeds that the readers need, and stop others."""
+        self.adjusted_s = self.clock.seconds()
         wanted: dict[str, tuple[Level, str]] = {}
         targets = [view.target for view in self.fleet.views.values()]
         if self.is_asked_for(Level.DOMAIN):
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -167,6 +167,9 @@
             self.changed(record)
         for name in list(self.fleet.views):
             if name not in present:
+                # The entry that was known is void, should it arrive again.
+                era, offset = self.stamps.get(name, (0, 0))
+                self.stamps[name] = (era, offset + 1)
                 self.remove(name)
 
     def changed(self, record: KeyedRecord) -> None:
--- a/tests/test_record_followers.py
+++ b/tests/test_record_followers.py
@@ -270,3 +270,22 @@
         self.assertEqual("gone", read(b"draining", 1, 7))
         # After a rewind the offsets begin again, in a new era.
         self.assertEqual("ready", read(b"ready", 2, 3))
+
+    def test_removed_entry_does_not_return_from_a_relay_that_lags(
+        self,
+    ) -> None:
+        fleet, clock = Fleet(), Clock()
+        reader = TargetReader(
+            fleet=fleet,
+            decode=lambda name, value: Ok(target(name)),
+            clock=clock,
+            log=structlog.get_logger(),
+        )
+        entry = KeyedRecord(key="t1", value=b"x", stamp=(1, 5))
+        reader.changed(entry)
+        reader.replaced([])
+        self.assertEqual({}, fleet.views)
+        reader.changed(entry)
+        self.assertEqual({}, fleet.views)
+        reader.changed(KeyedRecord(key="t1", value=b"x", stamp=(1, 6)))
+        self.assertEqual(["t1"], list(fleet.views))
