One base of the record publishers; an older entry lowers no stamp

Cause, by reading: a relay that got an older entry of a target from another one remembered that entry's stamp, so that the removal it published later was older than the entry that it had published, and changed nothing.

Change: TargetPublisher ignores entries older than what it has published. What both publishers pass on to their readers stands in RecordPublisher.

Test: an older entry before a removal; seen failing without the change.

--- a/sequoiawind/feed_publisher.py
+++ b/sequoiawind/feed_publisher.py
@@ -36,49 +36,49 @@
 
 
 @attrs.define(kw_only=True)
-class OperatorPublisher:
-    """Passes the operator's records to a reader, and publishes them."""
+class RecordPublisher:
+    """Passes the records of a topic to a reader, and publishes them."""
 
-    reader: OperatorReader
+    reader: OperatorReader | TargetReader
     relay: FeedRelay
+    topic: Topic
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Apply and publish the newest records."""
         self.reader.replaced(records)
         for record in records:
             self.publish(record)
+        self.publish_removed()
 
     def changed(self, record: KeyedRecord) -> None:
         """Apply and publish a record."""
         self.reader.changed(record)
         self.publish(record)
+        self.publish_removed()
+
+    def take(self, reply: FeedReply) -> None:
+        """Apply and publish the records that another process has sent."""
+        for record in records_of(reply.records, self.topic):
+            self.changed(record)
 
     def publish(self, record: KeyedRecord) -> None:
-        """Publish a record, stamped with its revision or version.
+        """Publish a record that the reader has accepted."""
+        raise NotImplementedError
 
-        So a record from an old copy of the store replaces no newer one.
-        """
-        version = self.reader.read_versions.get(record.key)
-        if record.value is None or version is None:
-            return
+    def publish_removed(self) -> None:
+        """Publish what the reader has dropped."""
+
+    def put(
+        self, key: str, stamp: tuple[int, int], value: bytes | None
+    ) -> None:
+        """Publish a value, or the removal of a key."""
         self.relay.put(
-            (Topic.OPERATOR, record.key),
-            (version, 0),
-            record.value,
-            Level.DOMAIN,
-            is_urgent=True,
+            (self.topic, key), stamp, value, Level.DOMAIN, is_urgent=True
         )
 
-    def take(self, reply: FeedReply) -> None:
-        """Apply and publish the records that another process has sent."""
-        for record in records_of(reply.records, Topic.OPERATOR):
-            self.changed(record)
-
     def confirmed(self, request_time_s: float) -> None:
         """Record the time as of which the records are known."""
         self.reader.confirmed(request_time_s)
-        if not self.reader.is_store_behind:
-            self.relay.note_operator(request_time_s)
 
     def store_lost(self, detail: str) -> None:
         """Pass on that the store is lost."""
@@ -94,40 +94,45 @@
 
 
 @attrs.define(kw_only=True)
-class TargetPublisher:
-    """Passes the targets' entries to a reader, and publishes them."""
+class OperatorPublisher(RecordPublisher):
+    """Publishes the operator's records."""
+
+    reader: OperatorReader
+    topic: Topic = Topic.OPERATOR
+
+    def publish(self, record: KeyedRecord) -> None:
+        """Publish a record, stamped with its revision or version.
+
+        So a record from an old copy of the store replaces no newer one.
+        """
+        version = self.reader.read_versions.get(record.key)
+        if record.value is not None and version is not None:
+            self.put(record.key, (version, 0), record.value)
+
+    def confirmed(self, request_time_s: float) -> None:
+        """Record the time as of which the records are known."""
+        self.reader.confirmed(request_time_s)
+        if not self.reader.is_store_behind:
+            self.relay.note_operator(request_time_s)
+
+
+@attrs.define(kw_only=True)
+class TargetPublisher(RecordPublisher):
+    """Publishes the targets' entries."""
 
     reader: TargetReader
-    relay: FeedRelay
+    topic: Topic = Topic.TARGET
     fleet: Fleet
     # Stamps of the published entries, by target.
     published: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
-    def replaced(self, records: Sequence[KeyedRecord]) -> None:
-        """Apply and publish all entries."""
-        self.reader.replaced(records)
-        for record in records:
-            self.publish(record)
-        self.publish_removed()
-
-    def changed(self, record: KeyedRecord) -> None:
-        """Apply and publish an entry."""
-        self.reader.changed(record)
-        self.publish(record)
-        self.publish_removed()
-
     def publish(self, record: KeyedRecord) -> None:
-        """Publish an entry, unless it names no target."""
+        """Publish an entry, unless it names no target or is an old one."""
         if record.value is None or record.key not in self.fleet.views:
             return
-        self.published[record.key] = record.stamp
-        self.relay.put(
-            (Topic.TARGET, record.key),
-            record.stamp,
-            record.value,
-            Level.DOMAIN,
-            is_urgent=True,
-        )
+        if record.stamp >= self.published.get(record.key, record.stamp):
+            self.published[record.key] = record.stamp
+            self.put(record.key, record.stamp, record.value)
 
     def publish_removed(self) -> None:
         """Publish the removal of targets that the fleet has dropped.
@@ -137,18 +142,7 @@
         for name in self.published.keys() - self.fleet.views.keys():
             era, offset = self.published.pop(name)
             self.relay.drop_target(name)
-            self.relay.put(
-                (Topic.TARGET, name),
-                (era, offset + 1),
-                None,
-                Level.DOMAIN,
-                is_urgent=True,
-            )
-
-    def take(self, reply: FeedReply) -> None:
-        """Apply and publish the entries that another process has sent."""
-        for record in records_of(reply.records, Topic.TARGET):
-            self.changed(record)
+            self.put(name, (era, offset + 1), None)
 
     def confirmed(self, request_time_s: float) -> None:
         """Record the time as of which the entries are known."""
@@ -156,18 +150,6 @@
         self.relay.note_targets(request_time_s)
         self.publish_removed()
 
-    def store_lost(self, detail: str) -> None:
-        """Pass on that the store is lost."""
-        self.reader.store_lost(detail)
-
-    def store_back(self) -> None:
-        """Pass on that the store answers again."""
-        self.reader.store_back()
-
-    def store_rewound(self, era: int) -> None:
-        """Pass on that the store has returned from an older copy."""
-        self.reader.store_rewound(era)
-
 
 @attrs.define(kw_only=True)
 class CachePublisher:
--- a/tests/test_feed_programs.py
+++ b/tests/test_feed_programs.py
@@ -194,6 +194,10 @@
         )
         entry = KeyedRecord(key="e9", value=b"x", stamp=(1, 4))
         publisher.changed(entry)
+        # An older entry of another relay changes nothing, and does not lower
+        # the stamp of the removal below.
+        older = RecordItem("target", "e9", (1, 2), b"old")
+        publisher.take(reply(records=[older]))
         self.assertEqual(b"x", self.value(Topic.TARGET, "e9"))
         # While the store is away, a missing entry may only have expired.
         publisher.store_lost("cut")
