Count the routers of all relays of a failure domain

Cause, by reading: a relay hears of the routers of one relay of each other domain, and of its own readers. A domain of more than 24 agents has several relays, so its routers were counted too low, and each router took too large a share of the repeats that all may send together.

Change: the other relays of a domain are taken to have as many routers.

Test: two domains of two relays each; seen failing (17 in place of 34).

--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -26,7 +26,12 @@
 )
 from sequoiawind.fleet import Fleet
 from sequoiawind.ports import Clock
-from sequoiawind.relay_choice import agent_address, has_agent, ranked
+from sequoiawind.relay_choice import (
+    agent_address,
+    has_agent,
+    ranked,
+    relay_count,
+)
 from sequoiawind.wire import TargetStatus
 
 # How long changes that are not urgent are gathered for one reply, in seconds.
@@ -79,7 +84,7 @@
     asked_s: dict[Level, float] = attrs.field(factory=dict)
     # When each router last asked, in seconds of the clock.
     routers: dict[str, float] = attrs.field(factory=dict)
-    # Routers of other failure domains, by the relay that stated them.
+    # Routers that a relay of each other failure domain has stated.
     other_routers: dict[str, RouterCount] = attrs.field(factory=dict)
     waiting: list[Waiting] = attrs.field(factory=list)
     # The feeds that are read: by agent address, or by failure domain.
@@ -222,19 +227,25 @@
         return -1.0 if as_of_s is None else self.age_clock() - as_of_s
 
     def count_routers(self, level: Level) -> int:
-        """Return the active routers of this relay, or of all relays."""
+        """Return the active routers of this relay, or of all relays.
+
+        The other relays of a failure domain are taken to have as many.
+        """
         oldest_s = self.clock.seconds() - ROUTER_ACTIVE_S
         for name, asked_s in list(self.routers.items()):
             if asked_s < oldest_s:
                 del self.routers[name]
-        count = len(self.routers)
-        if level is Level.ALL:
-            count += sum(
-                item.routers
-                for item in self.other_routers.values()
-                if item.stated_s >= oldest_s
-            )
-        return count
+        if level is not Level.ALL:
+            return len(self.routers)
+        counts = {self.domain: len(self.routers)}
+        for domain, item in self.other_routers.items():
+            if item.stated_s >= oldest_s:
+                counts[domain] = item.routers
+        targets = [view.target for view in self.fleet.views.values()]
+        return sum(
+            count * relay_count(targets, domain)
+            for domain, count in counts.items()
+        )
 
     # Reading.
 
--- a/sequoiawind/relay_choice.py
+++ b/sequoiawind/relay_choice.py
@@ -39,6 +39,12 @@
     )
 
 
+def relay_count(targets: Iterable[ForwardTarget], domain: str) -> int:
+    """Return how many relays of a failure domain are used at a time."""
+    agents = sum(item.domain == domain and has_agent(item) for item in targets)
+    return max(1, -(-agents // AGENTS_PER_RELAY))
+
+
 def relays_for(
     reader: str, domain: str, targets: Sequence[ForwardTarget]
 ) -> list[ForwardTarget]:
@@ -51,7 +57,7 @@
       targets: The known targets.
     """
     own = ranked(targets, domain)
-    count = -(-len(own) // AGENTS_PER_RELAY)
+    count = relay_count(own, domain)
     if count > 1:
         first = xxh3_64_intdigest(reader.encode()) % count
         own = own[first:count] + own[:first] + own[count:]
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -19,7 +19,12 @@
     FeedQuery,
 )
 from sequoiawind.feed_messages import FeedReply
-from sequoiawind.feed_relay import DEMAND_LIFETIME_S, GATHER_S, FeedRelay
+from sequoiawind.feed_relay import (
+    DEMAND_LIFETIME_S,
+    GATHER_S,
+    FeedRelay,
+    RouterCount,
+)
 from sequoiawind.feed_table import (
     MAX_REMOVED,
     STAMP_LIFETIME_S,
@@ -371,6 +376,22 @@
         self.assertTrue(max(counts) >= 2, counts)
         self.assertTrue(max(counts) <= 4, counts)
 
+    def test_routers_of_several_relays_in_a_domain_are_counted(self) -> None:
+        # A relay hears of the routers of one relay of each other domain only.
+        rig = FeedRig()
+        agents = [
+            rig.add(f"e{number}", f"d{number % 2}")
+            for number in range(4 * AGENTS_PER_RELAY)
+        ]
+        query = FeedQuery(
+            reader="x", is_router=False, run=0, after=-1, level=Level.ALL
+        )
+        relay = agents[0]
+        for number in range(10):
+            relay.routers[f"r{number}"] = 0.0
+        relay.other_routers["d1"] = RouterCount(routers=7, stated_s=0.0)
+        self.assertEqual(2 * 10 + 2 * 7, relay.reply(query).routers)
+
 
 class AgeTest(TestCase):
     """The age of the records grows with each hop, and is never too low."""
