Judge a relay's whole table by the time as of which it knows the targets

Change: a whole table removes only targets whose entries were received before the time as of which the relay knows them. A removal voids an entry only if it was received 2 s before, longer than a read takes.

Tests: a relay that lags, seen failing without the change; an entry that a read may have missed returns.

--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -55,7 +55,7 @@
           reply: The reply.
           sent_s: When its request was sent, in seconds of the age clock.
         """
-        self.take_records(reply)
+        self.take_records(reply, sent_s)
         self.note_ages(reply, sent_s)
         now_s = self.clock.seconds()
         self.fleet.set_routers(reply.routers, now_s)
@@ -77,7 +77,7 @@
             self.targets_as_of_s = sent_s - reply.targets_age_s
             self.targets.confirmed(self.targets_as_of_s)
 
-    def take_records(self, reply: FeedReply) -> None:
+    def take_records(self, reply: FeedReply, sent_s: float) -> None:
         """Apply the store's records."""
         operator = records_of(reply.records, Topic.OPERATOR)
         if reply.is_whole:
@@ -88,7 +88,8 @@
                 self.operator.changed(record)
         targets = records_of(reply.records, Topic.TARGET)
         if reply.is_whole and 0.0 <= reply.targets_age_s < WHOLE_TARGETS_AGE_S:
-            self.targets.replaced(targets)
+            as_of_s = sent_s - reply.targets_age_s
+            self.targets.replaced_as_of(targets, as_of_s)
         else:
             for record in targets:
                 self.targets.changed(record)
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -1,7 +1,7 @@
 """Readers that apply the store's records to a process and log each change."""
 
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Any, Final
 
 import attrs
 import structlog
@@ -11,13 +11,17 @@
 from sequoiawind.config_fold import Folded
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_state import ForwardState, ForwardTarget
-from sequoiawind.freshness import Freshness
+from sequoiawind.freshness import Freshness, suspended_clock_s
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import KeyedRecord
 from sequoiawind.wire import WireError
 
 Logger = structlog.typing.FilteringBoundLogger
 
+# Age of an entry from which a read that lacks it proves that it was removed, in
+# seconds: longer than a read of the store takes.
+VOID_AGE_S: Final = 2.0
+
 
 @attrs.frozen(kw_only=True)
 class OperatorCodec:
@@ -164,18 +168,46 @@
     # Stamp of the last record of each target, by which older ones that arrive
     # by another way are ignored.
     stamps: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    # When that record was received, in seconds of `age_clock`, the clock by
+    # which the age of records is counted.
+    received_s: dict[str, float] = attrs.field(factory=dict)
+    age_clock: Callable[[], float] = suspended_clock_s
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Apply all entries; targets without one are removed."""
+        self.replaced_as_of(records, float("inf"))
+
+    def replaced_as_of(
+        self, records: Sequence[KeyedRecord], as_of_s: float
+    ) -> None:
+        """Apply all entries that there were at a time.
+
+        Targets without one are removed, unless their last entry was received
+        later: it may have been written after that time.
+
+        Args:
+          records: The entries.
+          as_of_s: The time, in seconds of `age_clock`.
+        """
         present = {record.key for record in records if record.value}
         for record in records:
             self.changed(record)
         for name in list(self.fleet.views):
-            if name not in present:
-                # The entry that was known is void, should it arrive again.
-                era, offset = self.stamps.get(name, (0, 0))
-                self.stamps[name] = (era, offset + 1)
-                self.remove(name)
+            if name in present or self.received_s.get(name, 0.0) >= as_of_s:
+                continue
+            self.void_entry(name)
+            self.remove(name)
+
+    def void_entry(self, name: str) -> None:
+        """Ignore a removed target's last entry, should it arrive again.
+
+        An entry that was received while the store was being read may be newer
+        than what was read, so it is not ignored.
+        """
+        age_s = self.age_clock() - self.received_s.get(name, 0.0)
+        if age_s >= VOID_AGE_S:
+            era, offset = self.stamps.get(name, (0, 0))
+            self.stamps[name] = (era, offset + 1)
 
     def changed(self, record: KeyedRecord) -> None:
         """Apply an entry; one that cannot be decoded removes its target.
@@ -185,6 +217,7 @@
         if record.stamp < self.stamps.get(record.key, record.stamp):
             return
         self.stamps[record.key] = record.stamp
+        self.received_s[record.key] = self.age_clock()
         if record.value is None:
             self.remove(record.key)
             return
--- a/tests/test_feed_programs.py
+++ b/tests/test_feed_programs.py
@@ -3,6 +3,7 @@
 import random
 from typing import Any
 
+import attrs
 import structlog
 from expression import Error, Ok, Result
 from testtools import TestCase
@@ -91,7 +92,10 @@
                 log=structlog.get_logger(),
                 freshness=self.freshness,
             ),
-            targets=target_reader(self.fleet, self.clock),
+            targets=attrs.evolve(
+                target_reader(self.fleet, self.clock),
+                age_clock=self.clock.seconds,
+            ),
             caches=self.caches,
             clock=self.clock,
             capacity_of=lambda name: 10_000,
@@ -112,14 +116,28 @@
     def test_whole_reply_removes_targets_that_it_lacks(self) -> None:
         for name in ("e1", "e2"):
             self.fleet.put(target(name, "llm"))
+        self.clock.advance(10.0)
         records = [RecordItem("target", "e1", (0, 3), b"x")]
         # A relay that cannot say how old its entries are removes none.
         self.reader.take(reply(is_whole=True, records=records), 0.0)
         self.assertEqual(2, len(self.fleet.views))
         whole = reply(is_whole=True, records=records, targets_age_s=0.2)
-        self.reader.take(whole, 0.0)
+        self.reader.take(whole, 10.0)
         self.assertEqual(["e1"], list(self.fleet.views))
 
+    def test_whole_reply_keeps_targets_that_may_be_newer_than_it(self) -> None:
+        # A relay that had not read the store for 2 s was asked by a router
+        # that had just read it: the router lost most targets for the day.
+        entry = KeyedRecord(key="e2", value=b"x", stamp=(0, 5))
+        self.clock.advance(9.0)
+        self.reader.targets.changed(entry)
+        self.clock.advance(1.0)
+        self.reader.take(reply(is_whole=True, targets_age_s=2.0), 10.0)
+        self.assertEqual(["e2"], list(self.fleet.views))
+        # One that has read the store since knows that the target is gone.
+        self.reader.take(reply(is_whole=True, targets_age_s=0.5), 10.0)
+        self.assertEqual([], list(self.fleet.views))
+
     def held(self) -> int:
         """Return the tokens of the part "p" that the cache of e1 holds."""
         part = PromptPart(id="p", tokens=50)
--- a/tests/test_record_followers.py
+++ b/tests/test_record_followers.py
@@ -286,9 +286,17 @@
             decode=lambda name, value: Ok(target(name)),
             clock=clock,
             log=structlog.get_logger(),
+            age_clock=clock.seconds,
         )
         entry = KeyedRecord(key="t1", value=b"x", stamp=(1, 5))
         reader.changed(entry)
+        # The read that lacks it may have begun before it was written.
+        clock.advance(0.5)
+        reader.replaced([])
+        self.assertEqual({}, fleet.views)
+        reader.changed(entry)
+        self.assertEqual(["t1"], list(fleet.views))
+        clock.advance(2.5)
         reader.replaced([])
         self.assertEqual({}, fleet.views)
         reader.changed(entry)
