Log how answers are framed and what is left of an event at their end

The router's "request" lines have two more fields, "framing" (length, chunks, connection) and "unfinished_bytes" (of the last, incomplete event).

No behaviour changes.

--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -12,7 +12,7 @@
 
 from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_state import ForwardTarget
-from sequoiawind.headers import Headers
+from sequoiawind.headers import Framing, Headers
 from sequoiawind.ports import Call
 from sequoiawind.verdict import Failure
 
@@ -59,6 +59,7 @@
     status: int
     # Headers to pass on.
     headers: Headers
+    framing: Framing = Framing.LENGTH
     # Set if the target states that it did not run the request.
     refusal: Failure | None = None
     # Weights version by model that the answer reports.
--- a/sequoiawind/headers.py
+++ b/sequoiawind/headers.py
@@ -1,5 +1,6 @@
 """Headers of forwarded requests and the bounds on what callers send."""
 
+import enum
 from typing import Final
 
 import attrs
@@ -11,6 +12,8 @@
 
 DEFAULT_HEADER_BYTES: Final = 16_384
 DEFAULT_HEADER_TIMEOUT_S: Final = 3.0
+# Statuses whose answers never have a body.
+BODILESS_STATUSES: Final = (204, 304)
 
 
 @attrs.frozen(kw_only=True)
@@ -23,6 +26,30 @@
     idle_timeout_s: float = defaults.IDLE_TIMEOUT_S
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # The end of the connection, which may also be that of a broken answer.
+    CONNECTION = "connection"
+
+
+def framing(status: int, headers: Headers) -> Framing:
+    """Return how the body of an answer is framed (RFC 9112, section 6.3).
+
+    Args:
+      status: The answer's status.
+      headers: Its headers as received.
+    """
+    names = {name for name, _ in headers}
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    if b"content-length" in names or status in BODILESS_STATUSES:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def passed_headers(headers: Headers, dropped: frozenset[bytes]) -> Headers:
     """Return headers without the hop-by-hop ones.
 
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -15,7 +15,7 @@
     MoveOrder,
     SendOrder,
 )
-from sequoiawind.headers import Headers, passed_headers
+from sequoiawind.headers import Headers, framing, passed_headers
 from sequoiawind.http1_client import (
     Http1Client,
     HttpCall,
@@ -50,6 +50,7 @@
             AnswerHead(
                 status=status,
                 headers=passed_headers(headers, names.HOP_BY_HOP),
+                framing=framing(status, headers),
                 refusal=engine_wire.refusal(status, found),
                 versions=self.versions(found),
                 is_leaving=engine_wire.is_leaving(found),
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -99,7 +99,8 @@
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
-        prompt = plan.request.prompt
+        prompt, attempt = plan.request.prompt, forwarding.current
+        answer = attempt.answer if attempt else None
         self.metrics.requests.labels(note.kind, note.verdict).inc()
         if failure is not None:
             self.count_refusal(failure.reason)
@@ -122,6 +123,8 @@
             verdict=note.verdict,
             reason=note.reason,
             detail=failure.detail if failure else "",
+            framing=answer.framing.value if answer else "",
+            unfinished_bytes=len(attempt.splitter.rest) if attempt else 0,
             first_s=round(note.first_chunk_s - note.began_s, 4)
             if note.first_chunk_s >= 0.0
             else -1.0,
