Pass on events whose lines end with CR LF as they arrive

Cause: only LF LF ended an event, so a stream with CR LF line ends (allowed by the format of server-sent events) was held until its end, and could not be resumed.

Change: an event ends with a blank line after LF or CR LF. Lone CR line ends, which no known target writes, are still not recognised.

--- a/sequoiawind/event_stream.py
+++ b/sequoiawind/event_stream.py
@@ -4,12 +4,13 @@
 event can be resumed at another target without a partial event in between.
 """
 
+import re
 from typing import Final
 
 import attrs
 
-# The blank line that ends an event.
-SEPARATOR: Final = b"\n\n"
+# The end of an event's last line, and the blank line that ends the event.
+EVENT_END: Final = re.compile(rb"\r?\n\r?\n")
 
 
 @attrs.frozen(kw_only=True)
@@ -30,10 +31,14 @@
 
     def take(self, data: bytes) -> list[Event]:
         """Add bytes; return the events that are complete with them."""
-        *whole, self.rest = (self.rest + data).split(SEPARATOR)
-        return [
-            Event(data=item + SEPARATOR, id=event_id(item)) for item in whole
-        ]
+        buffered = self.rest + data
+        events, start = [], 0
+        for end in EVENT_END.finditer(buffered):
+            event = buffered[start : end.end()]
+            events.append(Event(data=event, id=event_id(event)))
+            start = end.end()
+        self.rest = buffered[start:]
+        return events
 
 
 def event_id(event: bytes) -> int | None:
