Treat a stream that ends inside an event as broken off

Cause: an answer may have neither a length nor chunks and end with its connection. The HTTP client takes a regular end of the connection as the end of such an answer, and Forwarding.answered passed the incomplete event on and ended the caller's answer regularly. Framing alone decided whether an answer was whole; the content of a stream, which tells more, was ignored.

Change: an answer to a stream that ends inside an event, whatever its framing, is a failed attempt (connection_lost): it is resumed at another target after the last complete event, or the caller's answer is aborted.

--- a/sequoiawind/event_stream.py
+++ b/sequoiawind/event_stream.py
@@ -29,6 +29,11 @@
     # The beginning of an event that is not complete yet.
     rest: bytes = b""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not complete yet."""
+        return bool(self.rest.strip(b"\r\n"))
+
     def take(self, data: bytes) -> list[Event]:
         """Add bytes; return the events that are complete with them."""
         buffered = self.rest + data
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -90,8 +90,11 @@
             self.forwarding.take_event(self, event.data, event.id)
 
     def done(self) -> None:
-        """Handle the end of the answer."""
-        if self.close():
+        """Handle the end of the answer; a stream may still be broken off."""
+        if self.is_streaming and self.splitter.is_inside_event:
+            text = messages.STREAM_CUT
+            self.failed(may_have_run(Reason.CONNECTION_LOST, text))
+        elif self.close():
             self.forwarding.answered(self)
 
     def failed(self, failure: Failure) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -56,9 +56,9 @@
             self.assertEqual(2, len(rig.port.sent), route)
             first, second = (item.order.target.name for item in rig.port.sent)
             self.assertNotEqual(first, second)
-            rig.port.sent[1].answer(200, b"whole")
+            rig.port.sent[1].answer(200, event(1))
             self.assertEqual([200], caller.statuses, route)
-            self.assertEqual(b"whole", caller.body)
+            self.assertEqual(event(1), caller.body)
 
     def test_refused_by_all_is_reported_as_not_run(self) -> None:
         rig = self.rig()
