Treat an unframed stream without any event as broken off

Cause: a stream of no length and no chunks whose connection ended right after its head counted as a complete answer of no event.

Change: such a stream must have brought one event, unless it resumes after events that the caller has. An end that is stated by chunks or a length is still believed.

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -51,6 +51,9 @@
     # How long the caller waits from `arrived_s` on, in seconds; None if not
     # stated.
     deadline_s: float | None = None
+    # Id of the last event that the caller has of a stream that it takes up
+    # again; empty if it has none.
+    last_event_id: str = ""
     # None for calls to plain services.
     prompt: Prompt | None = None
 
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -21,6 +21,7 @@
     ForwardCaller,
     SendOrder,
 )
+from sequoiawind.headers import Framing
 from sequoiawind.request_execution import OpenAttempt, RequestExecution
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.target_choice import Chosen
@@ -64,6 +65,8 @@
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     # Whether the prompt no longer counts as a pending prefill.
     has_begun: bool = False
+    # Whether a complete event of a stream has arrived.
+    has_event: bool = False
     # The pending move of the run to another target, if any.
     move: StreamMove | None = None
 
@@ -87,11 +90,12 @@
             return
         self.begin()
         for event in self.splitter.take(data):
+            self.has_event = True
             self.forwarding.take_event(self, event.data, event.id)
 
     def done(self) -> None:
         """Handle the end of the answer; a stream may still be broken off."""
-        if self.is_streaming and self.splitter.is_inside_event:
+        if self.is_streaming and self.is_cut:
             text = messages.STREAM_CUT
             self.failed(may_have_run(Reason.CONNECTION_LOST, text))
         elif self.close():
@@ -106,6 +110,31 @@
         else:
             self.forwarding.attempt_failed(self, failure)
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether a stream that has ended was broken off.
+
+        The end of a connection proves nothing: a stream that has no other end
+        must have brought an event, unless it resumes after the last one.
+        """
+        return self.splitter.is_inside_event or (
+            self.is_unframed and not self.has_event and not self.is_resumed
+        )
+
+    @property
+    def is_unframed(self) -> bool:
+        """Whether only the end of the connection ends the answer."""
+        answer = self.answer
+        return answer is not None and answer.framing is Framing.CONNECTION
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the stream goes on after events that the caller has."""
+        forwarding = self.forwarding
+        return forwarding.last_event is not None or bool(
+            forwarding.plan.request.last_event_id
+        )
+
     @property
     def is_streaming(self) -> bool:
         """Whether the answer is passed on as it arrives."""
