Do not take a stream that its move has closed for a complete one

Cause: a target that is asked to move a run stops it and closes the stream without its end. An answer without length and chunks then ends like a complete one, so the caller got a regular end in the middle of the stream while the copy went on unused.

Change: while a move is pending, the end of an unframed stream decides nothing. If the move succeeds, the stream continues at its destination; if the run is known to be untouched (404, or the request to move was never sent), the answer was complete; else the stream is resumed after its last event. Only streams that may be resumed are moved, so a wrong guess costs a call, not an event.

--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -99,7 +99,8 @@
 
         Returns:
           Location of the memory, for `SendOrder.moved_from`; or why the run
-          was not moved: then it continues, or its stream breaks off.
+          was not moved: then it continues, or its stream breaks off.  A
+          failure with the verdict `NOT_RUN` has not stopped the run.
         """
 
     def release_moved_run(self, moved_from: str) -> None:
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -13,16 +13,14 @@
 
 from sequoiawind import messages, retries
 from sequoiawind.blackboard import RequestNote
-from sequoiawind.event_stream import EventSplitter
-from sequoiawind.fleet import TargetView
+from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import ForwardPlan, urgency
 from sequoiawind.forward_ports import (
     AnswerHead,
     ForwardCaller,
     SendOrder,
 )
-from sequoiawind.headers import Framing
-from sequoiawind.request_execution import OpenAttempt, RequestExecution
+from sequoiawind.request_execution import RequestExecution
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.target_choice import Chosen
 from sequoiawind.verdict import (
@@ -54,109 +52,6 @@
 BUSY_RETRY_AFTER_S: Final = 0.4
 
 
-@attrs.define(kw_only=True, eq=False)
-class ForwardAttempt(OpenAttempt):
-    """One attempt at one target; the sink of its answer."""
-
-    forwarding: "Forwarding"
-    chosen: Chosen
-    answer: AnswerHead | None = None
-    body: bytearray = attrs.field(factory=bytearray)
-    splitter: EventSplitter = attrs.field(factory=EventSplitter)
-    # Whether the prompt no longer counts as a pending prefill.
-    has_begun: bool = False
-    # Whether a complete event of a stream has arrived.
-    has_event: bool = False
-    # The pending move of the run to another target, if any.
-    move: StreamMove | None = None
-
-    @property
-    def view(self) -> TargetView:
-        """This router's view of the target."""
-        return self.chosen.view
-
-    def head(self, head: AnswerHead) -> None:
-        """Store the answer's head, and note what the target states."""
-        if not self.is_over:
-            self.answer = head
-            self.forwarding.forwarder.head_received(self.view, head)
-
-    def data(self, data: bytes) -> None:
-        """Receive a part of the body; stream events are passed on directly."""
-        if self.is_over or self.answer is None:
-            return
-        if not self.is_streaming:
-            self.body += data
-            return
-        self.begin()
-        for event in self.splitter.take(data):
-            self.has_event = True
-            self.forwarding.take_event(self, event.data, event.id)
-
-    def done(self) -> None:
-        """Handle the end of the answer; a stream may still be broken off."""
-        if self.is_streaming and self.is_cut:
-            text = messages.STREAM_CUT
-            self.failed(may_have_run(Reason.CONNECTION_LOST, text))
-        elif self.close():
-            self.forwarding.answered(self)
-
-    def failed(self, failure: Failure) -> None:
-        """Handle the failure of the answer."""
-        if not self.close():
-            return
-        if self.move is not None:
-            self.move.stream_failed(failure)
-        else:
-            self.forwarding.attempt_failed(self, failure)
-
-    @property
-    def is_cut(self) -> bool:
-        """Whether a stream that has ended was broken off.
-
-        The end of a connection proves nothing: a stream that has no other end
-        must have brought an event, unless it resumes after the last one.
-        """
-        return self.splitter.is_inside_event or (
-            self.is_unframed and not self.has_event and not self.is_resumed
-        )
-
-    @property
-    def is_unframed(self) -> bool:
-        """Whether only the end of the connection ends the answer."""
-        answer = self.answer
-        return answer is not None and answer.framing is Framing.CONNECTION
-
-    @property
-    def is_resumed(self) -> bool:
-        """Whether the stream goes on after events that the caller has."""
-        forwarding = self.forwarding
-        return forwarding.last_event is not None or bool(
-            forwarding.plan.request.last_event_id
-        )
-
-    @property
-    def is_streaming(self) -> bool:
-        """Whether the answer is passed on as it arrives."""
-        answer = self.answer
-        if answer is None or answer.refusal is not None:
-            return False
-        return self.forwarding.plan.kind.is_stream and answer.status < 300
-
-    def release(self) -> None:
-        """Remove the attempt from the target's counts."""
-        self.view.open_requests -= 1
-        self.begin()
-
-    def begin(self) -> None:
-        """Remove the prompt from the target's pending prefills, once."""
-        if self.has_begun:
-            return
-        self.has_begun = True
-        self.view.pending_prefills -= 1
-        self.view.pending_prefill_tokens -= self.chosen.prefill_tokens
-
-
 @attrs.define(kw_only=True, eq=False)
 class Forwarding(RequestExecution):
     """A forwarded request that has not ended."""
--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -3,8 +3,9 @@
 from typing import Any, Final
 
 from sequoiawind import prompt_cache, retries, rollout, target_choice
+from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import Planner
-from sequoiawind.forwarding import ForwardAttempt, Forwarding
+from sequoiawind.forwarding import Forwarding
 from sequoiawind.lab import forward_soak
 from sequoiawind.lab.mutants import Mutant
 from sequoiawind.request_execution import RequestExecution
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -29,6 +29,8 @@
 # Statuses by which a target accepts an order, or already has the weights.
 ACCEPTED: Final = 202
 HOLDS_ALREADY: Final = 200
+# Status of a move of a run that has ended or never began.
+NO_SUCH_RUN: Final = 404
 # Status of a cache that already serves its maximum number of watchers.
 TOO_MANY_WATCHERS: Final = 429
 # Timeout for freeing the memory of a run, in seconds: a round trip and some
@@ -119,7 +121,9 @@
             return Error(answered.error)
         if answered.ok.status != 200:
             text = f"status {answered.ok.status}"
-            return Error(may_have_run(Reason.TARGET_ERROR, text))
+            is_stopped = answered.ok.status != NO_SUCH_RUN
+            verdict = may_have_run if is_stopped else not_run
+            return Error(verdict(Reason.TARGET_ERROR, text))
         try:
             moved = wire.decode(answered.ok.body, engine_wire.MovedRecord)
         except wire.WireError as error:
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -11,13 +11,15 @@
 import attrs
 from twisted.internet.defer import Deferred
 
+from sequoiawind import messages
 from sequoiawind.forward_ports import MoveOrder
 from sequoiawind.ports import Timer
 from sequoiawind.target_choice import Chosen
-from sequoiawind.verdict import Failure
+from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run
 
 if TYPE_CHECKING:
-    from sequoiawind.forwarding import ForwardAttempt, Forwarding
+    from sequoiawind.forward_attempt import ForwardAttempt
+    from sequoiawind.forwarding import Forwarding
 
 # Timeout of the copy, in seconds: the memory of one run takes milliseconds,
 # but copies of other runs share the links.
@@ -42,6 +44,9 @@
     # Why the copy failed, and why the stream failed during the move.
     failure: Failure | None = None
     source_failure: Failure | None = None
+    # Whether the stream has ended in a way that the stop of its run explains
+    # as well as the end of its answer.
+    has_ended: bool = False
     timer: Timer | None = None
 
     def start(self) -> None:
@@ -71,6 +76,11 @@
         self.source_failure = failure
         self.proceed()
 
+    def stream_ended(self) -> None:
+        """Record that the stream from the source has ended."""
+        self.has_ended = True
+        self.proceed()
+
     def proceed(self) -> None:
         """Complete or abandon the move, if the target has answered.
 
@@ -89,10 +99,23 @@
             return
         self.attempt.move = None
         self.forwarding.forwarder.on_move(self)
-        if self.source_failure is not None:
-            self.forwarding.attempt_failed(self.attempt, self.source_failure)
-        else:
+        failure = self.source_failure
+        if failure is not None:
+            self.forwarding.attempt_failed(self.attempt, failure)
+        elif not self.has_ended:
             self.forwarding.set_pause_timeout(self.attempt)
+        elif self.is_run_untouched:
+            self.forwarding.answered(self.attempt)
+        else:
+            text = messages.STREAM_CUT
+            lost = may_have_run(Reason.CONNECTION_LOST, text)
+            self.forwarding.attempt_failed(self.attempt, lost)
+
+    @property
+    def is_run_untouched(self) -> bool:
+        """Whether a failed move is known not to have stopped the run."""
+        failure = self.failure
+        return failure is not None and failure.verdict is Verdict.NOT_RUN
 
     def complete_move(self) -> None:
         """Continue the run at the destination after the source's last event.
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -190,6 +190,17 @@
         self.assertTrue(caller.is_ended)
         self.assertEqual(events(1, 2, 3), caller.body)
 
+    def test_stream_closed_by_a_failed_move_is_resumed(self) -> None:
+        _, mover, caller = self.move()
+        self.answer(mover, b"503 Service Unavailable", b"")
+        self.assertFalse(caller.is_ended)
+        second = accept(self.reactor)
+        self.assertIn(b"\r\nlast-event-id: 2\r\n", second.take_sent().lower())
+        second.protocol.dataReceived(HEAD)
+        self.end(second)
+        self.assertTrue(caller.is_ended)
+        self.assertEqual(events(1, 2), caller.body)
+
     def test_stream_that_had_ended_before_its_move_is_complete(self) -> None:
         _, mover, caller = self.move()
         self.answer(mover, b"404 Not Found", b"")
