Meet targets behind the OpenAI interface through our own HTTP client

What callers would see: an answer of a plain service without length and chunks whose connection was reset halfway reached the caller as a complete success. And an answer whose head never ends was read until the deadline, without a bound on memory.

Cause: both have one cause, the client that agents used for targets. treq, and the HTTP client of Twisted below it, report the end of such a body alike for a regular end and a reset of the connection, and bound neither the number of headers nor a body.

Change: target_ports holds the agents' ports to targets, made on http1_client, which forwarding uses already: it tells a reset from an end, bounds heads and answers, and knows whether a call was sent. Calls between our own processes stay as they are, since both sides state the length.

Reasons of failures are as before; a call to a plain service that could not be sent is still not_run.

--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -27,16 +27,14 @@
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.config_follower import ConfigFollower
 from sequoiawind.engine_watcher import EngineWatcher
+from sequoiawind.http1_client import Http1Client
 from sequoiawind.http_client import JsonClient
-from sequoiawind.http_ports import (
-    EngineControlPort,
-    EngineHttpPort,
-    PlainHttpPort,
-)
+from sequoiawind.http_ports import EngineControlPort
 from sequoiawind.load_slots import LoadSlots
 from sequoiawind.metrics import AgentMetrics
 from sequoiawind.options import AgentSettings
 from sequoiawind.peers import ConfigFetcher, PeerClient
+from sequoiawind.target_ports import EngineHttpPort, PlainHttpPort
 
 Logger = structlog.typing.FilteringBoundLogger
 
@@ -49,6 +47,9 @@
     log: Logger = attrs.field(init=False)
     random: "random.Random" = attrs.field(factory=random.Random)
     client: HTTPClient = attrs.field(factory=http_client.make_client)
+    target_client: Http1Client = attrs.field(
+        factory=lambda: Http1Client(reactor=event_loop.reactor)
+    )
     metrics: AgentMetrics = attrs.field(factory=AgentMetrics)
     board: Blackboard = attrs.field(factory=Blackboard)
     json: JsonClient = attrs.field(init=False)
@@ -69,9 +70,9 @@
         options = self.options.agent
         port: EngineHttpPort | PlainHttpPort
         if options.service == "engine":
-            port = EngineHttpPort(client=self.client)
+            port = EngineHttpPort(client=self.target_client)
         else:
-            port = PlainHttpPort(client=self.client)
+            port = PlainHttpPort(client=self.target_client)
         return Agent(
             target=options.target,
             address=str(options.target_address),
