Bound what a router holds of one answer

Cause: bytes that are no answer may come without end, until the caller closes. Heads were bounded by h11 already (checked now).

Change: 8 MiB of a body that is read to its end, 1 MiB of an event; beyond that the connection is closed and the attempt has failed (target_error, may have run). fetch closes the connection of a call that has failed.

test_endless_bytes_are_cut_off and its twin for our own calls failed before ("book: still open" after 16 MiB of a body) and pass now.

--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -15,6 +15,10 @@
 
 # Requests.
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+# Held in memory of one answer at most: a body that is read to its end, and an
+# event that is not complete.
+MAX_HELD_BODY_BYTES: Final = 8 * 1024 * 1024
+MAX_HELD_EVENT_BYTES: Final = 1024 * 1024
 BODY_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 60.0
 REQUEST_DEADLINE_S: Final = 60.0
--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from sequoiawind import messages
+from sequoiawind import defaults, messages
 from sequoiawind.event_stream import EventSplitter
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_ports import AnswerHead
@@ -55,11 +55,22 @@
             return
         if not self.is_streaming:
             self.body += data
+            if len(self.body) > defaults.MAX_HELD_BODY_BYTES:
+                self.cut_off()
             return
         self.begin()
         for event in self.splitter.take(data):
             self.has_event = True
             self.forwarding.take_event(self, event.data, event.id)
+        if len(self.splitter.rest) > defaults.MAX_HELD_EVENT_BYTES:
+            self.cut_off()
+
+    def cut_off(self) -> None:
+        """Fail the attempt because too much of its answer must be held."""
+        if self.call is not None:
+            self.call.cancel()
+        text = messages.ANSWER_TOO_LARGE
+        self.failed(may_have_run(Reason.TARGET_ERROR, text))
 
     def done(self) -> None:
         """Handle the end of the answer; a stream may still be broken off."""
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -21,7 +21,7 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure as TwistedFailure
 
-from sequoiawind import messages, sockets
+from sequoiawind import defaults, messages, sockets
 from sequoiawind.headers import Headers
 from sequoiawind.options import Address
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
@@ -355,8 +355,12 @@
         self.headers = headers
 
     def data(self, data: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body; one that is too large is a failure."""
         self.body += data
+        if len(self.body) > defaults.MAX_HELD_BODY_BYTES:
+            text = messages.ANSWER_TOO_LARGE
+            self.failed(may_have_run(Reason.TARGET_ERROR, text))
+            self.body.clear()
 
     def done(self) -> None:
         """Finish with the whole answer."""
@@ -389,7 +393,8 @@
 ) -> Deferred[Result[HttpReply, Failure]]:
     """Send a request; return its whole answer, or the failure.
 
-    A call that takes longer than `timeout_s` seconds is cancelled and fails.
+    A call that takes longer than `timeout_s` seconds, or whose answer is larger
+    than `defaults.MAX_HELD_BODY_BYTES`, is cancelled and fails.
     """
     sink = ReplySink()
     call = client.call(str(address), request, sink)
@@ -400,9 +405,12 @@
 
     timer = client.reactor.callLater(timeout_s, timed_out)
 
-    def stop(result: Any) -> Any:
+    def stop(result: Result[HttpReply, Failure] | TwistedFailure) -> Any:
         if timer.active():
             timer.cancel()
+        # A caller that cancels the Deferred makes it fail.
+        if isinstance(result, TwistedFailure) or result.is_error():
+            call.cancel()
         return result
 
     return sink.when_done.addBoth(stop)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind.forward_state import ForwardPool
-from sequoiawind.http1_client import Http1Client
+from sequoiawind.http1_client import Http1Client, OutgoingRequest, fetch
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.verdict import forwarded_status
 from sequoiawind.wire import TargetStatus
@@ -206,3 +206,59 @@
         self.answer(mover, b"404 Not Found", b"")
         self.assertTrue(caller.is_ended)
         self.assertEqual(events(1, 2), caller.body)
+
+
+class EndlessAnswerTest(UnframedRig):
+    """Bytes without end are cut off before they fill a VM's memory."""
+
+    # Router VMs have 128 MB; a share of that may be held for one answer.
+    HELD_BYTES = 16 * 1024 * 1024
+    PIECE_BYTES = 256 * 1024
+
+    def feed(self, route: str, begin: bytes, piece: bytes) -> FakeCaller:
+        """Answer with bytes until the connection is closed."""
+        peer, caller = self.begin(route, begin)
+        data = piece * (self.PIECE_BYTES // len(piece))
+        for _ in range(self.HELD_BYTES // self.PIECE_BYTES):
+            if peer.transport.is_aborted:
+                return caller
+            peer.protocol.dataReceived(data)
+        self.fail(f"{route}: still open after {begin!r}")
+
+    def test_endless_bytes_are_cut_off(self) -> None:
+        line = b"x: " + b"y" * 1000 + b"\r\n"
+        for route, begin, piece in (
+            ("book", b"HTTP/1.1 200 OK\r\n", line),
+            ("book", b"HTTP/1.1 200 OK\r\nx: ", b"y"),
+            ("book", b"", b"HTTP/1.1 1"),
+            ("book", HEAD, b"z"),
+            ("brief", b"HTTP/1.1 200 OK\r\n", line),
+            ("brief", HEAD, b"z"),
+            ("brief", HEAD + events(1), b"z\n"),
+            ("brief", b"HTTP/1.1 500 No\r\n\r\n", b"z"),
+        ):
+            self.make_router()
+            caller = self.feed(route, begin, piece)
+            self.assertFalse(caller.is_ended, (route, begin))
+            if caller.statuses:
+                self.assertTrue(caller.is_broken)
+                self.assertEqual(events(1), caller.body)
+            else:
+                assert caller.failure is not None
+                self.assertEqual(502, forwarded_status(caller.failure))
+
+    def test_endless_answer_to_a_call_of_our_own_is_cut_off(self) -> None:
+        request = OutgoingRequest(
+            method=b"GET", request_target=b"/r", headers=[(b"host", b"h")]
+        )
+        client = Http1Client(reactor=self.reactor)
+        replies = []
+        fetch(client, "10.0.0.1:80", request, 5.0).addCallback(replies.append)
+        peer = accept(self.reactor)
+        peer.protocol.dataReceived(HEAD)
+        for _ in range(self.HELD_BYTES // self.PIECE_BYTES):
+            peer.protocol.dataReceived(b"z" * self.PIECE_BYTES)
+            if peer.transport.is_aborted:
+                break
+        self.assertTrue(peer.transport.is_aborted)
+        self.assertTrue(replies[0].is_error())
