--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -54,6 +54,9 @@
     # Id of the last event that the caller has of a stream that it takes up
     # again; empty if it has none.
     last_event_id: str = ""
+    # Id of the request that brought the first event of that stream; empty if
+    # the caller does not name it.
+    resumes: str = ""
     # None for calls to plain services.
     prompt: Prompt | None = None
 
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -245,6 +245,7 @@
                 pool=target.pool,
                 address=target.address,
                 born_ms=target.born_ms,
+                software=target.software,
                 draining=target.is_draining,
             )
         self.on_change()
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -92,6 +92,9 @@
     # Start of this incarnation, in milliseconds since the epoch.
     born_ms: int = 0
     is_draining: bool = False
+    # Version of its software, which is not that of its weights.  What targets
+    # of different versions write does not fit together.
+    software: str = ""
     # Requests that it runs concurrently.
     slots: int = 1
     # Weights version by model.
--- a/sequoiawind/platform/targets.py
+++ b/sequoiawind/platform/targets.py
@@ -22,6 +22,8 @@
     address: str
     state: str
     zone: str = ""
+    # Version of the target's software.
+    version: str = ""
     slots: int = 1
     # Start of the target, in milliseconds since the epoch.
     born: int = 0
@@ -47,6 +49,7 @@
             address=record.address,
             born_ms=record.born,
             is_draining=record.state == names.DRAINING,
+            software=record.version,
             slots=max(1, record.slots),
             versions={model.name: model.version for model in record.models},
         )
