--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -149,6 +149,7 @@
         self.assertEqual(("i1", 12), decoded.incarnation)
         self.assertEqual({"m": 3}, decoded.versions)
         self.assertFalse(decoded.is_draining)
+        self.assertEqual("v1", decoded.software)
 
     def test_invalid_entries(self) -> None:
         for change in (
@@ -157,6 +158,7 @@
             {"address": "nowhere"},
             {"service": None},
             {"models": "m"},
+            {"version": 5},
         ):
             value = json.dumps({**ENTRY, **change}).encode()
             self.assertTrue(decode_target("i1", value).is_error(), change)
