Resume and move a stream only within its software version

Cause: a broken stream was resumed, and a run moved, at any target with the right weights. Nothing knew that targets of several software versions may serve side by side.

Change: a stream has an origin, the pool and the software version of the target that sent its first event. Only targets of that origin may continue it. If none is left that was not tried, the caller's answer is aborted at once: waiting cannot help.

A request without an event still goes to any target.

Not covered yet: a stream that its caller takes up again at another router.

--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -26,6 +26,7 @@
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import NamedVersion
 from sequoiawind.stream_move import StreamMove
+from sequoiawind.stream_origins import StreamOrigin, may_continue
 from sequoiawind.target_choice import (
     DEFAULT_PREFILL_TOKENS,
     CacheStore,
@@ -180,9 +181,10 @@
                 view
                 for view in self.fleet.ready(plan.pool.name, now_s, is_long)
                 if view.target.name not in forwarding.sent_to
+                and may_continue(forwarding.origin, view.target)
             ]
             return choose_call(ready, self.fleet.members, self.domain)
-        return self.chooser(plan, prompt.model).choose(
+        return self.chooser(plan, prompt.model, forwarding.origin).choose(
             prompt,
             plan.account.name,
             plan.account.is_isolated,
@@ -191,8 +193,16 @@
             forwarding.sent_to,
         )
 
-    def chooser(self, plan: ForwardPlan, model: str) -> PromptChooser:
-        """Return a chooser with the current state of a plan's pool."""
+    def chooser(
+        self, plan: ForwardPlan, model: str, origin: StreamOrigin | None
+    ) -> PromptChooser:
+        """Return a chooser with the current state of a plan's pool.
+
+        Args:
+          plan: The plan.
+          model: The model of its prompt.
+          origin: Where the request's stream began; None if it has not begun.
+        """
         now_s = self.clock.seconds()
         pool = self.fleet.pool(plan.pool.name, now_s)
         homes = self.homes.setdefault(plan.pool.name, HomeOrder())
@@ -202,7 +212,13 @@
         return PromptChooser(
             index=self.caches.index,
             homes=homes,
-            pool=pool.usable,
+            pool=pool.usable
+            if origin is None
+            else {
+                name: view
+                for name, view in pool.usable.items()
+                if may_continue(origin, view.target)
+            },
             # Drawn at random, so that not all routers choose the same one.
             spare=self.random.sample(spare.names, drawn),
             cache_stores=self.cache_stores(),
@@ -246,10 +262,12 @@
             for view in ready
             if view is not chosen.view
             and view.version(prompt.model) == chosen.version
+            and may_continue(forwarding.origin, view.target)
         ]
         if not able:
             return None
-        backlog = self.chooser(plan, prompt.model).backlog_tokens
+        chooser = self.chooser(plan, prompt.model, forwarding.origin)
+        backlog = chooser.backlog_tokens
         return Chosen(
             view=min(able, key=lambda view: (backlog(view), view.target.name)),
             version=chosen.version,
@@ -333,9 +351,20 @@
             return pool.memory_tokens
         return DEFAULT_MEMORY_TOKENS
 
-    def has_targets(self, pool: str) -> bool:
-        """Whether a pool has a usable target, ready or not."""
-        return bool(self.fleet.pool(pool, self.clock.seconds()).usable)
+    def has_targets(self, forwarding: Forwarding) -> bool:
+        """Whether a request's pool has a usable target for it, ready or not.
+
+        A stream that has begun needs another target of its software version.
+        """
+        origin, name = forwarding.origin, forwarding.plan.pool.name
+        usable = self.fleet.pool(name, self.clock.seconds()).usable
+        if origin is None:
+            return bool(usable)
+        return any(
+            may_continue(origin, view.target)
+            and view.target.name not in forwarding.sent_to
+            for view in usable.values()
+        )
 
     def forget_targets(self) -> None:
         """Drop the caches of targets that are gone."""
@@ -461,7 +490,8 @@
     prompt = plan.request.prompt
     model = prompt.model if prompt is not None else ""
     is_long = prompt is not None and is_long_run(prompt)
-    return (plan.pool.name, model, is_long, *forwarding.sent_to)
+    origin = forwarding.origin
+    return (plan.pool.name, model, is_long, origin, *forwarding.sent_to)
 
 
 def is_long_run(prompt: Prompt) -> bool:
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -22,6 +22,7 @@
 )
 from sequoiawind.request_execution import RequestExecution
 from sequoiawind.stream_move import StreamMove
+from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.target_choice import Chosen
 from sequoiawind.verdict import (
     Failure,
@@ -69,6 +70,8 @@
     has_head: bool = False
     # Id of the last event that was sent to the caller.
     last_event: int | None = None
+    # Where the stream that the caller gets began; None before its first event.
+    origin: StreamOrigin | None = None
     # Since when the request has been waiting for a target; None if it is not.
     waiting_since_s: float | None = None
 
@@ -143,7 +146,7 @@
             self.waiting_since_s = now_s
         waited_s = now_s - self.waiting_since_s
         limit_s = WAIT_SHARE * (self.plan.ends_s - self.plan.request.arrived_s)
-        has_targets = self.forwarder.has_targets(self.plan.pool.name)
+        has_targets = self.forwarder.has_targets(self)
         if waited_s >= limit_s or not has_targets:
             self.give_up(
                 self.last_failure
@@ -286,6 +289,8 @@
             return
         if attempt.move is None:
             self.set_pause_timeout(attempt)
+        if self.origin is None:
+            self.origin = StreamOrigin.of(attempt.view.target)
         if event_id is not None:
             if self.last_event is not None and event_id <= self.last_event:
                 self.note.repeated_chunks += 1
