Continue a stream that its caller takes up only at the version that began it

Change: OriginRegistry. While targets of one version alone serve a pool, or did in the last 30 s, there is nothing to ask and nothing is written. While there are several, each router records the streams that it has begun and that are still open in a topic of the store, in one call each 0.15 s at most, and at once when it aborts an answer. A router that is asked to continue a stream that it has not begun looks for the record for up to 0.4 s, and refuses the request as not run (origin_unknown, with Retry-After) if it finds none, the store does not answer, or its knowledge of the fleet may be old. A router that started less than 30 s ago asks the store as well: records of one version alone, or none, mean that this one began the stream.

Ruled out: choosing the version by a hash of the request (routers may know different targets at the same moment, and the rule holds for all of them), and asking the agents which runs their engines had (they sample, and some deployments have none).

Not measured yet: the cost of the calls.

--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -22,6 +22,9 @@
 # Age above which an agent's status is too old to indicate its target's load,
 # in seconds.
 STATUS_LIFETIME_S: Final = 1.6
+# How long a pool remembers the software versions of targets that are gone, in
+# seconds: longer than callers take up a stream that such a target began.
+SOFTWARE_MEMORY_S: Final = 30.0
 # Number of incarnations whose notices are kept.
 MAX_NOTICES: Final = 1_000
 # Age above which a relay's number of routers is too old, in seconds.
@@ -132,6 +135,10 @@
     notices: OrderedDict[tuple[str, int], TargetNotice] = attrs.field(
         factory=OrderedDict
     )
+    # When targets of a pool and software version were last known, in seconds of
+    # the clock, and those of targets that have gone since.
+    software_seen_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    software_gone: set[tuple[str, str]] = attrs.field(factory=set)
     # Number of active routers that a relay has stated, and when, in seconds of
     # the clock.
     stated_routers: int = 0
@@ -147,10 +154,13 @@
         if known is None or known.target != target:
             self.pools.clear()
         if known and known.target.incarnation == target.incarnation:
+            self.software_gone.add(software_key(known.target))
             known.target = target
             return False
         if known is not None and known.target.born_ms > target.born_ms:
             return False
+        if known is not None:
+            self.software_gone.add(software_key(known.target))
         view = self.views[target.name] = TargetView(target=target)
         view.notice = self.notices.get(target.incarnation, view.notice)
         self.members.health.pop(target.name, None)
@@ -179,10 +189,27 @@
         if self.missing:
             self.pools.clear()
         for name in self.missing:
-            self.views.pop(name, None)
+            view = self.views.pop(name, None)
+            if view is not None:
+                self.software_gone.add(software_key(view.target))
             self.members.health.pop(name, None)
         self.missing.clear()
 
+    def software(self, pool: str, now_s: float) -> frozenset[str]:
+        """Return the software versions that serve a pool, or did lately.
+
+        Those of targets that are gone count for `SOFTWARE_MEMORY_S`.
+        """
+        self.drop_missing(now_s)
+        seen_s, known = self.software_seen_s, self.software_gone
+        known.update(software_key(view.target) for view in self.views.values())
+        seen_s.update(dict.fromkeys(known, now_s))
+        known.clear()
+        for key in list(seen_s):
+            if now_s - seen_s[key] > SOFTWARE_MEMORY_S:
+                del seen_s[key]
+        return frozenset(version for name, version in seen_s if name == pool)
+
     @property
     def missing_dropped_at_s(self) -> float:
         """Earliest time to drop missing entries, in seconds of the clock."""
@@ -342,3 +369,8 @@
     if view.target.is_draining or view.notice.is_leaving:
         return True
     return view.status is not None and view.status.is_draining
+
+
+def software_key(target: ForwardTarget) -> tuple[str, str]:
+    """Return a target's pool and the version of its software."""
+    return (target.pool, target.software)
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -27,10 +27,12 @@
     BoundsOptions,
     ForwardRouterSettings,
 )
+from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.pages import METRICS_PATH, Pages, metrics_page
 from sequoiawind.platform import callers, codec, names
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.platform.leases import LeaseClient
+from sequoiawind.platform.origins import OriginLog
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.router_notes import RouterNotes
@@ -150,6 +152,13 @@
                 random=self.random,
                 log=self.log,
             ),
+            origins=OriginRegistry(
+                port=OriginLog(store=self.store),
+                fleet=self.fleet,
+                freshness=self.freshness,
+                clock=event_loop.reactor,
+                log=self.log,
+            ),
             clock=event_loop.reactor,
             window=RepeatWindow(
                 ratio=bounds.repeat_ratio,
@@ -160,6 +169,7 @@
             domain=self.options.node.failure_domain,
             weights_s=bounds.weights_ms / 1000,
             settle_s=bounds.settle_ms / 1000,
+            on_take_up=notes.note_take_up,
             on_end=notes.note_end,
             on_move=notes.note_move,
             on_retry=notes.count_retry,
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -11,6 +11,7 @@
 
 import attrs
 import structlog
+from expression import Result
 
 from sequoiawind import rollout
 from sequoiawind.blackboard import Blackboard, RequestNote
@@ -21,10 +22,12 @@
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.home_order import HomeOrder
+from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.prompt_cache import Prompt
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import NamedVersion
+from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin, may_continue
 from sequoiawind.target_choice import (
@@ -32,7 +35,6 @@
     CacheStore,
     Chosen,
     PromptChooser,
-    backlog_tokens,
     choose_call,
 )
 from sequoiawind.verdict import Failure, Reason, Verdict
@@ -56,22 +58,6 @@
 PREFILL_AVERAGE_WEIGHT: Final = 0.03
 # Memory assumed for a target whose pool does not state it, in tokens.
 DEFAULT_MEMORY_TOKENS: Final = 50_000
-# How long the list of least loaded targets is used, in seconds; the statuses
-# that it is made of are older.
-SPARE_LIFETIME_S: Final = 0.1
-# Number of least loaded targets that are kept, and of those drawn from them as
-# candidates for one prompt.
-SPARE_COUNT: Final = 8
-SPARE_CANDIDATES: Final = 2
-
-
-@attrs.frozen(kw_only=True)
-class SpareTargets:
-    """A pool's targets with the least pending work."""
-
-    names: tuple[str, ...]
-    # When the list was made, in seconds of the clock.
-    made_s: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -93,13 +79,14 @@
     # seconds.
     settle_s: float
     caches: CacheWatcher
+    origins: OriginRegistry
     # Weights versions by model, in the order in which operators named them.
     named: dict[str, list[NamedVersion]] = attrs.field(factory=dict)
     # Moving average of the tokens that a prompt has to prefill.
     average_prefill_tokens: float = DEFAULT_PREFILL_TOKENS
     # By pool.
     homes: dict[str, HomeOrder] = attrs.field(factory=dict)
-    spare: dict[str, SpareTargets] = attrs.field(factory=dict)
+    spare: SpareLists = attrs.field(init=False)
     waiting: list[Forwarding] = attrs.field(factory=list)
     waiting_timer: Timer | None = None
     # Requests that have not ended.
@@ -108,6 +95,10 @@
     on_move: Callable[[StreamMove], None] = attrs.field(
         default=lambda move: None
     )
+    # Called when a caller takes up a stream, with its origin or a refusal.
+    on_take_up: Callable[[Forwarding, Result[StreamOrigin, Failure]], None] = (
+        attrs.field(default=lambda forwarding, found: None)
+    )
     on_end: Callable[[Forwarding, Failure | None], None] = attrs.field(
         default=lambda forwarding, failure: None
     )
@@ -128,6 +119,7 @@
     def __attrs_post_init__(self) -> None:
         """Let the watcher of caches respect what targets have stated."""
         self.caches.is_paused = self.is_paused
+        self.spare = SpareLists(fleet=self.fleet)
 
     def is_paused(self, name: str) -> bool:
         """Whether a target wants nothing from this VM now."""
@@ -207,7 +199,8 @@
         pool = self.fleet.pool(plan.pool.name, now_s)
         homes = self.homes.setdefault(plan.pool.name, HomeOrder())
         homes.set_members(pool.members)
-        spare = self.spare_targets(plan.pool.name, now_s)
+        average = self.average_prefill_tokens
+        spare = self.spare.targets(plan.pool.name, now_s, average)
         drawn = min(SPARE_CANDIDATES, len(spare.names))
         return PromptChooser(
             index=self.caches.index,
@@ -227,24 +220,6 @@
             average_prefill_tokens=self.average_prefill_tokens,
         )
 
-    def spare_targets(self, pool: str, now_s: float) -> SpareTargets:
-        """Return a pool's least loaded targets, made anew if they are old."""
-        known = self.spare.get(pool)
-        if known is not None and now_s - known.made_s <= SPARE_LIFETIME_S:
-            return known
-        views = self.fleet.pool(pool, now_s).usable.values()
-        average = self.average_prefill_tokens
-        ready = [
-            (backlog_tokens(view, now_s, average), view.target.name)
-            for view in views
-            if view.takes_work(now_s)
-        ]
-        self.spare[pool] = SpareTargets(
-            names=tuple(name for _, name in sorted(ready)[:SPARE_COUNT]),
-            made_s=now_s,
-        )
-        return self.spare[pool]
-
     def move_destination(
         self, forwarding: Forwarding, chosen: Chosen
     ) -> Chosen | None:
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from expression import Ok, Result
+from twisted.internet.defer import Deferred
 
 from sequoiawind import messages, retries
 from sequoiawind.blackboard import RequestNote
@@ -20,6 +22,7 @@
     ForwardCaller,
     SendOrder,
 )
+from sequoiawind.forward_state import ForwardPool
 from sequoiawind.request_execution import RequestExecution
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin
@@ -82,8 +85,52 @@
             self.give_up(not_run(Reason.DEADLINE, messages.DEADLINE))
             return
         self.start_deadline(left_s)
+        if self.plan.kind.is_stream and self.plan.request.last_event_id:
+            self.take_up_stream()
+        else:
+            self.next_target()
+
+    # Streams that callers take up again.
+
+    def take_up_stream(self) -> None:
+        """Continue a stream where it began; look that up if it is unknown."""
+        request, pool = self.plan.request, self.plan.pool.name
+        known = self.forwarder.origins.known(request.resumes, pool)
+        if known is not None:
+            self.origin_found(Ok(known))
+            return
+        finding = self.forwarder.origins.find(request.resumes, pool)
+        Deferred.fromCoroutine(finding).addCallback(self.origin_found)
+
+    def origin_found(self, found: Result[StreamOrigin, Failure]) -> None:
+        """Send the request to a target that may continue its stream."""
+        if self.is_finished:
+            return
+        self.forwarder.on_take_up(self, found)
+        if found.is_error():
+            self.give_up(found.error)
+            return
+        self.origin = found.ok
+        self.plan = self.with_pool_of_origin(self.plan)
         self.next_target()
 
+    def with_pool_of_origin(self, plan: ForwardPlan) -> ForwardPlan:
+        """Return a plan with the pool that began the stream, if it may be."""
+        if self.origin is None:
+            return plan
+        name = self.origin.pool
+        pool = self.forwarder.board.state.pools.get(name)
+        shares = {share.pool for share in plan.route.shares}
+        if name not in shares or not isinstance(pool, ForwardPool):
+            return plan
+        return attrs.evolve(plan, pool=pool)
+
+    @property
+    def stream_id(self) -> str:
+        """Id of the request that brought the first event of the stream."""
+        request = self.plan.request
+        return (request.last_event_id and request.resumes) or request.request_id
+
     @property
     def now_s(self) -> float:
         """The time in seconds."""
@@ -136,7 +183,7 @@
         if planned.is_error():
             self.give_up(planned.error)
             return False
-        self.plan = planned.ok
+        self.plan = self.with_pool_of_origin(planned.ok)
         return True
 
     def wait(self) -> None:
@@ -151,7 +198,9 @@
             self.give_up(
                 self.last_failure
                 or not_run(
-                    Reason.NO_TARGET, messages.NO_TARGET, BUSY_RETRY_AFTER_S
+                    Reason.NO_TARGET,
+                    messages.ORIGIN_GONE if self.origin else messages.NO_TARGET,
+                    BUSY_RETRY_AFTER_S,
                 )
             )
             return
@@ -289,8 +338,8 @@
             return
         if attempt.move is None:
             self.set_pause_timeout(attempt)
-        if self.origin is None:
-            self.origin = StreamOrigin.of(attempt.view.target)
+        if self.note.first_chunk_s < 0.0:
+            self.stream_began(attempt)
         if event_id is not None:
             if self.last_event is not None and event_id <= self.last_event:
                 self.note.repeated_chunks += 1
@@ -301,6 +350,13 @@
         self.pass_head(attempt.answer)
         self.caller.send_data(data)
 
+    def stream_began(self, attempt: ForwardAttempt) -> None:
+        """Note the origin of a stream, for callers that take it up again."""
+        if self.origin is None:
+            self.origin = StreamOrigin.of(attempt.view.target)
+        if self.plan.kind.may_repeat:
+            self.forwarder.origins.began(self.stream_id, self.origin)
+
     def pass_head(self, head: AnswerHead) -> None:
         """Send the answer's head to the caller, unless one was sent."""
         if not self.has_head:
@@ -392,6 +448,7 @@
             failure = attrs.evolve(failure, retry_after_s=BUSY_RETRY_AFTER_S)
         if self.has_head:
             self.caller.abort_answer()
+            self.forwarder.origins.broken(self.stream_id)
         else:
             self.caller.refuse(failure)
         self.finish(failure)
@@ -413,4 +470,6 @@
     def finish(self, failure: Failure | None) -> None:
         """Close the request and report its end to the forwarder."""
         self.close()
+        if failure is None and self.has_head:
+            self.forwarder.origins.completed(self.stream_id)
         self.forwarder.finished(self, failure)
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -29,6 +29,8 @@
     World,
 )
 from sequoiawind.lab.memory_network import Node, NodeClock
+from sequoiawind.lab.memory_origin_log import MemoryOriginLog
+from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.record_follower import RecordFollower, RecordReader
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import NamedVersion
@@ -102,6 +104,7 @@
     log: Any = attrs.field(init=False)
     routers: dict[str, SoakRouter] = attrs.field(factory=dict)
     agents: dict[str, SoakAgent] = attrs.field(factory=dict)
+    origin_log: MemoryOriginLog = attrs.field(factory=MemoryOriginLog)
 
     def __attrs_post_init__(self) -> None:
         """Create a logger whose output is discarded."""
@@ -161,6 +164,13 @@
             caches=CacheWatcher(
                 port=port, clock=clock, random=self.rng, log=self.log
             ),
+            origins=OriginRegistry(
+                port=self.origin_log,
+                fleet=fleet,
+                freshness=freshness,
+                clock=clock,
+                log=self.log,
+            ),
             clock=clock,
             window=RepeatWindow(ratio=0.2, allowance=60.0, window_s=10.0),
             random=self.rng,
--- a/sequoiawind/messages.py
+++ b/sequoiawind/messages.py
@@ -25,6 +25,10 @@
 QUEUE_TOO_LONG: Final = "the expected wait is longer than the request allows"
 COSTLY: Final = "another target may serve the request at less cost"
 RETRY_BUDGET: Final = "the retry budget is exhausted"
+ORIGIN_UNKNOWN: Final = (
+    "it is not known which software version began the stream"
+)
+ORIGIN_GONE: Final = "no target may continue the stream that began elsewhere"
 DRAINING: Final = "the target is draining"
 SHUTTING_DOWN: Final = "the daemon is shutting down"
 WRONG_WEIGHTS: Final = "the target serves a different version of the weights"
--- /dev/null
+++ b/sequoiawind/origin_registry.py
@@ -0,0 +1,311 @@
+"""Which software version began a stream, as all routers know it together.
+
+A caller may take a broken stream up again at any router, and names the request
+that began it.  While one version serves a pool there is nothing to ask.  While
+there are several, each router records the streams that it has begun in a log,
+and a router that is asked to continue a stream that it does not know looks it
+up there.  A stream whose origin cannot be found out is refused as not run.
+"""
+
+from collections import OrderedDict, defaultdict
+from collections.abc import Sequence
+from typing import Final, Protocol
+
+import attrs
+import structlog
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from sequoiawind import messages, timing
+from sequoiawind.fleet import SOFTWARE_MEMORY_S, Fleet
+from sequoiawind.freshness import Freshness
+from sequoiawind.ports import Clock, Timer
+from sequoiawind.record_ports import RecordsLost
+from sequoiawind.stream_origins import StreamOrigin
+from sequoiawind.verdict import Failure, Reason, not_run
+
+Logger = structlog.typing.FilteringBoundLogger
+
+# Delay after which the streams begun meanwhile are recorded in one call, in
+# seconds. Streams that end within it need no record.
+RECORD_DELAY_S: Final = 0.15
+# Pause before a failed call is repeated, in seconds.
+RETRY_PAUSE_S: Final = 0.5
+# Streams that one call records at most.
+MAX_RECORDS: Final = 1_000
+# Origins that are kept at most, of streams begun here and of those read.
+MAX_ORIGINS: Final = 20_000
+# How long a caller waits for the record of its stream, in seconds: the delay of
+# recording and some round trips to the log.
+LOOKUP_S: Final = 0.4
+# Pause between two reads of a lookup, in seconds.
+READ_PAUSE_S: Final = 0.05
+# Time allowed for an answer of the log, beyond the time for which it may wait
+# for records, in seconds.
+APPEND_TIMEOUT_S: Final = 1.0
+READ_TIMEOUT_S: Final = 0.4
+# Retry-after of a stream whose origin is not known, in seconds.
+UNKNOWN_RETRY_AFTER_S: Final = 0.4
+
+
+@attrs.frozen(kw_only=True)
+class OriginRecord:
+    """The origin of the stream that a request began."""
+
+    request_id: str
+    origin: StreamOrigin
+
+
+@attrs.frozen(kw_only=True)
+class OriginPage:
+    """Consecutive records of the log."""
+
+    records: Sequence[OriginRecord]
+    # Offset of the next read.
+    end: int
+    has_more: bool
+    # Rises when the log returns from a copy, which gives offsets out again.
+    era: int = 0
+
+
+class OriginPort(Protocol):
+    """The log in which routers record origins."""
+
+    async def append(
+        self, records: Sequence[OriginRecord], timeout_s: float
+    ) -> Result[None, Failure]:
+        """Append records."""
+
+    async def read(
+        self, start: int, wait_s: float, timeout_s: float
+    ) -> Result[OriginPage, Failure | RecordsLost]:
+        """Return the records from an offset on.
+
+        If there are none yet, the log waits up to `wait_s` seconds for one.
+        """
+
+
+@attrs.define(kw_only=True)
+class BegunStream:
+    """A stream that this router has begun and not completed."""
+
+    origin: StreamOrigin
+    # In seconds of the clock.
+    began_s: float
+    is_recorded: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class OriginRegistry:
+    """The origins that one router knows, and its access to those of others."""
+
+    port: OriginPort
+    fleet: Fleet
+    freshness: Freshness
+    clock: Clock
+    log: Logger
+    # When this router began to follow the fleet, in seconds of the clock.
+    started_s: float = attrs.field(init=False)
+    # By request id, the oldest first.
+    begun: OrderedDict[str, BegunStream] = attrs.field(factory=OrderedDict)
+    # What was read from the log, by request id, the oldest first.
+    found: OrderedDict[str, StreamOrigin] = attrs.field(factory=OrderedDict)
+    # Software versions in the records read, by pool.
+    recorded: dict[str, set[str]] = attrs.field(
+        factory=lambda: defaultdict(set)
+    )
+    next_offset: int = 0
+    era: int = 0
+    timer: Timer | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Note the start."""
+        self.started_s = self.clock.seconds()
+
+    # Streams of this router.
+
+    def began(self, request_id: str, origin: StreamOrigin) -> None:
+        """Note the origin of a stream that begins here."""
+        now_s = self.clock.seconds()
+        self.begun[request_id] = BegunStream(origin=origin, began_s=now_s)
+        while self.begun and (
+            len(self.begun) > MAX_ORIGINS
+            or next(iter(self.begun.values())).began_s
+            < now_s - SOFTWARE_MEMORY_S
+        ):
+            self.begun.popitem(last=False)
+        if self.is_mixed(origin.pool):
+            self.record_in(RECORD_DELAY_S)
+
+    def completed(self, request_id: str) -> None:
+        """Forget a stream that its caller has got to its end."""
+        self.begun.pop(request_id, None)
+
+    def broken(self, request_id: str) -> None:
+        """Record a stream at once, as its caller may take it up again."""
+        stream = self.begun.get(request_id)
+        if stream is None or stream.is_recorded:
+            return
+        if self.is_mixed(stream.origin.pool):
+            self.record_in(0.0)
+
+    def is_mixed(self, pool: str) -> bool:
+        """Whether targets of several versions serve a pool, or did lately."""
+        return len(self.fleet.software(pool, self.clock.seconds())) > 1
+
+    def record_in(self, delay_s: float) -> None:
+        """Record the open streams after a delay, or before, if that is due."""
+        if self.timer is not None and self.timer.active():
+            if delay_s > 0.0:
+                return
+            self.timer.cancel()
+        self.timer = self.clock.callLater(delay_s, self.record)
+
+    def record(self) -> None:
+        """Record the open streams of all pools with several versions."""
+        is_mixed: dict[str, bool] = {}
+        batch: list[OriginRecord] = []
+        for request_id, stream in self.begun.items():
+            pool = stream.origin.pool
+            if pool not in is_mixed:
+                is_mixed[pool] = self.is_mixed(pool)
+            if is_mixed[pool] and not stream.is_recorded:
+                stream.is_recorded = True
+                batch.append(
+                    OriginRecord(request_id=request_id, origin=stream.origin)
+                )
+            if len(batch) >= MAX_RECORDS:
+                self.record_in(RECORD_DELAY_S)
+                break
+        if batch:
+            Deferred.fromCoroutine(self.append(batch))
+
+    async def append(self, batch: Sequence[OriginRecord]) -> None:
+        """Append records; if that fails, they are appended again later."""
+        answered = await self.port.append(batch, APPEND_TIMEOUT_S)
+        if answered.is_ok():
+            return
+        for record in batch:
+            stream = self.begun.get(record.request_id)
+            if stream is not None:
+                stream.is_recorded = False
+        self.log.warning(
+            "cannot record stream origins",
+            streams=len(batch),
+            detail=answered.error.detail,
+        )
+        self.record_in(RETRY_PAUSE_S)
+
+    # Streams that callers take up again.
+
+    def known(self, request_id: str, pool: str) -> StreamOrigin | None:
+        """Return a stream's origin if that needs no lookup.
+
+        Args:
+          request_id: The request that began the stream; empty if not named.
+          pool: The pool to which its caller would be sent now.
+        """
+        stream = self.begun.get(request_id)
+        if stream is not None:
+            return stream.origin
+        if request_id in self.found:
+            return self.found[request_id]
+        age_s = self.clock.seconds() - self.started_s
+        if age_s < SOFTWARE_MEMORY_S:
+            return None
+        return self.only_origin(pool, frozenset())
+
+    def only_origin(
+        self, pool: str, recorded: frozenset[str]
+    ) -> StreamOrigin | None:
+        """Return the only origin that a recent stream of a pool can have.
+
+        Args:
+          pool: The pool.
+          recorded: Further versions that may have begun streams.
+
+        Returns:
+          The origin; None if there are several, or if targets may have come of
+          which this router does not know.
+        """
+        versions = self.fleet.software(pool, self.clock.seconds()) | recorded
+        if len(versions) != 1 or not self.freshness.may_deny:
+            return None
+        (software,) = versions
+        return StreamOrigin(pool=pool, software=software)
+
+    async def find(
+        self, request_id: str, pool: str
+    ) -> Result[StreamOrigin, Failure]:
+        """Look a stream's origin up in the log.
+
+        Args:
+          request_id: The request that began the stream; empty if not named.
+          pool: The pool to which its caller would be sent now.
+
+        Returns:
+          The origin, or a refusal if it cannot be found out in time.
+        """
+        ends_s = self.clock.seconds() + LOOKUP_S
+        wait_s = 0.0
+        while True:
+            has_read = await self.read(wait_s)
+            if request_id in self.found:
+                return Ok(self.found[request_id])
+            if has_read:
+                recorded = frozenset(self.recorded[pool])
+                origin = self.only_origin(pool, recorded)
+                if origin is not None:
+                    return Ok(origin)
+            wait_s = ends_s - self.clock.seconds() - READ_PAUSE_S
+            if wait_s <= 0.0 or not request_id:
+                break
+            await timing.sleep(self.clock, READ_PAUSE_S)
+        return Error(
+            not_run(
+                Reason.ORIGIN_UNKNOWN,
+                messages.ORIGIN_UNKNOWN,
+                UNKNOWN_RETRY_AFTER_S,
+            )
+        )
+
+    async def read(self, wait_s: float) -> bool:
+        """Read what the log has; return whether all of it was read."""
+        while True:
+            answered = await self.port.read(
+                self.next_offset, wait_s, wait_s + READ_TIMEOUT_S
+            )
+            if answered.is_ok():
+                page = answered.ok
+                if page.era != self.era:
+                    self.restart(page.era, 0)
+                    continue
+                self.add(page)
+                if page.has_more:
+                    wait_s = 0.0
+                    continue
+                return True
+            lost = answered.error
+            if isinstance(lost, RecordsLost) and lost.first > self.next_offset:
+                self.restart(lost.era, lost.first)
+                continue
+            self.log.warning(
+                "cannot read stream origins",
+                offset=self.next_offset,
+                detail="" if isinstance(lost, RecordsLost) else lost.detail,
+            )
+            return False
+
+    def restart(self, era: int, offset: int) -> None:
+        """Continue to read at an offset of an era of the log."""
+        self.era = era
+        self.next_offset = offset
+
+    def add(self, page: OriginPage) -> None:
+        """Add the records of a page."""
+        for record in page.records:
+            self.found[record.request_id] = record.origin
+            self.recorded[record.origin.pool].add(record.origin.software)
+        while len(self.found) > MAX_ORIGINS:
+            self.found.popitem(last=False)
+        self.next_offset = max(self.next_offset, page.end)
--- a/sequoiawind/platform/leases.py
+++ b/sequoiawind/platform/leases.py
@@ -7,7 +7,8 @@
 from expression import Error, Ok, Result
 
 from sequoiawind import wire
-from sequoiawind.platform.store import StoreClient, decode_era
+from sequoiawind.platform.store import StoreClient
+from sequoiawind.platform.store_pages import decode_era
 from sequoiawind.verdict import Failure, Reason, may_have_run
 from sequoiawind.weights_holder import Lease
 
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -78,6 +78,8 @@
 # Topics and keys of the store.
 OPERATOR_TOPIC: Final = "keyed.op"
 TARGETS_TOPIC: Final = "keyed.servers"
+# Our own: which software version began which stream.
+ORIGINS_TOPIC: Final = "stream-origins"
 CONFIG_KEY: Final = "config"
 VERSION_KEY_PREFIX: Final = "version/"
 
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import struct
+from collections.abc import Sequence
 from typing import Final
 from urllib.parse import urlencode
 
@@ -11,7 +12,6 @@
 from expression import Error, Ok, Result
 
 from sequoiawind import wire
-from sequoiawind.headers import Headers
 from sequoiawind.http1_client import (
     Http1Client,
     HttpReply,
@@ -19,25 +19,28 @@
     fetch,
 )
 from sequoiawind.options import Address
-from sequoiawind.platform import names
+from sequoiawind.platform.store_pages import (
+    LENGTH,
+    RawPage,
+    decode_era,
+    decode_lost,
+    decode_page,
+    keyed_page,
+)
 from sequoiawind.record_ports import (
     KeyedPage,
     KeyedRecord,
     ReadFailure,
-    RecordsLost,
 )
 from sequoiawind.verdict import Failure, Reason, may_have_run
 
 NEWEST: Final = "/api/log-newest"
 READ: Final = "/api/log-read"
+APPEND: Final = "/api/log-append"
 # The keyed topics have one partition.
 PARTITION: Final = "0"
 # Status of the store if the requested records have been deleted.
 GONE: Final = 410
-# Length prefix of each record in the body of a read.
-LENGTH: Final = struct.Struct(">I")
-# End and first offset of the partition, at the start of the body of a read.
-END_AND_FIRST: Final = struct.Struct(">QQ")
 
 
 class NewestItem(msgspec.Struct):
@@ -105,6 +108,21 @@
     ) -> Result[KeyedPage, ReadFailure]:
         """Return the records from an offset on.
 
+        If there are none yet, the store waits up to `wait_s` seconds for one.
+        """
+        answered = await self.read_raw(topic, start, wait_s, timeout_s)
+        if answered.is_error():
+            return Error(answered.error)
+        try:
+            return Ok(keyed_page(answered.ok, start))
+        except IndexError as error:
+            return Error(may_have_run(Reason.TARGET_ERROR, repr(error)))
+
+    async def read_raw(
+        self, topic: str, start: int, wait_s: float, timeout_s: float
+    ) -> Result[RawPage, ReadFailure]:
+        """Return the records from an offset on as they were appended.
+
         If there are none yet, the store waits up to `wait_s` seconds for one.
         """
         query = {
@@ -119,9 +137,28 @@
         try:
             era = decode_era(answered.ok.headers)
             return Ok(decode_page(answered.ok.body, start, era))
-        except (struct.error, UnicodeDecodeError, IndexError) as error:
+        except (struct.error, IndexError) as error:
             return Error(may_have_run(Reason.TARGET_ERROR, repr(error)))
 
+    async def append(
+        self, topic: str, contents: Sequence[bytes], timeout_s: float
+    ) -> Result[None, Failure]:
+        """Append records to a topic of our own."""
+        query = urlencode({"topic": topic, "part": PARTITION})
+        request = OutgoingRequest(
+            method=b"POST",
+            request_target=f"{APPEND}?{query}".encode(),
+            headers=[(b"host", str(self.address).encode())],
+            body=b"".join(LENGTH.pack(len(item)) + item for item in contents),
+        )
+        answered = await fetch(self.client, self.address, request, timeout_s)
+        if answered.is_error():
+            return Error(answered.error)
+        if answered.ok.status != 200:
+            text = f"status {answered.ok.status}"
+            return Error(may_have_run(Reason.TARGET_ERROR, text))
+        return Ok(None)
+
     async def post(
         self, path: str, record: msgspec.Struct, timeout_s: float
     ) -> Result[HttpReply, Failure]:
@@ -155,49 +192,7 @@
             return Error(answered.error)
         status = answered.ok.status
         if status == GONE:
-            return Error(RecordsLost(era=decode_era(answered.ok.headers)))
+            return Error(decode_lost(answered.ok))
         if status != 200:
             return Error(may_have_run(Reason.TARGET_ERROR, f"status {status}"))
         return Ok(answered.ok)
-
-
-def decode_era(headers: Headers) -> int:
-    """Return the store's era; 0 if an answer does not state it."""
-    text = dict(headers).get(names.STORE_ERA, b"").strip()
-    return int(text) if text.isdigit() else 0
-
-
-def decode_page(body: bytes, start: int, era: int = 0) -> KeyedPage:
-    """Decode the body of a read.
-
-    Raises:
-      struct.error, IndexError: The body is truncated.
-    """
-    end, _ = END_AND_FIRST.unpack_from(body)
-    position = END_AND_FIRST.size
-    records: list[KeyedRecord] = []
-    while position < len(body):
-        (length,) = LENGTH.unpack_from(body, position)
-        position += LENGTH.size
-        content = body[position : position + length]
-        if len(content) < length:
-            raise IndexError("a record is truncated")
-        position += length
-        records.append(decode_record(content, (era, start + len(records))))
-    # A read may return fewer records than there are before the end.
-    return KeyedPage(
-        records=records,
-        end=start + len(records),
-        has_more=start + len(records) < end,
-        era=era,
-    )
-
-
-def decode_record(
-    content: bytes, stamp: tuple[int, int] = (0, 0)
-) -> KeyedRecord:
-    """Decode a record: the key's length in a byte, the key, the value."""
-    length = content[0]
-    key = content[1 : 1 + length].decode("utf-8", "replace")
-    value = content[1 + length :]
-    return KeyedRecord(key=key, value=value or None, stamp=stamp)
--- a/sequoiawind/record_ports.py
+++ b/sequoiawind/record_ports.py
@@ -37,6 +37,8 @@
     """The requested records have been deleted; only the newest are left."""
 
     era: int = 0
+    # Offset of the first record that is left; 0 if the store does not state it.
+    first: int = 0
 
 
 ReadFailure = Failure | RecordsLost
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -2,6 +2,7 @@
 
 import attrs
 import structlog
+from expression import Result
 
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.fleet import TargetView
@@ -12,6 +13,7 @@
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.ports import Clock
 from sequoiawind.stream_move import StreamMove
+from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure, Reason
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -98,6 +100,23 @@
             detail=move.failure.detail if move.failure else "",
         )
 
+    def note_take_up(
+        self, forwarding: Forwarding, found: Result[StreamOrigin, Failure]
+    ) -> None:
+        """Log where a stream that a caller takes up again may go on."""
+        request = forwarding.plan.request
+        origin = found.ok if found.is_ok() else None
+        self.log.info(
+            "stream taken up",
+            request_id=request.request_id,
+            resumes=request.resumes,
+            after_event=request.last_event_id,
+            pool=origin.pool if origin else "",
+            software=origin.software if origin else "",
+            reason="" if found.is_ok() else found.error.reason.value,
+            waited_s=round(self.clock.seconds() - request.arrived_s, 4),
+        )
+
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -53,6 +53,7 @@
     TARGET_REPLACED = "target_replaced"
     MAX_TARGETS = "max_targets"
     DRAINING = "draining"
+    ORIGIN_UNKNOWN = "origin_unknown"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -32,6 +32,8 @@
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness
 from sequoiawind.headers import Headers
+from sequoiawind.lab.memory_origin_log import MemoryOriginLog
+from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import TargetReport
@@ -226,6 +228,7 @@
     board: Blackboard = attrs.field(factory=Blackboard)
     fleet: Fleet = attrs.field(factory=Fleet)
     port: FakePort = attrs.field(factory=FakePort)
+    origin_log: MemoryOriginLog = attrs.field(factory=MemoryOriginLog)
     freshness: Freshness = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     request_count: int = 0
@@ -251,6 +254,13 @@
                 random=random.Random(1),
                 log=structlog.get_logger(),
             ),
+            origins=OriginRegistry(
+                port=self.origin_log,
+                fleet=self.fleet,
+                freshness=self.freshness,
+                clock=self.clock,
+                log=structlog.get_logger(),
+            ),
             clock=self.clock,
             window=RepeatWindow(ratio=0.2, allowance=200.0, window_s=10.0),
             random=random.Random(1),
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,8 +5,17 @@
 from expression import Ok
 from testtools import TestCase
 
+from sequoiawind.fleet import SOFTWARE_MEMORY_S
 from sequoiawind.forward_state import ForwardPool
-from sequoiawind.verdict import Reason, may_have_run
+from sequoiawind.lab.memory_origin_log import MemoryOriginLog
+from sequoiawind.origin_registry import OriginRecord
+from sequoiawind.stream_origins import StreamOrigin
+from sequoiawind.verdict import (
+    Reason,
+    Verdict,
+    forwarded_status,
+    may_have_run,
+)
 from sequoiawind.wire import TargetStatus
 from tests.forward_rig import FakeCaller, ForwardRig, state, target
 
@@ -30,9 +39,22 @@
     return rig
 
 
-def begin(rig: ForwardRig, **fields: Any) -> tuple[FakeCaller, str]:
-    """Begin a stream; return its caller and the version that began it."""
+def begin(
+    rig: ForwardRig, at: str = "", **fields: Any
+) -> tuple[FakeCaller, str]:
+    """Begin a stream; return its caller and the version that began it.
+
+    Args:
+      rig: The router.
+      at: The version; empty for that of the target that is preferred.
+      **fields: Fields of the request.
+    """
+    for view in rig.fleet.views.values():
+        is_wanted = at in ("", view.target.software)
+        view.shed_until_s = 0.0 if is_wanted else float("inf")
     caller = rig.submit("draft", **fields)
+    for view in rig.fleet.views.values():
+        view.shed_until_s = 0.0
     sent = rig.port.sent[-1]
     sent.begin(200, events(1, 2))
     return caller, sent.order.target.software
@@ -42,9 +64,9 @@
     """Within one answer."""
 
     def test_broken_stream_goes_on_at_its_version(self) -> None:
-        for _ in range(10):
+        for software in ("v1", "v2"):
             rig = make_rig(e1="v1", e2="v2", e3="v1", e4="v2")
-            caller, software = begin(rig)
+            caller, _ = begin(rig, at=software)
             rig.port.sent[0].sink.failed(LOST)
             second = rig.port.sent[1]
             self.assertEqual(software, second.order.target.software)
@@ -79,3 +101,194 @@
                 rig.port.move_answers[0].callback(Ok("ip:1/h"))
                 destination = rig.port.moves[0].destination
                 self.assertEqual("v1", destination.software)
+
+
+class TakeUpTest(TestCase):
+    """Over several requests of a caller, at any router."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = MemoryOriginLog()
+
+    def routers(self, count: int = 2, **software: str) -> list[ForwardRig]:
+        """Return routers that have run for long and share a log."""
+        rigs = [make_rig(**software) for _ in range(count)]
+        for rig in rigs:
+            rig.forwarder.origins.port = self.log
+            rig.advance(SOFTWARE_MEMORY_S + 1.0)
+        return rigs
+
+    def take_up(self, rig: ForwardRig, resumes: str) -> FakeCaller:
+        """Take up a stream after its second event."""
+        return rig.submit(
+            "draft", request_id="again", last_event_id="2", resumes=resumes
+        )
+
+    def check_refused(self, rig: ForwardRig, caller: FakeCaller) -> None:
+        """Check that a request was refused as not run, and was not."""
+        rig.advance(1.0)
+        failure = caller.failure
+        assert failure is not None
+        self.assertEqual(Verdict.NOT_RUN, failure.verdict)
+        self.assertEqual(503, forwarded_status(failure))
+        self.assertTrue(failure.retry_after_s)
+        self.assertEqual([], rig.port.sent)
+
+    def check_goes_on_at(self, rig: ForwardRig, software: str) -> None:
+        """Check that a stream has been sent to a target of a version."""
+        self.assertEqual(1, len(rig.port.sent))
+        sent = rig.port.sent[0]
+        self.assertEqual(software, sent.order.target.software)
+
+    def test_stream_goes_on_at_its_version_at_any_router(self) -> None:
+        for software in ("v1", "v2"):
+            self.log = MemoryOriginLog()
+            first, second = self.routers(e1="v1", e2="v2", e3="v1", e4="v2")
+            begin(first, at=software, request_id="s")
+            first.advance(0.3)
+            self.take_up(second, "s")
+            self.check_goes_on_at(second, software)
+            self.take_up(first, "s")
+            sent = first.port.sent[-1]
+            self.assertEqual(software, sent.order.target.software)
+
+    def test_stream_is_recorded_at_once_when_its_answer_is_aborted(
+        self,
+    ) -> None:
+        first, second = self.routers(e1="v1", e2="v2")
+        caller, software = begin(first, at="v2", request_id="s")
+        first.port.sent[0].sink.failed(LOST)
+        self.assertTrue(caller.is_broken)
+        first.clock.advance(0.0)
+        self.take_up(second, "s")
+        self.check_goes_on_at(second, software)
+
+    def test_stream_that_is_recorded_late_is_waited_for(self) -> None:
+        first, second = self.routers(e1="v1", e2="v2")
+        _, software = begin(first, at="v2", request_id="s")
+        self.take_up(second, "s")
+        self.assertEqual([], second.port.sent)
+        first.advance(0.2)
+        second.advance(0.2)
+        self.check_goes_on_at(second, software)
+
+    def test_stream_of_unknown_origin_is_refused_as_not_run(self) -> None:
+        for resumes in ("s", ""):
+            (rig,) = self.routers(1, e1="v1", e2="v2")
+            self.check_refused(rig, self.take_up(rig, resumes))
+
+    def test_stream_is_refused_while_the_log_does_not_answer(self) -> None:
+        first, second = self.routers(e1="v1", e2="v2")
+        begin(first, at="v2", request_id="s")
+        first.advance(0.3)
+        self.log.is_available = False
+        self.check_refused(second, self.take_up(second, "s"))
+
+    def test_streams_are_recorded_again_after_a_failed_call(self) -> None:
+        first, second = self.routers(e1="v1", e2="v2")
+        self.log.is_available = False
+        _, software = begin(first, at="v2", request_id="s")
+        first.advance(0.3)
+        self.log.is_available = True
+        first.advance(0.6)
+        self.take_up(second, "s")
+        self.check_goes_on_at(second, software)
+
+    def test_nothing_is_recorded_or_read_while_there_is_one_version(
+        self,
+    ) -> None:
+        first, second = self.routers(e1="v1", e2="v1")
+        begin(first, request_id="s")
+        first.advance(1.0)
+        self.take_up(second, "s")
+        self.check_goes_on_at(second, "v1")
+        self.assertEqual((0, []), (self.log.reads, self.log.records))
+
+    def test_streams_from_before_a_second_version_are_recorded(self) -> None:
+        first, second = self.routers(e1="v1")
+        begin(first, request_id="s")
+        for rig in (first, second):
+            rig.add(target("e0", "llm", software="v2"))
+            rig.fleet.views["e1"].open_requests = 50
+        begin(first, request_id="other")
+        first.advance(0.3)
+        self.take_up(second, "s")
+        self.check_goes_on_at(second, "v1")
+
+    def test_version_whose_targets_have_gone_still_counts(self) -> None:
+        (rig,) = self.routers(1, e1="v1", e2="v2")
+        rig.fleet.remove("e1", rig.clock.seconds())
+        self.check_refused(rig, self.take_up(rig, "s"))
+        rig.advance(SOFTWARE_MEMORY_S)
+        self.take_up(rig, "s")
+        self.check_goes_on_at(rig, "v2")
+
+    def test_restarted_router_asks_the_log(self) -> None:
+        # The versions that were there before its start, as the log tells.
+        for recorded, is_served in (((), True), (("v1",), True), (("v2",), 0)):
+            self.log = MemoryOriginLog()
+            for version in recorded:
+                origin = StreamOrigin(pool="llm", software=version)
+                record = OriginRecord(request_id="q", origin=origin)
+                self.log.records.append(record)
+            rig = make_rig(e1="v1")
+            rig.forwarder.origins.port = self.log
+            caller = self.take_up(rig, "s")
+            if is_served:
+                self.check_goes_on_at(rig, "v1")
+            else:
+                self.check_refused(rig, caller)
+
+    def test_router_that_may_not_know_all_targets_refuses(self) -> None:
+        (rig,) = self.routers(1, e1="v1")
+        self.log.is_available = False
+        rig.clock.advance(3.0)
+        caller = self.take_up(rig, "s")
+        rig.clock.advance(1.0)
+        assert caller.failure is not None
+        self.assertEqual(Verdict.NOT_RUN, caller.failure.verdict)
+        self.assertEqual([], rig.port.sent)
+
+    def test_log_that_has_lost_records_is_read_from_its_first_one(
+        self,
+    ) -> None:
+        first, second = self.routers(e1="v1", e2="v2")
+        self.log.first = 7
+        _, software = begin(first, at="v2", request_id="s")
+        first.advance(0.3)
+        self.take_up(second, "s")
+        self.check_goes_on_at(second, software)
+
+    def test_log_that_returns_from_a_copy_is_read_anew(self) -> None:
+        first, second = self.routers(e1="v1", e2="v2")
+        begin(first, at="v2", request_id="s")
+        first.advance(0.3)
+        self.take_up(second, "s")
+        self.log.era, self.log.records = 1, []
+        _, software = begin(first, at="v2", request_id="t")
+        first.advance(0.3)
+        caller = self.take_up(second, "t")
+        second.advance(0.3)
+        self.assertEqual(None, caller.failure)
+        sent = second.port.sent[-1]
+        self.assertEqual(software, sent.order.target.software)
+
+    def test_stream_that_is_taken_up_twice_keeps_its_origin(self) -> None:
+        first, second, third = self.routers(3, e1="v1", e2="v2", e3="v1")
+        _, software = begin(first, at="v2", request_id="s")
+        first.advance(0.3)
+        self.take_up(second, "s")
+        second.port.sent[0].begin(200, events(3))
+        second.advance(0.3)
+        self.take_up(third, "s")
+        self.check_goes_on_at(third, software)
+
+    def test_caller_that_leaves_during_the_lookup_is_not_served(self) -> None:
+        (rig,) = self.routers(1, e1="v1", e2="v2")
+        caller = FakeCaller()
+        request = rig.request("draft", last_event_id="2", resumes="s")
+        forwarding = rig.forwarder.submit(request, caller)
+        assert forwarding is not None
+        forwarding.caller_disconnected()
+        rig.advance(1.0)
+        self.assertEqual([], rig.port.sent)
