Share the calls that record streams; tests of the log of origins

With many routers their records would exceed what the store takes: at 300 routers a call each 0.15 s is 2,000 a second, where a large site allows 1,200.

New tests: the adapter's calls; a router as a process that is killed in the middle of a stream while two versions serve, whose stream goes on at its version at another router that has just started.

--- a/sequoiawind/lab/memory_origin_log.py
+++ b/sequoiawind/lab/memory_origin_log.py
@@ -22,11 +22,13 @@
     era: int = 0
     is_available: bool = True
     reads: int = 0
+    appends: int = 0
 
     async def append(
         self, records: Sequence[OriginRecord], timeout_s: float
     ) -> Result[None, Failure]:
         """Append records."""
+        self.appends += 1
         if not self.is_available:
             return Error(UNAVAILABLE)
         self.records += records
--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -26,9 +26,12 @@
 
 Logger = structlog.typing.FilteringBoundLogger
 
-# Delay after which the streams begun meanwhile are recorded in one call, in
-# seconds. Streams that end within it need no record.
+# Least delay after which the streams begun meanwhile are recorded in one call,
+# in seconds. Streams that end within it need no record.
 RECORD_DELAY_S: Final = 0.15
+# Calls by which all routers together record streams, per second: a tenth of the
+# writing calls that a store of a large fleet takes.
+RECORD_CALLS_PER_S: Final = 120.0
 # Pause before a failed call is repeated, in seconds.
 RETRY_PAUSE_S: Final = 0.5
 # Streams that one call records at most.
@@ -135,7 +138,16 @@
         ):
             self.begun.popitem(last=False)
         if self.is_mixed(origin.pool):
-            self.record_in(RECORD_DELAY_S)
+            self.record_in(self.record_delay_s)
+
+    @property
+    def record_delay_s(self) -> float:
+        """Delay after which streams are recorded, in seconds.
+
+        It grows with the number of routers, so that they share the store.
+        """
+        routers = self.fleet.routers(self.clock.seconds())
+        return max(RECORD_DELAY_S, routers / RECORD_CALLS_PER_S)
 
     def completed(self, request_id: str) -> None:
         """Forget a stream that its caller has got to its end."""
@@ -175,7 +187,7 @@
                     OriginRecord(request_id=request_id, origin=stream.origin)
                 )
             if len(batch) >= MAX_RECORDS:
-                self.record_in(RECORD_DELAY_S)
+                self.record_in(self.record_delay_s)
                 break
         if batch:
             Deferred.fromCoroutine(self.append(batch))
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -92,6 +92,9 @@
     """A store of keyed records."""
 
     topics: dict[str, list[tuple[str, bytes]]] = attrs.field(factory=dict)
+    # Contents of the records of the system's own topics.
+    logs: dict[str, bytes] = attrs.field(factory=dict)
+    log_ends: dict[str, int] = attrs.field(factory=dict)
     changed: threading.Condition = attrs.field(factory=threading.Condition)
     # Whether all calls are refused with status 503.
     is_unavailable: bool = False
@@ -111,11 +114,31 @@
             call.reply(503, b"")
         elif url.path == "/api/log-newest":
             call.reply(200, self.newest(query["topic"]))
-        elif url.path == "/api/log-read":
+        elif url.path == "/api/log-append":
+            call.reply(200, self.append(query["topic"], body))
+        elif url.path == "/api/log-read" and query["topic"] in self.topics:
             call.reply(200, self.read(query))
+        elif url.path == "/api/log-read":
+            call.reply(200, self.read_log(query["topic"], int(query["from"])))
         else:
             call.reply(404, b"")
 
+    def append(self, topic: str, body: bytes) -> bytes:
+        """Append the records of a call to a topic of the system's own."""
+        with self.changed:
+            self.logs[topic] = self.logs.get(topic, b"") + body
+            self.log_ends[topic] = self.log_ends.get(topic, 0) + count(body)
+            return json.dumps({"end": self.log_ends[topic]}).encode()
+
+    def read_log(self, topic: str, start: int) -> bytes:
+        """Return the records of a topic of the system's own, at once."""
+        with self.changed:
+            body, end = self.logs.get(topic, b""), self.log_ends.get(topic, 0)
+        for _ in range(start):
+            (length,) = struct.unpack_from(">I", body)
+            body = body[4 + length :]
+        return struct.pack(">QQ", end, 0) + body
+
     def newest(self, topic: str) -> bytes:
         """Return the newest record of each key."""
         with self.changed:
@@ -150,6 +173,16 @@
         return out
 
 
+def count(body: bytes) -> int:
+    """Return how many records a body has."""
+    records = 0
+    while body:
+        (length,) = struct.unpack_from(">I", body)
+        body = body[4 + length :]
+        records += 1
+    return records
+
+
 @attrs.define(kw_only=True, eq=False)
 class Target(StandIn):
     """A model engine, or a plain service if it has no weights."""
@@ -227,7 +260,8 @@
         call.send_header(SEAL, "s1")
         call.send_header("Transfer-Encoding", "chunked")
         call.end_headers()
-        for number in range(1, self.events + 1):
+        first = 1 + int(headers.get("last-event-id", "0"))
+        for number in range(first, self.events + 1):
             time.sleep(self.pause_s)
             data = b"id: %d\ndata: x\n\n" % number
             call.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
@@ -260,6 +294,7 @@
             route("read", "idempotent", "app"),
             route("open", "idempotent", "app", public=True),
             route("brief", "streaming", "llm", sticky=True),
+            route("draft", "streaming", "llm", sticky=True, resumable=True),
         ],
         "services": [
             {"name": "app"},
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -218,6 +218,76 @@
         self.store.is_unavailable = False
         self.wait_until(lambda: self.submit("/read/x")[0] == 200)
 
+    def test_stream_of_a_killed_router_goes_on_at_its_version(self) -> None:
+        other = Target(id="e2")
+        other.__enter__()
+        self.addCleanup(other.__exit__)
+        for engine, version in ((self.engine, "v1"), (other, "v2")):
+            entry = engine.entry("llm", version=version)
+            self.store.put("keyed.servers", engine.id, entry)
+        first = (self.router, self.callers)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.callers, self.ready, metrics = free_ports(3)
+        entry_text = ENTRY.format(callers=self.callers, ready=self.ready)
+        self.start("router", metrics, "", entry_text)
+        self.wait_until(lambda: self.ready_status() == 200)
+        # Both routers know both targets once each has sent them something.
+        second, (router, self.callers) = self.callers, first
+        for port in (second, self.callers):
+            self.callers = port
+            sent = len(other.ran)
+            self.wait_until(lambda sent=sent: self.prompt_runs_at(other, sent))  # type: ignore[misc]
+        other.pause_s = 0.4
+        sent = len(other.ran)
+        while len(other.ran) == sent:
+            response = self.begin_stream(f"s{self.prompts}")
+        name = other.ran[-1]["sequoiawind-attempt-id"]
+        self.assertEqual(b"id: 1\ndata: x\n\n", response.read(15))
+        self.wait_until(lambda: name.encode() in self.recorded_origins())
+        router.kill()
+        self.callers = second
+        status, body, _ = self.submit(
+            "/draft/x",
+            **self.next_prompt(),
+            **{"Last-Event-Id": "1", "Resumes": name},
+        )
+        self.assertEqual((200, 4), (status, body.count(b"\n\n")))
+        self.assertEqual(name, other.ran[-1].get("resumes"))
+
+    prompts = 0
+
+    def next_prompt(self) -> dict[str, str]:
+        """Return the headers of a prompt that shares no part with others."""
+        self.prompts += 1
+        parts = f"{self.prompts:x}:80,b{self.prompts:x}:20"
+        return {**PROMPT, "Sequoiawind-Prompt-Prefix": parts}
+
+    def prompt_runs_at(self, target: Target, sent: int) -> bool:
+        """Submit a prompt; return whether a target has run more than `sent`."""
+        self.submit("/draft/x", **self.next_prompt())
+        return len(target.ran) > sent
+
+    def begin_stream(self, name: str) -> http.client.HTTPResponse:
+        """Submit a request and return its answer when the head is there."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.callers, timeout=WAIT_TIMEOUT_S
+        )
+        self.addCleanup(connection.close)
+        headers = {
+            "Host": "h.example",
+            "Authorization": "Token k1",
+            "Sequoiawind-Attempt-Id": name,
+            **self.next_prompt(),
+        }
+        connection.request("POST", "/draft/x", "body", headers)
+        return connection.getresponse()
+
+    def recorded_origins(self) -> bytes:
+        """Return what the routers have recorded in the store."""
+        return self.store.logs.get("stream-origins", b"")
+
     def test_sigterm_interrupts_no_stream(self) -> None:
         self.engine.pause_s = 0.2
         connection = http.client.HTTPConnection(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -188,7 +188,10 @@
             (b"sequoiawind-token-count", b"1460,80"),
             (b"sequoiawind-prompt-prefix", b"5c:800,91:410,bad,e4:250"),
             (b"authorization", b"Token k1"),
+            (b"last-event-id", b"4"),
+            (b"resumes", b" q0 "),
         )
+        self.assertEqual(("4", "q0"), (request.last_event_id, request.resumes))
         self.assertEqual(
             ("q1", "h.example", "/a/b", "k1", 5.0),
             (
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -292,3 +292,17 @@
         forwarding.caller_disconnected()
         rig.advance(1.0)
         self.assertEqual([], rig.port.sent)
+
+    def test_many_routers_share_the_calls_that_record(self) -> None:
+        # The number of routers, and the calls of one of them in ten seconds.
+        for routers, bound in ((4, 68), (300, 4)):
+            (rig,) = self.routers(1, e1="v1", e2="v2")
+            self.log = MemoryOriginLog()
+            rig.forwarder.origins.port = self.log
+            rig.fleet.stated_routers = routers
+            origin = StreamOrigin(pool="llm", software="v1")
+            for number in range(200):
+                rig.fleet.stated_routers_s = rig.clock.seconds()
+                rig.forwarder.origins.began(f"s{number}", origin)
+                rig.advance(0.05)
+            self.assertTrue(0 < self.log.appends <= bound, self.log.appends)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,8 +11,11 @@
 
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.options import Address
+from sequoiawind.origin_registry import OriginRecord
 from sequoiawind.platform import leases, store
+from sequoiawind.platform.origins import OriginLog
 from sequoiawind.record_ports import RecordsLost
+from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure
 from tests.stand_ins import accept
 
@@ -108,6 +111,58 @@
             self.assertIsInstance(result.error, Failure)
 
 
+class OriginTest(TestCase):
+    """The log in which routers record which version began a stream."""
+
+    RECORD = OriginRecord(
+        request_id="q1", origin=StreamOrigin(pool="llm", software="v1")
+    )
+
+    def call(self, name: str, *args: Any, reply: bytes) -> Any:
+        reactor = MemoryReactorClock()
+        log = OriginLog(
+            store=store.StoreClient(
+                client=Http1Client(reactor=reactor),
+                address=Address(host="10.0.0.9", port=80),
+            )
+        )
+        results: list[Any] = []
+        pending = getattr(log, name)(*args)
+        Deferred.fromCoroutine(pending).addCallback(results.append)
+        peer = accept(reactor)
+        self.request = peer.take_sent()
+        peer.protocol.dataReceived(reply)
+        return results[0]
+
+    def reply(self, body: bytes, status: int = 200) -> bytes:
+        head = b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n"
+        return head % (status, len(body)) + body
+
+    def test_what_is_appended_is_read(self) -> None:
+        answer = self.reply(b'{"offset": 0, "end": 1}')
+        done = self.call("append", [self.RECORD], 1.0, reply=answer)
+        self.assertTrue(done.is_ok())
+        target = b"POST /api/log-append?topic=stream-origins&part=0 HTTP"
+        self.assertTrue(self.request.startswith(target))
+        content = self.request.partition(b"\r\n\r\n")[2]
+        body = struct.pack(">QQ", 3, 0) + content + framed(b"other", b"{}")
+        page = self.call("read", 0, 0.0, 1.0, reply=self.reply(body)).ok
+        self.assertEqual([self.RECORD], page.records)
+        self.assertEqual((3, False), (page.end, page.has_more))
+
+    def test_failed_calls(self) -> None:
+        for status in (429, 503, 507):
+            answer = self.reply(b"", status)
+            done = self.call("append", [self.RECORD], 1.0, reply=answer)
+            self.assertTrue(done.is_error())
+            page = self.call("read", 0, 0.0, 1.0, reply=answer)
+            self.assertIsInstance(page.error, Failure)
+        for body, first in ((b'{"first": 7}', 7), (b"", 0), (b"[]", 0)):
+            lost = self.reply(body, 410)
+            page = self.call("read", 2, 0.0, 1.0, reply=lost)
+            self.assertEqual(RecordsLost(first=first), page.error)
+
+
 class LeaseTest(TestCase):
     """Calls by which routers share work."""
 
