Tell an operator's older configuration from an old copy when read again

Cause, from the router's log of a failing run: an older configuration is written after the one in force, read as a change and ignored, as it should be. When the router reads all records again, here since a relay was found meanwhile ("feed reached" 0.45 s before), it finds that older configuration among the newest records, takes it for a sign that the store has returned from an old copy, and believes no confirmation any more: until a newer configuration is written, every request with a key is refused as config_stale.

Change: a reader remembers the revision that it has seen written after the one in force. Found again it proves nothing, until the store returns from a copy or a newer configuration is in force.

--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -54,6 +54,10 @@
     # Whether the store has an older configuration than this process, as it has
     # returned from a copy: its records prove nothing about what is current.
     is_store_behind: bool = False
+    # Revision of an older configuration that was seen to be written after the
+    # one in force: by a mistake of the operator, and not from a copy.  -1 for
+    # none.
+    mistaken_revision: int = -1
     # Revision or version of the last record that was read, by key; lower than
     # the one in force if the record is old.
     read_versions: dict[str, int] = attrs.field(factory=dict)
@@ -90,13 +94,20 @@
     def apply_config(self, state: ForwardState, is_late: bool) -> None:
         """Put a configuration in force if it is newer.
 
-        An older one that is newly written is the operator's mistake; one that
-        is found among the newest records comes from an old copy.
+        An older one that is newly written is the operator's mistake, also when
+        it is read again; any other that is found among the newest records
+        comes from an old copy.
         """
         is_older = state.revision < self.board.state.revision
-        self.is_store_behind = is_older and (is_late or self.is_store_behind)
+        if is_older and not is_late and not self.is_store_behind:
+            self.mistaken_revision = state.revision
+        is_mistake = state.revision == self.mistaken_revision
+        self.is_store_behind = (
+            is_older and not is_mistake and (is_late or self.is_store_behind)
+        )
         if state.revision <= self.board.state.revision:
             return
+        self.mistaken_revision = -1
         old = self.board.state.revision
         self.board.put_config(
             Folded(state=state, next_offset=state.revision + 1)
@@ -143,6 +154,7 @@
 
     def store_rewound(self, era: int) -> None:
         """Log that the store has returned from an older copy."""
+        self.mistaken_revision = -1
         self.log.warning(
             "store rewound",
             topic="operator",
--- a/tests/test_record_followers.py
+++ b/tests/test_record_followers.py
@@ -243,6 +243,21 @@
         reader.confirmed(now_s)
         self.assertEqual(7, reader.board.state.revision)
         self.assertEqual(0.0, freshness.age_s)
+        # Nor does it later, when all records are read again.
+        now_s = 6.0
+        read(b"6")
+        self.assertEqual(7, reader.board.state.revision)
+        self.assertEqual(0.0, freshness.age_s)
+        # Any other does, and after a return from a copy that one as well.
+        now_s = 7.0
+        read(b"5")
+        self.assertEqual(1.0, freshness.age_s)
+        read(b"6")
+        self.assertEqual(0.0, freshness.age_s)
+        reader.store_rewound(2)
+        now_s = 8.0
+        read(b"6")
+        self.assertEqual(1.0, freshness.age_s)
 
 
 class TargetReaderTest(TestCase):
