Do not take a stream for complete that a failed move may have stopped

Cause: a move that fails after the run was stopped may be answered before the stream from its target ends. The move was forgotten then, and the end of an unframed stream counted as the end of the answer.

Change: an attempt remembers a failed move, unless the run is known to be untouched; the end of its connection proves nothing then, and the stream is resumed after its last event.

test_stream_closed_by_a_failed_move_is_resumed covers both orders; the new one failed before. test_stream_that_no_move_has_stopped_ends_as_usual is new and checks the other side.

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -37,6 +37,8 @@
     has_event: bool = False
     # The pending move of the run to another target, if any.
     move: StreamMove | None = None
+    # Whether a move that failed may have stopped the run.
+    may_be_stopped: bool = False
 
     @property
     def view(self) -> TargetView:
@@ -98,12 +100,14 @@
     def is_cut(self) -> bool:
         """Whether a stream that has ended was broken off.
 
-        The end of a connection proves nothing: a stream that has no other end
-        must have brought an event, unless it resumes after the last one.
+        The end of a connection proves nothing.  A stream that has no other end
+        must have brought an event, unless it resumes after the last one, and
+        its run must not have been stopped.
         """
-        return self.splitter.is_inside_event or (
-            self.is_unframed and not self.has_event and not self.is_resumed
-        )
+        if self.splitter.is_inside_event:
+            return True
+        is_empty = not self.has_event and not self.is_resumed
+        return self.is_unframed and (is_empty or self.may_be_stopped)
 
     @property
     def is_unframed(self) -> bool:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -160,8 +160,12 @@
 class UnframedMoveTest(UnframedRig):
     """A target closes the stream of a run that it has stopped for a move."""
 
-    def move(self) -> tuple[Peer, Peer, FakeCaller]:
-        """Begin a stream and its move; the stream then ends."""
+    def move(self, ends_first: bool = True) -> tuple[Peer, Peer, FakeCaller]:
+        """Begin a stream and its move.
+
+        Args:
+          ends_first: Whether the stream ends before the move is answered.
+        """
         source, caller = self.begin("draft", HEAD + events(1, 2))
         name = next(iter(self.rig.forwarder.open)).sent_to[0]
         loading = TargetStatus(target=name, is_loading=True)
@@ -169,7 +173,8 @@
         self.rig.forwarder.status_changed(name)
         mover = accept(self.reactor)
         self.assertIn(b"/api/kv-move", mover.take_sent())
-        self.end(source)
+        if ends_first:
+            self.end(source)
         return source, mover, caller
 
     def answer(self, mover: Peer, status: bytes, body: bytes) -> None:
@@ -191,15 +196,30 @@
         self.assertEqual(events(1, 2, 3), caller.body)
 
     def test_stream_closed_by_a_failed_move_is_resumed(self) -> None:
-        _, mover, caller = self.move()
-        self.answer(mover, b"503 Service Unavailable", b"")
+        # The stream may end before or after the answer to the move.
+        for ends_first in (True, False):
+            self.make_router()
+            source, mover, caller = self.move(ends_first)
+            self.answer(mover, b"503 Service Unavailable", b"")
+            if not ends_first:
+                self.end(source)
+            self.assertFalse(caller.is_ended)
+            second = accept(self.reactor)
+            position = b"\r\nlast-event-id: 2\r\n"
+            self.assertIn(position, second.take_sent().lower())
+            second.protocol.dataReceived(HEAD)
+            self.end(second)
+            self.assertTrue(caller.is_ended)
+            self.assertEqual(events(1, 2), caller.body)
+
+    def test_stream_that_no_move_has_stopped_ends_as_usual(self) -> None:
+        source, mover, caller = self.move(ends_first=False)
+        self.answer(mover, b"404 Not Found", b"")
         self.assertFalse(caller.is_ended)
-        second = accept(self.reactor)
-        self.assertIn(b"\r\nlast-event-id: 2\r\n", second.take_sent().lower())
-        second.protocol.dataReceived(HEAD)
-        self.end(second)
+        source.protocol.dataReceived(events(3))
+        self.end(source)
         self.assertTrue(caller.is_ended)
-        self.assertEqual(events(1, 2), caller.body)
+        self.assertEqual(events(1, 2, 3), caller.body)
 
     def test_stream_that_had_ended_before_its_move_is_complete(self) -> None:
         _, mover, caller = self.move()
