Soak: unframed streams, two software versions, streams taken up

Half of the soak's streams come without length and chunks and break off inside an event, or end where a move stops them; targets have one of two software versions; callers take up broken streams, also those of a killed router, at any router. New promise "one-version": the events that a caller has of a stream, over all its requests, come from one version. The check of whole answers covers streams over several requests.

--- a/sequoiawind/lab/forward_callers.py
+++ b/sequoiawind/lab/forward_callers.py
@@ -8,8 +8,13 @@
 from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_state import ForwardKind
 from sequoiawind.headers import Headers
-from sequoiawind.lab.forward_world import event_bytes, event_count
 from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.stream_content import (
+    is_whole_stream,
+    last_number,
+    software_versions,
+    stream_id,
+)
 from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.verdict import Failure, Verdict
 
@@ -80,6 +85,9 @@
     is_whole: bool = False
     # Whether the router broke the answer off or the caller disconnected.
     is_broken: bool = False
+    # What the caller has of the stream that it takes up again.
+    prior: bytes = b""
+    is_taken_up: bool = False
     # Virtual time of the end; negative before it.
     ended_s: float = -1.0
 
@@ -128,14 +136,33 @@
             )
         if self.failure and self.failure.verdict is Verdict.NOT_RUN:
             invariants.check(runs == 0, "not-run-is-not-run", name)
-        if not self.is_whole:
-            return
         if not kind.is_stream:
-            expected = name.encode()
-        else:
-            numbers = range(1, event_count(name) + 1)
-            expected = b"".join(event_bytes(name, item) for item in numbers)
-        invariants.check(self.body == expected, "whole-answer", name)
+            is_right = not self.is_whole or self.body == name.encode()
+            invariants.check(is_right, "whole-answer", name)
+            return
+        stream, body = stream_id(self.request), self.prior + self.body
+        if self.is_whole:
+            is_right = is_whole_stream(stream, body)
+            invariants.check(is_right, "whole-answer", name)
+        versions = software_versions(body)
+        invariants.check(
+            len(versions) <= 1, "one-version", f"{name} has {sorted(versions)}"
+        )
+
+    @property
+    def may_take_up(self) -> bool:
+        """Whether the caller has a broken stream and may take it up again.
+
+        It learns that its router was killed when its connection is reset.
+        """
+        is_reset = self.ended_s < 0.0 and self.node.epoch != self.epoch
+        return (
+            not self.is_taken_up
+            and self.kind.is_resumable
+            and self.status == 200
+            and (self.is_broken or is_reset)
+            and last_number(self.prior + self.body) > 0
+        )
 
     @property
     def is_served(self) -> bool:
--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final
 
-from sequoiawind import prompt_cache, retries, rollout, target_choice
+from sequoiawind import forwarder, prompt_cache, retries, rollout, target_choice
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import Planner
 from sequoiawind.forwarding import Forwarding
@@ -39,7 +39,13 @@
 
 def failed_is_done(self: ForwardAttempt, failure: Failure) -> None:
     """Treat a broken answer as a complete one."""
-    self.done()
+    if self.close():
+        self.forwarding.answered(self)
+
+
+def go_anywhere(self: Forwarding) -> None:
+    """Send a stream that a caller takes up to any target."""
+    self.next_target()
 
 
 def pass_all_events(
@@ -118,6 +124,24 @@
             "failed",
             failed_is_done,
         ),
+        (
+            "the end of a connection completes each stream",
+            ForwardAttempt,
+            "is_cut",
+            property(lambda self: False),
+        ),
+        (
+            "a stream is resumed at any software version",
+            forwarder,
+            "may_continue",
+            lambda origin, target: True,
+        ),
+        (
+            "a stream is taken up at any software version",
+            Forwarding,
+            "take_up_stream",
+            go_anywhere,
+        ),
         (
             "events are passed on twice",
             Forwarding,
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -22,10 +22,10 @@
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness
+from sequoiawind.lab.forward_target_ports import TargetPorts
 from sequoiawind.lab.forward_world import (
     MODEL,
     StorePort,
-    TargetPorts,
     World,
 )
 from sequoiawind.lab.memory_network import Node, NodeClock
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -15,6 +15,7 @@
 from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_state import (
     ForwardAccount,
+    ForwardKind,
     ForwardPool,
     ForwardRoute,
     ForwardState,
@@ -28,7 +29,7 @@
     ForwardSoakCaller,
 )
 from sequoiawind.lab.forward_faults import ForwardFaults
-from sequoiawind.lab.forward_processes import Processes
+from sequoiawind.lab.forward_processes import Processes, SoakRouter
 from sequoiawind.lab.forward_world import (
     CACHE_STORE,
     MODEL,
@@ -36,6 +37,11 @@
     World,
 )
 from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.stream_content import (
+    last_number,
+    stream_id,
+    whole_events,
+)
 from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.rollout import NamedVersion
@@ -48,6 +54,9 @@
 SETTLE_S: Final = 15.0
 REQUESTS_PER_S: Final = 14.0
 FAULTS_PER_S: Final = 0.6
+# How often callers with broken streams take them up again, per second.
+TAKE_UPS_PER_S: Final = 10.0
+SOFTWARE: Final = ("v1", "v2")
 # How long after its revocation a key may still work.
 REVOKE_S: Final = 5.0
 # How long after its deadline an answer may come, in seconds: a few iterations
@@ -102,6 +111,7 @@
             self.repeat(REQUESTS_PER_S, self.send_request)
             self.repeat(FAULTS_PER_S, self.faults.inject)
             self.repeat(10.0, self.check_revisions)
+            self.repeat(TAKE_UPS_PER_S, self.take_up_streams)
             self.clock.advance_to(FAULTY_S)
             self.faults.heal()
             self.clock.advance_to(FAULTY_S + SETTLE_S)
@@ -117,6 +127,9 @@
         caller_counts = {
             "forwarded": len(self.callers),
             "forward_served": sum(item.is_served for item in self.callers),
+            "streams gone on": sum(
+                bool(item.prior and item.body) for item in self.callers
+            ),
         }
         return {**self.world.counts, **caller_counts}
 
@@ -194,6 +207,7 @@
             address=address,
             born_ms=self.targets_started,
             slots=8,
+            software=self.rng.choice(SOFTWARE),
             versions={MODEL: self.newest_version} if pool == "llm" else {},
         )
         self.world.targets[name] = SimulatedTarget(
@@ -210,20 +224,52 @@
 
     def send_request(self) -> None:
         """Send a request to a router that is up."""
+        router = self.router_up()
+        if router is None:
+            return
+        name = self.rng.choice(("read", "book", "brief", "draft", "draft"))
+        self.send(router, self.make_request(name), KINDS[name])
+
+    def router_up(self) -> SoakRouter | None:
+        """Return a router that is up; None if there is none."""
         up = [
             item for item in self.processes.routers.values() if item.node.is_up
         ]
-        if not up:
-            return
-        router = self.rng.choice(up)
-        name = self.rng.choice(("read", "book", "brief", "draft", "draft"))
-        request = self.make_request(name)
+        return self.rng.choice(up) if up else None
+
+    def take_up_streams(self) -> None:
+        """Let callers with broken streams take them up at any router."""
+        for caller in list(self.callers):
+            router = self.router_up()
+            if router is None or not caller.may_take_up:
+                continue
+            caller.is_taken_up = True
+            prior = whole_events(caller.prior + caller.body)
+            request = attrs.evolve(
+                self.make_request(caller.kind.name),
+                key=caller.request.key,
+                prompt=caller.request.prompt,
+                last_event_id=str(last_number(prior)),
+                resumes=stream_id(caller.request),
+            )
+            self.world.counts["streams taken up"] += 1
+            self.send(router, request, caller.kind, prior)
+
+    def send(
+        self,
+        router: SoakRouter,
+        request: ForwardRequest,
+        kind: ForwardKind,
+        prior: bytes = b"",
+    ) -> None:
+        """Send a request to a router, with what the caller has already."""
         caller = ForwardSoakCaller(
             request=request,
-            kind=KINDS[name],
+            kind=kind,
             node=router.node,
             epoch=router.node.epoch,
             clock=self.clock,
+            prior=prior,
         )
         self.callers.append(caller)
 
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -18,13 +18,14 @@
 from sequoiawind import invariants, timing
 from sequoiawind.forward_ports import (
     AnswerHead,
-    CacheChanges,
     ForwardSink,
     MoveOrder,
     SendOrder,
 )
 from sequoiawind.forward_state import ForwardTarget
+from sequoiawind.headers import Framing
 from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.stream_content import event_bytes, event_count, stream_id
 from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import (
@@ -43,6 +44,8 @@
 WORK_S: Final = 0.03
 EVENT_S: Final = 0.04
 LOAD_S: Final = 0.3
+# Share of the streams that come without length and chunks.
+UNFRAMED_SHARE: Final = 0.5
 LOST: Final = may_have_run(Reason.CONNECTION_LOST, "connection lost")
 STORE_REFUSED: Final = not_run(Reason.LOG_UNAVAILABLE, "refused by the store")
 
@@ -189,6 +192,8 @@
     epoch: int
     event: int = 0
     is_cancelled: bool = False
+    # Whether only the end of the connection ends the answer.
+    is_unframed: bool = False
 
     def cancel(self) -> None:
         """Stop the run; nothing more is delivered."""
@@ -216,21 +221,39 @@
         self.send_back(lambda: self.sink.head(head))
         self.end(self.sink.done)
 
+    def break_off(self) -> None:
+        """Break the answer off; an unframed one inside an event."""
+        if self.is_unframed:
+            part = b"id: %d\nda" % (self.event + 1)
+            self.send_back(lambda: self.sink.data(part))
+            self.end(self.sink.done)
+            self.target.world.counts["unframed streams cut"] += 1
+        else:
+            self.end(lambda: self.sink.failed(LOST))
+
+    def stop(self) -> None:
+        """End the stream after an event, before its last one."""
+        if self.is_unframed:
+            self.end(self.sink.done)
+        else:
+            self.end(lambda: self.sink.failed(LOST))
+
     def produce_event(self) -> None:
         """Send the next event of the answer, or its end."""
         if self.is_cancelled or not self.target.is_up:
             return
-        request_id = self.order.request.request_id
-        if request_id not in self.target.runs:
+        request = self.order.request
+        if request.request_id not in self.target.runs:
             return
-        if self.event >= event_count(request_id):
+        name = stream_id(request)
+        if self.event >= event_count(name):
             self.end(self.sink.done)
             return
         self.event += 1
-        data = event_bytes(request_id, self.event)
+        data = event_bytes(name, self.event, self.target.entry.software)
         self.send_back(lambda: self.sink.data(data))
         if self.target.world.happens(self.target.world.fault_rates.lost / 10):
-            self.end(lambda: self.sink.failed(LOST))
+            self.break_off()
             return
         if not self.target.world.happens(
             self.target.world.fault_rates.hung / 10
@@ -304,8 +327,10 @@
             return
         if not order.moved_from:
             self.read_prompt(order)
-        run.event = order.after_event or 0
-        head = AnswerHead(status=200, headers=[])
+        run.event = order.after_event or int(request.last_event_id or 0)
+        run.is_unframed = world.happens(UNFRAMED_SHARE)
+        framing = Framing.CONNECTION if run.is_unframed else Framing.CHUNKS
+        head = AnswerHead(status=200, headers=[], framing=framing)
         run.send_back(lambda: run.sink.head(head))
         if not world.happens(world.fault_rates.hung):
             world.clock.callLater(WORK_S, run.produce_event)
@@ -351,15 +376,15 @@
         """End the target and break its connections."""
         self.is_up = False
         for run in list(self.runs.values()):
-            run.end(lambda run=run: run.sink.failed(LOST))  # type: ignore[misc]
+            run.break_off()
 
     def move(self, order: MoveOrder) -> Result[str, Failure]:
         """Stop a run and copy its memory to another target."""
         world = self.world
         run = self.runs.get(order.request_id)
         if run is None or not self.is_up:
-            return Error(may_have_run(Reason.TARGET_ERROR, "no such run"))
-        run.end(lambda: run.sink.failed(LOST))
+            return Error(not_run(Reason.TARGET_ERROR, "no such run"))
+        run.stop()
         destination = world.target_at(order.destination.address)
         is_failed = world.happens(world.fault_rates.failed_moves)
         if destination is None or is_failed:
@@ -445,55 +470,3 @@
             self.is_loading = False
 
         self.world.clock.callLater(LOAD_S, loaded)
-
-
-@attrs.define(kw_only=True, eq=False)
-class TargetPorts:
-    """Access of one router to targets: its `ForwardPort` and `CachePort`."""
-
-    world: World
-    node: Node
-
-    def send(self, order: SendOrder, sink: ForwardSink) -> SimulatedRun:
-        """Send to the target up at the address, or else to the named one."""
-        world = self.world
-        target = world.target_at(order.target.address)
-        receiver = target or world.targets[order.target.name]
-        run = SimulatedRun(
-            target=receiver,
-            order=order,
-            sink=sink,
-            node=self.node,
-            epoch=self.node.epoch,
-        )
-        world.clock.callLater(LATENCY_S, receiver.arrive, run)
-        return run
-
-    async def move(
-        self, order: MoveOrder, timeout_s: float
-    ) -> Result[str, Failure]:
-        """Stop a run and copy its memory to another target."""
-        await timing.sleep(self.world.clock, LATENCY_S)
-        return self.world.targets[order.source.name].move(order)
-
-    def release_moved_run(self, moved_from: str) -> None:
-        """Free the copied memory of a run that is not resumed."""
-        for target in self.world.targets.values():
-            target.memories.pop(moved_from, None)
-
-    async def cache_changes(
-        self, address: str, since: int, wait_s: float, timeout_s: float
-    ) -> Result[CacheChanges, Failure]:
-        """Refuse, as a target that has too many watchers does."""
-        await timing.sleep(self.world.clock, LATENCY_S)
-        return Error(not_run(Reason.TARGET_BUSY))
-
-
-def event_count(request_id: str) -> int:
-    """Return the number of events in the answer to a request."""
-    return 3 + sum(request_id.encode()) % 40
-
-
-def event_bytes(request_id: str, number: int) -> bytes:
-    """Return an event of the answer to a request."""
-    return b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
