Forget the software versions of records that were read long ago

Cause: a router kept for good the versions that it had ever read from the log. Hours after a release, a short lapse of its configuration's confirmation would make it refuse streams that callers take up, though one version alone serves. Found by reading.

--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -7,7 +7,7 @@
 up there.  A stream whose origin cannot be found out is refused as not run.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict
 from collections.abc import Sequence
 from typing import Final, Protocol
 
@@ -113,10 +113,8 @@
     begun: OrderedDict[str, BegunStream] = attrs.field(factory=OrderedDict)
     # What was read from the log, by request id, the oldest first.
     found: OrderedDict[str, StreamOrigin] = attrs.field(factory=OrderedDict)
-    # Software versions in the records read, by pool.
-    recorded: dict[str, set[str]] = attrs.field(
-        factory=lambda: defaultdict(set)
-    )
+    # When records of an origin were read last, in seconds of the clock.
+    read_s: dict[StreamOrigin, float] = attrs.field(factory=dict)
     next_offset: int = 0
     era: int = 0
     timer: Timer | None = None
@@ -246,6 +244,15 @@
         (software,) = versions
         return StreamOrigin(pool=pool, software=software)
 
+    def recorded(self, pool: str) -> frozenset[str]:
+        """Return the versions that began a pool's streams, as read lately."""
+        since_s = self.clock.seconds() - SOFTWARE_MEMORY_S
+        return frozenset(
+            origin.software
+            for origin, read_s in self.read_s.items()
+            if origin.pool == pool and read_s >= since_s
+        )
+
     async def find(
         self, request_id: str, pool: str
     ) -> Result[StreamOrigin, Failure]:
@@ -265,8 +272,7 @@
             if request_id in self.found:
                 return Ok(self.found[request_id])
             if has_read:
-                recorded = frozenset(self.recorded[pool])
-                origin = self.only_origin(pool, recorded)
+                origin = self.only_origin(pool, self.recorded(pool))
                 if origin is not None:
                     return Ok(origin)
             wait_s = ends_s - self.clock.seconds() - READ_PAUSE_S
@@ -315,9 +321,10 @@
 
     def add(self, page: OriginPage) -> None:
         """Add the records of a page."""
+        now_s = self.clock.seconds()
         for record in page.records:
             self.found[record.request_id] = record.origin
-            self.recorded[record.origin.pool].add(record.origin.software)
+            self.read_s[record.origin] = now_s
         while len(self.found) > MAX_ORIGINS:
             self.found.popitem(last=False)
         self.next_offset = max(self.next_offset, page.end)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -239,6 +239,22 @@
             else:
                 self.check_refused(rig, caller)
 
+    def test_versions_of_records_that_were_read_long_ago_do_not_count(
+        self,
+    ) -> None:
+        rig = make_rig(e1="v1")
+        rig.forwarder.origins.port = self.log
+        origin = StreamOrigin(pool="llm", software="v2")
+        self.log.records.append(OriginRecord(request_id="q", origin=origin))
+        self.check_refused(rig, self.take_up(rig, "s"))
+        rig.advance(SOFTWARE_MEMORY_S)
+        # The configuration is too old to rely on what is known of the fleet,
+        # until the log has been read.
+        rig.clock.advance(2.5)
+        self.take_up(rig, "s")
+        rig.advance(0.1)
+        self.check_goes_on_at(rig, "v1")
+
     def test_router_that_may_not_know_all_targets_refuses(self) -> None:
         (rig,) = self.routers(1, e1="v1")
         self.log.is_available = False
