Name close-delimited answers and callers' reconnects by their usual terms

"Unframed" is RFC 9112's "close-delimited"; a stream that broke off is truncated; a caller that comes back for the rest of its stream reconnects. The log event "stream taken up", which never landed, is "caller reconnected".

--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -23,7 +23,7 @@
 # in seconds.
 STATUS_LIFETIME_S: Final = 1.6
 # How long a pool remembers the software versions of targets that are gone, in
-# seconds: longer than callers take up a stream that such a target began.
+# seconds: longer than callers try to resume a stream.
 SOFTWARE_MEMORY_S: Final = 30.0
 # Number of incarnations whose notices are kept.
 MAX_NOTICES: Final = 1_000
--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -58,16 +58,16 @@
         if not self.is_streaming:
             self.body += data
             if len(self.body) > defaults.MAX_HELD_BODY_BYTES:
-                self.cut_off()
+                self.abort_oversized()
             return
         self.begin()
         for event in self.splitter.take(data):
             self.has_event = True
             self.forwarding.take_event(self, event.data, event.id)
         if len(self.splitter.rest) > defaults.MAX_HELD_EVENT_BYTES:
-            self.cut_off()
+            self.abort_oversized()
 
-    def cut_off(self) -> None:
+    def abort_oversized(self) -> None:
         """Fail the attempt because too much of its answer must be held."""
         if self.call is not None:
             self.call.cancel()
@@ -76,13 +76,13 @@
 
     def done(self) -> None:
         """Handle the end of the answer; a stream may still be broken off."""
-        if self.is_streaming and self.is_cut:
-            text = messages.STREAM_CUT
+        if self.is_streaming and self.is_truncated:
+            text = messages.STREAM_TRUNCATED
             self.failed(may_have_run(Reason.CONNECTION_LOST, text))
             return
         if not self.close():
             return
-        if self.move is not None and self.is_unframed:
+        if self.move is not None and self.is_close_delimited:
             self.move.stream_ended()
         else:
             self.forwarding.answered(self)
@@ -97,7 +97,7 @@
             self.forwarding.attempt_failed(self, failure)
 
     @property
-    def is_cut(self) -> bool:
+    def is_truncated(self) -> bool:
         """Whether a stream that has ended was broken off.
 
         The end of a connection proves nothing.  A stream that has no other end
@@ -107,10 +107,10 @@
         if self.splitter.is_inside_event:
             return True
         is_empty = not self.has_event and not self.is_resumed
-        return self.is_unframed and (is_empty or self.may_be_stopped)
+        return self.is_close_delimited and (is_empty or self.may_be_stopped)
 
     @property
-    def is_unframed(self) -> bool:
+    def is_close_delimited(self) -> bool:
         """Whether only the end of the connection ends the answer."""
         answer = self.answer
         return answer is not None and answer.framing is Framing.CONNECTION
--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -51,8 +51,8 @@
     # How long the caller waits from `arrived_s` on, in seconds; None if not
     # stated.
     deadline_s: float | None = None
-    # Id of the last event that the caller has of a stream that it takes up
-    # again; empty if it has none.
+    # Id of the last event that the caller has of a stream that it resumes;
+    # empty if it has none.
     last_event_id: str = ""
     # Id of the request that brought the first event of that stream; empty if
     # the caller does not name it.
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -169,7 +169,7 @@
             domain=self.options.node.failure_domain,
             weights_s=bounds.weights_ms / 1000,
             settle_s=bounds.settle_ms / 1000,
-            on_take_up=notes.note_take_up,
+            on_reconnect=notes.note_reconnect,
             on_end=notes.note_end,
             on_move=notes.note_move,
             on_retry=notes.count_retry,
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -95,10 +95,10 @@
     on_move: Callable[[StreamMove], None] = attrs.field(
         default=lambda move: None
     )
-    # Called when a caller takes up a stream, with its origin or a refusal.
-    on_take_up: Callable[[Forwarding, Result[StreamOrigin, Failure]], None] = (
-        attrs.field(default=lambda forwarding, found: None)
-    )
+    # Called when a caller resumes a stream, with its origin or a refusal.
+    on_reconnect: Callable[
+        [Forwarding, Result[StreamOrigin, Failure]], None
+    ] = attrs.field(default=lambda forwarding, found: None)
     on_end: Callable[[Forwarding, Failure | None], None] = attrs.field(
         default=lambda forwarding, failure: None
     )
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -86,13 +86,13 @@
             return
         self.start_deadline(left_s)
         if self.plan.kind.is_stream and self.plan.request.last_event_id:
-            self.take_up_stream()
+            self.reconnect_caller()
         else:
             self.next_target()
 
-    # Streams that callers take up again.
+    # Streams that callers resume.
 
-    def take_up_stream(self) -> None:
+    def reconnect_caller(self) -> None:
         """Continue a stream where it began; look that up if it is unknown."""
         request, pool = self.plan.request, self.plan.pool.name
         known = self.forwarder.origins.known(request.resumes, pool)
@@ -106,7 +106,7 @@
         """Send the request to a target that may continue its stream."""
         if self.is_finished:
             return
-        self.forwarder.on_take_up(self, found)
+        self.forwarder.on_reconnect(self, found)
         if found.is_error():
             self.give_up(found.error)
             return
--- a/sequoiawind/lab/forward_callers.py
+++ b/sequoiawind/lab/forward_callers.py
@@ -85,9 +85,9 @@
     is_whole: bool = False
     # Whether the router broke the answer off or the caller disconnected.
     is_broken: bool = False
-    # What the caller has of the stream that it takes up again.
+    # What the caller has of the stream that it resumes.
     prior: bytes = b""
-    is_taken_up: bool = False
+    has_reconnected: bool = False
     # Virtual time of the end; negative before it.
     ended_s: float = -1.0
 
@@ -150,14 +150,14 @@
         )
 
     @property
-    def may_take_up(self) -> bool:
+    def may_reconnect(self) -> bool:
         """Whether the caller has a broken stream and may take it up again.
 
         It learns that its router was killed when its connection is reset.
         """
         is_reset = self.ended_s < 0.0 and self.node.epoch != self.epoch
         return (
-            not self.is_taken_up
+            not self.has_reconnected
             and self.kind.is_resumable
             and self.status == 200
             and (self.is_broken or is_reset)
--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -43,8 +43,8 @@
         self.forwarding.answered(self)
 
 
-def go_anywhere(self: Forwarding) -> None:
-    """Send a stream that a caller takes up to any target."""
+def reconnect_anywhere(self: Forwarding) -> None:
+    """Send a stream that a caller resumes to any target."""
     self.next_target()
 
 
@@ -127,7 +127,7 @@
         (
             "the end of a connection completes each stream",
             ForwardAttempt,
-            "is_cut",
+            "is_truncated",
             property(lambda self: False),
         ),
         (
@@ -137,10 +137,10 @@
             lambda origin, target: True,
         ),
         (
-            "a stream is taken up at any software version",
+            "a caller resumes a stream at any software version",
             Forwarding,
-            "take_up_stream",
-            go_anywhere,
+            "reconnect_caller",
+            reconnect_anywhere,
         ),
         (
             "events are passed on twice",
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -55,7 +55,7 @@
 REQUESTS_PER_S: Final = 14.0
 FAULTS_PER_S: Final = 0.6
 # How often callers with broken streams take them up again, per second.
-TAKE_UPS_PER_S: Final = 10.0
+RECONNECTS_PER_S: Final = 10.0
 SOFTWARE: Final = ("v1", "v2")
 # How long after its revocation a key may still work.
 REVOKE_S: Final = 5.0
@@ -111,7 +111,7 @@
             self.repeat(REQUESTS_PER_S, self.send_request)
             self.repeat(FAULTS_PER_S, self.faults.inject)
             self.repeat(10.0, self.check_revisions)
-            self.repeat(TAKE_UPS_PER_S, self.take_up_streams)
+            self.repeat(RECONNECTS_PER_S, self.reconnect_callers)
             self.clock.advance_to(FAULTY_S)
             self.faults.heal()
             self.clock.advance_to(FAULTY_S + SETTLE_S)
@@ -127,7 +127,7 @@
         caller_counts = {
             "forwarded": len(self.callers),
             "forward_served": sum(item.is_served for item in self.callers),
-            "streams gone on": sum(
+            "streams continued": sum(
                 bool(item.prior and item.body) for item in self.callers
             ),
         }
@@ -237,13 +237,13 @@
         ]
         return self.rng.choice(up) if up else None
 
-    def take_up_streams(self) -> None:
+    def reconnect_callers(self) -> None:
         """Let callers with broken streams take them up at any router."""
         for caller in list(self.callers):
             router = self.router_up()
-            if router is None or not caller.may_take_up:
+            if router is None or not caller.may_reconnect:
                 continue
-            caller.is_taken_up = True
+            caller.has_reconnected = True
             prior = whole_events(caller.prior + caller.body)
             request = attrs.evolve(
                 self.make_request(caller.kind.name),
@@ -252,7 +252,7 @@
                 last_event_id=str(last_number(prior)),
                 resumes=stream_id(caller.request),
             )
-            self.world.counts["streams taken up"] += 1
+            self.world.counts["callers reconnected"] += 1
             self.send(router, request, caller.kind, prior)
 
     def send(
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -45,7 +45,7 @@
 EVENT_S: Final = 0.04
 LOAD_S: Final = 0.3
 # Share of the streams that come without length and chunks.
-UNFRAMED_SHARE: Final = 0.5
+CLOSE_DELIMITED_SHARE: Final = 0.5
 LOST: Final = may_have_run(Reason.CONNECTION_LOST, "connection lost")
 STORE_REFUSED: Final = not_run(Reason.LOG_UNAVAILABLE, "refused by the store")
 
@@ -193,7 +193,7 @@
     event: int = 0
     is_cancelled: bool = False
     # Whether only the end of the connection ends the answer.
-    is_unframed: bool = False
+    is_close_delimited: bool = False
 
     def cancel(self) -> None:
         """Stop the run; nothing more is delivered."""
@@ -222,18 +222,18 @@
         self.end(self.sink.done)
 
     def break_off(self) -> None:
-        """Break the answer off; an unframed one inside an event."""
-        if self.is_unframed:
+        """Break the answer off; a close-delimited one inside an event."""
+        if self.is_close_delimited:
             part = b"id: %d\nda" % (self.event + 1)
             self.send_back(lambda: self.sink.data(part))
             self.end(self.sink.done)
-            self.target.world.counts["unframed streams cut"] += 1
+            self.target.world.counts["streams truncated"] += 1
         else:
             self.end(lambda: self.sink.failed(LOST))
 
     def stop(self) -> None:
         """End the stream after an event, before its last one."""
-        if self.is_unframed:
+        if self.is_close_delimited:
             self.end(self.sink.done)
         else:
             self.end(lambda: self.sink.failed(LOST))
@@ -328,8 +328,10 @@
         if not order.moved_from:
             self.read_prompt(order)
         run.event = order.after_event or int(request.last_event_id or 0)
-        run.is_unframed = world.happens(UNFRAMED_SHARE)
-        framing = Framing.CONNECTION if run.is_unframed else Framing.CHUNKS
+        run.is_close_delimited = world.happens(CLOSE_DELIMITED_SHARE)
+        framing = (
+            Framing.CONNECTION if run.is_close_delimited else Framing.CHUNKS
+        )
         head = AnswerHead(status=200, headers=[], framing=framing)
         run.send_back(lambda: run.sink.head(head))
         if not world.happens(world.fault_rates.hung):
--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -206,7 +206,7 @@
         )
         self.record_in(RETRY_PAUSE_S)
 
-    # Streams that callers take up again.
+    # Streams that callers resume.
 
     def known(self, request_id: str, pool: str) -> StreamOrigin | None:
         """Return a stream's origin if that needs no lookup.
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -20,7 +20,7 @@
 NOT_EXECUTED: Final = b"sequoiawind-not-executed"
 WEIGHT_VERSIONS: Final = b"sequoiawind-weight-versions"
 LAST_EVENT_ID: Final = b"last-event-id"
-# Attempt id by which a caller names the stream that it takes up again.
+# Attempt id by which a caller names the stream that it resumes.
 RESUMES: Final = b"resumes"
 AUTHORIZATION: Final = b"authorization"
 RETRY_AFTER: Final = b"retry-after"
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -100,14 +100,14 @@
             detail=move.failure.detail if move.failure else "",
         )
 
-    def note_take_up(
+    def note_reconnect(
         self, forwarding: Forwarding, found: Result[StreamOrigin, Failure]
     ) -> None:
-        """Log where a stream that a caller takes up again may go on."""
+        """Log where a stream that a caller resumes may continue."""
         request = forwarding.plan.request
         origin = found.ok if found.is_ok() else None
         self.log.info(
-            "stream taken up",
+            "caller reconnected",
             request_id=request.request_id,
             resumes=request.resumes,
             after_event=request.last_event_id,
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -108,7 +108,7 @@
         elif self.is_run_untouched:
             self.forwarding.answered(self.attempt)
         else:
-            text = messages.STREAM_CUT
+            text = messages.STREAM_TRUNCATED
             lost = may_have_run(Reason.CONNECTION_LOST, text)
             self.forwarding.attempt_failed(self.attempt, lost)
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -33,7 +33,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class UnframedRig(TestCase):
+class CloseDelimitedRig(TestCase):
     """A router whose targets are met through the HTTP client."""
 
     def setUp(self) -> None:
@@ -79,7 +79,7 @@
         return peer
 
 
-class UnframedStreamTest(UnframedRig):
+class CloseDelimitedStreamTest(CloseDelimitedRig):
     """A stream is complete only if it does not end inside an event."""
 
     # What a target sends before it closes the connection inside event 3.
@@ -91,7 +91,7 @@
         CHUNKED_HEAD + chunk(events(1, 2) + b"id: 3\nda"),
     )
 
-    def test_stream_cut_inside_an_event_is_resumed(self) -> None:
+    def test_stream_truncated_inside_an_event_is_resumed(self) -> None:
         for answer in self.CUT:
             self.make_router()
             peer, caller = self.begin("draft", answer)
@@ -104,7 +104,7 @@
             self.assertEqual(expected, caller.body.replace(b"\r", b""))
             self.assertTrue(caller.is_ended)
 
-    def test_cut_stream_that_may_not_be_resumed_is_aborted(self) -> None:
+    def test_truncated_stream_that_may_not_be_resumed_is_aborted(self) -> None:
         for answer in self.CUT:
             self.make_router()
             peer, caller = self.begin("brief", answer)
@@ -157,7 +157,7 @@
             self.assertEqual(status, seen)
 
 
-class UnframedMoveTest(UnframedRig):
+class CloseDelimitedMoveTest(CloseDelimitedRig):
     """A target closes the stream of a run that it has stopped for a move."""
 
     def move(self, ends_first: bool = True) -> tuple[Peer, Peer, FakeCaller]:
@@ -228,7 +228,7 @@
         self.assertEqual(events(1, 2), caller.body)
 
 
-class EndlessAnswerTest(UnframedRig):
+class EndlessAnswerTest(CloseDelimitedRig):
     """Bytes without end are cut off before they fill a VM's memory."""
 
     # Router VMs have 128 MB; a share of that may be held for one answer.
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -103,7 +103,7 @@
                 self.assertEqual("v1", destination.software)
 
 
-class TakeUpTest(TestCase):
+class ReconnectTest(TestCase):
     """Over several requests of a caller, at any router."""
 
     def setUp(self) -> None:
@@ -118,8 +118,8 @@
             rig.advance(SOFTWARE_MEMORY_S + 1.0)
         return rigs
 
-    def take_up(self, rig: ForwardRig, resumes: str) -> FakeCaller:
-        """Take up a stream after its second event."""
+    def reconnect(self, rig: ForwardRig, resumes: str) -> FakeCaller:
+        """Resume a stream after its second event."""
         return rig.submit(
             "draft", request_id="again", last_event_id="2", resumes=resumes
         )
@@ -146,9 +146,9 @@
             first, second = self.routers(e1="v1", e2="v2", e3="v1", e4="v2")
             begin(first, at=software, request_id="s")
             first.advance(0.3)
-            self.take_up(second, "s")
+            self.reconnect(second, "s")
             self.check_goes_on_at(second, software)
-            self.take_up(first, "s")
+            self.reconnect(first, "s")
             sent = first.port.sent[-1]
             self.assertEqual(software, sent.order.target.software)
 
@@ -160,13 +160,13 @@
         first.port.sent[0].sink.failed(LOST)
         self.assertTrue(caller.is_broken)
         first.clock.advance(0.0)
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         self.check_goes_on_at(second, software)
 
     def test_stream_that_is_recorded_late_is_waited_for(self) -> None:
         first, second = self.routers(e1="v1", e2="v2")
         _, software = begin(first, at="v2", request_id="s")
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         self.assertEqual([], second.port.sent)
         first.advance(0.2)
         second.advance(0.2)
@@ -175,14 +175,14 @@
     def test_stream_of_unknown_origin_is_refused_as_not_run(self) -> None:
         for resumes in ("s", ""):
             (rig,) = self.routers(1, e1="v1", e2="v2")
-            self.check_refused(rig, self.take_up(rig, resumes))
+            self.check_refused(rig, self.reconnect(rig, resumes))
 
     def test_stream_is_refused_while_the_log_does_not_answer(self) -> None:
         first, second = self.routers(e1="v1", e2="v2")
         begin(first, at="v2", request_id="s")
         first.advance(0.3)
         self.log.is_available = False
-        self.check_refused(second, self.take_up(second, "s"))
+        self.check_refused(second, self.reconnect(second, "s"))
 
     def test_streams_are_recorded_again_after_a_failed_call(self) -> None:
         first, second = self.routers(e1="v1", e2="v2")
@@ -191,7 +191,7 @@
         first.advance(0.3)
         self.log.is_available = True
         first.advance(0.6)
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         self.check_goes_on_at(second, software)
 
     def test_nothing_is_recorded_or_read_while_there_is_one_version(
@@ -200,7 +200,7 @@
         first, second = self.routers(e1="v1", e2="v1")
         begin(first, request_id="s")
         first.advance(1.0)
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         self.check_goes_on_at(second, "v1")
         self.assertEqual((0, []), (self.log.reads, self.log.records))
 
@@ -212,15 +212,15 @@
             rig.fleet.views["e1"].open_requests = 50
         begin(first, request_id="other")
         first.advance(0.3)
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         self.check_goes_on_at(second, "v1")
 
     def test_version_whose_targets_have_gone_still_counts(self) -> None:
         (rig,) = self.routers(1, e1="v1", e2="v2")
         rig.fleet.remove("e1", rig.clock.seconds())
-        self.check_refused(rig, self.take_up(rig, "s"))
+        self.check_refused(rig, self.reconnect(rig, "s"))
         rig.advance(SOFTWARE_MEMORY_S)
-        self.take_up(rig, "s")
+        self.reconnect(rig, "s")
         self.check_goes_on_at(rig, "v2")
 
     def test_restarted_router_asks_the_log(self) -> None:
@@ -233,7 +233,7 @@
                 self.log.records.append(record)
             rig = make_rig(e1="v1")
             rig.forwarder.origins.port = self.log
-            caller = self.take_up(rig, "s")
+            caller = self.reconnect(rig, "s")
             if is_served:
                 self.check_goes_on_at(rig, "v1")
             else:
@@ -246,12 +246,12 @@
         rig.forwarder.origins.port = self.log
         origin = StreamOrigin(pool="llm", software="v2")
         self.log.records.append(OriginRecord(request_id="q", origin=origin))
-        self.check_refused(rig, self.take_up(rig, "s"))
+        self.check_refused(rig, self.reconnect(rig, "s"))
         rig.advance(SOFTWARE_MEMORY_S)
         # The configuration is too old to rely on what is known of the fleet,
         # until the log has been read.
         rig.clock.advance(2.5)
-        self.take_up(rig, "s")
+        self.reconnect(rig, "s")
         rig.advance(0.1)
         self.check_goes_on_at(rig, "v1")
 
@@ -259,7 +259,7 @@
         (rig,) = self.routers(1, e1="v1")
         self.log.is_available = False
         rig.clock.advance(3.0)
-        caller = self.take_up(rig, "s")
+        caller = self.reconnect(rig, "s")
         rig.clock.advance(1.0)
         assert caller.failure is not None
         self.assertEqual(Verdict.NOT_RUN, caller.failure.verdict)
@@ -272,18 +272,18 @@
         self.log.first = 7
         _, software = begin(first, at="v2", request_id="s")
         first.advance(0.3)
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         self.check_goes_on_at(second, software)
 
     def test_log_that_returns_from_a_copy_is_read_anew(self) -> None:
         first, second = self.routers(e1="v1", e2="v2")
         begin(first, at="v2", request_id="s")
         first.advance(0.3)
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         self.log.era, self.log.records = 1, []
         _, software = begin(first, at="v2", request_id="t")
         first.advance(0.3)
-        caller = self.take_up(second, "t")
+        caller = self.reconnect(second, "t")
         second.advance(0.3)
         self.assertEqual(None, caller.failure)
         sent = second.port.sent[-1]
@@ -293,10 +293,10 @@
         first, second, third = self.routers(3, e1="v1", e2="v2", e3="v1")
         _, software = begin(first, at="v2", request_id="s")
         first.advance(0.3)
-        self.take_up(second, "s")
+        self.reconnect(second, "s")
         second.port.sent[0].begin(200, events(3))
         second.advance(0.3)
-        self.take_up(third, "s")
+        self.reconnect(third, "s")
         self.check_goes_on_at(third, software)
 
     def test_caller_that_leaves_during_the_lookup_is_not_served(self) -> None:
--- a/tests/test_target_ports.py
+++ b/tests/test_target_ports.py
@@ -132,7 +132,9 @@
         assert ended.failure is not None, case
         self.assertEqual(Verdict.MAY_HAVE_RUN, ended.failure.verdict, case)
 
-    def test_unframed_answer_is_complete_unless_it_is_reset(self) -> None:
+    def test_close_delimited_answer_is_complete_unless_it_is_reset(
+        self,
+    ) -> None:
         for is_reset in (False, True):
             target = RawTarget(answer=HEAD + b"part", is_reset=is_reset)
             ended = self.run_attempt("plain", target)
@@ -142,7 +144,9 @@
                 assert ended.reply is not None, ended
                 self.assertEqual(200, ended.reply.status)
 
-    def test_unframed_stream_is_complete_with_its_last_event(self) -> None:
+    def test_close_delimited_stream_is_complete_with_its_last_event(
+        self,
+    ) -> None:
         for body, is_whole in (
             (FIRST + LAST, True),
             (FIRST, False),
