Give the soak's targets three engines of each software version

With four engines of random versions a run seldom had another one of its own to move to: 5 moves in the five seeds of test_forwarding_soak_finds_no_violation, where the test asks for more than 10 and was red. The check is unchanged.

--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -48,7 +48,7 @@
 from sequoiawind.tokens import token_digest
 
 ROUTERS: Final = 3
-ENGINES: Final = 4
+ENGINES: Final = 6
 # When faults stop, and how long the run lasts after that.
 FAULTY_S: Final = 30.0
 SETTLE_S: Final = 15.0
@@ -207,7 +207,7 @@
             address=address,
             born_ms=self.targets_started,
             slots=8,
-            software=self.rng.choice(SOFTWARE),
+            software=SOFTWARE[self.targets_started % len(SOFTWARE)],
             versions={MODEL: self.newest_version} if pool == "llm" else {},
         )
         self.world.targets[name] = SimulatedTarget(
