--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -89,8 +89,9 @@
     spare: SpareLists = attrs.field(init=False)
     waiting: list[Forwarding] = attrs.field(factory=list)
     waiting_timer: Timer | None = None
-    # Requests that have not ended.
-    open: set[Forwarding] = attrs.field(factory=set)
+    # Requests that have not ended, in the order of arrival, so that a seeded
+    # soak repeats.
+    open: dict[Forwarding, None] = attrs.field(factory=dict)
     # Called when a move of a stream has succeeded or failed.
     on_move: Callable[[StreamMove], None] = attrs.field(
         default=lambda move: None
@@ -150,7 +151,7 @@
                 began_s=request.arrived_s,
             ),
         )
-        self.open.add(forwarding)
+        self.open[forwarding] = None
         self.board.note_request(forwarding.note)
         forwarding.start()
         return forwarding
@@ -447,7 +448,7 @@
 
     def finished(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Record the end of a request."""
-        self.open.discard(forwarding)
+        self.open.pop(forwarding, None)
         note = forwarding.note
         note.ended_s = self.clock.seconds()
         note.state = "ended"
