Skip another attempt's answer behind the OpenAI interface

What callers would see: a target that sends an answer a second time, late, on a connection that is in use again, gives the next caller an answer that is not its own. Forwarding has skipped such answers by the id that targets echo; the agents' ports did not ask for it. A known fault of similar systems, found here by reading; engines' chunks carry the attempt in each event already, so calls to plain services and engines' error answers were exposed.

Change: both ports expect X-Attempt-Id to be echoed, and plain services are sent it. An answer with another value is skipped; one without it is taken as before, so services that do not echo it are as exposed as they were. X-Request-Id does not serve: many services answer with one of their own.

test_late_copy_of_another_answer_is_not_taken failed before for both. Affected: plain services get one more header.

--- a/sequoiawind/target_ports.py
+++ b/sequoiawind/target_ports.py
@@ -58,6 +58,7 @@
                 },
             ),
             body=openai_format.encode(engine_body(attempt)),
+            echo=attempt_echo(attempt),
         )
         call.http = self.client.call(address, request, call)
         return call
@@ -207,6 +208,7 @@
             request_target=attempt.path.encode(),
             headers=encoded_headers(address, plain_headers(attempt)),
             body=attempt.body.encode(),
+            echo=attempt_echo(attempt),
         )
         answered: Deferred[Result[HttpReply, Failure]] = fetch(
             self.client, address, request, attempt.deadline_s
@@ -245,6 +247,7 @@
     headers = {
         "Content-Type": attempt.content_type,
         REQUEST_ID_HEADER: attempt.request_id,
+        ATTEMPT_HEADER: attempt.attempt_id,
         ACCOUNT_HEADER: attempt.account,
     }
     if attempt.idempotency_key:
@@ -261,3 +264,11 @@
             for name, value in headers.items()
         ),
     ]
+
+
+def attempt_echo(attempt: Attempt) -> tuple[bytes, bytes]:
+    """Return the header by which answers to other attempts are recognised.
+
+    An answer of a target that does not echo it is taken as it comes.
+    """
+    return (ATTEMPT_HEADER.lower().encode(), attempt.attempt_id.encode())
--- a/tests/test_target_ports.py
+++ b/tests/test_target_ports.py
@@ -8,13 +8,15 @@
 
 import attrs
 from testtools import TestCase
+from twisted.internet.testing import MemoryReactorClock
 
-from sequoiawind import event_loop
+from sequoiawind import event_loop, wire
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.target_ports import EngineHttpPort, PlainHttpPort
 from sequoiawind.verdict import Verdict
 from sequoiawind.wire import Attempt, Ended, LoadReport
 from tests import live
+from tests.stand_ins import accept
 
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 FIRST = b'id: a1:0\ndata: {"choices": []}\n\n'
@@ -95,9 +97,20 @@
         self.has_ended.set()
 
 
-def open_port(service: str) -> Any:
+ATTEMPT = Attempt(
+    attempt_id="a1",
+    request_id="q1",
+    account="a",
+    kind="k",
+    target="t",
+    path="/v1/chat/completions",
+    method="POST",
+    body="{}",
+)
+
+
+def open_port(service: str, client: Http1Client) -> Any:
     """Return an agent's port to a target of a service."""
-    client = Http1Client(reactor=event_loop.reactor)
     if service == "engine":
         return EngineHttpPort(client=client)
     return PlainHttpPort(client=client)
@@ -110,19 +123,9 @@
         """Run an attempt; return its end."""
         live.start_reactor_thread()
         sink = RecordingSink()
-        attempt = Attempt(
-            attempt_id="a1",
-            request_id="q1",
-            account="a",
-            kind="k",
-            target="t",
-            path="/v1/chat/completions",
-            method="POST",
-            body="{}",
-        )
+        port = open_port(service, Http1Client(reactor=event_loop.reactor))
         with target:
-            port = live.in_reactor(open_port, service)
-            live.in_reactor(port.open, target.address, attempt, sink)
+            live.in_reactor(port.open, target.address, ATTEMPT, sink)
             self.assertTrue(sink.has_ended.wait(WAIT_TIMEOUT_S))
         (ended,) = sink.ends
         return ended
@@ -170,3 +173,26 @@
                 case = (service, answer)
                 self.check_failed(ended, case)
                 self.assertTrue(target.sent < ENDLESS_BYTES, case)
+
+    def test_late_copy_of_another_answer_is_not_taken(self) -> None:
+        # A target sends an answer twice, the copy on a connection in use again.
+        for service in ("plain", "engine"):
+            reactor = MemoryReactorClock()
+            sink = RecordingSink()
+            port = open_port(service, Http1Client(reactor=reactor))
+            port.open("10.0.0.1:80", ATTEMPT, sink)
+            peer = accept(reactor)
+            self.assertIn(b"\r\nx-attempt-id: a1\r\n", peer.take_sent())
+            answer = (
+                b"HTTP/1.1 500 No\r\nx-attempt-id: %s\r\n"
+                b"content-length: 2\r\n\r\n%s"
+            )
+            peer.protocol.dataReceived(answer % (b"a0", b"no"))
+            self.assertEqual([], sink.ends, service)
+            peer.protocol.dataReceived(answer % (b"a1", b"ok"))
+            (ended,) = sink.ends
+            if ended.reply is not None:
+                self.assertEqual(wire.encode_body(b"ok"), ended.reply.body)
+            else:
+                assert ended.failure is not None
+                self.assertIn("ok", ended.failure.detail)
