--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -152,7 +152,7 @@
         self.begun.pop(request_id, None)
 
     def broken(self, request_id: str) -> None:
-        """Record a stream at once, as its caller may take it up again."""
+        """Record a stream at once, as its caller may resume it."""
         stream = self.begun.get(request_id)
         if stream is None or stream.is_recorded:
             return
