Log the prompt parts, the first event and the repeats of a failed attempt

The lines of the incident with crashing prompt parts name targets and reasons, but neither the parts that a broken attempt had, nor whether its answer had begun, nor the counts that the bound on repeats is made of, so that its hypotheses cannot be told apart. New log fields: parts, since_first_event_s, first_sends, repeats, routers. No decision changes.

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -33,8 +33,9 @@
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     # Whether the prompt no longer counts as a pending prefill.
     has_begun: bool = False
-    # Whether a complete event of a stream has arrived.
-    has_event: bool = False
+    # When the first complete event of a stream arrived, in seconds of the
+    # clock; negative before it.
+    first_event_s: float = -1.0
     # The pending move of the run to another target, if any.
     move: StreamMove | None = None
     # Whether a move that failed may have stopped the run.
@@ -62,7 +63,8 @@
             return
         self.begin()
         for event in self.splitter.take(data):
-            self.has_event = True
+            if not self.has_event:
+                self.first_event_s = self.clock.seconds()
             self.forwarding.take_event(self, event.data, event.id)
         if len(self.splitter.rest) > defaults.MAX_HELD_EVENT_BYTES:
             self.abort_oversized()
@@ -109,6 +111,11 @@
         is_empty = not self.has_event and not self.is_resumed
         return self.is_close_delimited and (is_empty or self.may_be_stopped)
 
+    @property
+    def has_event(self) -> bool:
+        """Whether a complete event of a stream has arrived."""
+        return self.first_event_s >= 0.0
+
     @property
     def is_close_delimited(self) -> bool:
         """Whether only the end of the connection ends the answer."""
--- a/sequoiawind/prompt_cache.py
+++ b/sequoiawind/prompt_cache.py
@@ -41,10 +41,15 @@
             return self.max_tokens
         return min(self.expected_tokens, self.max_tokens)
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other prompts may share: all but the last."""
+        return self.parts[:-1]
+
     @property
     def placement_key(self) -> str:
         """Id of the deepest part that other prompts share."""
-        shared = self.parts[:-1] or self.parts
+        shared = self.shared_parts or self.parts
         return shared[-1].id if shared else ""
 
 
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -1,5 +1,7 @@
 """Counts and logs what a forwarding router decides about requests."""
 
+from typing import Final
+
 import attrs
 import structlog
 from expression import Result
@@ -12,12 +14,16 @@
 from sequoiawind.freshness import Freshness
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.ports import Clock
+from sequoiawind.prompt_cache import Prompt
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure, Reason
 
 Logger = structlog.typing.FilteringBoundLogger
 
+# Number of prompt parts that a log line names at most.
+MAX_LOGGED_PARTS: Final = 8
+
 
 @attrs.define(kw_only=True)
 class RouterNotes:
@@ -56,6 +62,8 @@
         """Log a failed attempt with the last known status of its target."""
         now_s = self.clock.seconds()
         status = view.status
+        window = forwarding.forwarder.window
+        sends = window.sends_of(forwarding.plan.pool.name, now_s)
         self.log.warning(
             "attempt failed",
             request_id=forwarding.note.request_id,
@@ -67,6 +75,11 @@
             reason=failure.reason.value,
             detail=failure.detail,
             left_s=round(forwarding.left_s, 3),
+            parts=shared_part_ids(forwarding.plan.request.prompt),
+            since_first_event_s=since_first_event_s(forwarding, now_s),
+            first_sends=len(sends.first_s),
+            repeats=len(sends.repeats_s),
+            routers=forwarding.forwarder.fleet.routers(now_s),
             open_requests=view.open_requests,
             status_age_s=round(now_s - view.status_s, 3) if status else -1.0,
             waiting=status.waiting if status else -1,
@@ -154,3 +167,18 @@
             seconds=round(note.ended_s - note.began_s, 4),
             time_s=round(plan.ends_s - note.began_s, 3),
         )
+
+
+def shared_part_ids(prompt: Prompt | None) -> list[str]:
+    """Return the ids of the parts that other prompts may share, for a log."""
+    if prompt is None:
+        return []
+    return [part.id for part in prompt.shared_parts[:MAX_LOGGED_PARTS]]
+
+
+def since_first_event_s(forwarding: Forwarding, now_s: float) -> float:
+    """Return the age of the attempt's first event, in seconds; -1 if none."""
+    attempt = forwarding.current
+    if attempt is None or attempt.first_event_s < 0.0:
+        return -1.0
+    return round(now_s - attempt.first_event_s, 4)
