Keep the bound on repeats over routers that end and start again

Routers that had ended within the window had used their parts already, those that started in their place began with a whole part again, and a router to which no number was stated any more took a sixteenth, however many there were. Now the highest number in the window counts, a router has no part in its first window, and an unknown number is at least the last known one.

Tests: three that failed before (one by value, two by the missing arguments), and one that holds the bound after load that ends suddenly, by the three windows in which requests are counted. Not changed: a deployment whose routers never learn their number, since nothing relays it; each then takes a sixteenth.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -164,6 +164,7 @@
                 ratio=bounds.repeat_ratio,
                 allowance=bounds.repeat_allowance,
                 window_s=bounds.repeat_window_s,
+                started_s=event_loop.reactor.seconds(),
             ),
             random=self.random,
             domain=self.options.node.failure_domain,
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -227,12 +227,12 @@
             return True
         forwarder, pool = self.forwarder, self.plan.pool.name
         now_s = self.now_s
+        routers = forwarder.fleet.routers(now_s)
         if not self.is_counted:
             self.is_counted = True
-            forwarder.window.count_first(pool, now_s)
+            forwarder.window.count_first(pool, now_s, routers)
             self.has_reservation = True
         else:
-            routers = forwarder.fleet.routers(now_s)
             self.has_reservation = forwarder.window.try_repeat(
                 pool, now_s, routers
             )
--- a/sequoiawind/repeat_window.py
+++ b/sequoiawind/repeat_window.py
@@ -5,6 +5,10 @@
 received itself, and to an equal part of the allowance; a router that does not
 know the number of routers assumes many, and so takes a small part.
 
+Routers that have ended within the window have used their parts already.  So
+the parts go by the highest number of routers in the window, and a router that
+has just started, perhaps in place of another, has no part for one window.
+
 Protects a pool all of whose targets shed or fail at the same time: without a
 bound, every refusal doubles the arrivals there.
 """
@@ -39,10 +43,22 @@
     # Further repeats allowed in one window, for all routers together.
     allowance: float
     window_s: float
+    # When this router started, in seconds of the clock.
+    started_s: float = float("-inf")
     sends: dict[str, SendTimes] = attrs.field(factory=dict)
+    # Numbers of routers with the time at which each was last stated, in seconds
+    # of the clock; falling numbers in the order of time.
+    stated: deque[tuple[float, int]] = attrs.field(factory=deque)
+
+    def count_first(self, pool: str, now_s: float, routers: int = 0) -> None:
+        """Count a request's first attempt.
 
-    def count_first(self, pool: str, now_s: float) -> None:
-        """Count a request's first attempt."""
+        Args:
+          pool: The pool.
+          now_s: The time, in seconds of the clock.
+          routers: Number of routers; 0 if unknown.
+        """
+        self.note_routers(routers, now_s)
         self.sends_of(pool, now_s).first_s.append(now_s)
 
     def try_repeat(self, pool: str, now_s: float, routers: int) -> bool:
@@ -53,16 +69,41 @@
           now_s: The time, in seconds of the clock.
           routers: Number of routers; 0 if unknown.
         """
+        self.note_routers(routers, now_s)
         sends = self.sends_of(pool, now_s)
-        router_count = routers or ASSUMED_ROUTERS
         bound = USED_SHARE * (
-            self.ratio * len(sends.first_s) + self.allowance / router_count
+            self.ratio * len(sends.first_s)
+            + self.allowance_part(now_s, is_known=routers > 0)
         )
         if len(sends.repeats_s) + 1 > bound:
             return False
         sends.repeats_s.append(now_s)
         return True
 
+    def allowance_part(self, now_s: float, is_known: bool) -> float:
+        """Return this router's part of the allowance, in repeats.
+
+        Args:
+          now_s: The time, in seconds of the clock.
+          is_known: Whether the number of routers is known now.
+        """
+        if now_s - self.started_s < self.window_s:
+            return 0.0
+        routers = self.stated[0][1] if self.stated else 0
+        if not is_known:
+            routers = max(routers, ASSUMED_ROUTERS)
+        return self.allowance / routers
+
+    def note_routers(self, routers: int, now_s: float) -> None:
+        """Record the number of routers, unless it is 0, for unknown."""
+        if routers <= 0:
+            return
+        while self.stated and self.stated[-1][1] <= routers:
+            self.stated.pop()
+        self.stated.append((now_s, routers))
+        while self.stated[0][0] <= now_s - self.window_s:
+            self.stated.popleft()
+
     def sends_of(self, pool: str, now_s: float) -> SendTimes:
         """Return a pool's sends, without those before the window."""
         sends = self.sends.setdefault(pool, SendTimes())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -200,6 +200,66 @@
         unknown = sum(window.try_repeat("q", 1.0, 0) for _ in range(100))
         self.assertTrue(unknown < known)
 
+    def test_routers_that_end_leave_no_second_allowance(self) -> None:
+        # Four routers use what they may; all but one end, and it goes on.
+        windows = [
+            RepeatWindow(ratio=0.0, allowance=54.0, window_s=10.0)
+            for _ in range(4)
+        ]
+        repeats = sum(
+            window.try_repeat("p", 1.0, 4)
+            for window in windows
+            for _ in range(200)
+        )
+        repeats += sum(windows[0].try_repeat("p", 5.0, 1) for _ in range(200))
+        self.assertTrue(repeats <= 54, repeats)
+        self.assertTrue(windows[0].try_repeat("p", 16.0, 1))
+
+    def test_routers_that_start_again_have_no_second_allowance(self) -> None:
+        repeats = 0
+        for started_s in (-100.0, 3.0):
+            for _ in range(4):
+                window = RepeatWindow(
+                    ratio=0.0,
+                    allowance=54.0,
+                    window_s=10.0,
+                    started_s=started_s,
+                )
+                repeats += sum(
+                    window.try_repeat("p", max(1.0, started_s + 1.0), 4)
+                    for _ in range(200)
+                )
+        self.assertTrue(0 < repeats <= 54, repeats)
+
+    def test_lost_number_of_routers_is_the_last_known(self) -> None:
+        window = RepeatWindow(ratio=0.0, allowance=54.0, window_s=10.0)
+        window.count_first("p", 0.0, 300)
+        self.assertFalse(window.try_repeat("p", 30.0, 0))
+
+    def test_bound_holds_after_load_that_ends_suddenly(self) -> None:
+        # The requests are counted in the window of the repeats, the one before
+        # it or the one half a window before, whichever has most.
+        window = RepeatWindow(ratio=0.2, allowance=0.0, window_s=10.0)
+        first_s = [number * 0.01 for number in range(1_000)]
+        for now_s in first_s:
+            window.count_first("p", now_s, 1)
+        repeats_s = [
+            now_s
+            for now_s in (10.0 + number * 0.01 for number in range(1_500))
+            if window.try_repeat("p", now_s, 1)
+        ]
+
+        def between(times_s: list[float], since_s: float) -> int:
+            return sum(since_s <= item < since_s + 10.0 for item in times_s)
+
+        for start_s in (number * 0.5 for number in range(40)):
+            most = max(
+                between(first_s, start_s - back_s)
+                for back_s in (0.0, 5.0, 10.0)
+            )
+            repeats = between(repeats_s, start_s)
+            self.assertTrue(repeats <= 0.2 * most, (start_s, repeats, most))
+
     def test_window_slides(self) -> None:
         window = RepeatWindow(ratio=1.0, allowance=0.0, window_s=10.0)
         for _ in range(10):
