Keep prompt parts that crash targets from them, at all routers

What callers saw: a part of prompts ended 41 engines in a minute; each request with it was sent to a second engine, which ended too, and sound streams broke off with it (incident of crashing prompt parts). Cause: nothing related the end of a target to what it was working on; the class is input that is fatal to whatever serves it, retried as if the server were at fault.

Now a router that sees answers of a target break off, and hears nothing of it for 0.25 s, records a crash with the parts of the prompts that had just begun there or had not: the suspects. All routers follow the records, through the relays or, without one, in the store itself; a complete answer clears the parts of its prompt. The fewest parts that explain crashes that go on are blocked: parts that have answered lately only if no other part explains them and crashes go on for 10 s without an answer, and of parts that come together the deepest. Requests with a blocked part are refused as not run, with the time left. After 120 s, doubled each time, one request of all routers tests the part; the permission is a conditional write, and ends on a clock that counts suspensions. A request whose part is suspected twice is not repeated.

Ruled out: blocking by caller or by the whole prompt, since no two requests are alike and sound ones share the caller; counting crashes without the answers, which blocked what all prompts share (a test shows it); counting targets that crash at once, which a failing rack does.

Outer names: topic keyed.prompt-crashes, reason blocked_part, log fields; feeds have a further topic, which agents of before do not know: they fail to read relays of the new release until they are replaced.

--- a/sequoiawind/feed_messages.py
+++ b/sequoiawind/feed_messages.py
@@ -133,9 +133,12 @@
     def entry(key: Key, stamp: Stamp, value: object) -> FeedEntry:
         return FeedEntry(key=key, stamp=stamp, value=value, level=level)
 
+    known = {topic.value: topic for topic in Topic}
     for record in reply.records:
-        topic = Topic(record.topic)
-        yield entry((topic, record.key), record.stamp, record.value)
+        # A relay of a newer release may have further topics.
+        if record.topic in known:
+            key = (known[record.topic], record.key)
+            yield entry(key, record.stamp, record.value)
     for status in reply.statuses:
         yield entry((Topic.STATUS, status.target), status.stamp, status.status)
     for cache in reply.caches:
--- a/sequoiawind/feed_publisher.py
+++ b/sequoiawind/feed_publisher.py
@@ -151,6 +151,45 @@
         self.publish_removed()
 
 
+@attrs.define(kw_only=True)
+class CrashPublisher:
+    """Publishes the records of crashes, which agents do not use themselves."""
+
+    relay: FeedRelay
+
+    def replaced(self, records: Sequence[KeyedRecord]) -> None:
+        """Publish the newest records."""
+        for record in records:
+            self.changed(record)
+
+    def changed(self, record: KeyedRecord) -> None:
+        """Publish a record."""
+        self.relay.put(
+            (Topic.CRASH, record.key),
+            record.stamp,
+            record.value,
+            Level.DOMAIN,
+            is_urgent=True,
+        )
+
+    def take(self, reply: FeedReply) -> None:
+        """Publish the records that another process has sent."""
+        for record in records_of(reply.records, Topic.CRASH):
+            self.changed(record)
+
+    def confirmed(self, request_time_s: float) -> None:
+        """Do nothing: these records have no bound on their age."""
+
+    def store_lost(self, detail: str) -> None:
+        """Do nothing: the other readers log it."""
+
+    def store_back(self) -> None:
+        """Do nothing: the other readers log it."""
+
+    def store_rewound(self, era: int) -> None:
+        """Do nothing: the other readers log it."""
+
+
 @attrs.define(kw_only=True)
 class CachePublisher:
     """Controller that publishes the changes of one cache."""
--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -12,6 +12,7 @@
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.freshness import suspended_clock_s
 from sequoiawind.ports import Clock
+from sequoiawind.record_follower import RecordReader
 from sequoiawind.record_ports import KeyedRecord
 
 # Age of the targets' entries at a relay, in seconds, up to which a target that
@@ -26,6 +27,7 @@
     fleet: Fleet
     operator: OperatorReader
     targets: TargetReader
+    crashes: RecordReader
     caches: CacheWatcher
     clock: Clock
     # Returns how many tokens a cache can hold.
@@ -93,6 +95,12 @@
         else:
             for record in targets:
                 self.targets.changed(record)
+        crashes = records_of(reply.records, Topic.CRASH)
+        if reply.is_whole:
+            self.crashes.replaced(crashes)
+        else:
+            for record in crashes:
+                self.crashes.changed(record)
 
     def take_caches(self, reply: FeedReply) -> None:
         """Apply the changes of the caches."""
--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -43,7 +43,7 @@
 ADJUST_S: Final = 0.5
 # Time for which a router counts after its last request, in seconds.
 ROUTER_ACTIVE_S: Final = 5.0
-RECORD_TOPICS: Final = frozenset({Topic.OPERATOR, Topic.TARGET})
+RECORD_TOPICS: Final = frozenset({Topic.OPERATOR, Topic.TARGET, Topic.CRASH})
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/feed_table.py
+++ b/sequoiawind/feed_table.py
@@ -39,6 +39,7 @@
     STATUS = "status"
     OPERATOR = "operator"
     TARGET = "target"
+    CRASH = "crash"
     CACHE = "cache"
     PART = "part"
 
--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -63,6 +63,8 @@
     pending_prefill_tokens: int = 0
     # Time until which the target gets no new work, in seconds of the clock.
     shed_until_s: float = -1.0
+    # When a part of an answer last arrived, in seconds of the clock.
+    heard_s: float = float("-inf")
     # Whether it has refused a connection and not answered since.
     has_refused: bool = False
     # What the target has stated itself.
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -14,6 +14,7 @@
 from sequoiawind.feed_messages import CONTENT_TYPE, FEED_PATH, FeedReply
 from sequoiawind.feed_publisher import (
     CachePublisher,
+    CrashPublisher,
     OperatorPublisher,
     TargetPublisher,
 )
@@ -43,6 +44,8 @@
 # age of the records on, which the wait adds to.
 RECORDS_WAIT_S: Final = 0.8
 RECORDS_READ_PAUSE_S: Final = 0.25
+# The same wait for records of crashes, which have no bound on their age.
+CRASHES_WAIT_S: Final = 2.5
 # The pause while this agent is no relay: nothing that it does is urgent.
 IDLE_READ_PAUSE_S: Final = 2.0
 # Age of a relay's records from which an agent reads the store itself, in
@@ -208,9 +211,12 @@
             fleet=self.fleet,
         )
 
+        crashes = CrashPublisher(relay=self.relay)
+
         def take_records(reply: FeedReply) -> None:
             targets.take(reply)
             operator.take(reply)
+            crashes.take(reply)
 
         self.relay.on_records = take_records
         self.follow_records(
@@ -227,6 +233,13 @@
             self.read_pause_s,
             lambda: self.has_records(self.relay.targets_as_of_s),
         )
+        self.follow_records(
+            names.CRASHES_TOPIC,
+            crashes,
+            CRASHES_WAIT_S,
+            lambda: 0.0,
+            lambda: self.has_records(self.relay.operator_as_of_s),
+        )
         cache = self.make_cache_publisher(
             str(self.options.target), self.target_name, Level.OWN
         )
--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -49,6 +49,7 @@
     def head(self, head: AnswerHead) -> None:
         """Store the answer's head, and note what the target states."""
         if not self.is_over:
+            self.view.heard_s = self.clock.seconds()
             self.answer = head
             self.forwarding.forwarder.head_received(self.view, head)
 
@@ -56,6 +57,7 @@
         """Receive a part of the body; stream events are passed on directly."""
         if self.is_over or self.answer is None:
             return
+        self.view.heard_s = self.clock.seconds()
         if not self.is_streaming:
             self.body += data
             if len(self.body) > defaults.MAX_HELD_BODY_BYTES:
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -7,7 +7,9 @@
 from twisted.internet.defer import Deferred
 
 from sequoiawind import event_loop
+from sequoiawind.allowed_weights import AllowedWeights
 from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.feed_client import FeedClient
 from sequoiawind.feed_cover import FeedCover
 from sequoiawind.feed_reader import FeedReader
@@ -30,6 +32,7 @@
 from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.pages import METRICS_PATH, Pages, metrics_page
 from sequoiawind.platform import callers, codec, names
+from sequoiawind.platform.crashes import CrashLog
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.platform.leases import LeaseClient
 from sequoiawind.platform.origins import OriginLog
@@ -48,6 +51,8 @@
 CONFIG_WAIT_SHARE: Final = 0.22
 # The same share of the bound on leaving targets.
 TARGETS_WAIT_SHARE: Final = 0.7
+# For how long the store may wait for a record of a crash, in seconds.
+CRASHES_WAIT_S: Final = 2.5
 # Age of a relay's records, as a share of the revocation bound or of the bound
 # on leaving targets, from which a router reads the store itself.
 COVERED_AGE_SHARE: Final = 0.5
@@ -159,6 +164,13 @@
                 clock=event_loop.reactor,
                 log=self.log,
             ),
+            crashes=CrashRegistry(
+                node=self.options.node.name,
+                port=CrashLog(store=self.store),
+                clock=event_loop.reactor,
+                age_clock=suspended_clock_s,
+                log=self.log,
+            ),
             clock=event_loop.reactor,
             window=RepeatWindow(
                 ratio=bounds.repeat_ratio,
@@ -168,8 +180,11 @@
             ),
             random=self.random,
             domain=self.options.node.failure_domain,
-            weights_s=bounds.weights_ms / 1000,
-            settle_s=bounds.settle_ms / 1000,
+            weights=AllowedWeights(
+                clock=event_loop.reactor,
+                weights_s=bounds.weights_ms / 1000,
+                settle_s=bounds.settle_ms / 1000,
+            ),
             on_reconnect=notes.note_reconnect,
             on_end=notes.note_end,
             on_move=notes.note_move,
@@ -275,7 +290,7 @@
             log=self.log,
             freshness=self.freshness,
             may_confirm=self.may_trust_records,
-            on_weights=self.forwarder.weights_named,
+            on_weights=self.forwarder.weights.version_named,
             on_config=self.check_prepared,
         )
         targets = TargetReader(
@@ -290,6 +305,7 @@
             fleet=self.fleet,
             operator=operator,
             targets=targets,
+            crashes=self.forwarder.crashes,
             caches=self.forwarder.caches,
             clock=event_loop.reactor,
             capacity_of=self.forwarder.memory_of,
@@ -321,6 +337,13 @@
             self.targets_read_pause_s,
             self.has_target_records,
         )
+        self.follow_records(
+            names.CRASHES_TOPIC,
+            self.forwarder.crashes,
+            CRASHES_WAIT_S,
+            lambda: 0.0,
+            self.has_operator_records,
+        )
         self.holder = self.make_holder()
         for controller in (self.feed, self.holder):
             Deferred.fromCoroutine(controller.run())
@@ -338,7 +361,7 @@
             lease_s=lease.lease_ms / 1000,
             partitions=lease.partitions,
             weights_s=self.options.bounds.weights_ms / 1000,
-            named=self.forwarder.named,
+            named=self.forwarder.weights.named,
             has_agents=self.may_have_agents,
             log=self.log,
         )
@@ -379,9 +402,9 @@
         """Apply changed bounds to the components."""
         self.freshness.revoke_s = bounds.revoke_ms / 1000
         self.freshness.in_force_s = bounds.in_force_ms / 1000
-        self.forwarder.weights_s = bounds.weights_ms / 1000
+        self.forwarder.weights.weights_s = bounds.weights_ms / 1000
         self.holder.weights_s = bounds.weights_ms / 1000
-        self.forwarder.settle_s = bounds.settle_ms / 1000
+        self.forwarder.weights.settle_s = bounds.settle_ms / 1000
         window = self.forwarder.window
         window.ratio = bounds.repeat_ratio
         window.allowance = bounds.repeat_allowance
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -13,9 +13,10 @@
 import structlog
 from expression import Result
 
-from sequoiawind import rollout
+from sequoiawind.allowed_weights import AllowedWeights
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.fleet import Fleet, TargetView
 from sequoiawind.forward_plan import ForwardPlan, ForwardRequest, Planner
 from sequoiawind.forward_ports import AnswerHead, ForwardCaller, ForwardPort
@@ -26,7 +27,6 @@
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.prompt_cache import Prompt
 from sequoiawind.repeat_window import RepeatWindow
-from sequoiawind.rollout import NamedVersion
 from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin, may_continue
@@ -44,12 +44,6 @@
 # Interval at which waiting requests look for a target if no event makes them
 # look earlier, in seconds.
 WAITING_TICK_S: Final = 0.05
-# Share of the time allowed for new weights after which a request may no longer
-# begin on older ones; the rest is for its transfer to the target.
-OLD_WEIGHTS_SHARE: Final = 0.75
-# Share of the grace period after a router's start for which it accepts older
-# weights; the rest is for queues at the targets.
-SETTLE_SHARE: Final = 0.6
 # Longest answer of a run that a target still accepts while it winds down to
 # load weights, in tokens: engines generate about as many in that time.
 SHORT_RUN_TOKENS: Final = 64
@@ -73,15 +67,10 @@
     random: random.Random
     # This router's failure domain.
     domain: str
-    # Time within which all targets must have newer weights, in seconds.
-    weights_s: float
-    # Grace period after a router's start in which that bound does not hold, in
-    # seconds.
-    settle_s: float
+    weights: AllowedWeights
     caches: CacheWatcher
     origins: OriginRegistry
-    # Weights versions by model, in the order in which operators named them.
-    named: dict[str, list[NamedVersion]] = attrs.field(factory=dict)
+    crashes: CrashRegistry
     # Moving average of the tokens that a prompt has to prefill.
     average_prefill_tokens: float = DEFAULT_PREFILL_TOKENS
     # By pool.
@@ -181,7 +170,7 @@
             prompt,
             plan.account.name,
             plan.account.is_isolated,
-            self.oldest_version(prompt.model, now_s),
+            self.weights.oldest(prompt.model),
             is_long,
             forwarding.sent_to,
         )
@@ -217,7 +206,7 @@
             spare=self.random.sample(spare.names, drawn),
             cache_stores=self.cache_stores(),
             now_s=now_s,
-            newest_version=self.newest_version(model),
+            newest_version=self.weights.newest(model),
             average_prefill_tokens=self.average_prefill_tokens,
         )
 
@@ -250,41 +239,6 @@
             salt=chosen.salt,
         )
 
-    def newest_version(self, model: str) -> int:
-        """Return the newest weights version that was named; 0 if none was."""
-        named = self.named.get(model)
-        return named[-1].version if named else 0
-
-    def oldest_version(self, model: str, now_s: float) -> int:
-        """Return the oldest weights version that a new request may use."""
-        due_s = now_s - self.weights_s * OLD_WEIGHTS_SHARE
-        return max(
-            (
-                item.version
-                for item in self.named.get(model, ())
-                if item.named_s < due_s
-            ),
-            default=0,
-        )
-
-    def weights_named(self, model: str, version: int, is_late: bool) -> None:
-        """Record that an operator has named newer weights.
-
-        Args:
-          model: The model.
-          version: Its new weights version.
-          is_late: Whether it may have been named long ago, as it was found by
-            reading all records after a start or a failure of the store.
-        """
-        named_s = self.clock.seconds()
-        if is_late:
-            allowed_s = self.weights_s * OLD_WEIGHTS_SHARE
-            named_s -= max(0.0, allowed_s - self.settle_s * SETTLE_SHARE)
-        rollout.add_version(
-            self.named.setdefault(model, []),
-            NamedVersion(version=version, named_s=named_s),
-        )
-
     def sent(self, forwarding: Forwarding, chosen: Chosen) -> None:
         """Account for a prompt that is sent to a target.
 
@@ -294,6 +248,7 @@
         prompt = forwarding.plan.request.prompt
         if prompt is None or chosen.version is None:
             return
+        self.crashes.sent(prompt)
         self.average_prefill_tokens += PREFILL_AVERAGE_WEIGHT * (
             chosen.prefill_tokens - self.average_prefill_tokens
         )
@@ -354,12 +309,22 @@
 
     # Outcomes.
 
-    def outcome(self, name: str, is_fault: bool) -> None:
-        """Record a complete answer in the health of its target."""
+    def outcome(
+        self, name: str, is_fault: bool, prompt: Prompt | None = None
+    ) -> None:
+        """Record a complete answer in the health of its target.
+
+        Args:
+          name: The target.
+          is_fault: Whether the answer is an error of the target.
+          prompt: The prompt, if the target has written an answer on it.
+        """
         if is_fault:
             self.fleet.members.health_of(name).note_outcome(True)
-        else:
-            self.fleet.record_success(name)
+            return
+        self.fleet.record_success(name)
+        if prompt is not None:
+            self.crashes.answered(prompt)
 
     def head_received(self, view: TargetView, head: AnswerHead) -> None:
         """Record what a target states about itself in an answer."""
@@ -391,6 +356,14 @@
         are ejected.
         """
         self.on_attempt_failed(forwarding, view, failure)
+        attempt = forwarding.current
+        if attempt is not None:
+            self.crashes.attempt_broken(
+                view,
+                forwarding.plan.request.prompt,
+                attempt.first_event_s,
+                failure,
+            )
         now_s = self.clock.seconds()
         name = view.target.name
         if failure.verdict is Verdict.NOT_RUN and (
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -23,6 +23,7 @@
     SendOrder,
 )
 from sequoiawind.forward_state import ForwardPool
+from sequoiawind.repeat_window import AttemptCount
 from sequoiawind.request_execution import RequestExecution
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin
@@ -67,10 +68,7 @@
     current: ForwardAttempt | None = None
     # Names of the targets to which the request was sent.
     sent_to: list[str] = attrs.field(factory=list)
-    # Whether the repeat window has counted the first attempt, and whether it
-    # has counted an attempt that has not reached a target yet.
-    is_counted: bool = False
-    has_reservation: bool = False
+    attempts: AttemptCount = attrs.field(init=False)
     # Why the last attempt failed.
     last_failure: Failure | None = None
     # Whether an answer's head was sent to the caller.
@@ -82,6 +80,10 @@
     # Since when the request has been waiting for a target; None if it is not.
     waiting_since_s: float | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Count the attempts in the router's window."""
+        self.attempts = AttemptCount(window=self.forwarder.window)
+
     def start(self) -> None:
         """Start the deadline and make the first attempt."""
         left_s = self.left_s
@@ -177,6 +179,10 @@
         Returns:
           Whether the request has a valid plan; if not, it has been refused.
         """
+        blocked = self.forwarder.crashes.refusal(self.plan.request.prompt)
+        if blocked is not None:
+            self.give_up(blocked)
+            return False
         is_current = self.plan.revision == self.forwarder.board.state.revision
         is_trusted = (
             not self.plan.account.name or self.forwarder.planner.trusts_keys
@@ -216,27 +222,10 @@
             self.wait()
 
     def reserve_attempt(self) -> bool:
-        """Count an attempt in the pool's repeat window.
-
-        A reservation whose attempt reached no target is kept for the next.
-
-        Returns:
-          Whether the attempt is allowed; a first attempt always is.
-        """
-        if self.has_reservation:
-            return True
-        forwarder, pool = self.forwarder, self.plan.pool.name
+        """Count an attempt; return whether it is allowed."""
         now_s = self.now_s
-        routers = forwarder.fleet.routers(now_s)
-        if not self.is_counted:
-            self.is_counted = True
-            forwarder.window.count_first(pool, now_s, routers)
-            self.has_reservation = True
-        else:
-            self.has_reservation = forwarder.window.try_repeat(
-                pool, now_s, routers
-            )
-        return self.has_reservation
+        routers = self.forwarder.fleet.routers(now_s)
+        return self.attempts.reserve(self.plan.pool.name, now_s, routers)
 
     def send(self, chosen: Chosen) -> None:
         """Send the request to a target."""
@@ -387,7 +376,9 @@
             self.attempt_failed(attempt, answer.refusal)
             return
         is_fault = answer.status >= 500
-        self.forwarder.outcome(name, is_fault)
+        has_written = attempt.has_event or not attempt.is_streaming
+        prompt = self.plan.request.prompt if has_written else None
+        self.forwarder.outcome(name, is_fault, prompt)
         if attempt.is_streaming:
             self.pass_head(answer)
             self.caller.send_data(attempt.splitter.rest)
@@ -409,7 +400,7 @@
           Whether the request was sent to another target; if not, the caller
           gets the error answer unchanged.
         """
-        self.has_reservation = False
+        self.attempts.use()
         chosen = self.forwarder.choose(self)
         if chosen is None or not self.reserve_attempt():
             return False
@@ -440,8 +431,13 @@
         self.forwarder.attempt_failed(self, attempt.view, failure)
         self.record_verdict(failure)
         is_refused = failure.reason is Reason.CONNECT_FAILED
-        self.has_reservation = self.has_reservation and is_refused
-        if not retries.may_retry(failure, self.plan.kind.may_repeat):
+        if not is_refused:
+            self.attempts.use()
+        may_repeat = (
+            self.plan.kind.may_repeat
+            and self.forwarder.crashes.may_repeat(self.plan.request.prompt)
+        )
+        if not retries.may_retry(failure, may_repeat):
             self.give_up(failure)
             return
         if is_refused:
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -9,8 +9,10 @@
 from twisted.internet.defer import Deferred
 
 from sequoiawind import timing
+from sequoiawind.allowed_weights import AllowedWeights
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_agent import ForwardAgent
 from sequoiawind.forward_plan import Planner
@@ -22,12 +24,9 @@
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness
+from sequoiawind.lab.forward_store import CRASHES, CrashStore, StorePort
 from sequoiawind.lab.forward_target_ports import TargetPorts
-from sequoiawind.lab.forward_world import (
-    MODEL,
-    StorePort,
-    World,
-)
+from sequoiawind.lab.forward_world import MODEL, World
 from sequoiawind.lab.memory_network import Node, NodeClock
 from sequoiawind.lab.memory_origin_log import MemoryOriginLog
 from sequoiawind.origin_registry import OriginRegistry
@@ -156,6 +155,7 @@
             now=self.world.clock.seconds,
         )
         port = TargetPorts(world=self.world, node=node)
+        store = CrashStore(world=self.world, node=node.name, clock=clock)
         forwarder = Forwarder(
             board=board,
             fleet=fleet,
@@ -171,12 +171,28 @@
                 clock=clock,
                 log=self.log,
             ),
+            crashes=CrashRegistry(
+                node=node.name,
+                port=store,
+                clock=clock,
+                age_clock=self.world.clock.seconds,
+                wall_ms=lambda: int(self.world.clock.seconds() * 1000),
+                log=self.log,
+            ),
             clock=clock,
-            window=RepeatWindow(ratio=0.2, allowance=60.0, window_s=10.0),
+            window=RepeatWindow(
+                ratio=0.2,
+                allowance=60.0,
+                window_s=10.0,
+                started_s=clock.seconds(),
+            ),
             random=self.rng,
             domain="d1",
-            weights_s=WEIGHTS_S,
-            settle_s=3.0,
+            weights=AllowedWeights(
+                clock=clock,
+                weights_s=WEIGHTS_S,
+                settle_s=3.0,
+            ),
         )
         router = SoakRouter(
             node=node,
@@ -200,7 +216,7 @@
             codec=self.codec(),
             log=self.log,
             freshness=freshness,
-            on_weights=forwarder.weights_named,
+            on_weights=forwarder.weights.version_named,
         )
 
         def changed() -> None:
@@ -217,6 +233,7 @@
         )
         self.follow(node, "operator", operator, 1.1)
         self.follow(node, "targets", targets, 1.4)
+        self.follow(node, CRASHES, forwarder.crashes, 2.5)
 
     def start_agent(self, address: str) -> None:
         """Start the agent process at a target's address."""
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -15,7 +15,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from sequoiawind import invariants, timing
+from sequoiawind import invariants
 from sequoiawind.forward_ports import (
     AnswerHead,
     ForwardSink,
@@ -27,12 +27,8 @@
 from sequoiawind.lab.memory_network import Node
 from sequoiawind.lab.stream_content import event_bytes, event_count, stream_id
 from sequoiawind.lab.virtual_clock import VirtualClock
-from sequoiawind.ports import Clock
 from sequoiawind.record_ports import (
-    KeyedPage,
     KeyedRecord,
-    ReadFailure,
-    RecordsLost,
 )
 from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
@@ -40,14 +36,12 @@
 MODEL: Final = "m"
 CACHE_STORE: Final = "cache-store:1"
 LATENCY_S: Final = 0.001
-STORE_POLL_S: Final = 0.08
 WORK_S: Final = 0.03
 EVENT_S: Final = 0.04
 LOAD_S: Final = 0.3
 # Share of the streams that come without length and chunks.
 CLOSE_DELIMITED_SHARE: Final = 0.5
 LOST: Final = may_have_run(Reason.CONNECTION_LOST, "connection lost")
-STORE_REFUSED: Final = not_run(Reason.LOG_UNAVAILABLE, "refused by the store")
 
 
 @attrs.frozen(kw_only=True)
@@ -145,42 +139,6 @@
         )
 
 
-@attrs.define(kw_only=True, eq=False)
-class StorePort:
-    """Access of one process to the store; implements `RecordPort`."""
-
-    world: World
-    node: str
-    clock: Clock
-
-    async def newest(
-        self, topic: str, after: str, timeout_s: float
-    ) -> Result[KeyedPage, ReadFailure]:
-        """Return the newest record of each key."""
-        await timing.sleep(self.clock, LATENCY_S)
-        if self.node in self.world.refused_nodes:
-            return Error(STORE_REFUSED)
-        records = self.world.topics.get(topic, [])
-        newest = {record.key: record for record in records}
-        kept = [item for item in newest.values() if item.value is not None]
-        return Ok(KeyedPage(records=kept, end=len(records)))
-
-    async def read(
-        self, topic: str, start: int, wait_s: float, timeout_s: float
-    ) -> Result[KeyedPage, ReadFailure]:
-        """Return the records from an offset on; wait up to `wait_s` for one."""
-        ends_s = self.clock.seconds() + wait_s
-        while True:
-            await timing.sleep(self.clock, STORE_POLL_S)
-            if self.node in self.world.refused_nodes:
-                return Error(STORE_REFUSED)
-            if self.world.has_lost_records:
-                return Error(RecordsLost())
-            records = self.world.topics.get(topic, [])
-            if len(records) > start or self.clock.seconds() >= ends_s:
-                return Ok(KeyedPage(records=records[start:], end=len(records)))
-
-
 @attrs.define(kw_only=True, eq=False)
 class SimulatedRun:
     """One run of a request at a target; also its router's `Call`."""
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -80,6 +80,8 @@
 TARGETS_TOPIC: Final = "keyed.servers"
 # Our own: which software version began which stream.
 ORIGINS_TOPIC: Final = "stream-origins"
+# Our own: crashes of targets, and the parts of prompts that they cleared.
+CRASHES_TOPIC: Final = "keyed.prompt-crashes"
 CONFIG_KEY: Final = "config"
 VERSION_KEY_PREFIX: Final = "version/"
 
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -141,10 +141,24 @@
             return Error(may_have_run(Reason.TARGET_ERROR, repr(error)))
 
     async def append(
-        self, topic: str, contents: Sequence[bytes], timeout_s: float
+        self,
+        topic: str,
+        contents: Sequence[bytes],
+        timeout_s: float,
+        at: int | None = None,
     ) -> Result[None, Failure]:
-        """Append records to a topic of our own."""
-        query = urlencode({"topic": topic, "part": PARTITION})
+        """Append records to a topic of our own.
+
+        Args:
+          topic: The topic.
+          contents: The records.
+          timeout_s: Time allowed for the response, in seconds.
+          at: Append only if the partition ends at this offset.
+        """
+        arguments = {"topic": topic, "part": PARTITION}
+        if at is not None:
+            arguments["at"] = str(at)
+        query = urlencode(arguments)
         request = OutgoingRequest(
             method=b"POST",
             request_target=f"{APPEND}?{query}".encode(),
--- a/sequoiawind/platform/store_pages.py
+++ b/sequoiawind/platform/store_pages.py
@@ -102,3 +102,9 @@
     key = content[1 : 1 + length].decode("utf-8", "replace")
     value = content[1 + length :]
     return KeyedRecord(key=key, value=value or None, stamp=stamp)
+
+
+def encode_record(record: KeyedRecord) -> bytes:
+    """Encode a record: the key's length in a byte, the key, the value."""
+    key = record.key.encode()
+    return bytes([len(key)]) + key + (record.value or b"")
--- a/sequoiawind/repeat_window.py
+++ b/sequoiawind/repeat_window.py
@@ -111,3 +111,37 @@
             while times_s and times_s[0] <= now_s - self.window_s:
                 times_s.popleft()
         return sends
+
+
+@attrs.define(kw_only=True)
+class AttemptCount:
+    """How the attempts of one request are counted in a window."""
+
+    window: RepeatWindow
+    is_first_counted: bool = False
+    # Whether an attempt has been counted that has reached no target yet.
+    is_reserved: bool = False
+
+    def reserve(self, pool: str, now_s: float, routers: int) -> bool:
+        """Count an attempt; return whether it is allowed.
+
+        A first attempt always is.  An attempt that reached no target is kept
+        for the next one.
+
+        Args:
+          pool: The pool.
+          now_s: The time, in seconds of the clock.
+          routers: Number of routers; 0 if unknown.
+        """
+        if self.is_reserved:
+            return True
+        if self.is_first_counted:
+            self.is_reserved = self.window.try_repeat(pool, now_s, routers)
+        else:
+            self.is_first_counted = self.is_reserved = True
+            self.window.count_first(pool, now_s, routers)
+        return self.is_reserved
+
+    def use(self) -> None:
+        """Note that the attempt has reached a target."""
+        self.is_reserved = False
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -54,6 +54,7 @@
     MAX_TARGETS = "max_targets"
     DRAINING = "draining"
     ORIGIN_UNKNOWN = "origin_unknown"
+    BLOCKED_PART = "blocked_part"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -9,9 +9,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from sequoiawind.allowed_weights import AllowedWeights
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.config_fold import Folded
+from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_plan import ForwardRequest, Planner
 from sequoiawind.forward_ports import (
@@ -32,6 +34,7 @@
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness
 from sequoiawind.headers import Headers
+from sequoiawind.lab.memory_crash_log import MemoryCrashLog
 from sequoiawind.lab.memory_origin_log import MemoryOriginLog
 from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.prompt_cache import Prompt, PromptPart
@@ -229,6 +232,7 @@
     fleet: Fleet = attrs.field(factory=Fleet)
     port: FakePort = attrs.field(factory=FakePort)
     origin_log: MemoryOriginLog = attrs.field(factory=MemoryOriginLog)
+    crash_log: MemoryCrashLog = attrs.field(factory=MemoryCrashLog)
     freshness: Freshness = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     request_count: int = 0
@@ -261,12 +265,23 @@
                 clock=self.clock,
                 log=structlog.get_logger(),
             ),
+            crashes=CrashRegistry(
+                node="r1",
+                port=self.crash_log,
+                clock=self.clock,
+                age_clock=self.clock.seconds,
+                wall_ms=lambda: int(self.clock.seconds() * 1000),
+                log=structlog.get_logger(),
+            ),
             clock=self.clock,
             window=RepeatWindow(ratio=0.2, allowance=200.0, window_s=10.0),
             random=random.Random(1),
             domain="d1",
-            weights_s=6.0,
-            settle_s=3.0,
+            weights=AllowedWeights(
+                clock=self.clock,
+                weights_s=6.0,
+                settle_s=3.0,
+            ),
         )
         self.configure(state())
 
--- a/tests/test_feed_programs.py
+++ b/tests/test_feed_programs.py
@@ -32,7 +32,7 @@
 from sequoiawind.prompt_cache import PromptPart
 from sequoiawind.record_ports import KeyedRecord
 from sequoiawind.verdict import Failure, Reason, not_run
-from tests.forward_rig import FakePort, state, target
+from tests.forward_rig import FakePort, ForwardRig, state, target
 from tests.test_record_followers import NamedWeights
 
 CODEC = OperatorCodec(
@@ -84,6 +84,7 @@
             random=random.Random(1),
             log=structlog.get_logger(),
         )
+        self.crashes = ForwardRig(clock=self.clock).forwarder.crashes
         self.reader = FeedReader(
             fleet=self.fleet,
             operator=OperatorReader(
@@ -96,6 +97,7 @@
                 target_reader(self.fleet, self.clock),
                 age_clock=self.clock.seconds,
             ),
+            crashes=self.crashes,
             caches=self.caches,
             clock=self.clock,
             capacity_of=lambda name: 10_000,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -427,7 +427,7 @@
     def served(self, is_late: bool, after_s: float) -> bool:
         rig = ForwardRig()
         rig.add(target("e1", "llm", versions={"m": 3}))
-        rig.forwarder.weights_named("m", 4, is_late)
+        rig.forwarder.weights.version_named("m", 4, is_late)
         rig.advance(after_s)
         rig.submit("brief")
         return bool(rig.port.sent)
@@ -452,9 +452,9 @@
         for has, expected in ((1, False), (2, True), (3, True)):
             rig = ForwardRig()
             rig.add(target("e1", "llm", versions={"m": has}))
-            rig.forwarder.weights_named("m", 2, False)
+            rig.forwarder.weights.version_named("m", 2, False)
             rig.advance(4.0)
-            rig.forwarder.weights_named("m", 3, False)
+            rig.forwarder.weights.version_named("m", 3, False)
             rig.advance(1.0)
             rig.submit("brief")
             self.assertEqual(expected, bool(rig.port.sent), has)
