Do not order weights again while a late order is carried out

On the platform such an order 'already holds', so callers lose nothing, but it is priced. Traced by printing each order with the engine's state.

--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -300,6 +300,10 @@
             return
         began_s = self.clock.seconds()
         report = await self.drain_queue(report)
+        if report.is_busy or report.versions.get(model, 0) >= version:
+            # An order that had no answer is being carried out after all.
+            await self.watch_load(model, version)
+            return
         order = LoadOrder(
             model=model,
             version=version,
--- a/tests/test_forward_agent.py
+++ b/tests/test_forward_agent.py
@@ -116,6 +116,19 @@
             self.advance(clock, 1.0)
             self.assertEqual(orders, len(fake.orders), status)
 
+    def test_no_second_order_while_a_late_one_is_carried_out(self) -> None:
+        for late in ({"is_busy": True}, {"versions": {"m": 2}}):
+            clock, agent, fake = self.make(waiting=1)
+            agent.weights_named("m", 2, False)
+            while not agent.status.is_loading:
+                clock.advance(0.01)
+            # An earlier order arrives while the queue drains.
+            fake.report_now = attrs.evolve(
+                fake.report_now, waiting=0, orders=1, **late
+            )
+            self.advance(clock, 0.5)
+            self.assertEqual([], fake.orders, late)
+
     def test_does_not_wait_for_an_unavailable_predecessor(self) -> None:
         for status in (
             None,
