Soak: engines that crash under a prompt part, and the bound on repeats

Half a request a second has a part under which the engine that begins its answer crashes. Checked: no more than three such requests arrive later than 3 s after the fifth crash, or after the faults end; and repeats at all engines within the bound, in each window. Two mutants: such parts are sent on, repeats have no bound.

--- /dev/null
+++ b/sequoiawind/lab/forward_checks.py
@@ -0,0 +1,82 @@
+"""Checks of the forwarding soak on the arrivals at all targets of a pool."""
+
+from collections.abc import Sequence
+from typing import Final
+
+import attrs
+
+from sequoiawind import invariants
+
+# The bound on repeats of all routers together.
+REPEAT_RATIO: Final = 0.2
+REPEAT_ALLOWANCE: Final = 60.0
+REPEAT_WINDOW_S: Final = 10.0
+# Crashes under one part after which, and time from the last of them, at most
+# `MAX_FATAL_ARRIVALS` requests with it may arrive.
+FREE_CRASHES: Final = 5
+CONTACT_S: Final = 3.0
+MAX_FATAL_ARRIVALS: Final = 3
+
+
+@attrs.define(kw_only=True)
+class Arrivals:
+    """Requests that have arrived at the targets of one pool."""
+
+    # When callers sent requests for the pool, in seconds of the clock.
+    requests_s: list[float] = attrs.field(factory=list)
+    # When requests arrived that had arrived before; moved runs do not count.
+    repeats_s: list[float] = attrs.field(factory=list)
+    arrived: set[str] = attrs.field(factory=set)
+    # The same for requests with the part that crashes targets, repeats
+    # included, and when targets crashed under it.
+    fatal_s: list[float] = attrs.field(factory=list)
+    crashes_s: list[float] = attrs.field(factory=list)
+
+    def add(self, request_id: str, now_s: float) -> None:
+        """Count a request that arrives."""
+        if request_id in self.arrived:
+            self.repeats_s.append(now_s)
+        self.arrived.add(request_id)
+
+    def check_repeats(self) -> None:
+        """Check the bound on repeats in each window.
+
+        The requests are those of the window, of the one before it or of the one
+        half a window before, whichever has most.
+        """
+        for start_s in self.repeats_s:
+            requests = max(
+                count_between(self.requests_s, start_s - back_s)
+                for back_s in (0.0, REPEAT_WINDOW_S / 2, REPEAT_WINDOW_S)
+            )
+            repeats = count_between(self.repeats_s, start_s)
+            bound = REPEAT_RATIO * requests + REPEAT_ALLOWANCE
+            invariants.check(
+                repeats <= bound,
+                "repeats",
+                f"{repeats} repeats from {start_s:.2f} s on, allowed {bound}",
+            )
+
+    def check_fatal(self, calm_since_s: float) -> None:
+        """Check that the part is kept from targets.
+
+        Args:
+          calm_since_s: Since when no process and no store was disturbed.
+        """
+        if len(self.crashes_s) < FREE_CRASHES:
+            return
+        fifth_s = self.crashes_s[FREE_CRASHES - 1]
+        since_s = max(fifth_s, calm_since_s) + CONTACT_S
+        late = sum(arrived_s > since_s for arrived_s in self.fatal_s)
+        invariants.check(
+            late <= MAX_FATAL_ARRIVALS,
+            "crashing-part",
+            f"{late} requests after {since_s:.2f} s, "
+            f"{len(self.crashes_s)} crashes",
+        )
+
+
+def count_between(times_s: Sequence[float], start_s: float) -> int:
+    """Return how many times are in the window that begins at a time."""
+    end_s = start_s + REPEAT_WINDOW_S
+    return sum(start_s <= time_s < end_s for time_s in times_s)
--- a/sequoiawind/lab/forward_faults.py
+++ b/sequoiawind/lab/forward_faults.py
@@ -52,7 +52,10 @@
 
     def crash_target(self) -> None:
         """Crash a target; another starts there, with the same or a new name."""
-        target = self.random_target()
+        self.crash(self.random_target())
+
+    def crash(self, target: SimulatedTarget) -> None:
+        """Crash a given target; another starts there."""
         target.crash()
         name = target.entry.name
         if self.soak.rng.random() < 0.5:
--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -3,11 +3,13 @@
 from typing import Any, Final
 
 from sequoiawind import forwarder, prompt_cache, retries, rollout, target_choice
+from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import Planner
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.lab import forward_soak
 from sequoiawind.lab.mutants import Mutant
+from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.request_execution import RequestExecution
 from sequoiawind.rollout import NamedVersion
 from sequoiawind.stream_move import StreamMove
@@ -148,6 +150,18 @@
             "take_event",
             pass_all_events,
         ),
+        (
+            "prompt parts that crash targets are sent on",
+            CrashRegistry,
+            "refusal",
+            lambda self, prompt: None,
+        ),
+        (
+            "repeats have no bound",
+            RepeatWindow,
+            "try_repeat",
+            lambda self, pool, now_s, routers: True,
+        ),
         ("weights are ordered again", rollout, "lacking", all_versions),
         (
             "a run resumes from any memory",
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -24,6 +24,11 @@
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness
+from sequoiawind.lab.forward_checks import (
+    REPEAT_ALLOWANCE,
+    REPEAT_RATIO,
+    REPEAT_WINDOW_S,
+)
 from sequoiawind.lab.forward_store import CRASHES, CrashStore, StorePort
 from sequoiawind.lab.forward_target_ports import TargetPorts
 from sequoiawind.lab.forward_world import MODEL, World
@@ -181,9 +186,9 @@
             ),
             clock=clock,
             window=RepeatWindow(
-                ratio=0.2,
-                allowance=60.0,
-                window_s=10.0,
+                ratio=REPEAT_RATIO,
+                allowance=REPEAT_ALLOWANCE,
+                window_s=REPEAT_WINDOW_S,
                 started_s=clock.seconds(),
             ),
             random=self.rng,
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -54,6 +54,9 @@
 SETTLE_S: Final = 15.0
 REQUESTS_PER_S: Final = 14.0
 FAULTS_PER_S: Final = 0.6
+# Part of prompts under which engines crash, and requests with it per second.
+FATAL_PART: Final = "fatal"
+FATAL_PER_S: Final = 0.5
 # How often callers with broken streams take them up again, per second.
 RECONNECTS_PER_S: Final = 10.0
 SOFTWARE: Final = ("v1", "v2")
@@ -94,6 +97,8 @@
         )
         self.processes = Processes(world=self.world, rng=self.rng)
         self.faults = ForwardFaults(soak=self)
+        self.world.fatal_part = FATAL_PART
+        self.world.on_fatal = self.faults.crash
         self.write_config()
         for number in range(ENGINES):
             self.add_target(f"e{number}", "llm", f"e{number}:1")
@@ -109,6 +114,7 @@
         try:
             self.clock.advance_to(2.0)
             self.repeat(REQUESTS_PER_S, self.send_request)
+            self.repeat(FATAL_PER_S, self.send_fatal)
             self.repeat(FAULTS_PER_S, self.faults.inject)
             self.repeat(10.0, self.check_revisions)
             self.repeat(RECONNECTS_PER_S, self.reconnect_callers)
@@ -131,6 +137,9 @@
                 bool(item.prior and item.body) for item in self.callers
             ),
         }
+        arrivals = self.world.arrivals
+        caller_counts["crashes under a part"] = len(arrivals.crashes_s)
+        caller_counts["repeats"] = len(arrivals.repeats_s)
         return {**self.world.counts, **caller_counts}
 
     def repeat(self, rate: float, action: Callable[[], None]) -> None:
@@ -230,6 +239,19 @@
         name = self.rng.choice(("read", "book", "brief", "draft", "draft"))
         self.send(router, self.make_request(name), KINDS[name])
 
+    def send_fatal(self) -> None:
+        """Send a request with the part under which engines crash."""
+        router = self.router_up()
+        if router is None:
+            return
+        request = self.make_request(self.rng.choice(("brief", "draft")))
+        assert request.prompt is not None
+        root, _, own = request.prompt.parts
+        fatal = PromptPart(id=FATAL_PART, tokens=100)
+        prompt = attrs.evolve(request.prompt, parts=(root, fatal, own))
+        kind = KINDS[request.path.split("/")[1]]
+        self.send(router, attrs.evolve(request, prompt=prompt), kind)
+
     def router_up(self) -> SoakRouter | None:
         """Return a router that is up; None if there is none."""
         up = [
@@ -272,6 +294,8 @@
             prior=prior,
         )
         self.callers.append(caller)
+        if request.prompt is not None:
+            self.world.arrivals.requests_s.append(self.clock.seconds())
 
         def arrive() -> None:
             forwarding = router.forwarder.submit(request, caller)
@@ -344,12 +368,15 @@
                 f"target {target.entry.name} has version {target.version}, "
                 f"newest is {self.newest_version}",
             )
+        self.world.arrivals.check_repeats()
+        self.world.arrivals.check_fatal(FAULTY_S)
         since_s = FAULTY_S + SETTLE_S / 2
         recent = [
             caller
             for caller in self.callers
             if since_s <= caller.request.arrived_s <= since_s + 3.0
             and caller.request.key in self.valid_keys
+            and not self.has_fatal_part(caller.request)
         ]
         served = sum(item.is_served or item.is_broken for item in recent)
         invariants.check(
@@ -358,6 +385,11 @@
             f"{served} of {len(recent)} requests served or broken off",
         )
 
+    def has_fatal_part(self, request: ForwardRequest) -> bool:
+        """Whether engines crash under a part of a request's prompt."""
+        prompt = request.prompt
+        return prompt is not None and self.world.is_fatal(prompt)
+
     def check_ended(self, caller: ForwardSoakCaller) -> None:
         """Check that a request ended in time.
 
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -24,9 +24,11 @@
 )
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.headers import Framing
+from sequoiawind.lab.forward_checks import Arrivals
 from sequoiawind.lab.memory_network import Node
 from sequoiawind.lab.stream_content import event_bytes, event_count, stream_id
 from sequoiawind.lab.virtual_clock import VirtualClock
+from sequoiawind.prompt_cache import Prompt
 from sequoiawind.record_ports import (
     KeyedRecord,
 )
@@ -91,6 +93,17 @@
     # Parts that the cache store holds, by salt and part id.
     cache_store_parts: dict[tuple[str, str], Origin] = attrs.field(factory=dict)
     counts: Counter[str] = attrs.field(factory=Counter)
+    # Arrivals at the engines, and the part of prompts under which they crash.
+    arrivals: Arrivals = attrs.field(factory=Arrivals)
+    fatal_part: str = ""
+    # Called with a target that crashes under that part.
+    on_fatal: Callable[["SimulatedTarget"], None] = attrs.field(
+        default=lambda target: None
+    )
+
+    def is_fatal(self, prompt: Prompt) -> bool:
+        """Whether a prompt has the part under which engines crash."""
+        return self.fatal_part in [part.id for part in prompt.shared_parts]
 
     def happens(self, probability: float) -> bool:
         """Draw whether an event of a probability happens."""
@@ -246,7 +259,9 @@
                     not_run(Reason.CONNECT_FAILED, "target is down")
                 )
             )
-        elif order.target.name != self.entry.name:
+            return
+        self.count_arrival(order)
+        if order.target.name != self.entry.name:
             run.refuse(Reason.TARGET_REPLACED)
         elif self.is_loading or self.world.happens(self.world.fault_rates.busy):
             run.refuse(Reason.TARGET_BUSY)
@@ -257,6 +272,16 @@
         else:
             self.start(run)
 
+    def count_arrival(self, order: SendOrder) -> None:
+        """Count a request to an engine that has arrived."""
+        request, now_s = order.request, self.world.clock.seconds()
+        if request.prompt is None:
+            return
+        if not order.moved_from:
+            self.world.arrivals.add(request.request_id, now_s)
+        if self.world.is_fatal(request.prompt):
+            self.world.arrivals.fatal_s.append(now_s)
+
     def take_memory(self, order: SendOrder) -> bool:
         """Remove the memory of a moved run; return whether it was here."""
         memory = self.memories.pop(order.moved_from, None)
@@ -292,7 +317,9 @@
         )
         head = AnswerHead(status=200, headers=[], framing=framing)
         run.send_back(lambda: run.sink.head(head))
-        if not world.happens(world.fault_rates.hung):
+        if world.is_fatal(request.prompt):
+            world.clock.callLater(WORK_S, self.crash_by, run)
+        elif not world.happens(world.fault_rates.hung):
             world.clock.callLater(WORK_S, run.produce_event)
 
     def read_prompt(self, order: SendOrder) -> None:
@@ -332,6 +359,13 @@
         run.send_back(lambda: run.sink.data(body))
         run.end(run.sink.done)
 
+    def crash_by(self, run: SimulatedRun) -> None:
+        """Crash, as a run begins to write its answer."""
+        if self.is_up and run.order.request.request_id in self.runs:
+            now_s = self.world.clock.seconds()
+            self.world.arrivals.crashes_s.append(now_s)
+            self.world.on_fatal(self)
+
     def crash(self) -> None:
         """End the target and break its connections."""
         self.is_up = False
