--- a/sequoiawind/lab/forward_checks.py
+++ b/sequoiawind/lab/forward_checks.py
@@ -9,7 +9,7 @@
 
 # The bound on repeats of all routers together.
 REPEAT_RATIO: Final = 0.2
-REPEAT_ALLOWANCE: Final = 60.0
+REPEAT_ALLOWANCE: Final = 2.0
 REPEAT_WINDOW_S: Final = 10.0
 # Crashes under one part after which, and time from the last of them, at most
 # `MAX_FATAL_ARRIVALS` requests with it may arrive.
