Keep within the limit that a target states, all routers together

Cause: Server-Limit was passed on unread; the class is a statement of a target that nobody decodes, as software versions were.

Answers, and the agents' reports, state the limit; it holds for the incarnation, is raised, lowered and dropped as the latest says, and reaches routers that were not told by an answer through the agents' status. Each router takes a part by its part of the demand, which routers state to their relays and relays add up like the number of routers; a fifth is equal for all. Room for a request opens at intervals and closes after 1 s, so that routers without demand save nothing up; first sends, repeats, resumed streams, moves to and from the target count, caches of limited targets are not watched, and the memory of an abandoned move is left to the target. What limits leave no room for in time is refused at once as not run, with the time until there is room for it.

Ruled out: each router keeping the whole limit (four do not fit); token buckets, which at 300 routers save one request each; calls beside requests, which the record does not have.

Open: routers that never learn their number (no agents) take a sixteenth each, too much in all from 17 routers on. Outer names: the feed's key demand, status field and log fields limit_per_s and limit_share, reason target_limit; processes of before ignore them.

--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -152,3 +152,7 @@
 
 # Recent requests that `explain request` can look up.
 MAX_EXPLAINED_REQUESTS: Final = 2_000
+
+# Number of routers assumed where what they share is divided while their number
+# is unknown.
+ASSUMED_ROUTERS: Final = 16
--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -42,6 +42,8 @@
     level: Level
     # Whether only the store's records are wanted.
     is_records_only: bool = False
+    # Demand of the router that asks, in requests a second.
+    demand_per_s: float = 0.0
 
 
 class FeedPort(Protocol):
@@ -72,6 +74,7 @@
                 "after": query.after,
                 "level": int(query.level),
                 "records": int(query.is_records_only),
+                "demand": round(query.demand_per_s, 3),
             }
         )
         request = OutgoingRequest(
@@ -110,6 +113,9 @@
     # Called with each reply and the time at which its request was sent, in
     # seconds of `age_clock`.
     on_reply: Callable[[FeedReply, float], None]
+    # Returns the demand to state, in requests a second, and what was stated.
+    demand_per_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
+    stated_demand_per_s: float = 0.0
     # Address of the last reply; empty if the last request failed.
     address: str = ""
     run_id: int = 0
@@ -156,6 +162,7 @@
             return not self.is_stopped
         if address != self.address:
             self.after = -1
+        self.stated_demand_per_s = self.demand_per_s()
         query = FeedQuery(
             reader=self.reader,
             is_router=self.is_router,
@@ -163,6 +170,7 @@
             after=self.after,
             level=self.level,
             is_records_only=self.is_records_only,
+            demand_per_s=self.stated_demand_per_s,
         )
         sent_s = self.age_clock()
         reply = await self.port.read(address, query, HOLD_S + RESPONSE_MARGIN_S)
--- a/sequoiawind/feed_messages.py
+++ b/sequoiawind/feed_messages.py
@@ -77,6 +77,8 @@
     records: list[RecordItem] = []
     caches: list[CacheItem] = []
     parts: list[PartItem] = []
+    # Demand of those routers, in requests a second.
+    demand_per_s: float = 0.0
 
 
 ENCODER: Final = msgspec.msgpack.Encoder()
--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -34,6 +34,8 @@
     capacity_of: Callable[[str], int]
     # Called with a target's name after a change of its status.
     on_status: Callable[[str], None]
+    # Returns the demand that this router has stated, in requests a second.
+    own_demand_per_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     age_clock: Callable[[], float] = suspended_clock_s
     # Times as of which the operator's records and the targets' entries are
     # known, in seconds of the age clock.
@@ -60,7 +62,12 @@
         self.take_records(reply, sent_s)
         self.note_ages(reply, sent_s)
         now_s = self.clock.seconds()
-        self.fleet.set_routers(reply.routers, now_s)
+        self.fleet.set_routers(
+            reply.routers,
+            now_s,
+            own_per_s=self.own_demand_per_s(),
+            demand_per_s=reply.demand_per_s,
+        )
         self.take_caches(reply)
         for item in reply.statuses:
             if item.status.target == item.target:
--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -59,9 +59,11 @@
 
 @attrs.define(kw_only=True)
 class RouterCount:
-    """The routers that another relay has stated."""
+    """The routers that another relay has stated, and their demand."""
 
     routers: int
+    # In requests a second.
+    demand_per_s: float
     stated_s: float
 
 
@@ -82,8 +84,10 @@
     make_client: Callable[..., FeedClient]
     # When each level was last asked for, in seconds of the clock.
     asked_s: dict[Level, float] = attrs.field(factory=dict)
-    # When each router last asked, in seconds of the clock.
+    # When each router last asked, in seconds of the clock, and its demand, in
+    # requests a second.
     routers: dict[str, float] = attrs.field(factory=dict)
+    demands_per_s: dict[str, float] = attrs.field(factory=dict)
     # Routers that a relay of each other failure domain has stated.
     other_routers: dict[str, RouterCount] = attrs.field(factory=dict)
     waiting: list[Waiting] = attrs.field(factory=list)
@@ -174,6 +178,7 @@
         self.asked_s[query.level] = now_s
         if query.is_router:
             self.routers[query.reader] = now_s
+            self.demands_per_s[query.reader] = query.demand_per_s
         if is_new or now_s - self.adjusted_s >= ADJUST_S:
             self.adjust_clients()
         if query.run == self.table.run and query.after >= 0:
@@ -210,6 +215,7 @@
         changes: FeedChanges = self.table.since(
             query.run, query.after, query.level, topics
         )
+        total = self.total_routers(query.level)
         reply = FeedReply(
             run=self.table.run,
             number=changes.number,
@@ -217,7 +223,8 @@
             relay=self.name,
             operator_age_s=self.age_s(self.operator_as_of_s),
             targets_age_s=self.age_s(self.targets_as_of_s),
-            routers=self.count_routers(query.level),
+            routers=total.routers,
+            demand_per_s=total.demand_per_s,
         )
         feed_messages.add_entries(reply, changes)
         return reply
@@ -226,25 +233,39 @@
         """Return the age of what was known at a time; negative if unknown."""
         return -1.0 if as_of_s is None else self.age_clock() - as_of_s
 
-    def count_routers(self, level: Level) -> int:
+    def total_routers(self, level: Level) -> RouterCount:
         """Return the active routers of this relay, or of all relays.
 
         The other relays of a failure domain are taken to have as many.
         """
-        oldest_s = self.clock.seconds() - ROUTER_ACTIVE_S
+        now_s = self.clock.seconds()
+        oldest_s = now_s - ROUTER_ACTIVE_S
         for name, asked_s in list(self.routers.items()):
             if asked_s < oldest_s:
                 del self.routers[name]
+                self.demands_per_s.pop(name, None)
+        own = RouterCount(
+            routers=len(self.routers),
+            demand_per_s=sum(self.demands_per_s.values()),
+            stated_s=now_s,
+        )
         if level is not Level.ALL:
-            return len(self.routers)
-        counts = {self.domain: len(self.routers)}
+            return own
+        counts = {self.domain: own}
         for domain, item in self.other_routers.items():
             if item.stated_s >= oldest_s:
-                counts[domain] = item.routers
+                counts[domain] = item
         targets = [view.target for view in self.fleet.views.values()]
-        return sum(
-            count * relay_count(targets, domain)
-            for domain, count in counts.items()
+        relays = {domain: relay_count(targets, domain) for domain in counts}
+        return RouterCount(
+            routers=sum(
+                item.routers * relays[domain] for domain, item in counts.items()
+            ),
+            demand_per_s=sum(
+                item.demand_per_s * relays[domain]
+                for domain, item in counts.items()
+            ),
+            stated_s=now_s,
         )
 
     # Reading.
@@ -307,7 +328,9 @@
         if level is Level.DOMAIN:
             self.take_records(reply, sent_s)
             self.other_routers[source] = RouterCount(
-                routers=reply.routers, stated_s=self.clock.seconds()
+                routers=reply.routers,
+                demand_per_s=reply.demand_per_s,
+                stated_s=self.clock.seconds(),
             )
         for entry in feed_messages.entries_of(reply, at_level):
             topic = entry.key[0]
@@ -342,7 +365,7 @@
             self.targets_as_of_s = as_of_s
 
 
-def keeps_away(status: TargetStatus | None) -> tuple[bool, ...]:
+def keeps_away(status: TargetStatus | None) -> tuple[object, ...]:
     """Return the parts of a status that keep work away from its target."""
     if status is None:
         return ()
@@ -351,4 +374,5 @@
         status.is_winding_down,
         status.is_draining,
         not status.is_reachable,
+        status.limit_per_s,
     )
--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -5,6 +5,7 @@
 missing after an outage are dropped only after a grace period.
 """
 
+import random
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from typing import Final
@@ -14,6 +15,7 @@
 from sequoiawind import defaults
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.members import Members
+from sequoiawind.target_limit import TargetLimit
 from sequoiawind.wire import TargetStatus
 
 # Time from the store's recovery until missing entries are dropped, in seconds:
@@ -27,6 +29,9 @@
 SOFTWARE_MEMORY_S: Final = 30.0
 # Number of incarnations whose notices are kept.
 MAX_NOTICES: Final = 1_000
+# Share of a target's limit that routers divide equally; the rest goes by their
+# demand.
+EQUAL_SHARE: Final = 0.2
 # Age above which a relay's number of routers is too old, in seconds.
 ROUTERS_LIFETIME_S: Final = 10.0
 # How long to avoid a target that shed a request, in seconds: about the time
@@ -44,6 +49,8 @@
     is_leaving: bool = False
     # Time until which it wants nothing from this VM, in seconds of the clock.
     paused_until_s: float = -1.0
+    # This router's part of the limit that it states; None if it states none.
+    limit: TargetLimit | None = None
 
 
 @attrs.define(kw_only=True)
@@ -83,7 +90,8 @@
 
         It may unless its agent's fresh status rules that out or the target has
         shed a request within the last `SHED_PAUSE_S`.  A target that refused a
-        connection gets one request at a time until it answers.
+        connection gets one request at a time until it answers, and one that
+        states a limit what this router's part of it leaves room for.
 
         Args:
           now_s: The time, in seconds of the clock.
@@ -97,7 +105,18 @@
                 return False
         if self.has_refused and self.open_requests:
             return False
-        return max(self.shed_until_s, self.notice.paused_until_s) <= now_s
+        if max(self.shed_until_s, self.notice.paused_until_s) > now_s:
+            return False
+        limit = self.notice.limit
+        return limit is None or limit.has_room(now_s)
+
+    def count_request(self, now_s: float) -> bool:
+        """Use room for a request; return whether the target's limit had any.
+
+        Each request and each call to the target counts.
+        """
+        limit = self.notice.limit
+        return limit is None or limit.take(now_s)
 
     def is_agent_silent(self, now_s: float) -> bool:
         """Whether the agent has reported, but its last status is too old."""
@@ -150,6 +169,9 @@
     # the clock.
     stated_routers: int = 0
     stated_routers_s: float = float("-inf")
+    # This router's part of the demand of all of them; negative if unknown.
+    demand_share: float = -1.0
+    random: "random.Random" = attrs.field(factory=random.Random)
 
     def put(self, target: ForwardTarget) -> bool:
         """Add or update an entry; return whether it is a new incarnation.
@@ -286,8 +308,13 @@
         if view is None:
             return
         was_leaving = is_leaving(view)
+        stated_per_s = view.status.limit_per_s if view.status else None
         view.status = status
         view.status_s = now_s
+        if status.limit_per_s != stated_per_s:
+            self.record_limit(view, status.limit_per_s, now_s)
+        if view.notice.limit is not None:
+            self.update_limits(now_s)
         if is_leaving(view) != was_leaving:
             self.pools.clear()
 
@@ -313,10 +340,61 @@
         if is_leaving and not notice.is_leaving:
             notice.is_leaving = True
             self.pools.clear()
-        self.notices[view.target.incarnation] = notice
+        self.keep_notice(view)
+
+    def keep_notice(self, view: TargetView) -> None:
+        """Keep what a target has stated, should its entry vanish."""
+        self.notices[view.target.incarnation] = view.notice
         while len(self.notices) > MAX_NOTICES:
             self.notices.popitem(last=False)
 
+    def record_limit(
+        self, view: TargetView, limit_per_s: float | None, now_s: float
+    ) -> bool:
+        """Record the limit that a target states; return whether it is another.
+
+        Args:
+          view: The target.
+          limit_per_s: Requests a second that it takes from all routers; None
+            if it states no limit.
+          now_s: The time, in seconds of the clock.
+        """
+        known = view.notice.limit
+        if limit_per_s == (known.limit_per_s if known else None):
+            return False
+        if limit_per_s is None:
+            view.notice.limit = None
+            return True
+        if known is not None:
+            known.change(limit_per_s, known.share, now_s)
+            return True
+        view.notice.limit = TargetLimit.stated(
+            limit_per_s, self.limit_share(now_s), self.random, now_s
+        )
+        self.keep_notice(view)
+        return True
+
+    def limit_share(self, now_s: float) -> float:
+        """Return this router's part of limits, by its part of the demand.
+
+        A small part is equal for all routers, so that each has some.
+        """
+        routers = self.routers(now_s)
+        if not routers:
+            routers = max(self.stated_routers, defaults.ASSUMED_ROUTERS)
+        equal = 1.0 / routers
+        if self.demand_share < 0.0:
+            return equal
+        return EQUAL_SHARE * equal + (1.0 - EQUAL_SHARE) * self.demand_share
+
+    def update_limits(self, now_s: float) -> None:
+        """Adapt this router's parts of limits to its part of the demand."""
+        limits = [view.notice.limit for view in self.views.values()]
+        share = self.limit_share(now_s) if any(limits) else 1.0
+        for limit in limits:
+            if limit is not None and limit.share != share:
+                limit.change(limit.limit_per_s, share, now_s)
+
     def record_failure(self, name: str, now_s: float, is_certain: bool) -> None:
         """Count a failure of a target.
 
@@ -333,10 +411,28 @@
         if health.ejected_until_s > now_s:
             self.pools.clear()
 
-    def set_routers(self, routers: int, now_s: float) -> None:
-        """Record the number of active routers that a relay states."""
+    def set_routers(
+        self,
+        routers: int,
+        now_s: float,
+        own_per_s: float = 0.0,
+        demand_per_s: float = 0.0,
+    ) -> None:
+        """Record the number of active routers that a relay states.
+
+        Args:
+          routers: The number.
+          now_s: The time, in seconds of the clock.
+          own_per_s: The demand that this router has stated, in requests a
+            second.
+          demand_per_s: The demand of all routers; 0 if unknown.
+        """
         self.stated_routers = routers
         self.stated_routers_s = now_s
+        self.demand_share = -1.0
+        if demand_per_s > 0.0:
+            self.demand_share = min(1.0, own_per_s / demand_per_s)
+        self.update_limits(now_s)
 
     def routers(self, now_s: float) -> int:
         """Return the number of active routers; 0 if unknown.
--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -201,6 +201,7 @@
                 is_draining=report.is_draining,
                 versions=dict(report.versions),
                 routers=self.count_routers(now_s),
+                limit_per_s=report.limit_per_s,
             )
         )
 
@@ -437,4 +438,5 @@
         or old.is_reachable != new.is_reachable
         or old.versions != new.versions
         or old.routers != new.routers
+        or old.limit_per_s != new.limit_per_s
     )
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -308,4 +308,14 @@
         after=number("after", -1),
         level=Level(min(max(number("level", 0), Level.OWN), Level.ALL)),
         is_records_only=number("records", 0) == 1,
+        demand_per_s=decimal(arguments.get("demand", "")),
     )
+
+
+def decimal(text: str) -> float:
+    """Return a number that is not negative; 0 if the text is none."""
+    try:
+        value = float(text)
+    except ValueError:
+        return 0.0
+    return value if 0.0 <= value < float("inf") else 0.0
--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -68,6 +68,9 @@
     is_leaving: bool = False
     # For how long the target wants nothing from this VM, in seconds.
     pause_s: float = 0.0
+    # Requests a second that the target takes from all routers together; None if
+    # it states no limit.
+    limit_per_s: float | None = None
 
 
 class ForwardSink(Protocol):
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -306,6 +306,7 @@
             operator=operator,
             targets=targets,
             crashes=self.forwarder.crashes,
+            own_demand_per_s=lambda: self.feed.stated_demand_per_s,
             caches=self.forwarder.caches,
             clock=event_loop.reactor,
             capacity_of=self.forwarder.memory_of,
@@ -316,6 +317,9 @@
             level=Level.ALL,
             candidates=self.relays,
             on_reply=self.feed_reader.take,
+            demand_per_s=lambda: self.forwarder.demand.per_s(
+                event_loop.reactor.seconds()
+            ),
         )
         cover = FeedCover(
             clock=event_loop.reactor, is_given=lambda: self.feed.is_live
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -37,6 +37,7 @@
     PromptChooser,
     choose_call,
 )
+from sequoiawind.target_limit import DemandMeter, TargetLimit
 from sequoiawind.verdict import Failure, Reason, Verdict
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -81,6 +82,7 @@
     # Requests that have not ended, in the order of arrival, so that a seeded
     # soak repeats.
     open: dict[Forwarding, None] = attrs.field(factory=dict)
+    demand: DemandMeter = attrs.field(factory=DemandMeter)
     # Called when a move of a stream has succeeded or failed.
     on_move: Callable[[StreamMove], None] = attrs.field(
         default=lambda move: None
@@ -112,10 +114,12 @@
         self.spare = SpareLists(fleet=self.fleet)
 
     def is_paused(self, name: str) -> bool:
-        """Whether a target wants nothing from this VM now."""
+        """Whether a target wants no calls beside requests from this VM now."""
         view = self.fleet.views.get(name)
         now_s = self.clock.seconds()
-        return view is not None and view.notice.paused_until_s > now_s
+        return view is not None and (
+            view.notice.paused_until_s > now_s or view.notice.limit is not None
+        )
 
     def submit(
         self, request: ForwardRequest, caller: ForwardCaller
@@ -127,6 +131,7 @@
             caller.refuse(planned.error)
             return None
         plan = planned.ok
+        self.demand.add(self.clock.seconds())
         forwarding = Forwarding(
             clock=self.clock,
             forwarder=self,
@@ -297,6 +302,30 @@
             for view in usable.values()
         )
 
+    def room_in_s(self, forwarding: Forwarding) -> float | None:
+        """Return when targets' limits may leave room for a request.
+
+        Returns:
+          The time until then, in seconds, behind the requests that wait for the
+          same pool; None if something else than limits keeps it waiting.
+        """
+        now_s, pool = self.clock.seconds(), forwarding.plan.pool.name
+        limits: list[TargetLimit] = []
+        for view in self.fleet.pool(pool, now_s).usable.values():
+            if view.target.name in forwarding.sent_to or not may_continue(
+                forwarding.origin, view.target
+            ):
+                continue
+            if view.notice.limit is None:
+                return None
+            limits.append(view.notice.limit)
+        if not limits:
+            return None
+        ahead = sum(item.plan.pool.name == pool for item in self.waiting)
+        per_s = sum(1.0 / limit.interval_s for limit in limits)
+        first_s = min(limit.room_in_s(now_s) for limit in limits)
+        return first_s + ahead / per_s
+
     def forget_targets(self) -> None:
         """Drop the caches of targets that are gone."""
         known = self.fleet.views.keys() | self.board.state.pools.keys()
@@ -329,9 +358,14 @@
     def head_received(self, view: TargetView, head: AnswerHead) -> None:
         """Record what a target states about itself in an answer."""
         view.has_refused = False
+        now_s = self.clock.seconds()
+        has_limit_changed = self.fleet.record_limit(
+            view, head.limit_per_s, now_s
+        )
+        if has_limit_changed:
+            self.on_notice(view, head)
         if not head.is_leaving and not head.pause_s:
             return
-        now_s = self.clock.seconds()
         was_leaving = view.notice.is_leaving
         self.fleet.record_notice(view, head.is_leaving, head.pause_s, now_s)
         if head.pause_s or not was_leaving:
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -203,6 +203,15 @@
             self.waiting_since_s = now_s
         waited_s = now_s - self.waiting_since_s
         limit_s = WAIT_SHARE * (self.plan.ends_s - self.plan.request.arrived_s)
+        room_in_s = self.forwarder.room_in_s(self)
+        if room_in_s is not None and waited_s + room_in_s > limit_s:
+            self.give_up(
+                self.last_failure
+                or not_run(
+                    Reason.TARGET_LIMIT, messages.TARGET_LIMIT, room_in_s
+                )
+            )
+            return
         has_targets = self.forwarder.has_targets(self)
         if waited_s >= limit_s or not has_targets:
             self.give_up(
@@ -248,6 +257,7 @@
             clock=self.clock, forwarding=self, chosen=chosen
         )
         self.current = attempt
+        chosen.view.count_request(self.now_s)
         chosen.view.open_requests += 1
         chosen.view.pending_prefills += 1
         chosen.view.pending_prefill_tokens += chosen.prefill_tokens
@@ -285,7 +295,7 @@
         if attempt.view.notice.paused_until_s > self.now_s:
             return
         destination = self.forwarder.move_destination(self, attempt.chosen)
-        if destination is not None:
+        if destination is not None and attempt.view.count_request(self.now_s):
             StreamMove(
                 forwarding=self, attempt=attempt, destination=destination
             ).start()
--- a/sequoiawind/lab/forward_checks.py
+++ b/sequoiawind/lab/forward_checks.py
@@ -16,6 +16,12 @@
 FREE_CRASHES: Final = 5
 CONTACT_S: Final = 3.0
 MAX_FATAL_ARRIVALS: Final = 3
+# What a target with a limit may get in a window: a multiple of the limit and
+# some requests, from processes that were told it this long before.
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_FACTOR: Final = 1.5
+LIMIT_SLACK: Final = 5.0
+TOLD_S: Final = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -76,6 +82,35 @@
         )
 
 
+@attrs.define(kw_only=True)
+class StatedLimit:
+    """A limit that one target states, and what it gets meanwhile."""
+
+    # Requests a second, of all routers together.
+    limit_per_s: float
+    # When it was first stated, in seconds of the clock.
+    since_s: float
+    # When each process of a router was told, by its name and epoch.
+    told_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    arrivals_s: list[float] = attrs.field(factory=list)
+
+    def add(self, sender: tuple[str, int], now_s: float) -> None:
+        """Count a request, and check the window that ends with it."""
+        told_s = self.told_s.get(sender, float("inf"))
+        if now_s < max(told_s + TOLD_S, self.since_s + CONTACT_S):
+            return
+        self.arrivals_s.append(now_s)
+        count = sum(
+            arrived_s > now_s - LIMIT_WINDOW_S for arrived_s in self.arrivals_s
+        )
+        bound = LIMIT_FACTOR * self.limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        invariants.check(
+            count <= bound,
+            "target-limit",
+            f"{count} requests, stated {self.limit_per_s} a second",
+        )
+
+
 def count_between(times_s: Sequence[float], start_s: float) -> int:
     """Return how many times are in the window that begins at a time."""
     end_s = start_s + REPEAT_WINDOW_S
--- a/sequoiawind/lab/forward_faults.py
+++ b/sequoiawind/lab/forward_faults.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from sequoiawind.lab.forward_checks import StatedLimit
 from sequoiawind.lab.forward_world import FaultRates, SimulatedTarget
 
 if TYPE_CHECKING:
@@ -75,6 +76,24 @@
         """Delete the store entry of a target that has ended."""
         self.soak.world.write("targets", target.entry.name, None)
 
+    def limit_target(self) -> None:
+        """Let an engine state a limit for a while."""
+        soak = self.soak
+        target = self.random_target()
+        if target.entry.pool != "llm":
+            return
+        limit = StatedLimit(
+            limit_per_s=soak.rng.choice((0.0, 0.5, 1.0, 2.0)),
+            since_s=soak.clock.seconds(),
+        )
+        target.limit = limit
+
+        def end() -> None:
+            if target.limit is limit:
+                target.limit = None
+
+        soak.clock.callLater(self.random_delay_s(4.0, 15.0), end)
+
     def drain_target(self) -> None:
         """Drain a target, end it, and start another at its address."""
         target = self.random_target()
@@ -223,6 +242,8 @@
 FAULTS: Final = (
     "crash_target",
     "drain_target",
+    "limit_target",
+    "limit_target",
     "kill_router",
     "kill_agent",
     "pause_process",
--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -4,6 +4,7 @@
 
 from sequoiawind import forwarder, prompt_cache, retries, rollout, target_choice
 from sequoiawind.crash_registry import CrashRegistry
+from sequoiawind.fleet import Fleet
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import Planner
 from sequoiawind.forwarding import Forwarding
@@ -156,6 +157,12 @@
             "refusal",
             lambda self, prompt: None,
         ),
+        (
+            "limits that targets state are not read",
+            Fleet,
+            "record_limit",
+            lambda self, view, limit_per_s, now_s: False,
+        ),
         (
             "repeats have no bound",
             RepeatWindow,
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -153,7 +153,7 @@
     def start_router(self, node: Node) -> None:
         """Start a router process."""
         clock = NodeClock(clock=self.world.clock, node=node)
-        board, fleet = Blackboard(), Fleet()
+        board, fleet = Blackboard(), Fleet(random=self.rng)
         freshness = Freshness(
             revoke_s=self.world.revoke_s,
             in_force_s=2.0,
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -24,7 +24,7 @@
 )
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.headers import Framing
-from sequoiawind.lab.forward_checks import Arrivals
+from sequoiawind.lab.forward_checks import Arrivals, StatedLimit
 from sequoiawind.lab.memory_network import Node
 from sequoiawind.lab.stream_content import event_bytes, event_count, stream_id
 from sequoiawind.lab.virtual_clock import VirtualClock
@@ -188,7 +188,12 @@
 
     def refuse(self, reason: Reason) -> None:
         """Answer that the request was not run."""
-        head = AnswerHead(status=503, headers=[], refusal=not_run(reason))
+        head = AnswerHead(
+            status=503,
+            headers=[],
+            refusal=not_run(reason),
+            limit_per_s=self.target.stated_per_s,
+        )
         self.send_back(lambda: self.sink.head(head))
         self.end(self.sink.done)
 
@@ -247,6 +252,8 @@
     # Request id and weights version of the runs whose memory was copied here,
     # by handle.
     memories: dict[str, tuple[str, int]] = attrs.field(factory=dict)
+    # The limit that it states; None if it states none.
+    limit: StatedLimit | None = None
     # Agents whose orders this incarnation has accepted.
     holders: set[str] = attrs.field(factory=set)
 
@@ -260,7 +267,7 @@
                 )
             )
             return
-        self.count_arrival(order)
+        self.count_arrival(run)
         if order.target.name != self.entry.name:
             run.refuse(Reason.TARGET_REPLACED)
         elif self.is_loading or self.world.happens(self.world.fault_rates.busy):
@@ -272,9 +279,12 @@
         else:
             self.start(run)
 
-    def count_arrival(self, order: SendOrder) -> None:
+    def count_arrival(self, run: SimulatedRun) -> None:
         """Count a request to an engine that has arrived."""
-        request, now_s = order.request, self.world.clock.seconds()
+        order, now_s = run.order, self.world.clock.seconds()
+        request = order.request
+        if self.limit is not None:
+            self.limit.add((run.node.name, run.epoch), now_s)
         if request.prompt is None:
             return
         if not order.moved_from:
@@ -315,7 +325,15 @@
         framing = (
             Framing.CONNECTION if run.is_close_delimited else Framing.CHUNKS
         )
-        head = AnswerHead(status=200, headers=[], framing=framing)
+        head = AnswerHead(
+            status=200,
+            headers=[],
+            framing=framing,
+            limit_per_s=self.stated_per_s,
+        )
+        if self.limit is not None:
+            sender = (run.node.name, run.epoch)
+            self.limit.told_s.setdefault(sender, world.clock.seconds())
         run.send_back(lambda: run.sink.head(head))
         if world.is_fatal(request.prompt):
             world.clock.callLater(WORK_S, self.crash_by, run)
@@ -359,6 +377,11 @@
         run.send_back(lambda: run.sink.data(body))
         run.end(run.sink.done)
 
+    @property
+    def stated_per_s(self) -> float | None:
+        """The limit that it states, in requests a second; None for none."""
+        return self.limit.limit_per_s if self.limit is not None else None
+
     def crash_by(self, run: SimulatedRun) -> None:
         """Crash, as a run begins to write its answer."""
         if self.is_up and run.order.request.request_id in self.runs:
@@ -414,6 +437,7 @@
             used_tokens=0,
             is_draining=self.entry.is_draining,
             born_ms=self.entry.born_ms,
+            limit_per_s=self.stated_per_s,
         )
 
     async def order(
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -57,6 +57,7 @@
                 versions=self.versions(found),
                 is_leaving=engine_wire.is_leaving(found),
                 pause_s=engine_wire.pause_s(status, found),
+                limit_per_s=engine_wire.limit_per_s(found),
             )
         )
 
@@ -160,8 +161,7 @@
             record = wire.decode(answered.ok.body, engine_wire.ReportRecord)
         except wire.WireError as error:
             return Error(not_run(Reason.TARGET_ERROR, str(error)))
-        is_leaving = engine_wire.is_leaving(dict(answered.ok.headers))
-        return Ok(engine_wire.report(record, is_leaving))
+        return Ok(engine_wire.report(record, dict(answered.ok.headers)))
 
     async def cache_changes(
         self, address: str, since: int, wait_s: float, timeout_s: float
--- a/sequoiawind/platform/engine_wire.py
+++ b/sequoiawind/platform/engine_wire.py
@@ -109,6 +109,16 @@
     return found.get(names.SERVER_LEAVING, b"").strip() == b"1"
 
 
+def limit_per_s(found: Mapping[bytes, bytes]) -> float | None:
+    """Return the requests a second that a target takes; None if unlimited."""
+    text = found.get(names.SERVER_LIMIT, b"").strip()
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if 0.0 <= limit < float("inf") else None
+
+
 def request_headers(order: SendOrder) -> Headers:
     """Return the headers of a request to a target."""
     return [*caller_headers(order), *system_headers(order)]
@@ -151,13 +161,16 @@
     return headers
 
 
-def report(record: ReportRecord, is_leaving: bool = False) -> TargetReport:
+def report(
+    record: ReportRecord, found: Mapping[bytes, bytes] | None = None
+) -> TargetReport:
     """Convert a target's report to the product's type.
 
     Args:
       record: The report.
-      is_leaving: Whether the answer states that the target is leaving.
+      found: The headers of the answer.
     """
+    found = found or {}
     return TargetReport(
         versions={item.name: item.version for item in record.models},
         is_busy=record.busy,
@@ -168,8 +181,9 @@
         if record.runs is None
         else tuple(events for _, _, events, _ in record.runs),
         used_tokens=record.kv_used,
-        is_draining=is_leaving or record.state == names.DRAINING,
+        is_draining=is_leaving(found) or record.state == names.DRAINING,
         born_ms=record.born,
+        limit_per_s=limit_per_s(found),
     )
 
 
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -26,6 +26,8 @@
 RETRY_AFTER: Final = b"retry-after"
 # In all answers of a target that is leaving: 1.
 SERVER_LEAVING: Final = b"server-leaving"
+# Requests a second that a target takes from all VMs together, while it says so.
+SERVER_LIMIT: Final = b"server-limit"
 # In all answers of the store: rises each time it returns from a copy.
 STORE_ERA: Final = b"store-era"
 
--- a/sequoiawind/repeat_window.py
+++ b/sequoiawind/repeat_window.py
@@ -18,8 +18,8 @@
 
 import attrs
 
-# Number of routers assumed while it is unknown.
-ASSUMED_ROUTERS: Final = 16
+from sequoiawind import defaults
+
 # Share of the bound that a router uses: its window and the one in which all
 # repeats are measured begin at different times, and routers get uneven parts
 # of the traffic.
@@ -91,7 +91,7 @@
             return 0.0
         routers = self.stated[0][1] if self.stated else 0
         if not is_known:
-            routers = max(routers, ASSUMED_ROUTERS)
+            routers = max(routers, defaults.ASSUMED_ROUTERS)
         return self.allowance / routers
 
     def note_routers(self, routers: int, now_s: float) -> None:
--- a/sequoiawind/rollout.py
+++ b/sequoiawind/rollout.py
@@ -64,6 +64,9 @@
     used_tokens: int
     is_draining: bool
     born_ms: int
+    # Requests a second that it takes from all routers together; None if it
+    # states no limit.
+    limit_per_s: float | None = None
 
     @property
     def reading(self) -> int:
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -96,6 +96,10 @@
             born_ms=view.target.born_ms,
             is_leaving=head.is_leaving,
             pause_s=head.pause_s,
+            limit_per_s=head.limit_per_s,
+            limit_share=round(view.notice.limit.share, 4)
+            if view.notice.limit
+            else -1.0,
             status=head.status,
         )
 
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -89,7 +89,8 @@
         if not self.is_answered:
             return
         if self.forwarding.is_finished:
-            if self.moved_from:
+            # A target with a limit frees the memory by itself, later.
+            if self.moved_from and self.attempt.view.notice.limit is None:
                 self.forwarding.forwarder.port.release_moved_run(
                     self.moved_from
                 )
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -55,6 +55,7 @@
     DRAINING = "draining"
     ORIGIN_UNKNOWN = "origin_unknown"
     BLOCKED_PART = "blocked_part"
+    TARGET_LIMIT = "target_limit"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -164,6 +164,9 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     # Number of routers that have polled this agent recently.
     routers: int = 0
+    # Requests a second that the target takes from all routers together; None if
+    # it states no limit.
+    limit_per_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -229,7 +229,7 @@
 
     clock: Clock = attrs.field(factory=Clock)
     board: Blackboard = attrs.field(factory=Blackboard)
-    fleet: Fleet = attrs.field(factory=Fleet)
+    fleet: Fleet = attrs.field(factory=lambda: Fleet(random=random.Random(1)))
     port: FakePort = attrs.field(factory=FakePort)
     origin_log: MemoryOriginLog = attrs.field(factory=MemoryOriginLog)
     crash_log: MemoryCrashLog = attrs.field(factory=MemoryCrashLog)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -389,8 +389,30 @@
         relay = agents[0]
         for number in range(10):
             relay.routers[f"r{number}"] = 0.0
-        relay.other_routers["d1"] = RouterCount(routers=7, stated_s=0.0)
-        self.assertEqual(2 * 10 + 2 * 7, relay.reply(query).routers)
+            relay.demands_per_s[f"r{number}"] = 1.5
+        relay.other_routers["d1"] = RouterCount(
+            routers=7, demand_per_s=4.0, stated_s=0.0
+        )
+        reply = relay.reply(query)
+        self.assertEqual(2 * 10 + 2 * 7, reply.routers)
+        self.assertEqual(2 * 15.0 + 2 * 4.0, reply.demand_per_s)
+
+    def test_demand_of_a_router_that_has_gone_is_forgotten(self) -> None:
+        rig = FeedRig()
+        relay = rig.add("e0", "d0")
+        query = FeedQuery(
+            reader="r1",
+            is_router=True,
+            run=0,
+            after=-1,
+            level=Level.ALL,
+            demand_per_s=3.0,
+        )
+        Deferred.fromCoroutine(relay.serve(query))
+        asking = attrs.evolve(query, reader="x", is_router=False)
+        self.assertEqual(3.0, relay.reply(asking).demand_per_s)
+        rig.advance(6.0)
+        self.assertEqual(0.0, relay.reply(asking).demand_per_s)
 
 
 class AgeTest(TestCase):
