Clear prompt parts only by answers that the target has written

An error answer on a stream, such as 400, counted as an answer on the prompt and cleared its parts, so a part that crashes targets could be let go by a request that was never begun. Found by reading the change. The test failed before.

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -118,6 +118,13 @@
         """Whether a complete event of a stream has arrived."""
         return self.first_event_s >= 0.0
 
+    @property
+    def has_written(self) -> bool:
+        """Whether the target has written some of an answer on the prompt."""
+        if self.forwarding.plan.kind.is_stream:
+            return self.has_event
+        return self.answer is not None and self.answer.status < 300
+
     @property
     def is_close_delimited(self) -> bool:
         """Whether only the end of the connection ends the answer."""
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -386,8 +386,7 @@
             self.attempt_failed(attempt, answer.refusal)
             return
         is_fault = answer.status >= 500
-        has_written = attempt.has_event or not attempt.is_streaming
-        prompt = self.plan.request.prompt if has_written else None
+        prompt = self.plan.request.prompt if attempt.has_written else None
         self.forwarder.outcome(name, is_fault, prompt)
         if attempt.is_streaming:
             self.pass_head(answer)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -150,6 +150,29 @@
     rig.forwarder.crashes.replaced(log.records)
 
 
+class AnswerTest(TestCase):
+    """Which answers clear the parts of a prompt."""
+
+    def test_answer_that_the_target_has_not_written_clears_nothing(
+        self,
+    ) -> None:
+        cases = (
+            (200, b"id: 1\ndata: x\n\n", True),
+            (200, b"", False),
+            (400, b"bad", False),
+            (500, b"failed", False),
+        )
+        for status, body, expected in cases:
+            rig = ForwardRig()
+            rig.add(target("e1", "llm"))
+            rig.submit("draft", prompt=prompt_of("root", "own"))
+            rig.port.sent[0].answer(status, body)
+            proven = rig.forwarder.crashes.is_proven(
+                digests(prompt_of("root", "own"))[0]
+            )
+            self.assertEqual(expected, proven, (status, body))
+
+
 class ManyRoutersTest(TestCase):
     """What routers learn from each other."""
 
