Leave time for the queue of targets that still have older weights

A router sent to older weights up to 0.75 of the time, whatever waited at the target, so a queue of 2 s was enough. Now it is 0.5 at targets where requests wait by their agents' fresh status; without a queue nothing changes. The test failed before.

--- a/sequoiawind/allowed_weights.py
+++ b/sequoiawind/allowed_weights.py
@@ -11,6 +11,8 @@
 # Share of the time allowed for new weights after which a request may no longer
 # begin on older ones; the rest is for its transfer to the target.
 OLD_WEIGHTS_SHARE: Final = 0.75
+# The same share at a target where requests wait, for the time in its queue.
+QUEUED_SHARE: Final = 0.5
 # Share of the grace period after a router's start for which it accepts older
 # weights; the rest is for queues at the targets.
 SETTLE_SHARE: Final = 0.6
@@ -34,9 +36,15 @@
         named = self.named.get(model)
         return named[-1].version if named else 0
 
-    def oldest(self, model: str) -> int:
-        """Return the oldest weights version that a new request may use."""
-        due_s = self.clock.seconds() - self.weights_s * OLD_WEIGHTS_SHARE
+    def oldest(self, model: str, is_queued: bool = False) -> int:
+        """Return the oldest weights version that a new request may use.
+
+        Args:
+          model: The model.
+          is_queued: Whether requests wait at the target.
+        """
+        share = QUEUED_SHARE if is_queued else OLD_WEIGHTS_SHARE
+        due_s = self.clock.seconds() - self.weights_s * share
         return max(
             (
                 item.version
--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -110,6 +110,11 @@
         limit = self.notice.limit
         return limit is None or limit.has_room(now_s)
 
+    def has_queue(self, now_s: float) -> bool:
+        """Whether requests wait at the target, by its agent's fresh status."""
+        status = self.fresh_status(now_s)
+        return status is not None and status.waiting > 0
+
     def count_request(self, now_s: float) -> bool:
         """Use room for a request; return whether the target's limit had any.
 
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -176,6 +176,7 @@
             plan.account.name,
             plan.account.is_isolated,
             self.weights.oldest(prompt.model),
+            self.weights.oldest(prompt.model, is_queued=True),
             is_long,
             forwarding.sent_to,
         )
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -184,6 +184,7 @@
         account: str,
         is_isolated: bool,
         oldest_version: int = 0,
+        oldest_queued: int = 0,
         is_long: bool = False,
         excluded: Collection[str] = (),
     ) -> Chosen | None:
@@ -194,6 +195,7 @@
           account: Name of its client account.
           is_isolated: Whether the account shares no cached parts.
           oldest_version: Oldest weights version that the request may use.
+          oldest_queued: The same at targets where requests wait.
           is_long: Whether the answer may be long: targets that wind down to
             load weights get such prompts only if there are no others.
           excluded: Names of targets that must not be chosen.
@@ -201,12 +203,14 @@
 
         def is_able(name: str, is_long: bool) -> bool:
             view = self.pool.get(name)
-            return (
-                view is not None
-                and name not in excluded
-                and view.takes_work(self.now_s, is_long)
-                and view.version(prompt.model) >= oldest_version
-            )
+            if view is None or name in excluded:
+                return False
+            if not view.takes_work(self.now_s, is_long):
+                return False
+            version = view.version(prompt.model)
+            if version < oldest_queued and view.has_queue(self.now_s):
+                return False
+            return version >= oldest_version
 
         known: dict[str, Holders] = {}
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -446,6 +446,27 @@
             served = self.served(is_late, after_s)
             self.assertEqual(expected, served, (is_late, after_s))
 
+    def test_queue_at_a_target_shortens_the_time_for_older_weights(
+        self,
+    ) -> None:
+        # A request that waits there may begin on them too late.
+        for waiting, after_s, expected in (
+            (0, 4.0, True),
+            (1, 2.5, True),
+            (1, 4.0, False),
+        ):
+            rig = ForwardRig()
+            rig.add(target("e1", "llm", versions={"m": 3}))
+            rig.forwarder.weights.version_named("m", 4, False)
+            rig.advance(after_s)
+            status = TargetStatus(
+                target="e1", waiting=waiting, versions={"m": 3}
+            )
+            rig.fleet.record_status("e1", status, rig.clock.seconds())
+            rig.submit("brief")
+            served = bool(rig.port.sent)
+            self.assertEqual(expected, served, (waiting, after_s))
+
     def test_newer_version_does_not_extend_the_time_of_an_older_one(
         self,
     ) -> None:
