--- a/tests/test_feed_mutants.py
+++ b/tests/test_feed_mutants.py
@@ -10,6 +10,9 @@
 import attrs
 from testtools import TestCase
 
+from sequoiawind import crash_registry, target_limit
+from sequoiawind.crash_evidence import CrashEvidence
+from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.feed_client import FeedClient
 from sequoiawind.feed_reader import FeedReader
 from sequoiawind.feed_relay import FeedRelay
@@ -20,11 +23,13 @@
 from sequoiawind.record_follower import RecordFollower
 from sequoiawind.weights_holder import Lease, WeightsHolder
 from tests import (
+    test_crashing_parts,
     test_feed,
     test_feed_programs,
     test_forwarding,
     test_platform,
     test_record_followers,
+    test_target_limit,
     test_weights_holder,
 )
 
@@ -127,6 +132,48 @@
         case=test_platform.RequestTest,
         test="test_what_a_target_states_of_itself",
     ),
+    FeedMutant(
+        name="a router does not read a relay's records of crashes",
+        owner=CrashRegistry,
+        attribute="changed",
+        replacement=lambda self, record: None,
+        case=test_feed_programs.FeedReaderTest,
+        test="test_router_that_saw_no_crash_learns_of_them_from_a_relay",
+    ),
+    FeedMutant(
+        name="complete answers at other routers are not read",
+        owner=crash_registry,
+        attribute="NO_STAMP",
+        replacement=(9_999, 0),
+        case=test_crashing_parts.ManyRoutersTest,
+        test="test_complete_answer_at_any_router_clears_the_part",
+    ),
+    FeedMutant(
+        name="a part is blocked after one group of crashes",
+        owner=CrashEvidence,
+        attribute="is_enough",
+        replacement=lambda self, crashes, rule: len(crashes) >= rule.crashes,
+        case=test_crashing_parts.ManyRoutersTest,
+        test="test_targets_that_crash_at_once_block_no_part",
+    ),
+    FeedMutant(
+        name="each router tests a blocked part by itself",
+        owner=CrashRegistry,
+        attribute="has_permit",
+        replacement=lambda self, part: (
+            self.evidence.blocks[part].until_s <= self.clock.seconds()
+        ),
+        case=test_crashing_parts.ManyRoutersTest,
+        test="test_doubt_is_tested_by_one_request_of_all_routers",
+    ),
+    FeedMutant(
+        name="room under a limit is saved up",
+        owner=target_limit,
+        attribute="ROOM_LIFETIME_S",
+        replacement=100.0,
+        case=test_target_limit.PartTest,
+        test="test_many_routers_stay_within_the_limit",
+    ),
     FeedMutant(
         name="a relay passes its records on as new",
         owner=FeedRelay,
--- a/tests/test_feed_programs.py
+++ b/tests/test_feed_programs.py
@@ -12,16 +12,23 @@
 
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.cache_watcher import CacheWatcher
-from sequoiawind.feed_messages import CacheItem, FeedReply, PartItem, RecordItem
+from sequoiawind.feed_messages import (
+    CacheItem,
+    FeedReply,
+    PartItem,
+    RecordItem,
+    entries_of,
+)
 from sequoiawind.feed_publisher import (
     CachePublisher,
+    CrashPublisher,
     OperatorPublisher,
     TargetPublisher,
 )
 from sequoiawind.feed_reader import FeedReader
 from sequoiawind.feed_relay import FeedRelay
 from sequoiawind.feed_table import FeedTable, Level, Topic
-from sequoiawind.fleet import Fleet
+from sequoiawind.fleet import EQUAL_SHARE, Fleet, TargetView
 from sequoiawind.forward_ports import CacheChanges, PartChange
 from sequoiawind.forward_readers import (
     OperatorCodec,
@@ -29,12 +36,19 @@
     TargetReader,
 )
 from sequoiawind.freshness import Freshness
-from sequoiawind.prompt_cache import PromptPart
+from sequoiawind.lab.memory_crash_log import MemoryCrashLog
+from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.record_ports import KeyedRecord
-from sequoiawind.verdict import Failure, Reason, not_run
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from tests.forward_rig import FakePort, ForwardRig, state, target
 from tests.test_record_followers import NamedWeights
 
+PROMPT = Prompt(
+    model="m",
+    tokens=200,
+    max_tokens=10,
+    parts=(PromptPart(id="bad", tokens=100), PromptPart(id="own", tokens=100)),
+)
 CODEC = OperatorCodec(
     config_key="config",
     weights_prefix="w/",
@@ -140,6 +154,43 @@
         self.reader.take(reply(is_whole=True, targets_age_s=0.5), 10.0)
         self.assertEqual([], list(self.fleet.views))
 
+    def crash_records(self) -> list[RecordItem]:
+        """Return what another router has recorded of a part."""
+        log = MemoryCrashLog()
+        other = ForwardRig(clock=self.clock, crash_log=log)
+        for number in range(3):
+            view = TargetView(target=target(f"e{number}", "llm"))
+            lost = may_have_run(Reason.CONNECTION_LOST)
+            other.forwarder.crashes.attempt_broken(view, PROMPT, -1.0, lost)
+            self.clock.advance(1.0)
+        return [
+            RecordItem("crash", item.key, item.stamp, item.value)
+            for item in log.records
+        ]
+
+    def test_router_that_saw_no_crash_learns_of_them_from_a_relay(self) -> None:
+        records = self.crash_records()
+        self.reader.take(reply(records=records[:2]), 0.0)
+        self.assertIsNone(self.crashes.refusal(PROMPT))
+        self.reader.take(reply(records=records[2:]), 0.0)
+        self.assertIsNotNone(self.crashes.refusal(PROMPT))
+
+    def test_router_that_just_started_learns_of_them_from_a_relay(self) -> None:
+        records = self.crash_records()
+        self.reader.take(reply(is_whole=True, records=records), 0.0)
+        self.assertIsNotNone(self.crashes.refusal(PROMPT))
+
+    def test_records_of_a_newer_release_are_ignored(self) -> None:
+        newer = reply(records=[RecordItem("newer", "k", (0, 1), b"x")])
+        self.reader.take(newer, 0.0)
+        self.assertEqual([], list(entries_of(newer, Level.ALL)))
+
+    def test_demand_gives_the_part_of_limits(self) -> None:
+        self.reader.own_demand_per_s = lambda: 2.0
+        self.reader.take(reply(routers=4, demand_per_s=8.0), 0.0)
+        expected = EQUAL_SHARE / 4 + (1.0 - EQUAL_SHARE) * 2.0 / 8.0
+        self.assertAlmostEqual(expected, self.fleet.limit_share(0.0))
+
     def held(self) -> int:
         """Return the tokens of the part "p" that the cache of e1 holds."""
         part = PromptPart(id="p", tokens=50)
@@ -187,6 +238,25 @@
         stored = self.relay.table.entries.get((topic, name))
         return stored.entry.value if stored else None
 
+    def test_crashes_are_published_for_other_domains_and_readers(self) -> None:
+        publisher = CrashPublisher(relay=self.relay)
+        publisher.replaced([KeyedRecord(key="a", value=b"1", stamp=(0, 1))])
+        publisher.take(
+            reply(
+                records=[
+                    RecordItem("crash", "b", (0, 2), b"2"),
+                    RecordItem("target", "c", (0, 3), b"3"),
+                ]
+            )
+        )
+        for key, expected in (("a", b"1"), ("b", b"2"), ("c", None)):
+            self.assertEqual(expected, self.value(Topic.CRASH, key))
+        stored = self.relay.table.entries[(Topic.CRASH, "a")].entry
+        self.assertEqual((Level.DOMAIN, True), (stored.level, stored.is_urgent))
+        # Older ones, by another way, change nothing.
+        publisher.changed(KeyedRecord(key="a", value=b"0", stamp=(0, 0)))
+        self.assertEqual(b"1", self.value(Topic.CRASH, "a"))
+
     def test_configuration_from_an_old_copy_is_not_published(self) -> None:
         publisher = OperatorPublisher(
             reader=OperatorReader(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,8 +13,9 @@
 from sequoiawind.options import Address
 from sequoiawind.origin_registry import OriginRecord
 from sequoiawind.platform import leases, store
+from sequoiawind.platform.crashes import CrashLog
 from sequoiawind.platform.origins import OriginLog
-from sequoiawind.record_ports import RecordsLost
+from sequoiawind.record_ports import KeyedRecord, RecordsLost
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure
 from tests.stand_ins import accept
@@ -67,6 +68,30 @@
             page = self.answer("newest", self.reply(b"{}", more_head=era)).ok
             self.assertEqual(0, page.era)
 
+    def test_crash_records_written(self) -> None:
+        for at, expected in ((None, False), (7, True)):
+            reactor = MemoryReactorClock()
+            client = store.StoreClient(
+                client=Http1Client(reactor=reactor),
+                address=Address(host="10.0.0.9", port=80),
+            )
+            records = [
+                KeyedRecord(key="k", value=b"value"),
+                KeyedRecord(key="gone", value=None),
+            ]
+            pending = CrashLog(store=client).write(records, 1.0, at)
+            results: list[Any] = []
+            Deferred.fromCoroutine(pending).addCallback(results.append)
+            peer = accept(reactor)
+            request = peer.take_sent()
+            self.assertIn(b"topic=keyed.prompt-crashes", request)
+            self.assertEqual(expected, b"at=7" in request)
+            body = framed(b"\x01kvalue", b"\x04gone")
+            self.assertTrue(request.endswith(body), request)
+            # 412: the partition ends at another offset.
+            peer.protocol.dataReceived(self.reply(b"{}", 412 if at else 200))
+            self.assertEqual(expected, results[0].is_error())
+
     def test_read(self) -> None:
         body = struct.pack(">QQ", 7, 0) + framed(b"\x01kvalue", b"\x01k")
         page = self.answer("read", self.reply(body)).ok
