Use up the permission to test a part in every pool

A prompt that is sent to a pool without models returned before its permission was used up, so that three requests instead of one could test a blocked part. Found by reading the change; the test failed before.

--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -252,9 +252,11 @@
         request's note.
         """
         prompt = forwarding.plan.request.prompt
-        if prompt is None or chosen.version is None:
+        if prompt is None:
             return
         self.crashes.sent(prompt)
+        if chosen.version is None:
+            return
         self.average_prefill_tokens += PREFILL_AVERAGE_WEIGHT * (
             chosen.prefill_tokens - self.average_prefill_tokens
         )
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -351,6 +351,17 @@
         self.clock.advance(0.1)
         self.assertTrue(all(refuses(rig, "root", BAD) for rig in routers))
 
+    def test_request_of_any_pool_uses_up_the_permission(self) -> None:
+        rig = self.block()
+        rig.add(target("p1", "app"))
+        self.clock.advance(BLOCK_S)
+        rig.freshness.confirmed(self.clock.seconds())
+        prompt = prompt_of("root", BAD, "own")
+        callers = [rig.submit("read", prompt=prompt) for _ in range(3)]
+        self.assertEqual(1, len(rig.port.sent))
+        refused = [caller.failure is not None for caller in callers]
+        self.assertEqual([True, False, True], refused)
+
     def test_permission_to_test_ends_while_the_process_is_suspended(
         self,
     ) -> None:
