Let a permission to test one part let no other blocked part through

Only the first blocked part of a prompt was looked at, so the permission for it let a prompt with a second blocked part through. Found by reading the change; the test failed before.

--- a/sequoiawind/crash_evidence.py
+++ b/sequoiawind/crash_evidence.py
@@ -175,13 +175,11 @@
         self.tests[part] = PartTest(number=number, seen_s=now_s)
         self.is_changed = True
 
-    def block_of(self, parts: Collection[str], now_s: float) -> Block | None:
-        """Return a block that applies to a prompt; None if there is none."""
+    def blocks_of(self, parts: Collection[str], now_s: float) -> list[Block]:
+        """Return the blocks that apply to a prompt."""
         self.forget(now_s)
-        for part in parts:
-            if part in self.blocks:
-                return self.blocks[part]
-        return None
+        blocks = self.blocks
+        return [blocks[part] for part in parts if part in blocks]
 
     def is_doubtful(self, parts: Collection[str]) -> bool:
         """Whether a prompt that has just crashed a target should not repeat."""
--- a/sequoiawind/crash_registry.py
+++ b/sequoiawind/crash_registry.py
@@ -350,9 +350,14 @@
         if prompt is None or not self.evidence.blocks:
             return None
         now_s = self.clock.seconds()
-        block = self.evidence.block_of(digests(prompt), now_s)
-        if block is None or self.has_permit(block.part):
+        blocks = [
+            block
+            for block in self.evidence.blocks_of(digests(prompt), now_s)
+            if not self.has_permit(block.part)
+        ]
+        if not blocks:
             return None
+        block = max(blocks, key=lambda item: item.until_s)
         left_s = block.until_s - now_s
         if left_s <= 0.0:
             self.ask_for_test(block)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -351,6 +351,15 @@
         self.clock.advance(0.1)
         self.assertTrue(all(refuses(rig, "root", BAD) for rig in routers))
 
+    def test_permission_for_one_part_lets_no_other_through(self) -> None:
+        rig = self.block()
+        for born_ms in range(100, 100 + CRASHES_TO_BLOCK):
+            self.crash(rig, "e1", born_ms, "root", "worse")
+        self.clock.advance(BLOCK_S - 1.0)
+        self.assertTrue(refuses(rig, "root", BAD))
+        self.assertFalse(refuses(rig, "root", BAD))
+        self.assertTrue(refuses(rig, "root", BAD, "worse"))
+
     def test_request_of_any_pool_uses_up_the_permission(self) -> None:
         rig = self.block()
         rig.add(target("p1", "app"))
