Log why no further attempt followed a failed one, and count cut answers

The line of a request had the reason of its last failed attempt, chunk_timeout for each silent stream, and not what kept another target from continuing it: no target, the bound on repeats, the allowed number of targets, or a newer configuration. The hypotheses of the incident cannot be told apart without it. New: the log fields not_retried and is_cut of request, and the metric sequoiawind_cut_answers_total. Readers of the log gain two fields; no field is renamed or gone. No decision was changed.

--- a/sequoiawind/blackboard.py
+++ b/sequoiawind/blackboard.py
@@ -31,6 +31,8 @@
     state: str = "running"
     verdict: str = ""
     reason: str = ""
+    # Why no further attempt followed a failed one; empty if none failed.
+    not_retried: str = ""
     # Names, in the order of the attempts.
     targets_tried: list[str] = attrs.field(factory=list)
     # Id of the last attempt.
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -155,10 +155,7 @@
             return
         kind = self.plan.kind
         if len(self.sent_to) >= max(1, kind.max_targets):
-            self.give_up(
-                self.last_failure
-                or not_run(Reason.MAX_TARGETS, messages.MAX_TARGETS)
-            )
+            self.stop(not_run(Reason.MAX_TARGETS, messages.MAX_TARGETS))
             return
         chosen = self.forwarder.choose(self)
         if chosen is None:
@@ -166,13 +163,20 @@
             return
         self.waiting_since_s = None
         if not self.reserve_attempt():
-            self.give_up(
-                self.last_failure
-                or not_run(Reason.RETRY_BUDGET, messages.RETRY_BUDGET)
-            )
+            self.stop(not_run(Reason.RETRY_BUDGET, messages.RETRY_BUDGET))
             return
         self.send(chosen)
 
+    def stop(self, why: Failure) -> None:
+        """Give up because no further attempt can be made.
+
+        Args:
+          why: The reason for that; also the request's failure, unless an
+            attempt has failed.
+        """
+        self.note.not_retried = why.reason.value
+        self.give_up(self.last_failure or why)
+
     def replan(self) -> bool:
         """Plan again if the configuration changed or is too old to trust keys.
 
@@ -181,6 +185,7 @@
         """
         blocked = self.forwarder.crashes.refusal(self.plan.request.prompt)
         if blocked is not None:
+            self.note.not_retried = blocked.reason.value
             self.give_up(blocked)
             return False
         is_current = self.plan.revision == self.forwarder.board.state.revision
@@ -191,6 +196,7 @@
             return True
         planned = self.forwarder.planner.plan(self.plan.request)
         if planned.is_error():
+            self.note.not_retried = planned.error.reason.value
             self.give_up(planned.error)
             return False
         self.plan = self.with_pool_of_origin(planned.ok)
@@ -205,18 +211,14 @@
         limit_s = WAIT_SHARE * (self.plan.ends_s - self.plan.request.arrived_s)
         room_in_s = self.forwarder.room_in_s(self)
         if room_in_s is not None and waited_s + room_in_s > limit_s:
-            self.give_up(
-                self.last_failure
-                or not_run(
-                    Reason.TARGET_LIMIT, messages.TARGET_LIMIT, room_in_s
-                )
+            self.stop(
+                not_run(Reason.TARGET_LIMIT, messages.TARGET_LIMIT, room_in_s)
             )
             return
         has_targets = self.forwarder.has_targets(self)
         if waited_s >= limit_s or not has_targets:
-            self.give_up(
-                self.last_failure
-                or not_run(
+            self.stop(
+                not_run(
                     Reason.NO_TARGET,
                     messages.ORIGIN_GONE if self.origin else messages.NO_TARGET,
                     BUSY_RETRY_AFTER_S,
@@ -447,6 +449,7 @@
             and self.forwarder.crashes.may_repeat(self.plan.request.prompt)
         )
         if not retries.may_retry(failure, may_repeat):
+            self.note.not_retried = "not_repeatable"
             self.give_up(failure)
             return
         if is_refused:
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -159,6 +159,7 @@
     first_chunk: Histogram = attrs.field(init=False)
     foreign_answers: Counter = attrs.field(init=False)
     moves: Counter = attrs.field(init=False)
+    cut_answers: Counter = attrs.field(init=False)
     connects: Counter = attrs.field(init=False)
     config_age: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
@@ -202,6 +203,13 @@
             ["outcome"],
             registry=registry,
         )
+        self.cut_answers = Counter(
+            "sequoiawind_cut_answers",
+            "Answers that this router ended before their end, by the last"
+            " failure and why no further attempt followed it.",
+            ["reason", "not_retried"],
+            registry=registry,
+        )
         self.connects = Counter(
             "sequoiawind_connects",
             "Connections opened to targets, agents and the store.",
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -142,6 +142,10 @@
         self.metrics.requests.labels(note.kind, note.verdict).inc()
         if failure is not None:
             self.count_refusal(failure.reason)
+            if is_cut(forwarding, failure):
+                self.metrics.cut_answers.labels(
+                    failure.reason.value, note.not_retried
+                ).inc()
         if note.first_chunk_s >= 0.0:
             waited_s = note.first_chunk_s - note.began_s
             self.metrics.first_chunk.labels(note.kind).observe(waited_s)
@@ -162,6 +166,8 @@
             likely_tokens=prompt.likely_tokens if prompt else 0,
             verdict=note.verdict,
             reason=note.reason,
+            not_retried=note.not_retried,
+            is_cut=is_cut(forwarding, failure),
             detail=failure.detail if failure else "",
             framing=answer.framing.value if answer else "",
             unfinished_bytes=len(attempt.splitter.rest) if attempt else 0,
@@ -173,6 +179,13 @@
         )
 
 
+def is_cut(forwarding: Forwarding, failure: Failure | None) -> bool:
+    """Whether this router ended an answer before its end."""
+    if failure is None or failure.reason is Reason.CANCELLED:
+        return False
+    return forwarding.has_head
+
+
 def shared_part_ids(prompt: Prompt | None) -> list[str]:
     """Return the ids of the parts that other prompts may share, for a log."""
     if prompt is None:
