--- /dev/null
+++ b/tests/test_accepted_requests.py
@@ -0,0 +1,170 @@
+"""A newer configuration does not end requests that were accepted before it."""
+
+import attrs
+from testtools import TestCase
+
+from sequoiawind.forward_state import ForwardAccount, ForwardPool, ForwardRoute
+from sequoiawind.tokens import token_digest
+from sequoiawind.verdict import Reason, Verdict, may_have_run, not_run
+from tests.forward_rig import KINDS, ForwardRig, state, target
+
+BUSY = not_run(Reason.TARGET_BUSY, "busy")
+LOST = may_have_run(Reason.CONNECTION_LOST, "lost")
+OTHER_ACCOUNTS = {
+    "b/0": ForwardAccount(name="b", token_digest=token_digest("key-of-b"))
+}
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def rig() -> ForwardRig:
+    """Return a router with two idle targets in each pool."""
+    found = ForwardRig()
+    found.add(target("e1", "llm"), target("e2", "llm"))
+    found.add(target("t1"), target("t2"))
+    return found
+
+
+def remove_routes(found: ForwardRig) -> None:
+    """Apply a configuration without routes."""
+    found.configure(state(revision=2, routes={}))
+
+
+def remove_pools(found: ForwardRig) -> None:
+    """Apply a configuration without pools."""
+    found.configure(state(revision=2, pools={}))
+
+
+def move_routes(found: ForwardRig) -> None:
+    """Apply a configuration with all routes to another, empty pool."""
+    routes = {
+        name: ForwardRoute(
+            name=name, host="h", path=f"/{name}/", kind=name, pool="empty"
+        )
+        for name in KINDS
+    }
+    pools = {"empty": ForwardPool(name="empty", models=("m",))}
+    found.configure(state(revision=2, routes=routes, pools=pools))
+
+
+def allow_one_target(found: ForwardRig) -> None:
+    """Apply a configuration that lets a request go to one target alone."""
+    kinds = {
+        name: attrs.evolve(kind, max_targets=1) for name, kind in KINDS.items()
+    }
+    found.configure(state(revision=2, kinds=kinds))
+
+
+def shorten_time(found: ForwardRig) -> None:
+    """Apply a configuration with a time limit that has passed."""
+    kinds = {
+        name: attrs.evolve(kind, timeout_s=0.5) for name, kind in KINDS.items()
+    }
+    found.configure(state(revision=2, kinds=kinds))
+
+
+CHANGES = [
+    remove_routes,
+    remove_pools,
+    move_routes,
+    allow_one_target,
+    shorten_time,
+]
+
+
+class AcceptedRequestTest(TestCase):
+    """A request that was sent to a target goes on as it was accepted."""
+
+    def test_broken_stream_is_resumed_where_it_began(self) -> None:
+        for change in CHANGES:
+            router = rig()
+            caller = router.submit("draft")
+            router.port.sent[0].begin(200, event(1))
+            router.advance(1.0)
+            change(router)
+            router.port.sent[0].sink.failed(LOST)
+            name = change.__name__
+            self.assertEqual(2, len(router.port.sent), name)
+            second = router.port.sent[1].order
+            self.assertEqual("llm", second.target.pool, name)
+            self.assertTrue(3.9 < second.deadline_s < 4.1, name)
+            router.port.sent[1].answer(200, event(2))
+            self.assertEqual(event(1) + event(2), caller.body, name)
+            self.assertTrue(caller.is_ended, name)
+
+    def test_broken_call_is_repeated(self) -> None:
+        for change in CHANGES:
+            if change is move_routes:
+                continue
+            router = rig()
+            caller = router.submit("read")
+            router.advance(1.0)
+            change(router)
+            router.port.sent[0].sink.failed(LOST)
+            router.port.sent[1].answer(200, b"whole")
+            self.assertEqual(b"whole", caller.body, change.__name__)
+
+    def test_broken_call_follows_its_route(self) -> None:
+        router = rig()
+        router.add(target("n1", "empty"))
+        caller = router.submit("read")
+        move_routes(router)
+        router.port.sent[0].sink.failed(LOST)
+        self.assertEqual("n1", router.port.sent[1].order.target.name)
+        router.port.sent[1].answer(200, b"whole")
+        self.assertEqual(b"whole", caller.body)
+
+    def test_revoked_key_begins_no_further_run(self) -> None:
+        for route in ("draft", "read"):
+            router = rig()
+            caller = router.submit(route)
+            router.configure(state(revision=2, accounts=OTHER_ACCOUNTS))
+            router.port.sent[0].sink.failed(LOST)
+            self.assertEqual(1, len(router.port.sent))
+            assert caller.failure is not None
+            self.assertEqual(Verdict.MAY_HAVE_RUN, caller.failure.verdict)
+
+    def test_what_must_no_longer_repeat_is_not_repeated(self) -> None:
+        router = rig()
+        caller = router.submit("read")
+        kinds = {**KINDS, "read": attrs.evolve(KINDS["read"], repeat="never")}
+        router.configure(state(revision=2, kinds=kinds))
+        router.port.sent[0].sink.failed(LOST)
+        self.assertEqual(1, len(router.port.sent))
+        self.assertIsNotNone(caller.failure)
+
+    def test_waiting_request_ends_with_the_shorter_time(self) -> None:
+        router = ForwardRig()
+        router.add(target("e1", "llm"))
+        now_s = router.clock.seconds()
+        view = router.fleet.views["e1"]
+        router.fleet.record_notice(view, False, 0.7, now_s)
+        caller = router.submit("draft")
+        router.advance(0.6)
+        shorten_time(router)
+        router.advance(0.3)
+        self.assertEqual([], router.port.sent)
+        assert caller.failure is not None
+        self.assertEqual(Verdict.NOT_RUN, caller.failure.verdict)
+
+
+class MoveTest(TestCase):
+    """A run is moved only if another target may take it up afterwards."""
+
+    def test_run_without_a_further_target_is_not_moved(self) -> None:
+        router = ForwardRig()
+        router.add(*(target(f"e{number}", "llm") for number in range(3)))
+        pools = {"llm": ForwardPool(name="llm", models=("m",), has_moves=True)}
+        router.configure(state(revision=2, pools=pools))
+        caller = router.submit("draft")
+        router.port.sent[0].answer(503, refusal=BUSY)
+        router.port.sent[1].begin(200, event(1))
+        (forwarding,) = router.forwarder.open
+        forwarding.move_away()
+        self.assertEqual([], router.port.moves)
+        router.port.sent[1].sink.data(event(2))
+        router.port.sent[1].sink.done()
+        self.assertTrue(caller.is_ended)
