Keep a silent attempt until another target has taken the request over

What callers saw: beside a change of the configuration, or with many streams at one target that pauses, streams ended without the rest of their answer though the target went on a moment later.

Cause: after 1.2 s of silence the attempt was cancelled first, and only then a target, a permission to repeat and a valid plan were looked for. Where one of them was missing, or the other target refused, the answer was cut. The class: a resource is let go before its replacement is certain.

Change: silence asks another target, if one can take the request, and keeps the attempt. Whichever is heard from first goes on (an event of a stream, an answer below 500 of a call), and the other is cancelled. All attempts end with the request. A target that goes on is no longer ejected for its silence. New log line attempt silent, new metric sequoiawind_silences_total.

Two tests of test_forwarding.py asked for the cancellation at the moment of the silence, which is the fault; they ask now that the attempt is open until the other target has brought an event, and cancelled from then on.

Ruled out: waiting longer before asking another target; it loses the time of callers whose target has really stopped, and still cuts sound streams.

--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -18,6 +18,7 @@
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import ForwardPlan, ForwardRequest, Planner
 from sequoiawind.forward_ports import AnswerHead, ForwardCaller, ForwardPort
 from sequoiawind.forward_state import ForwardPool
@@ -97,8 +98,13 @@
     on_retry: Callable[[Reason], None] = attrs.field(
         default=lambda reason: None
     )
-    on_attempt_failed: Callable[[Forwarding, TargetView, Failure], None] = (
-        attrs.field(default=lambda forwarding, view, failure: None)
+    on_attempt_failed: Callable[[Forwarding, ForwardAttempt, Failure], None] = (
+        attrs.field(default=lambda forwarding, attempt, failure: None)
+    )
+    # Called when an attempt falls silent, with what becomes of the request, and
+    # when it goes on.
+    on_silence: Callable[[Forwarding, ForwardAttempt, str], None] = attrs.field(
+        default=lambda forwarding, attempt, outcome: None
     )
     # Called when a target states that it leaves, or wants nothing for a while.
     on_notice: Callable[[TargetView, AnswerHead], None] = attrs.field(
@@ -383,7 +389,7 @@
             view.seen_versions[model] = max(seen, version)
 
     def attempt_failed(
-        self, forwarding: Forwarding, view: TargetView, failure: Failure
+        self, forwarding: Forwarding, attempt: ForwardAttempt, failure: Failure
     ) -> None:
         """Update a target's health after a failed attempt.
 
@@ -392,15 +398,14 @@
         opened ejects the target immediately; it is avoided also if all others
         are ejected.
         """
-        self.on_attempt_failed(forwarding, view, failure)
-        attempt = forwarding.current
-        if attempt is not None:
-            self.crashes.attempt_broken(
-                view,
-                forwarding.plan.request.prompt,
-                attempt.first_event_s,
-                failure,
-            )
+        self.on_attempt_failed(forwarding, attempt, failure)
+        view = attempt.view
+        self.crashes.attempt_broken(
+            view,
+            forwarding.plan.request.prompt,
+            attempt.first_event_s,
+            failure,
+        )
         now_s = self.clock.seconds()
         name = view.target.name
         if failure.verdict is Verdict.NOT_RUN and (
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -6,7 +6,6 @@
 after the last complete event.
 """
 
-from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -25,6 +24,7 @@
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.repeat_window import AttemptCount
 from sequoiawind.request_execution import RequestExecution
+from sequoiawind.silent_attempts import SilentAttempts
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.target_choice import Chosen
@@ -39,15 +39,6 @@
 if TYPE_CHECKING:
     from sequoiawind.forwarder import Forwarder
 
-# Silence after which a resumable stream is resumed at another target: a
-# multiple of the route's longest pause, and a minimum in seconds.
-PAUSE_FACTOR: Final = 3.0
-MIN_PAUSE_S: Final = 1.2
-# Silence before the first event or answer after which a repeatable request is
-# sent to another target: the larger of a multiple of the route's latency aim
-# and a share of the time left, so that the other target has time to answer.
-FIRST_AIM_FACTOR: Final = 3.0
-FIRST_LEFT_SHARE: Final = 0.4
 # Share of its time limit for which a request waits for a target to be ready.
 WAIT_SHARE: Final = 0.3
 # Minimum deadline sent to a target, in seconds.
@@ -69,6 +60,7 @@
     # Names of the targets to which the request was sent.
     sent_to: list[str] = attrs.field(factory=list)
     attempts: AttemptCount = attrs.field(init=False)
+    silence: SilentAttempts = attrs.field(init=False)
     # Why the last attempt failed.
     last_failure: Failure | None = None
     # Whether an answer's head was sent to the caller.
@@ -81,8 +73,9 @@
     waiting_since_s: float | None = None
 
     def __attrs_post_init__(self) -> None:
-        """Count the attempts in the router's window."""
+        """Create the parts that refer to the forwarding."""
         self.attempts = AttemptCount(window=self.forwarder.window)
+        self.silence = SilentAttempts(forwarding=self)
 
     def start(self) -> None:
         """Start the deadline and make the first attempt."""
@@ -178,29 +171,37 @@
         self.give_up(self.last_failure or why)
 
     def replan(self) -> bool:
+        """Update the plan; return whether the request may be sent.
+
+        If not, it has been refused.
+        """
+        refused = self.update_plan()
+        if refused is None:
+            return True
+        self.note.not_retried = refused.reason.value
+        self.give_up(refused)
+        return False
+
+    def update_plan(self) -> Failure | None:
         """Plan again if the configuration changed or is too old to trust keys.
 
         Returns:
-          Whether the request has a valid plan; if not, it has been refused.
+          Why the request must not be sent; None if it may be sent.
         """
         blocked = self.forwarder.crashes.refusal(self.plan.request.prompt)
         if blocked is not None:
-            self.note.not_retried = blocked.reason.value
-            self.give_up(blocked)
-            return False
+            return blocked
         is_current = self.plan.revision == self.forwarder.board.state.revision
         is_trusted = (
             not self.plan.account.name or self.forwarder.planner.trusts_keys
         )
         if is_current and is_trusted:
-            return True
+            return None
         planned = self.forwarder.planner.plan(self.plan.request)
         if planned.is_error():
-            self.note.not_retried = planned.error.reason.value
-            self.give_up(planned.error)
-            return False
+            return planned.error
         self.plan = self.with_pool_of_origin(planned.ok)
-        return True
+        return None
 
     def wait(self) -> None:
         """Queue for a target, or give up if none can be ready in time."""
@@ -276,7 +277,7 @@
             after_event=self.last_event,
             moved_from=moved_from,
         )
-        self.set_first_timeout(attempt)
+        self.silence.expect_first(attempt)
         attempt.call = self.forwarder.port.send(order, attempt)
 
     # Moves.
@@ -290,6 +291,8 @@
         attempt = self.current
         if attempt is None or attempt.is_over or attempt.move is not None:
             return
+        if self.silence.kept:
+            return
         if not self.plan.pool.has_moves or not self.plan.kind.may_repeat:
             return
         if not attempt.is_streaming or self.last_event is None:
@@ -308,35 +311,6 @@
         self.sent_to.pop()
         self.open_attempt(destination, moved_from)
 
-    # Silence.
-
-    def set_first_timeout(self, attempt: ForwardAttempt) -> None:
-        """Start the timeout for the first event or answer, if repeatable."""
-        if not self.may_send_elsewhere():
-            return
-        kind = self.plan.kind
-        silence_s = max(
-            FIRST_AIM_FACTOR * kind.aim_s, FIRST_LEFT_SHARE * self.left_s
-        )
-        attempt.set_timeout(silence_s, partial(self.handle_silence, attempt))
-
-    def set_pause_timeout(self, attempt: ForwardAttempt) -> None:
-        """Start the timeout for the stream's next event, if repeatable."""
-        if not self.may_send_elsewhere():
-            return
-        pause_s = max(MIN_PAUSE_S, PAUSE_FACTOR * self.plan.kind.pause_s)
-        attempt.set_timeout(pause_s, partial(self.handle_silence, attempt))
-
-    def handle_silence(self, attempt: ForwardAttempt) -> None:
-        """Cancel an attempt that has timed out, and try another target."""
-        if attempt.is_over or not self.may_send_elsewhere():
-            return
-        attempt.cancel()
-        self.attempt_failed(
-            attempt,
-            may_have_run(Reason.CHUNK_TIMEOUT, messages.CHUNK_TIMEOUT),
-        )
-
     def may_send_elsewhere(self) -> bool:
         """Whether the request may still be sent to another target."""
         kind = self.plan.kind
@@ -350,8 +324,9 @@
         """Send a complete event to the caller, unless it has it already."""
         if self.is_finished or attempt.answer is None:
             return
+        self.silence.heard(attempt)
         if attempt.move is None:
-            self.set_pause_timeout(attempt)
+            self.silence.expect_event(attempt)
         if self.note.first_chunk_s < 0.0:
             self.stream_began(attempt)
         if event_id is not None:
@@ -390,6 +365,10 @@
         is_fault = answer.status >= 500
         prompt = self.plan.request.prompt if attempt.has_written else None
         self.forwarder.outcome(name, is_fault, prompt)
+        is_unfit = is_fault or (self.has_head and not attempt.is_streaming)
+        if is_unfit and self.silence.lost(attempt):
+            return
+        self.silence.heard(attempt)
         if attempt.is_streaming:
             self.pass_head(answer)
             self.caller.send_data(attempt.splitter.rest)
@@ -439,11 +418,15 @@
         if self.is_finished:
             return
         self.last_failure = failure
-        self.forwarder.attempt_failed(self, attempt.view, failure)
+        self.forwarder.attempt_failed(self, attempt, failure)
         self.record_verdict(failure)
-        is_refused = failure.reason is Reason.CONNECT_FAILED
-        if not is_refused:
+        if failure.reason is Reason.CONNECT_FAILED:
+            # Nothing was sent, so the target does not count as tried.
+            self.sent_to.remove(attempt.view.target.name)
+        else:
             self.attempts.use()
+        if self.silence.lost(attempt):
+            return
         may_repeat = (
             self.plan.kind.may_repeat
             and self.forwarder.crashes.may_repeat(self.plan.request.prompt)
@@ -452,9 +435,6 @@
             self.note.not_retried = "not_repeatable"
             self.give_up(failure)
             return
-        if is_refused:
-            # Nothing was sent, so the target does not count as tried.
-            self.sent_to.remove(attempt.view.target.name)
         self.next_target()
 
     # Ends.
@@ -494,6 +474,7 @@
     def finish(self, failure: Failure | None) -> None:
         """Close the request and report its end to the forwarder."""
         self.close()
+        self.silence.end()
         if failure is None and self.has_head:
             self.forwarder.origins.completed(self.stream_id)
         self.forwarder.finished(self, failure)
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -160,6 +160,7 @@
     foreign_answers: Counter = attrs.field(init=False)
     moves: Counter = attrs.field(init=False)
     cut_answers: Counter = attrs.field(init=False)
+    silences: Counter = attrs.field(init=False)
     connects: Counter = attrs.field(init=False)
     config_age: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
@@ -210,6 +211,12 @@
             ["reason", "not_retried"],
             registry=registry,
         )
+        self.silences = Counter(
+            "sequoiawind_silences",
+            "Attempts whose targets fell silent, by what became of them.",
+            ["outcome"],
+            registry=registry,
+        )
         self.connects = Counter(
             "sequoiawind_connects",
             "Connections opened to targets, agents and the store.",
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -8,6 +8,7 @@
 
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.fleet import TargetView
+from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_ports import AnswerHead
 from sequoiawind.forwarding import Forwarding
@@ -56,11 +57,26 @@
             config_age_s=round(min(self.freshness.age_s, 1e6), 3),
         )
 
+    def note_silence(
+        self, forwarding: Forwarding, attempt: ForwardAttempt, outcome: str
+    ) -> None:
+        """Count and log what becomes of an attempt that has fallen silent."""
+        self.metrics.silences.labels(outcome).inc()
+        self.log.info(
+            "attempt silent",
+            request_id=forwarding.note.request_id,
+            target=attempt.view.target.name,
+            outcome=outcome,
+            after_event=forwarding.last_event,
+            left_s=round(forwarding.left_s, 3),
+            revision=forwarding.plan.revision,
+        )
+
     def note_attempt_failed(
-        self, forwarding: Forwarding, view: TargetView, failure: Failure
+        self, forwarding: Forwarding, attempt: ForwardAttempt, failure: Failure
     ) -> None:
         """Log a failed attempt with the last known status of its target."""
-        now_s = self.clock.seconds()
+        now_s, view = self.clock.seconds(), attempt.view
         status = view.status
         window = forwarding.forwarder.window
         sends = window.sends_of(forwarding.plan.pool.name, now_s)
@@ -76,7 +92,7 @@
             detail=failure.detail,
             left_s=round(forwarding.left_s, 3),
             parts=shared_part_ids(forwarding.plan.request.prompt),
-            since_first_event_s=since_first_event_s(forwarding, now_s),
+            since_first_event_s=since_first_event_s(attempt, now_s),
             first_sends=len(sends.first_s),
             repeats=len(sends.repeats_s),
             routers=forwarding.forwarder.fleet.routers(now_s),
@@ -193,9 +209,8 @@
     return [part.id for part in prompt.shared_parts[:MAX_LOGGED_PARTS]]
 
 
-def since_first_event_s(forwarding: Forwarding, now_s: float) -> float:
+def since_first_event_s(attempt: ForwardAttempt, now_s: float) -> float:
     """Return the age of the attempt's first event, in seconds; -1 if none."""
-    attempt = forwarding.current
-    if attempt is None or attempt.first_event_s < 0.0:
+    if attempt.first_event_s < 0.0:
         return -1.0
     return round(now_s - attempt.first_event_s, 4)
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -105,7 +105,7 @@
             self.forwarding.attempt_failed(self.attempt, failure)
         elif not self.has_ended:
             self.attempt.may_be_stopped = not self.is_run_untouched
-            self.forwarding.set_pause_timeout(self.attempt)
+            self.forwarding.silence.expect_event(self.attempt)
         elif self.is_run_untouched:
             self.forwarding.answered(self.attempt)
         else:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -184,17 +184,20 @@
         rig.advance(1.1)
         self.assertEqual(1, len(rig.port.sent))
         rig.advance(0.2)
-        self.assertTrue(sent.call.is_cancelled)
         self.assertEqual(2, len(rig.port.sent))
         self.assertEqual(3, rig.port.sent[1].order.after_event)
+        self.assertFalse(sent.call.is_cancelled)
+        rig.port.sent[1].begin(200, event(4))
+        self.assertTrue(sent.call.is_cancelled)
 
     def test_silent_stream_is_resumed_at_another_target(self) -> None:
         rig = self.rig()
         caller = rig.submit("draft")
         rig.port.sent[0].begin(200, event(1))
         rig.advance(1.5)
-        self.assertTrue(rig.port.sent[0].call.is_cancelled)
+        self.assertFalse(rig.port.sent[0].call.is_cancelled)
         rig.port.sent[1].answer(200, event(2))
+        self.assertTrue(rig.port.sent[0].call.is_cancelled)
         self.assertEqual(event(1) + event(2), caller.body)
 
 
