Let a newer configuration end no request that a target has got

What callers saw: beside a change of the configuration, a stream that broke or paused ended without its rest though its pool still served.

Cause: before each further attempt the request was planned as if it had just arrived. With its route or pool gone, its route moved to another pool, one target allowed in place of two, or a time limit that had passed, the new plan ended it, and an answer that had begun was cut. A call whose route no longer may be repeated was repeated all the same, since the old plan was asked. The class: a decision about an accepted request taken again on later inputs.

Change: Planner.renew keeps what a request was accepted with once a target has got it. A begun answer keeps its pool; any other request follows its route, if it still has one. The key must still be good, and a newer ban on repeats holds.

Ruled out: keeping the plan of requests that no target has got. They may be refused truthfully, and a key that was taken away must not begin a run.

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -116,6 +116,40 @@
             return Error(account.error)
         return self.planned(request, route, account.ok, state)
 
+    def renew(
+        self, plan: ForwardPlan, has_begun: bool
+    ) -> Result[ForwardPlan, Failure]:
+        """Return the plan of a request that a target has got, or a refusal.
+
+        The request was accepted, so it keeps its time, its repeats and, if its
+        route or pool has gone since, these too.  Its key must still be good,
+        and it may not be repeated if a newer configuration forbids that.
+
+        Args:
+          plan: The request's plan so far.
+          has_begun: Whether the caller has a part of the answer, which only
+            targets of the same pool may continue.
+        """
+        planned = self.plan(plan.request)
+        if planned.is_error():
+            if not self.has_good_key(plan):
+                return planned
+            revision = self.board.state.revision
+            return Ok(attrs.evolve(plan, revision=revision))
+        new = planned.ok
+        kind = plan.kind if new.kind.may_repeat else new.kind
+        pool = plan.pool if has_begun else new.pool
+        return Ok(attrs.evolve(new, kind=kind, pool=pool))
+
+    def has_good_key(self, plan: ForwardPlan) -> bool:
+        """Whether the key of a request, if it needed one, is still good."""
+        if not plan.account.name:
+            return True
+        known = tokens.holder_of(
+            plan.request.key, self.board.accounts_by_digest
+        )
+        return known is not None and self.trusts_keys
+
     def planned(
         self,
         request: ForwardRequest,
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -47,6 +47,9 @@
 # the time for which a target sheds load, loads weights or restarts.
 BUSY_RETRY_AFTER_S: Final = 0.4
 
+# Value of `RequestNote.not_retried` for a request that may have run.
+NOT_REPEATABLE: Final = "not_repeatable"
+
 
 @attrs.define(kw_only=True, eq=False)
 class Forwarding(RequestExecution):
@@ -147,6 +150,13 @@
         if not self.replan():
             return
         kind = self.plan.kind
+        if self.any_may_have_run and not kind.may_repeat:
+            self.note.not_retried = NOT_REPEATABLE
+            self.give_up(self.last_failure or may_have_run(Reason.TARGET_LOST))
+            return
+        if self.left_s <= 0.0:
+            self.stop(not_run(Reason.DEADLINE, messages.DEADLINE))
+            return
         if len(self.sent_to) >= max(1, kind.max_targets):
             self.stop(not_run(Reason.MAX_TARGETS, messages.MAX_TARGETS))
             return
@@ -197,7 +207,11 @@
         )
         if is_current and is_trusted:
             return None
-        planned = self.forwarder.planner.plan(self.plan.request)
+        planner = self.forwarder.planner
+        if self.sent_to:
+            planned = planner.renew(self.plan, has_begun=self.has_head)
+        else:
+            planned = planner.plan(self.plan.request)
         if planned.is_error():
             return planned.error
         self.plan = self.with_pool_of_origin(planned.ok)
@@ -432,7 +446,7 @@
             and self.forwarder.crashes.may_repeat(self.plan.request.prompt)
         )
         if not retries.may_retry(failure, may_repeat):
-            self.note.not_retried = "not_repeatable"
+            self.note.not_retried = NOT_REPEATABLE
             self.give_up(failure)
             return
         self.next_target()
