Move a run only if the request may go to yet another target

What callers saw: a stream whose target was about to load weights was cut.

Cause: a move stops the run before its destination has accepted it. If that one refuses, the request needs a further target; one that a target had refused before has none left, and its answer was cut. The class is that of silent attempts: a run is let go before its replacement is certain.

Change: a run is moved only while its request may be sent elsewhere. Otherwise it ends where it is, and the load waits for it as it does for runs that cannot move.

Evidence: test_run_without_a_further_target_is_not_moved failed before.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -299,15 +299,16 @@
     def move_away(self) -> None:
         """Start to move the run to another target, if possible.
 
-        Requires that the pool supports moves, that the kind may be repeated,
-        that the stream has begun, and that there is a target to move to.
+        Requires that the pool supports moves, that the stream has begun, that
+        there is a target to move to, and that the request may be sent to yet
+        another one, should that one refuse it.
         """
         attempt = self.current
         if attempt is None or attempt.is_over or attempt.move is not None:
             return
-        if self.silence.kept:
+        if self.silence.kept or not self.may_send_elsewhere():
             return
-        if not self.plan.pool.has_moves or not self.plan.kind.may_repeat:
+        if not self.plan.pool.has_moves:
             return
         if not attempt.is_streaming or self.last_event is None:
             return
