Log the signature of a request whose attempt failed

The calls under which targets end come under other ids each time, and no line of the log has what makes them the same, so the hypotheses of the incident cannot be told apart. Readers of the log gain one field. No decision was changed.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -24,6 +24,7 @@
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.repeat_window import AttemptCount
 from sequoiawind.request_execution import RequestExecution
+from sequoiawind.request_signature import RequestSignature
 from sequoiawind.silent_attempts import SilentAttempts
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin
@@ -64,6 +65,7 @@
     sent_to: list[str] = attrs.field(factory=list)
     attempts: AttemptCount = attrs.field(init=False)
     silence: SilentAttempts = attrs.field(init=False)
+    signature: RequestSignature = attrs.field(init=False)
     # Why the last attempt failed.
     last_failure: Failure | None = None
     # Whether an answer's head was sent to the caller.
@@ -79,6 +81,7 @@
         """Create the parts that refer to the forwarding."""
         self.attempts = AttemptCount(window=self.forwarder.window)
         self.silence = SilentAttempts(forwarding=self)
+        self.signature = RequestSignature.of(self.plan)
 
     def start(self) -> None:
         """Start the deadline and make the first attempt."""
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -91,6 +91,7 @@
             reason=failure.reason.value,
             detail=failure.detail,
             left_s=round(forwarding.left_s, 3),
+            signature=forwarding.signature.whole,
             parts=shared_part_ids(forwarding.plan.request.prompt),
             since_first_event_s=since_first_event_s(attempt, now_s),
             first_sends=len(sends.first_s),
