Keep requests that crash targets from them, plain services too

What callers saw: calls to the booking service were not served for seconds, again and again, because all of its targets ended; 12 sends of one request reached targets after it had ended three, where three are allowed.

Cause: the evidence of crashes knew the parts of prompts alone. A call to a plain service has none, and what is fatal in the last part of a prompt was never suspected, so the same request under a new id was a new one. The class: input that is fatal to whatever serves it, known by a feature that only some input has.

Change: a whole request is one more part, the deepest, named by a digest of the caller's account, the host, method, path and body. It is in the same registry, topic and rule of blame: three crashes, of which two are 50 ms apart, since a rack that fails ends its targets in one moment. The reason blocked_request and the log events request blocked and request let go are new. Records keep their form, so older routers and relays can read them. Suspects are bounded at 10,000 over all crashes, and 300 a report, those without an answer first.

The tests of prompt parts give each request a body of its own now, and pass signatures in place of prompts; what they check is unchanged.

Ruled out: a second registry beside the first, which would blame two causes for one crash; knowing a request by its caller or path, which sound ones share.

--- a/sequoiawind/crash_evidence.py
+++ b/sequoiawind/crash_evidence.py
@@ -1,15 +1,17 @@
-"""Which prompt parts crash targets, by the records of all routers.
+"""Which requests crash targets, by the records of all routers.
 
-A target may crash whenever it begins to write an answer on some part of a
-prompt, whatever else the request holds.  A router records, for each crash that
-it sees, the parts of the requests that had begun there shortly before or had
-not begun: the suspects.  A complete answer clears the parts of its prompt.
+A target may crash whenever it begins to run a certain request, or to write an
+answer on some part of a prompt, whatever else the request holds.  A router
+records, for each crash that it sees, the requests that had begun there shortly
+before or had not begun, and the parts of their prompts: the suspects.  A
+complete answer clears the request and the parts of its prompt.
 
-The parts that explain the most crashes are blocked.  Parts that have answered
-before explain a crash only if no other part does, and are blocked only if
-crashes go on for long without any answer.  Of parts that are always together
-the deepest one is blocked, since the others begin sound prompts too.  Many
-targets may crash at once for another reason, so crashes must go on.
+A whole request is one more part of itself, the deepest.  The parts that explain
+the most crashes are blocked.  Parts that have answered before explain a crash
+only if no other part does, and are blocked only if crashes go on for long
+without any answer.  Of parts that are always together the deepest one is
+blocked, since the others begin sound requests too.  Many targets may crash at
+once for another reason, so crashes must go on.
 
 A block ends with a test by one request of all routers: each failed test
 doubles the time until the next one, and a complete answer lifts the block.
@@ -21,12 +23,15 @@
 
 import attrs
 
+from sequoiawind.request_signature import is_whole
+
 # Crashes from which a request with a part is not repeated after a further one.
 CRASHES_TO_DOUBT: Final = 2
 # Age from which a crash counts no more, in seconds: longer than any block.
 CRASH_LIFETIME_S: Final = 7_200.0
-# Crashes, and cleared parts, that are kept at most.
+# Crashes, their suspects and cleared parts that are kept at most.
 MAX_CRASHES: Final = 300
+MAX_SUSPECTS: Final = 10_000
 MAX_CLEARED: Final = 10_000
 
 # The longest block, in seconds.
@@ -45,8 +50,11 @@
     block_s: float
 
 
+# A request that is sent to one target after the other crashes them one after
+# the other, while a rack that fails ends them in one moment.
+NEW_REQUEST: Final = BlockRule(crashes=3, groups=2, apart_s=0.05, block_s=120.0)
 NEW_PART: Final = BlockRule(crashes=3, groups=2, apart_s=0.5, block_s=120.0)
-# For parts that have answered before.
+# For parts and requests that have answered before.
 PROVEN_PART: Final = BlockRule(crashes=3, groups=3, apart_s=5.0, block_s=15.0)
 
 # Name and start of a target.
@@ -110,6 +118,8 @@
     is_changed: bool = False
     # Number of the last crash or answer.
     number: int = 0
+    # Suspects of all crashes.
+    suspect_count: int = 0
 
     @property
     def blocks(self) -> dict[str, Block]:
@@ -143,13 +153,22 @@
             self.number += 1
             crash = Crash(number=self.number, seen_s=now_s, at_s=at_s)
             self.crashes[incarnation] = crash
-            if len(self.crashes) > MAX_CRASHES:
-                self.crashes.popitem(last=False)
         for item in suspects:
             known = crash.suspects.get(item.part)
             if known is None or (item.is_proven and not known.is_proven):
                 crash.suspects[item.part] = item
+                self.suspect_count += known is None
                 self.is_changed = True
+        while len(self.crashes) > 1 and (
+            len(self.crashes) > MAX_CRASHES or self.suspect_count > MAX_SUSPECTS
+        ):
+            self.drop_oldest()
+
+    def drop_oldest(self) -> None:
+        """Drop the crash that was seen first."""
+        _, crash = self.crashes.popitem(last=False)
+        self.suspect_count -= len(crash.suspects)
+        self.is_changed = True
 
     def answered(self, part: str) -> None:
         """Clear a part, since a prompt with it had a complete answer."""
@@ -206,11 +225,10 @@
         """Drop the crashes that are too old to count."""
         oldest_s = now_s - CRASH_LIFETIME_S
         while self.crashes:
-            incarnation, crash = next(iter(self.crashes.items()))
+            crash = next(iter(self.crashes.values()))
             if crash.seen_s >= oldest_s:
                 break
-            del self.crashes[incarnation]
-            self.is_changed = True
+            self.drop_oldest()
 
     def crashes_by_part(self) -> dict[tuple[bool, str], set[Incarnation]]:
         """Return the crashes that count against each part.
@@ -236,8 +254,13 @@
         if not self.is_changed:
             return
         self.is_changed = False
-        by_part = self.crashes_by_part()
-        self.known_suspected = frozenset(part for _, part in by_part)
+        suspected = self.crashes_by_part()
+        self.known_suspected = frozenset(part for _, part in suspected)
+        by_part = {
+            key: crashes
+            for key, crashes in suspected.items()
+            if len(crashes) >= rule_of(key).crashes
+        }
         depths = {
             suspect.part: suspect.depth
             for crash in self.crashes.values()
@@ -291,4 +314,7 @@
 
 def rule_of(key: tuple[bool, str]) -> BlockRule:
     """Return the rule for a part, with whether it has answered before."""
-    return PROVEN_PART if key[0] else NEW_PART
+    is_proven, part = key
+    if is_proven:
+        return PROVEN_PART
+    return NEW_REQUEST if is_whole(part) else NEW_PART
--- a/sequoiawind/crash_registry.py
+++ b/sequoiawind/crash_registry.py
@@ -1,11 +1,12 @@
-"""Keeps prompt parts that crash targets from them, together with all routers.
+"""Keeps requests that crash targets from them, together with all routers.
 
 A router reports the crashes that it sees, and the complete answers that clear
-suspected parts, as records of a topic that all routers follow.  What they add
-up to is in `crash_evidence`.  Without the store a router goes by what it has
-seen and read.
+what was suspected, as records of a topic that all routers follow.  What they
+add up to is in `crash_evidence`.  Without the store a router goes by what it
+has seen and read.
 
-Reports name parts by a digest, since callers choose their ids.
+What is suspected are whole requests and parts of their prompts, all called
+parts here.  `request_signature` tells their names.
 """
 
 import time
@@ -17,7 +18,6 @@
 import structlog
 from expression import Result
 from twisted.internet.defer import Deferred
-from xxhash import xxh3_128_hexdigest
 
 from sequoiawind import messages, timing, wire
 from sequoiawind.crash_evidence import (
@@ -28,8 +28,8 @@
 )
 from sequoiawind.fleet import TargetView, is_leaving
 from sequoiawind.ports import Clock
-from sequoiawind.prompt_cache import Prompt
 from sequoiawind.record_ports import KeyedPage, KeyedRecord, ReadFailure
+from sequoiawind.request_signature import RequestSignature, digest, is_whole
 from sequoiawind.verdict import Failure, Reason, not_run
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -47,8 +47,11 @@
 # seconds, and the number of parts that are remembered.
 PROVEN_S: Final = 600.0
 MAX_PROVEN: Final = 20_000
-# Parts that a report names at most.
-MAX_SUSPECTS: Final = 64
+# Parts that a report names at most, those that have not answered first: more
+# than the requests that a target runs and queues.
+MAX_SUSPECTS: Final = 300
+# Depth of a whole request, greater than that of any part of a prompt.
+WHOLE_DEPTH: Final = 1_000_000
 # Time allowed for a call to the store, and the pause after a failed one, in
 # seconds.
 CALL_TIMEOUT_S: Final = 1.0
@@ -163,22 +166,20 @@
     def attempt_broken(
         self,
         view: TargetView,
-        prompt: Prompt | None,
+        signature: RequestSignature,
         first_event_s: float,
         failure: Failure,
     ) -> None:
-        """Suspect the parts of a prompt whose attempt broke off.
+        """Suspect a request whose attempt broke off, and its parts.
 
         Args:
           view: The target.
-          prompt: The prompt; None for calls to plain services.
+          signature: The names of the request and its parts.
           first_event_s: When the answer's first event arrived, in seconds of
             the clock; negative if there was none.
           failure: Why the attempt failed.
         """
-        if prompt is None or failure.reason not in CRASH_REASONS:
-            return
-        if is_leaving(view):
+        if failure.reason not in CRASH_REASONS or is_leaving(view):
             return
         now_s = self.clock.seconds()
         broken = self.broken.get(view.target.incarnation)
@@ -187,16 +188,17 @@
             self.broken[view.target.incarnation] = broken
             self.clock.callLater(CONFIRM_S, self.confirm, broken)
         if 0.0 <= first_event_s < now_s - BEGINNING_S:
-            self.note_proven(prompt)
+            self.note_proven(signature)
             return
-        for depth, part in enumerate(digests(prompt)):
-            if len(broken.suspects) < MAX_SUSPECTS:
-                broken.suspects[part] = Suspect(
-                    part=part, depth=depth, is_proven=self.is_proven(part)
-                )
+        for depth, part in enumerate(signature.names):
+            broken.suspects[part] = Suspect(
+                part=part,
+                depth=WHOLE_DEPTH if is_whole(part) else depth,
+                is_proven=self.is_proven(part),
+            )
 
     def is_proven(self, part: str) -> bool:
-        """Whether a prompt with a part had a complete answer here lately."""
+        """Whether a request with a part had a complete answer here lately."""
         answered_s = self.proven_s.get(part, float("-inf"))
         return self.clock.seconds() - answered_s < PROVEN_S
 
@@ -218,7 +220,10 @@
         if is_alive or not broken.suspects:
             return
         at_ms = self.wall_ms()
-        suspects = list(broken.suspects.values())
+        suspects = sorted(
+            broken.suspects.values(),
+            key=lambda item: (item.is_proven, -item.depth),
+        )[:MAX_SUSPECTS]
         self.crashed(target.incarnation, suspects, at_ms)
         self.log_blocks()
         known = self.evidence.crashes[target.incarnation].suspects.values()
@@ -234,20 +239,20 @@
         name = f"{target.name}\n{target.born_ms}\n{self.node}"
         self.write(f"{CRASH}/{digest(name)}", wire.encode(body))
 
-    def answered(self, prompt: Prompt) -> None:
-        """Clear the parts of a prompt that had a complete answer."""
-        self.note_proven(prompt)
-        for part in digests(prompt):
+    def answered(self, signature: RequestSignature) -> None:
+        """Clear a request that had a complete answer, and its parts."""
+        self.note_proven(signature)
+        for part in signature.names:
             if part in self.evidence.suspected:
                 self.evidence.answered(part)
                 self.log_blocks()
                 body = PartBody(at_ms=self.wall_ms(), part=part)
                 self.write(f"{ANSWER}/{part}", wire.encode(body))
 
-    def note_proven(self, prompt: Prompt) -> None:
-        """Note that a target goes on after it has begun to answer a prompt."""
+    def note_proven(self, signature: RequestSignature) -> None:
+        """Note that a target goes on after it has begun to answer a request."""
         now_s = self.clock.seconds()
-        for part in digests(prompt):
+        for part in signature.names:
             self.proven_s[part] = now_s
             self.proven_s.move_to_end(part)
         while len(self.proven_s) > MAX_PROVEN:
@@ -268,14 +273,16 @@
         blocks = self.evidence.blocks
         for part, block in blocks.items():
             if part not in self.logged_blocks:
+                kind = "request" if is_whole(part) else "prompt part"
                 self.log.warning(
-                    "prompt part blocked",
+                    f"{kind} blocked",
                     part=part,
                     crashes=block.crashes,
                     test_in_s=round(block.until_s - now_s, 3),
                 )
         for part in self.logged_blocks - blocks.keys():
-            self.log.info("prompt part let go", part=part)
+            kind = "request" if is_whole(part) else "prompt part"
+            self.log.info(f"{kind} let go", part=part)
         self.logged_blocks = frozenset(blocks)
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
@@ -345,14 +352,14 @@
 
     # Decisions.
 
-    def refusal(self, prompt: Prompt | None) -> Failure | None:
-        """Return why a prompt must not be sent; None if it may be sent."""
-        if prompt is None or not self.evidence.blocks:
+    def refusal(self, signature: RequestSignature) -> Failure | None:
+        """Return why a request must not be sent; None if it may be sent."""
+        if not self.evidence.blocks:
             return None
         now_s = self.clock.seconds()
         blocks = [
             block
-            for block in self.evidence.blocks_of(digests(prompt), now_s)
+            for block in self.evidence.blocks_of(signature.names, now_s)
             if not self.has_permit(block.part)
         ]
         if not blocks:
@@ -362,20 +369,23 @@
         if left_s <= 0.0:
             self.ask_for_test(block)
             left_s = TEST_RETRY_AFTER_S
+        if is_whole(block.part):
+            text = messages.BLOCKED_REQUEST
+            return not_run(Reason.BLOCKED_REQUEST, text, left_s)
         return not_run(Reason.BLOCKED_PART, messages.BLOCKED_PART, left_s)
 
     def has_permit(self, part: str) -> bool:
         """Whether one request may test a part now."""
         return self.permits_s.get(part, float("-inf")) > self.age_clock()
 
-    def sent(self, prompt: Prompt) -> None:
-        """Use up the permissions for the parts of a prompt that is sent."""
-        for part in digests(prompt) if self.permits_s else ():
+    def sent(self, signature: RequestSignature) -> None:
+        """Use up the permissions for a request that is sent."""
+        for part in signature.names if self.permits_s else ():
             self.permits_s.pop(part, None)
 
-    def may_repeat(self, prompt: Prompt | None) -> bool:
-        """Whether a prompt whose attempt broke off may be sent again."""
-        return prompt is None or not self.evidence.is_doubtful(digests(prompt))
+    def may_repeat(self, signature: RequestSignature) -> bool:
+        """Whether a request whose attempt broke off may be sent again."""
+        return not self.evidence.is_doubtful(signature.names)
 
     def ask_for_test(self, block: Block) -> None:
         """Ask for the permission to test a part, unless that is under way."""
@@ -457,18 +467,3 @@
             )
             await timing.sleep(self.clock, RETRY_PAUSE_S)
         self.is_writing = False
-
-
-def digests(prompt: Prompt) -> list[str]:
-    """Return the names in reports of the parts that other prompts share.
-
-    A part of another model's prompt is another part.
-    """
-    return [
-        digest(f"{prompt.model}\n{part.id}") for part in prompt.shared_parts
-    ]
-
-
-def digest(text: str) -> str:
-    """Return a short name for a text of any length."""
-    return xxh3_128_hexdigest(text.encode())
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -28,6 +28,7 @@
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.prompt_cache import Prompt
 from sequoiawind.repeat_window import RepeatWindow
+from sequoiawind.request_signature import RequestSignature
 from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin, may_continue
@@ -257,11 +258,9 @@
         Updates the average prefill, the model of the target's cache, and the
         request's note.
         """
+        self.crashes.sent(forwarding.signature)
         prompt = forwarding.plan.request.prompt
-        if prompt is None:
-            return
-        self.crashes.sent(prompt)
-        if chosen.version is None:
+        if prompt is None or chosen.version is None:
             return
         self.average_prefill_tokens += PREFILL_AVERAGE_WEIGHT * (
             chosen.prefill_tokens - self.average_prefill_tokens
@@ -348,21 +347,21 @@
     # Outcomes.
 
     def outcome(
-        self, name: str, is_fault: bool, prompt: Prompt | None = None
+        self, name: str, is_fault: bool, signature: RequestSignature | None
     ) -> None:
         """Record a complete answer in the health of its target.
 
         Args:
           name: The target.
           is_fault: Whether the answer is an error of the target.
-          prompt: The prompt, if the target has written an answer on it.
+          signature: That of the request, if the target has written an answer.
         """
         if is_fault:
             self.fleet.members.health_of(name).note_outcome(True)
             return
         self.fleet.record_success(name)
-        if prompt is not None:
-            self.crashes.answered(prompt)
+        if signature is not None:
+            self.crashes.answered(signature)
 
     def head_received(self, view: TargetView, head: AnswerHead) -> None:
         """Record what a target states about itself in an answer."""
@@ -402,7 +401,7 @@
         view = attempt.view
         self.crashes.attempt_broken(
             view,
-            forwarding.plan.request.prompt,
+            forwarding.signature,
             attempt.first_event_s,
             failure,
         )
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -201,7 +201,7 @@
         Returns:
           Why the request must not be sent; None if it may be sent.
         """
-        blocked = self.forwarder.crashes.refusal(self.plan.request.prompt)
+        blocked = self.forwarder.crashes.refusal(self.signature)
         if blocked is not None:
             return blocked
         is_current = self.plan.revision == self.forwarder.board.state.revision
@@ -381,8 +381,8 @@
             self.attempt_failed(attempt, answer.refusal)
             return
         is_fault = answer.status >= 500
-        prompt = self.plan.request.prompt if attempt.has_written else None
-        self.forwarder.outcome(name, is_fault, prompt)
+        signature = self.signature if attempt.has_written else None
+        self.forwarder.outcome(name, is_fault, signature)
         is_unfit = is_fault or (self.has_head and not attempt.is_streaming)
         if is_unfit and self.silence.lost(attempt):
             return
@@ -447,7 +447,7 @@
             return
         may_repeat = (
             self.plan.kind.may_repeat
-            and self.forwarder.crashes.may_repeat(self.plan.request.prompt)
+            and self.forwarder.crashes.may_repeat(self.signature)
         )
         if not retries.may_retry(failure, may_repeat):
             self.note.not_retried = NOT_REPEATABLE
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -55,6 +55,7 @@
     DRAINING = "draining"
     ORIGIN_UNKNOWN = "origin_unknown"
     BLOCKED_PART = "blocked_part"
+    BLOCKED_REQUEST = "blocked_request"
     TARGET_LIMIT = "target_limit"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -314,7 +314,7 @@
             "method": b"POST",
             "request_target": f"/{route}/x".encode(),
             "headers": [],
-            "body": b"",
+            "body": b"body of %d" % self.request_count,
             "key": KEY,
             "arrived_s": self.clock.seconds(),
             "deadline_s": 5.0,
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """A part of prompts under which targets crash is found and kept from them."""
 
+import itertools
 from typing import Any
 
 import attrs
@@ -11,11 +12,16 @@
     NEW_PART,
     PROVEN_PART,
 )
-from sequoiawind.crash_registry import RECORD_LIFETIME_MS, digests
+from sequoiawind.crash_registry import RECORD_LIFETIME_MS
 from sequoiawind.fleet import TargetView
 from sequoiawind.lab.memory_crash_log import MemoryCrashLog
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.record_ports import KeyedRecord
+from sequoiawind.request_signature import (
+    RequestSignature,
+    part_names,
+    whole_name,
+)
 from sequoiawind.verdict import Reason, Verdict, may_have_run
 from tests.forward_rig import FakeCaller, ForwardRig, Sent, target
 
@@ -28,6 +34,7 @@
 BAD = "bad"
 CRASHES_TO_BLOCK = NEW_PART.crashes
 BLOCK_S = NEW_PART.block_s
+NUMBERS = itertools.count()
 
 
 def prompt_of(*names: str) -> Prompt:
@@ -40,6 +47,12 @@
     )
 
 
+def signature_of(prompt: Prompt) -> RequestSignature:
+    """Return the signature of a request that equals no other one."""
+    whole = whole_name(b"%d" % next(NUMBERS))
+    return RequestSignature(whole=whole, parts=part_names(prompt))
+
+
 @attrs.define(kw_only=True, eq=False)
 class CrashingFleet:
     """A router before engines that crash under a prompt part."""
@@ -142,7 +155,7 @@
 def refuses(rig: ForwardRig, *names: str) -> bool:
     """Whether a router refuses a prompt with the given parts."""
     prompt = prompt_of(*names, "own")
-    return rig.forwarder.crashes.refusal(prompt) is not None
+    return rig.forwarder.crashes.refusal(signature_of(prompt)) is not None
 
 
 def follow(rig: ForwardRig, log: MemoryCrashLog) -> None:
@@ -168,7 +181,7 @@
             rig.submit("draft", prompt=prompt_of("root", "own"))
             rig.port.sent[0].answer(status, body)
             proven = rig.forwarder.crashes.is_proven(
-                digests(prompt_of("root", "own"))[0]
+                part_names(prompt_of("root", "own"))[0]
             )
             self.assertEqual(expected, proven, (status, body))
 
@@ -195,14 +208,14 @@
         """Let a router see an engine crash under a prompt."""
         view = TargetView(target=target(name, "llm", born_ms=born_ms))
         rig.forwarder.crashes.attempt_broken(
-            view, prompt_of(*names, "own"), -1.0, LOST
+            view, signature_of(prompt_of(*names, "own")), -1.0, LOST
         )
         rig.advance(0.5)
 
     def block(self, **fields: Any) -> ForwardRig:
         """Return a router that knows a part to crash engines."""
         rig = self.router(**fields)
-        rig.forwarder.crashes.answered(prompt_of("root", "own"))
+        rig.forwarder.crashes.answered(signature_of(prompt_of("root", "own")))
         for born_ms in range(CRASHES_TO_BLOCK):
             self.crash(rig, "e0", born_ms, "root", BAD)
         return rig
@@ -262,11 +275,13 @@
     def test_targets_that_crash_at_once_block_no_part(self) -> None:
         for parts in (("root", "sound"), ("root", "new"), ("newer", "new")):
             rig = self.router()
-            rig.forwarder.crashes.answered(prompt_of("root", "sound", "own"))
+            rig.forwarder.crashes.answered(
+                signature_of(prompt_of("root", "sound", "own"))
+            )
             for number in range(4):
                 rig.forwarder.crashes.attempt_broken(
                     rig.fleet.views[f"e{number}"],
-                    prompt_of(*parts, "own"),
+                    signature_of(prompt_of(*parts, "own")),
                     -1.0,
                     LOST,
                 )
@@ -275,7 +290,7 @@
 
     def test_part_that_answered_before_is_blocked_after_long(self) -> None:
         rig = self.router()
-        rig.forwarder.crashes.answered(prompt_of("root", "own"))
+        rig.forwarder.crashes.answered(signature_of(prompt_of("root", "own")))
         for born_ms in range(PROVEN_PART.groups):
             self.assertFalse(refuses(rig, "root"))
             self.crash(rig, "e0", born_ms, "root")
@@ -285,7 +300,7 @@
     def test_part_of_another_model_is_another_part(self) -> None:
         rig = self.block()
         other = attrs.evolve(prompt_of("root", BAD, "own"), model="m2")
-        self.assertIsNone(rig.forwarder.crashes.refusal(other))
+        self.assertIsNone(rig.forwarder.crashes.refusal(signature_of(other)))
 
     def test_last_part_is_never_blocked(self) -> None:
         rig = self.router()
@@ -299,7 +314,7 @@
             view = rig.fleet.views["e0"]
             view.target = attrs.evolve(view.target, born_ms=number)
             rig.forwarder.crashes.attempt_broken(
-                view, prompt_of("root", BAD, "own"), -1.0, LOST
+                view, signature_of(prompt_of("root", BAD, "own")), -1.0, LOST
             )
             rig.clock.advance(0.1)
             view.heard_s = rig.clock.seconds()
@@ -309,7 +324,9 @@
     def test_complete_answer_at_any_router_clears_the_part(self) -> None:
         rig, other = self.block(), self.router("r2")
         follow(other, self.log)
-        other.forwarder.crashes.answered(prompt_of("root", BAD, "own"))
+        other.forwarder.crashes.answered(
+            signature_of(prompt_of("root", BAD, "own"))
+        )
         self.assertFalse(refuses(other, "root", BAD))
         follow(rig, self.log)
         self.assertFalse(refuses(rig, "root", BAD))
@@ -317,7 +334,9 @@
     def test_answer_read_again_clears_no_later_crash(self) -> None:
         rig = self.router()
         self.crash(rig, "e0", 100, "root", BAD)
-        rig.forwarder.crashes.answered(prompt_of("root", BAD, "own"))
+        rig.forwarder.crashes.answered(
+            signature_of(prompt_of("root", BAD, "own"))
+        )
         other = self.router("r2")
         follow(other, self.log)
         for born_ms in range(CRASHES_TO_BLOCK):
@@ -326,7 +345,7 @@
         follow(other, self.log)
         self.assertTrue(
             other.forwarder.crashes.evidence.is_suspected(
-                digests(prompt_of(BAD, "own"))[0]
+                part_names(prompt_of(BAD, "own"))[0]
             )
         )
 
@@ -340,7 +359,9 @@
         for _ in range(3):
             for rig in routers:
                 if not refuses(rig, "root", BAD):
-                    rig.forwarder.crashes.sent(prompt_of("root", BAD, "own"))
+                    rig.forwarder.crashes.sent(
+                        signature_of(prompt_of("root", BAD, "own"))
+                    )
                     sends += 1
                 follow(rig, self.log)
                 self.clock.advance(0.1)
--- a/tests/test_feed_programs.py
+++ b/tests/test_feed_programs.py
@@ -39,6 +39,11 @@
 from sequoiawind.lab.memory_crash_log import MemoryCrashLog
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.record_ports import KeyedRecord
+from sequoiawind.request_signature import (
+    RequestSignature,
+    part_names,
+    whole_name,
+)
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from tests.forward_rig import FakePort, ForwardRig, state, target
 from tests.test_record_followers import NamedWeights
@@ -49,6 +54,14 @@
     max_tokens=10,
     parts=(PromptPart(id="bad", tokens=100), PromptPart(id="own", tokens=100)),
 )
+
+
+def signature(number: int) -> RequestSignature:
+    """Return the signature of one of several requests with that prompt."""
+    whole = whole_name(b"%d" % number)
+    return RequestSignature(whole=whole, parts=part_names(PROMPT))
+
+
 CODEC = OperatorCodec(
     config_key="config",
     weights_prefix="w/",
@@ -161,7 +174,9 @@
         for number in range(3):
             view = TargetView(target=target(f"e{number}", "llm"))
             lost = may_have_run(Reason.CONNECTION_LOST)
-            other.forwarder.crashes.attempt_broken(view, PROMPT, -1.0, lost)
+            other.forwarder.crashes.attempt_broken(
+                view, signature(number), -1.0, lost
+            )
             self.clock.advance(1.0)
         return [
             RecordItem("crash", item.key, item.stamp, item.value)
@@ -171,14 +186,14 @@
     def test_router_that_saw_no_crash_learns_of_them_from_a_relay(self) -> None:
         records = self.crash_records()
         self.reader.take(reply(records=records[:2]), 0.0)
-        self.assertIsNone(self.crashes.refusal(PROMPT))
+        self.assertIsNone(self.crashes.refusal(signature(9)))
         self.reader.take(reply(records=records[2:]), 0.0)
-        self.assertIsNotNone(self.crashes.refusal(PROMPT))
+        self.assertIsNotNone(self.crashes.refusal(signature(9)))
 
     def test_router_that_just_started_learns_of_them_from_a_relay(self) -> None:
         records = self.crash_records()
         self.reader.take(reply(is_whole=True, records=records), 0.0)
-        self.assertIsNotNone(self.crashes.refusal(PROMPT))
+        self.assertIsNotNone(self.crashes.refusal(signature(9)))
 
     def test_records_of_a_newer_release_are_ignored(self) -> None:
         newer = reply(records=[RecordItem("newer", "k", (0, 1), b"x")])
