Split the world of the forwarding soak into modules

Change: the targets are in forward_targets.py, their runs in forward_runs.py; no other line changed.

--- a/sequoiawind/lab/forward_faults.py
+++ b/sequoiawind/lab/forward_faults.py
@@ -5,7 +5,8 @@
 import attrs
 
 from sequoiawind.lab.forward_checks import StatedLimit
-from sequoiawind.lab.forward_world import FaultRates, SimulatedTarget
+from sequoiawind.lab.forward_targets import SimulatedTarget
+from sequoiawind.lab.forward_world import FaultRates
 
 if TYPE_CHECKING:
     from sequoiawind.lab.forward_soak import ForwardSoak
--- /dev/null
+++ b/sequoiawind/lab/forward_runs.py
@@ -0,0 +1,100 @@
+"""Runs of requests at the modelled targets, for the soak of the forwarding."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from sequoiawind.forward_ports import AnswerHead, ForwardSink, SendOrder
+from sequoiawind.lab.forward_world import EVENT_S, LATENCY_S, LOST
+from sequoiawind.lab.memory_network import Node
+from sequoiawind.lab.stream_content import event_bytes, event_count, stream_id
+from sequoiawind.verdict import Reason, not_run
+
+if TYPE_CHECKING:
+    from sequoiawind.lab.forward_targets import SimulatedTarget
+
+
+@attrs.define(kw_only=True, eq=False)
+class SimulatedRun:
+    """One run of a request at a target; also its router's `Call`."""
+
+    target: "SimulatedTarget"
+    order: SendOrder
+    sink: ForwardSink
+    node: Node
+    epoch: int
+    event: int = 0
+    is_cancelled: bool = False
+    # Whether only the end of the connection ends the answer.
+    is_close_delimited: bool = False
+
+    def cancel(self) -> None:
+        """Stop the run; nothing more is delivered."""
+        self.is_cancelled = True
+        self.target.runs.pop(self.order.request.request_id, None)
+
+    def send_back(self, action: Callable[[], None]) -> None:
+        """Run a callback in the router's process, unless cancelled."""
+
+        def act() -> None:
+            if not self.is_cancelled:
+                action()
+
+        clock = self.target.world.clock
+        clock.callLater(LATENCY_S, self.node.run, self.epoch, act)
+
+    def end(self, action: Callable[[], None]) -> None:
+        """Remove the run and deliver the end of its answer."""
+        self.target.runs.pop(self.order.request.request_id, None)
+        self.send_back(action)
+
+    def refuse(self, reason: Reason) -> None:
+        """Answer that the request was not run."""
+        head = AnswerHead(
+            status=503,
+            headers=[],
+            refusal=not_run(reason),
+            limit_per_s=self.target.stated_per_s,
+        )
+        self.send_back(lambda: self.sink.head(head))
+        self.end(self.sink.done)
+
+    def break_off(self) -> None:
+        """Break the answer off; a close-delimited one inside an event."""
+        if self.is_close_delimited:
+            part = b"id: %d\nda" % (self.event + 1)
+            self.send_back(lambda: self.sink.data(part))
+            self.end(self.sink.done)
+            self.target.world.counts["streams truncated"] += 1
+        else:
+            self.end(lambda: self.sink.failed(LOST))
+
+    def stop(self) -> None:
+        """End the stream after an event, before its last one."""
+        if self.is_close_delimited:
+            self.end(self.sink.done)
+        else:
+            self.end(lambda: self.sink.failed(LOST))
+
+    def produce_event(self) -> None:
+        """Send the next event of the answer, or its end."""
+        if self.is_cancelled or not self.target.is_up:
+            return
+        request = self.order.request
+        if request.request_id not in self.target.runs:
+            return
+        name = stream_id(request)
+        if self.event >= event_count(name):
+            self.end(self.sink.done)
+            return
+        self.event += 1
+        data = event_bytes(name, self.event, self.target.entry.software)
+        self.send_back(lambda: self.sink.data(data))
+        if self.target.world.happens(self.target.world.fault_rates.lost / 10):
+            self.break_off()
+            return
+        if not self.target.world.happens(
+            self.target.world.fault_rates.hung / 10
+        ):
+            self.target.world.clock.callLater(EVENT_S, self.produce_event)
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -30,12 +30,8 @@
 )
 from sequoiawind.lab.forward_faults import ForwardFaults
 from sequoiawind.lab.forward_processes import Processes, SoakRouter
-from sequoiawind.lab.forward_world import (
-    CACHE_STORE,
-    MODEL,
-    SimulatedTarget,
-    World,
-)
+from sequoiawind.lab.forward_targets import SimulatedTarget
+from sequoiawind.lab.forward_world import CACHE_STORE, MODEL, World
 from sequoiawind.lab.memory_network import Node
 from sequoiawind.lab.stream_content import (
     last_number,
--- a/sequoiawind/lab/forward_target_ports.py
+++ b/sequoiawind/lab/forward_target_ports.py
@@ -10,7 +10,8 @@
     MoveOrder,
     SendOrder,
 )
-from sequoiawind.lab.forward_world import LATENCY_S, SimulatedRun, World
+from sequoiawind.lab.forward_runs import SimulatedRun
+from sequoiawind.lab.forward_world import LATENCY_S, World
 from sequoiawind.lab.memory_network import Node
 from sequoiawind.verdict import Failure, Reason, not_run
 
