Let targets fall silent and the configuration change in the soak

Cause: the soak published configurations that differed in their revision and keys alone, and its targets never paused.

Change: targets stand still for 0.3 to 2.5 s and go on, which is no fault. Routes are added, removed and moved between two pools of plain services and two of engines; time limits, the number of targets tried and accounts' keys change. Requests go to routes that exist. The bound on repeats is checked for each pool, plain services included. More of the requests have valid keys, so that more are served.

Ruled out: silences as one more fault in the list; they were too rare.

--- a/sequoiawind/lab/forward_checks.py
+++ b/sequoiawind/lab/forward_checks.py
@@ -33,10 +33,6 @@
     # When requests arrived that had arrived before; moved runs do not count.
     repeats_s: list[float] = attrs.field(factory=list)
     arrived: set[str] = attrs.field(factory=set)
-    # The same for requests with the part that crashes targets, repeats
-    # included, and when targets crashed under it.
-    fatal_s: list[float] = attrs.field(factory=list)
-    crashes_s: list[float] = attrs.field(factory=list)
 
     def add(self, request_id: str, now_s: float) -> None:
         """Count a request that arrives."""
@@ -63,17 +59,29 @@
                 f"{repeats} repeats from {start_s:.2f} s on, allowed {bound}",
             )
 
-    def check_fatal(self, calm_since_s: float) -> None:
+
+@attrs.define(kw_only=True)
+class CrashingRequests:
+    """Requests with one part under which targets crash."""
+
+    # Crashes after which they must be kept from targets.
+    free_crashes: int
+    # When they arrived at targets, repeats included, and when targets crashed
+    # under them, in seconds of the clock.
+    arrivals_s: list[float] = attrs.field(factory=list)
+    crashes_s: list[float] = attrs.field(factory=list)
+
+    def check(self, calm_since_s: float) -> None:
         """Check that the part is kept from targets.
 
         Args:
           calm_since_s: Since when no process and no store was disturbed.
         """
-        if len(self.crashes_s) < FREE_CRASHES:
+        if len(self.crashes_s) < self.free_crashes:
             return
-        fifth_s = self.crashes_s[FREE_CRASHES - 1]
-        since_s = max(fifth_s, calm_since_s) + CONTACT_S
-        late = sum(arrived_s > since_s for arrived_s in self.fatal_s)
+        last_free_s = self.crashes_s[self.free_crashes - 1]
+        since_s = max(last_free_s, calm_since_s) + CONTACT_S
+        late = sum(arrived_s > since_s for arrived_s in self.arrivals_s)
         invariants.check(
             late <= MAX_FATAL_ARRIVALS,
             "crashing-part",
--- a/sequoiawind/lab/forward_faults.py
+++ b/sequoiawind/lab/forward_faults.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sequoiawind.lab.forward_checks import StatedLimit
+from sequoiawind.lab.forward_config import ENGINE_POOLS
 from sequoiawind.lab.forward_targets import SimulatedTarget
 from sequoiawind.lab.forward_world import FaultRates
 
@@ -81,7 +82,7 @@
         """Let an engine state a limit for a while."""
         soak = self.soak
         target = self.random_target()
-        if target.entry.pool != "llm":
+        if target.entry.pool not in ENGINE_POOLS:
             return
         limit = StatedLimit(
             limit_per_s=soak.rng.choice((0.0, 0.5, 1.0, 2.0)),
@@ -95,6 +96,18 @@
 
         soak.clock.callLater(self.random_delay_s(4.0, 15.0), end)
 
+    def silence_target(self) -> None:
+        """Let a target's runs stand still for a while, and then go on.
+
+        That is no fault of the target.
+        """
+        if self.is_healed:
+            return
+        self.soak.world.counts["silences"] += 1
+        target = self.random_target()
+        until_s = self.soak.clock.seconds() + self.random_delay_s(0.3, 2.5)
+        target.silent_until_s = max(target.silent_until_s, until_s)
+
     def drain_target(self) -> None:
         """Drain a target, end it, and start another at its address."""
         target = self.random_target()
@@ -196,13 +209,7 @@
 
     def revoke_key(self) -> None:
         """Revoke a random key."""
-        soak = self.soak
-        if len(soak.valid_keys) < 2:
-            return
-        key = soak.rng.choice(sorted(soak.valid_keys))
-        soak.valid_keys.discard(key)
-        soak.write_config()
-        soak.world.revoked_s[key] = soak.clock.seconds()
+        self.soak.config.revoke_key()
 
     def revoke_while_refused(self) -> None:
         """Revoke a key while a router cannot read the store."""
@@ -214,7 +221,23 @@
 
     def change_config(self) -> None:
         """Publish a configuration that differs in its revision alone."""
-        self.soak.write_config()
+        self.soak.config.publish()
+
+    def change_route(self) -> None:
+        """Add or remove a route."""
+        self.soak.config.change_route()
+
+    def move_route(self) -> None:
+        """Move a route to another pool."""
+        self.soak.config.move_route()
+
+    def change_kind(self) -> None:
+        """Change the limits of a kind of requests."""
+        self.soak.config.change_kind()
+
+    def add_key(self) -> None:
+        """Add a key to an account."""
+        self.soak.config.add_key()
 
     def name_weights(self) -> None:
         """Publish a newer weights version."""
@@ -253,6 +276,12 @@
     "revoke_key",
     "revoke_while_refused",
     "change_config",
+    "change_route",
+    "move_route",
+    "move_route",
+    "change_kind",
+    "add_key",
+    "name_weights",
     "name_weights",
     "name_weights",
     "raise_fault_rates",
--- a/sequoiawind/lab/forward_runs.py
+++ b/sequoiawind/lab/forward_runs.py
@@ -97,4 +97,4 @@
         if not self.target.world.happens(
             self.target.world.fault_rates.hung / 10
         ):
-            self.target.world.clock.callLater(EVENT_S, self.produce_event)
+            self.target.work(EVENT_S, SimulatedRun.produce_event, self)
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -13,25 +13,18 @@
 
 from sequoiawind import invariants
 from sequoiawind.forward_plan import ForwardRequest
-from sequoiawind.forward_state import (
-    ForwardAccount,
-    ForwardKind,
-    ForwardPool,
-    ForwardRoute,
-    ForwardState,
-    ForwardTarget,
-)
+from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.lab.forward_callers import (
     ISOLATED,
-    KEYS,
     KINDS,
     ForwardSoakCaller,
 )
+from sequoiawind.lab.forward_config import ENGINE_POOLS, ROUTES, SoakConfig
 from sequoiawind.lab.forward_faults import ForwardFaults
 from sequoiawind.lab.forward_processes import Processes, SoakRouter
 from sequoiawind.lab.forward_targets import SimulatedTarget
-from sequoiawind.lab.forward_world import CACHE_STORE, MODEL, World
+from sequoiawind.lab.forward_world import MODEL, World
 from sequoiawind.lab.memory_network import Node
 from sequoiawind.lab.stream_content import (
     last_number,
@@ -41,15 +34,17 @@
 from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.rollout import NamedVersion
-from sequoiawind.tokens import token_digest
 
 ROUTERS: Final = 3
-ENGINES: Final = 6
+# Pools of the engines and of the targets for calls.
+ENGINES: Final = ("llm",) * 6 + ("llm2",) * 4
+PLAIN_TARGETS: Final = ("app",) * 3 + ("app2",) * 3
 # When faults stop, and how long the run lasts after that.
 FAULTY_S: Final = 30.0
 SETTLE_S: Final = 15.0
 REQUESTS_PER_S: Final = 14.0
-FAULTS_PER_S: Final = 0.6
+FAULTS_PER_S: Final = 1.0
+SILENCES_PER_S: Final = 0.7
 # Part of prompts under which engines crash, and requests with it per second.
 FATAL_PART: Final = "fatal"
 FATAL_PER_S: Final = 0.5
@@ -73,9 +68,7 @@
     world: World = attrs.field(init=False)
     processes: Processes = attrs.field(init=False)
     callers: list[ForwardSoakCaller] = attrs.field(factory=list)
-    # Keys of callers that have not been revoked.
-    valid_keys: set[str] = attrs.field(factory=lambda: set(KEYS))
-    revision: int = 0
+    config: SoakConfig = attrs.field(init=False)
     # Weights versions in the order in which the operator named them.
     named_versions: list[NamedVersion] = attrs.field(factory=list)
     # Number of targets started so far.
@@ -95,12 +88,12 @@
         self.faults = ForwardFaults(soak=self)
         self.world.fatal_part = FATAL_PART
         self.world.on_fatal = self.faults.crash
-        self.write_config()
-        for number in range(ENGINES):
-            self.add_target(f"e{number}", "llm", f"e{number}:1")
+        self.config = SoakConfig(world=self.world, rng=self.rng)
+        for number, pool in enumerate(ENGINES):
+            self.add_target(f"e{number}", pool, f"e{number}:1")
             self.processes.start_agent(f"e{number}:1")
-        for number in range(2):
-            self.add_target(f"p{number}", "app", f"p{number}:1")
+        for number, pool in enumerate(PLAIN_TARGETS):
+            self.add_target(f"p{number}", pool, f"p{number}:1")
         for number in range(ROUTERS):
             self.processes.start_router(Node(name=f"r{number}"))
 
@@ -112,6 +105,7 @@
             self.repeat(REQUESTS_PER_S, self.send_request)
             self.repeat(FATAL_PER_S, self.send_fatal)
             self.repeat(FAULTS_PER_S, self.faults.inject)
+            self.repeat(SILENCES_PER_S, self.faults.silence_target)
             self.repeat(10.0, self.check_revisions)
             self.repeat(RECONNECTS_PER_S, self.reconnect_callers)
             self.clock.advance_to(FAULTY_S)
@@ -133,9 +127,11 @@
                 bool(item.prior and item.body) for item in self.callers
             ),
         }
-        arrivals = self.world.arrivals
-        caller_counts["crashes under a part"] = len(arrivals.crashes_s)
-        caller_counts["repeats"] = len(arrivals.repeats_s)
+        crashes_s = self.world.crashing.crashes_s
+        caller_counts["crashes under a part"] = len(crashes_s)
+        caller_counts["repeats"] = sum(
+            len(item.repeats_s) for item in self.world.arrivals.values()
+        )
         return {**self.world.counts, **caller_counts}
 
     def repeat(self, rate: float, action: Callable[[], None]) -> None:
@@ -154,46 +150,6 @@
 
     # The platform.
 
-    def write_config(self) -> None:
-        """Publish a configuration with the keys that are valid now."""
-        self.revision += self.rng.randrange(1, 4)
-        accounts = {
-            key: ForwardAccount(
-                name=KEYS[key],
-                token_digest=token_digest(key),
-                is_isolated=KEYS[key] == ISOLATED,
-            )
-            for key in sorted(self.valid_keys)
-        }
-        routes = {
-            name: ForwardRoute(
-                name=name,
-                host="h",
-                path=f"/{name}/",
-                kind=name,
-                pool="llm" if kind.is_stream else "app",
-            )
-            for name, kind in KINDS.items()
-        }
-        pools = {
-            "app": ForwardPool(name="app", service="plain"),
-            "llm": ForwardPool(
-                name="llm",
-                models=(MODEL,),
-                memory_tokens=100_000,
-                has_moves=True,
-            ),
-            "kept": ForwardPool(name="kept", cache_store=CACHE_STORE),
-        }
-        state = ForwardState(
-            revision=self.revision,
-            accounts=accounts,
-            kinds=dict(KINDS),
-            routes=routes,
-            pools=pools,
-        )
-        self.world.write("operator", "config", state)
-
     def name_weights(self) -> None:
         """Publish the operator's next weights version."""
         version = (
@@ -206,6 +162,7 @@
     def add_target(self, name: str, pool: str, address: str) -> None:
         """Start a target and register it."""
         self.targets_started += 1
+        is_engine = pool in ENGINE_POOLS
         entry = ForwardTarget(
             name=name,
             pool=pool,
@@ -213,7 +170,7 @@
             born_ms=self.targets_started,
             slots=8,
             software=SOFTWARE[self.targets_started % len(SOFTWARE)],
-            versions={MODEL: self.newest_version} if pool == "llm" else {},
+            versions={MODEL: self.newest_version} if is_engine else {},
         )
         self.world.targets[name] = SimulatedTarget(
             world=self.world, entry=entry, version=self.newest_version
@@ -232,8 +189,8 @@
         router = self.router_up()
         if router is None:
             return
-        name = self.rng.choice(("read", "book", "brief", "draft", "draft"))
-        self.send(router, self.make_request(name), KINDS[name])
+        name = self.rng.choice(self.config.open_routes)
+        self.send(router, self.make_request(name))
 
     def send_fatal(self) -> None:
         """Send a request with the part under which engines crash."""
@@ -245,8 +202,7 @@
         root, _, own = request.prompt.parts
         fatal = PromptPart(id=FATAL_PART, tokens=100)
         prompt = attrs.evolve(request.prompt, parts=(root, fatal, own))
-        kind = KINDS[request.path.split("/")[1]]
-        self.send(router, attrs.evolve(request, prompt=prompt), kind)
+        self.send(router, attrs.evolve(request, prompt=prompt))
 
     def router_up(self) -> SoakRouter | None:
         """Return a router that is up; None if there is none."""
@@ -261,37 +217,41 @@
             router = self.router_up()
             if router is None or not caller.may_reconnect:
                 continue
+            route = route_of(caller.request)
+            if route not in self.config.pools:
+                continue
             caller.has_reconnected = True
             prior = whole_events(caller.prior + caller.body)
             request = attrs.evolve(
-                self.make_request(caller.kind.name),
+                self.make_request(route),
                 key=caller.request.key,
                 prompt=caller.request.prompt,
                 last_event_id=str(last_number(prior)),
                 resumes=stream_id(caller.request),
             )
             self.world.counts["callers reconnected"] += 1
-            self.send(router, request, caller.kind, prior)
+            self.send(router, request, prior)
 
     def send(
         self,
         router: SoakRouter,
         request: ForwardRequest,
-        kind: ForwardKind,
         prior: bytes = b"",
     ) -> None:
         """Send a request to a router, with what the caller has already."""
         caller = ForwardSoakCaller(
             request=request,
-            kind=kind,
+            kind=KINDS[ROUTES[route_of(request)]],
             node=router.node,
             epoch=router.node.epoch,
             clock=self.clock,
             prior=prior,
         )
         self.callers.append(caller)
-        if request.prompt is not None:
-            self.world.arrivals.requests_s.append(self.clock.seconds())
+        # Until it learns of a change, a router sends to the pool of before.
+        known = router.board.state.routes.get(route_of(request))
+        pool = known.pool if known else self.config.pools[route_of(request)]
+        self.world.arrivals[pool].requests_s.append(self.clock.seconds())
 
         def arrive() -> None:
             forwarding = router.forwarder.submit(request, caller)
@@ -313,7 +273,8 @@
             caller.ended()
 
     def make_request(self, name: str) -> ForwardRequest:
-        """Return a request with a random key, which may be revoked."""
+        """Return a request on a route, with a key that may be revoked."""
+        kind = KINDS[ROUTES[name]]
         number = len(self.callers)
         shared = f"shared{self.rng.randrange(4)}"
         prompt = Prompt(
@@ -335,10 +296,10 @@
             request_target=f"/{name}/x".encode(),
             headers=[],
             body=b"",
-            key=self.rng.choice(sorted(KEYS)),
+            key=self.config.random_key(),
             arrived_s=self.clock.seconds(),
-            deadline_s=KINDS[name].timeout_s,
-            prompt=prompt if KINDS[name].is_stream else None,
+            deadline_s=kind.timeout_s,
+            prompt=prompt if kind.is_stream else None,
         )
 
     # Checks.
@@ -357,22 +318,23 @@
             self.check_ended(caller)
         for target in self.world.targets.values():
             is_current = target.version == self.newest_version
-            is_engine = target.is_up and target.entry.pool == "llm"
+            is_engine = target.is_up and target.entry.pool in ENGINE_POOLS
             invariants.check(
                 is_current or not is_engine,
                 "weights-arrive",
                 f"target {target.entry.name} has version {target.version}, "
                 f"newest is {self.newest_version}",
             )
-        self.world.arrivals.check_repeats()
-        self.world.arrivals.check_fatal(FAULTY_S)
+        for arrivals in self.world.arrivals.values():
+            arrivals.check_repeats()
+        self.world.crashing.check(FAULTY_S)
         since_s = FAULTY_S + SETTLE_S / 2
         recent = [
             caller
             for caller in self.callers
             if since_s <= caller.request.arrived_s <= since_s + 3.0
-            and caller.request.key in self.valid_keys
-            and not self.has_fatal_part(caller.request)
+            and caller.request.key in self.config.valid_keys
+            and not self.world.is_fatal(caller.request)
         ]
         served = sum(item.is_served or item.is_broken for item in recent)
         invariants.check(
@@ -381,11 +343,6 @@
             f"{served} of {len(recent)} requests served or broken off",
         )
 
-    def has_fatal_part(self, request: ForwardRequest) -> bool:
-        """Whether engines crash under a part of a request's prompt."""
-        prompt = request.prompt
-        return prompt is not None and self.world.is_fatal(prompt)
-
     def check_ended(self, caller: ForwardSoakCaller) -> None:
         """Check that a request ended in time.
 
@@ -407,6 +364,11 @@
         )
 
 
+def route_of(request: ForwardRequest) -> str:
+    """Return the name of a request's route."""
+    return request.path.split("/")[1]
+
+
 def run_seed(seed: int) -> tuple[list[str], dict[str, int]]:
     """Run one seed; return its violations and counts."""
     soak = ForwardSoak(seed=seed)
--- a/sequoiawind/lab/forward_targets.py
+++ b/sequoiawind/lab/forward_targets.py
@@ -5,6 +5,8 @@
 memory, and a target gets its orders to load weights from one agent only.
 """
 
+from collections.abc import Callable
+
 import attrs
 from expression import Error, Ok, Result
 
@@ -18,6 +20,7 @@
     CACHE_STORE,
     CLOSE_DELIMITED_SHARE,
     EVENT_S,
+    LATENCY_S,
     LOAD_S,
     LOST,
     MODEL,
@@ -46,6 +49,8 @@
     memories: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     # The limit that it states; None if it states none.
     limit: StatedLimit | None = None
+    # Until when its runs stand still, in seconds of the clock.
+    silent_until_s: float = 0.0
     # Agents whose orders this incarnation has accepted.
     holders: set[str] = attrs.field(factory=set)
 
@@ -72,17 +77,16 @@
             self.start(run)
 
     def count_arrival(self, run: SimulatedRun) -> None:
-        """Count a request to an engine that has arrived."""
+        """Count a request that has arrived."""
         order, now_s = run.order, self.world.clock.seconds()
         request = order.request
         if self.limit is not None:
             self.limit.add((run.node.name, run.epoch), now_s)
-        if request.prompt is None:
-            return
         if not order.moved_from:
-            self.world.arrivals.add(request.request_id, now_s)
-        if self.world.is_fatal(request.prompt):
-            self.world.arrivals.fatal_s.append(now_s)
+            pool = self.world.arrivals[self.entry.pool]
+            pool.add(request.request_id, now_s)
+        if self.world.is_fatal(request):
+            self.world.crashing.arrivals_s.append(now_s)
 
     def take_memory(self, order: SendOrder) -> bool:
         """Remove the memory of a moved run; return whether it was here."""
@@ -108,10 +112,36 @@
         if not order.moved_from:
             world.runs[request.request_id] += 1
         if request.prompt is None:
-            world.clock.callLater(WORK_S, self.answer_call, run)
+            self.work(WORK_S, self.answer_call, run)
             return
         if not order.moved_from:
             self.read_prompt(order)
+        self.work(0.0, self.begin_stream, run)
+
+    def work(
+        self,
+        delay_s: float,
+        action: Callable[[SimulatedRun], None],
+        run: SimulatedRun,
+    ) -> None:
+        """Go on with a run after a delay, but not during a silence."""
+        clock = self.world.clock
+
+        def act() -> None:
+            left_s = self.silent_until_s - clock.seconds()
+            if left_s > 0.0:
+                clock.callLater(max(left_s, LATENCY_S), act)
+            else:
+                action(run)
+
+        clock.callLater(delay_s, act)
+
+    def begin_stream(self, run: SimulatedRun) -> None:
+        """Send the head of a stream, and start to work on its events."""
+        order, world = run.order, self.world
+        if run.is_cancelled or not self.is_up:
+            return
+        request = order.request
         run.event = order.after_event or int(request.last_event_id or 0)
         run.is_close_delimited = world.happens(CLOSE_DELIMITED_SHARE)
         framing = (
@@ -127,10 +157,10 @@
             sender = (run.node.name, run.epoch)
             self.limit.told_s.setdefault(sender, world.clock.seconds())
         run.send_back(lambda: run.sink.head(head))
-        if world.is_fatal(request.prompt):
-            world.clock.callLater(WORK_S, self.crash_by, run)
+        if world.is_fatal(request):
+            self.work(WORK_S, self.crash_by, run)
         elif not world.happens(world.fault_rates.hung):
-            world.clock.callLater(WORK_S, run.produce_event)
+            self.work(WORK_S, SimulatedRun.produce_event, run)
 
     def read_prompt(self, order: SendOrder) -> None:
         """Read a prompt, using parts cached here or at the order's source."""
@@ -178,7 +208,7 @@
         """Crash, as a run begins to write its answer."""
         if self.is_up and run.order.request.request_id in self.runs:
             now_s = self.world.clock.seconds()
-            self.world.arrivals.crashes_s.append(now_s)
+            self.world.crashing.crashes_s.append(now_s)
             self.world.on_fatal(self)
 
     def crash(self) -> None:
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -6,16 +6,20 @@
 """
 
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
 from sequoiawind import invariants
-from sequoiawind.lab.forward_checks import Arrivals
+from sequoiawind.forward_plan import ForwardRequest
+from sequoiawind.lab.forward_checks import (
+    FREE_CRASHES,
+    Arrivals,
+    CrashingRequests,
+)
 from sequoiawind.lab.virtual_clock import VirtualClock
-from sequoiawind.prompt_cache import Prompt
 from sequoiawind.record_ports import KeyedRecord
 from sequoiawind.verdict import Reason, may_have_run
 
@@ -80,17 +84,24 @@
     # Parts that the cache store holds, by salt and part id.
     cache_store_parts: dict[tuple[str, str], Origin] = attrs.field(factory=dict)
     counts: Counter[str] = attrs.field(factory=Counter)
-    # Arrivals at the engines, and the part of prompts under which they crash.
-    arrivals: Arrivals = attrs.field(factory=Arrivals)
+    # Arrivals at the targets by pool.
+    arrivals: defaultdict[str, Arrivals] = attrs.field(
+        factory=lambda: defaultdict(Arrivals)
+    )
+    # The part of prompts under which engines crash, and the requests with it.
     fatal_part: str = ""
+    crashing: CrashingRequests = attrs.field(
+        factory=lambda: CrashingRequests(free_crashes=FREE_CRASHES)
+    )
     # Called with a target that crashes under that part.
     on_fatal: Callable[["SimulatedTarget"], None] = attrs.field(
         default=lambda target: None
     )
 
-    def is_fatal(self, prompt: Prompt) -> bool:
-        """Whether a prompt has the part under which engines crash."""
-        return self.fatal_part in [part.id for part in prompt.shared_parts]
+    def is_fatal(self, request: ForwardRequest) -> bool:
+        """Whether a request's prompt has the part under which engines crash."""
+        shared = request.prompt.shared_parts if request.prompt else ()
+        return self.fatal_part in [part.id for part in shared]
 
     def happens(self, probability: float) -> bool:
         """Draw whether an event of a probability happens."""
