Let callers of the soak repeat requests that crash targets

Cause: a caller may repeat one request, at any router and under other request ids, and each target that begins to run it crashes, plain services included. The soak knew crashing parts of prompts only.

Change: four callers repeat a call or a stream every 0.6 to 0.8 s with the same path, key and body, two while faults come and two when all is calm; the stream's prompt has one part, which no other prompt has. Sound requests of the same path and key come beside them and are counted. 'crashing-request' allows three arrivals after the third crash and 3 s without a disturbed process or store. 'recovers' leaves these requests out, as those with the crashing part. Requests now have bodies of their own, and one key is never revoked.

--- a/sequoiawind/lab/forward_checks.py
+++ b/sequoiawind/lab/forward_checks.py
@@ -11,9 +11,11 @@
 REPEAT_RATIO: Final = 0.2
 REPEAT_ALLOWANCE: Final = 2.0
 REPEAT_WINDOW_S: Final = 10.0
-# Crashes under one part after which, and time from the last of them, at most
-# `MAX_FATAL_ARRIVALS` requests with it may arrive.
+# Crashes under one part, and under one request that is repeated, after which,
+# and time from the last of them, at most `MAX_FATAL_ARRIVALS` requests may
+# arrive.
 FREE_CRASHES: Final = 5
+FREE_REPEATS: Final = 3
 CONTACT_S: Final = 3.0
 MAX_FATAL_ARRIVALS: Final = 3
 # What a target with a limit may get in a window: a multiple of the limit and
@@ -62,8 +64,9 @@
 
 @attrs.define(kw_only=True)
 class CrashingRequests:
-    """Requests with one part under which targets crash."""
+    """Requests under which targets crash: with one part, or all the same."""
 
+    name: str
     # Crashes after which they must be kept from targets.
     free_crashes: int
     # When they arrived at targets, repeats included, and when targets crashed
@@ -72,7 +75,7 @@
     crashes_s: list[float] = attrs.field(factory=list)
 
     def check(self, calm_since_s: float) -> None:
-        """Check that the part is kept from targets.
+        """Check that the requests are kept from targets.
 
         Args:
           calm_since_s: Since when no process and no store was disturbed.
@@ -84,7 +87,7 @@
         late = sum(arrived_s > since_s for arrived_s in self.arrivals_s)
         invariants.check(
             late <= MAX_FATAL_ARRIVALS,
-            "crashing-part",
+            self.name,
             f"{late} requests after {since_s:.2f} s, "
             f"{len(self.crashes_s)} crashes",
         )
--- a/sequoiawind/lab/forward_config.py
+++ b/sequoiawind/lab/forward_config.py
@@ -47,6 +47,8 @@
     # Account by key, and the keys that have not been revoked.
     accounts: dict[str, str] = attrs.field(factory=lambda: dict(KEYS))
     valid_keys: set[str] = attrs.field(factory=lambda: set(KEYS))
+    # A key that is never revoked.
+    kept_key: str = attrs.field(init=False)
     # Pool by route, of the routes that exist.
     pools: dict[str, str] = attrs.field(init=False)
     kinds: dict[str, ForwardKind] = attrs.field(factory=lambda: dict(KINDS))
@@ -55,6 +57,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Set up the routes and publish the first configuration."""
+        self.kept_key = self.rng.choice(sorted(KEYS))
         self.pools = {
             name: pools_of(name)[0]
             for name in ROUTES
@@ -154,10 +157,11 @@
         self.publish()
 
     def revoke_key(self) -> None:
-        """Revoke a random key, unless it is the last one."""
-        if len(self.valid_keys) < 2:
+        """Revoke a random key, but not the one that is kept."""
+        keys = sorted(self.valid_keys - {self.kept_key})
+        if not keys:
             return
-        key = self.rng.choice(sorted(self.valid_keys))
+        key = self.rng.choice(keys)
         self.valid_keys.discard(key)
         self.publish()
         self.world.revoked_s[key] = self.world.clock.seconds()
--- a/sequoiawind/lab/forward_faults.py
+++ b/sequoiawind/lab/forward_faults.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.lab.forward_checks import StatedLimit
 from sequoiawind.lab.forward_config import ENGINE_POOLS
 from sequoiawind.lab.forward_targets import SimulatedTarget
@@ -24,6 +25,8 @@
     soak: "ForwardSoak"
     # Process name, start and end of each pause, in seconds of the clock.
     pauses: list[tuple[str, float, float]] = attrs.field(factory=list)
+    # Until when the last process is down, paused or starting.
+    disturbed_until_s: float = 0.0
     is_healed: bool = False
 
     def inject(self) -> None:
@@ -57,22 +60,43 @@
         """Crash a target; another starts there, with the same or a new name."""
         self.crash(self.random_target())
 
-    def crash(self, target: SimulatedTarget) -> None:
-        """Crash a given target; another starts there."""
+    def crash_under_request(
+        self, target: SimulatedTarget, request: ForwardRequest
+    ) -> None:
+        """Crash a target by a request; another starts there.
+
+        After a crash by one of many repeats it has the same software version.
+        """
+        is_repeated = request.body in self.soak.world.crashing_bodies
+        self.crash(target, target.entry.software if is_repeated else "")
+
+    def crash(self, target: SimulatedTarget, software: str = "") -> None:
+        """Crash a given target; another starts there.
+
+        Args:
+          target: The target.
+          software: Software version of the other one; empty for the next.
+        """
         target.crash()
         name = target.entry.name
         if self.soak.rng.random() < 0.5:
             name = f"{name.split('-')[0]}-{self.soak.targets_started}"
         self.soak.clock.callLater(
-            self.random_delay_s(0.5, 3.0), self.restart_target, target, name
+            self.random_delay_s(0.5, 3.0),
+            self.restart_target,
+            target,
+            name,
+            software,
         )
         if name != target.entry.name:
             self.soak.clock.callLater(ENTRY_EXPIRY_S, self.expire_entry, target)
 
-    def restart_target(self, target: SimulatedTarget, name: str) -> None:
+    def restart_target(
+        self, target: SimulatedTarget, name: str, software: str = ""
+    ) -> None:
         """Start a target with a name, in place of one that has ended."""
         entry = target.entry
-        self.soak.add_target(name, entry.pool, entry.address)
+        self.soak.add_target(name, entry.pool, entry.address, software)
 
     def expire_entry(self, target: SimulatedTarget) -> None:
         """Delete the store entry of a target that has ended."""
@@ -140,6 +164,7 @@
             if forwarding.current is not None and forwarding.current.call:
                 forwarding.current.call.cancel()
         router.node.kill()
+        self.disturb(RESTART_S)
 
         def restart() -> None:
             router.node.restart()
@@ -154,6 +179,7 @@
         if not node.is_up:
             return
         node.kill()
+        self.disturb(RESTART_S)
 
         def restart() -> None:
             node.restart()
@@ -171,9 +197,15 @@
             return
         now_s, pause_s = soak.clock.seconds(), self.random_delay_s(0.5, 7.0)
         self.pauses.append((node.name, now_s, now_s + pause_s))
+        self.disturb(pause_s)
         node.pause()
         soak.clock.callLater(pause_s, node.resume)
 
+    def disturb(self, time_s: float) -> None:
+        """Note that a process is disturbed for some seconds."""
+        until_s = self.soak.clock.seconds() + time_s
+        self.disturbed_until_s = max(self.disturbed_until_s, until_s)
+
     def was_paused(self, name: str, begin_s: float, end_s: float) -> bool:
         """Whether a process was paused at any time in an interval."""
         return any(
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -22,6 +22,7 @@
     ForwardSoakCaller,
 )
 from sequoiawind.lab.forward_config import ENGINE_POOLS, ROUTES, SoakConfig
+from sequoiawind.lab.forward_crashers import CrashingCaller
 from sequoiawind.lab.forward_ends import Ends
 from sequoiawind.lab.forward_faults import ForwardFaults
 from sequoiawind.lab.forward_processes import Processes, SoakRouter
@@ -52,6 +53,13 @@
 FATAL_PER_S: Final = 0.5
 # How often callers with broken streams take them up again, per second.
 RECONNECTS_PER_S: Final = 10.0
+# When callers begin to repeat requests that crash targets, and their routes.
+CRASHERS: Final = (
+    (6.0, "read"),
+    (9.0, "draft"),
+    (FAULTY_S + 0.5, "read"),
+    (FAULTY_S + 1.0, "brief"),
+)
 SOFTWARE: Final = ("v1", "v2")
 # How long after its revocation a key may still work.
 REVOKE_S: Final = 5.0
@@ -74,6 +82,9 @@
     targets_started: int = 0
     faults: ForwardFaults = attrs.field(init=False)
     ends: Ends = attrs.field(init=False)
+    # Callers whose requests crash targets, by when they begin: while faults
+    # come, and when all is calm.
+    crashers: dict[float, CrashingCaller] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Set up the platform, and start targets, agents and routers."""
@@ -87,8 +98,12 @@
         self.processes = Processes(world=self.world, rng=self.rng)
         self.faults = ForwardFaults(soak=self)
         self.ends = Ends(world=self.world, was_paused=self.faults.was_paused)
+        self.crashers = {
+            begins_s: CrashingCaller(soak=self, name=f"c{number}", route=route)
+            for number, (begins_s, route) in enumerate(CRASHERS)
+        }
         self.world.fatal_part = FATAL_PART
-        self.world.on_fatal = self.faults.crash
+        self.world.on_fatal = self.faults.crash_under_request
         self.config = SoakConfig(world=self.world, rng=self.rng)
         for number, pool in enumerate(ENGINES):
             self.add_target(f"e{number}", pool, f"e{number}:1")
@@ -107,6 +122,8 @@
             self.repeat(FATAL_PER_S, self.send_fatal)
             self.repeat(FAULTS_PER_S, self.faults.inject)
             self.repeat(SILENCES_PER_S, self.faults.silence_target)
+            for begins_s, crasher in self.crashers.items():
+                crasher.start(begins_s)
             self.repeat(10.0, self.check_revisions)
             self.repeat(RECONNECTS_PER_S, self.reconnect_callers)
             self.clock.advance_to(FAULTY_S)
@@ -133,6 +150,15 @@
         caller_counts["repeats"] = sum(
             len(item.repeats_s) for item in self.world.arrivals.values()
         )
+        crashers = self.crashers.values()
+        caller_counts["crashes under a request"] = sum(
+            len(item.crashing.crashes_s) for item in crashers
+        )
+        sound = [caller for item in crashers for caller in item.sound]
+        caller_counts["sound beside crashing"] = len(sound)
+        caller_counts["sound beside crashing, served"] = sum(
+            caller.is_served for caller in sound
+        )
         return {**self.world.counts, **caller_counts}
 
     def repeat(self, rate: float, action: Callable[[], None]) -> None:
@@ -160,8 +186,10 @@
         self.named_versions.append(NamedVersion(version=version, named_s=now_s))
         self.world.write("operator", "weights/m", self.named_versions[-1])
 
-    def add_target(self, name: str, pool: str, address: str) -> None:
-        """Start a target and register it."""
+    def add_target(
+        self, name: str, pool: str, address: str, software: str = ""
+    ) -> None:
+        """Start a target, of the next software version unless one is named."""
         self.targets_started += 1
         is_engine = pool in ENGINE_POOLS
         entry = ForwardTarget(
@@ -170,7 +198,7 @@
             address=address,
             born_ms=self.targets_started,
             slots=8,
-            software=SOFTWARE[self.targets_started % len(SOFTWARE)],
+            software=software or self.next_software,
             versions={MODEL: self.newest_version} if is_engine else {},
         )
         self.world.targets[name] = SimulatedTarget(
@@ -178,6 +206,11 @@
         )
         self.world.write("targets", name, entry)
 
+    @property
+    def next_software(self) -> str:
+        """The software version of the target that starts now."""
+        return SOFTWARE[self.targets_started % len(SOFTWARE)]
+
     @property
     def newest_version(self) -> int:
         """The newest weights version that was published; 1 before that."""
@@ -226,6 +259,7 @@
             request = attrs.evolve(
                 self.make_request(route),
                 key=caller.request.key,
+                body=caller.request.body,
                 prompt=caller.request.prompt,
                 last_event_id=str(last_number(prior)),
                 resumes=stream_id(caller.request),
@@ -238,7 +272,7 @@
         router: SoakRouter,
         request: ForwardRequest,
         prior: bytes = b"",
-    ) -> None:
+    ) -> ForwardSoakCaller:
         """Send a request to a router, with what the caller has already."""
         caller = ForwardSoakCaller(
             request=request,
@@ -268,6 +302,7 @@
                 )
 
         router.node.run(router.node.epoch, arrive)
+        return caller
 
     def due_s(self, router: SoakRouter, request: ForwardRequest) -> float:
         """Return the deadline of a request that a router gets now."""
@@ -311,7 +346,7 @@
             method=b"POST",
             request_target=f"/{name}/x".encode(),
             headers=[],
-            body=b"",
+            body=f"body of q{number}".encode(),
             key=self.config.random_key(),
             arrived_s=self.clock.seconds(),
             deadline_s=kind.timeout_s,
@@ -335,6 +370,7 @@
             self.ends.check_moves,
             self.check_weights,
             self.check_arrivals,
+            self.check_crashers,
             self.check_recovery,
         ):
             with suppress(invariants.InvariantError):
@@ -364,6 +400,13 @@
             arrivals.check_repeats()
         self.world.crashing.check(FAULTY_S)
 
+    def check_crashers(self) -> None:
+        """Check that requests that crash targets are kept from them."""
+        calm_since_s = max(FAULTY_S, self.faults.disturbed_until_s)
+        for crasher in self.crashers.values():
+            with suppress(invariants.InvariantError):
+                crasher.crashing.check(calm_since_s)
+
     def check_recovery(self) -> None:
         """Check that service recovered after the faults."""
         since_s = FAULTY_S + SETTLE_S / 2
@@ -372,7 +415,7 @@
             for caller in self.callers
             if since_s <= caller.request.arrived_s <= since_s + 3.0
             and caller.request.key in self.config.valid_keys
-            and not self.world.is_fatal(caller.request)
+            and self.world.crashing_of(caller.request) is None
         ]
         served = sum(item.is_served or item.is_broken for item in recent)
         invariants.check(
--- a/sequoiawind/lab/forward_targets.py
+++ b/sequoiawind/lab/forward_targets.py
@@ -82,8 +82,9 @@
         if not order.moved_from:
             pool = self.world.arrivals[self.entry.pool]
             pool.add(request.request_id, now_s)
-        if self.world.is_fatal(request):
-            self.world.crashing.arrivals_s.append(now_s)
+        crashing = self.world.crashing_of(request)
+        if crashing is not None:
+            crashing.arrivals_s.append(now_s)
 
     def take_memory(self, order: SendOrder) -> bool:
         """Remove the memory of a moved run; return whether it was here."""
@@ -109,7 +110,9 @@
         if not order.moved_from:
             world.runs[request.request_id] += 1
         if request.prompt is None:
-            self.work(WORK_S, self.answer_call, run)
+            is_fatal = world.crashing_of(request) is not None
+            action = self.crash_by if is_fatal else self.answer_call
+            self.work(WORK_S, action, run)
             return
         if not order.moved_from:
             self.read_prompt(order)
@@ -154,7 +157,7 @@
             sender = (run.node.name, run.epoch)
             self.limit.told_s.setdefault(sender, world.clock.seconds())
         run.send_back(lambda: run.sink.head(head))
-        if world.is_fatal(request):
+        if world.crashing_of(request) is not None:
             self.work(WORK_S, self.crash_by, run)
         elif world.happens(world.fault_rates.hung):
             run.is_hung = True
@@ -208,10 +211,12 @@
 
     def crash_by(self, run: SimulatedRun) -> None:
         """Crash, as a run begins to write its answer."""
-        if self.is_up and run.order.request.request_id in self.runs:
-            now_s = self.world.clock.seconds()
-            self.world.crashing.crashes_s.append(now_s)
-            self.world.on_fatal(self)
+        request = run.order.request
+        crashing = self.world.crashing_of(request)
+        is_running = self.is_up and request.request_id in self.runs
+        if is_running and crashing is not None:
+            crashing.crashes_s.append(self.world.clock.seconds())
+            self.world.on_fatal(self, request)
 
     def crash(self) -> None:
         """End the target and break its connections."""
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -96,17 +96,23 @@
     # The part of prompts under which engines crash, and the requests with it.
     fatal_part: str = ""
     crashing: CrashingRequests = attrs.field(
-        factory=lambda: CrashingRequests(free_crashes=FREE_CRASHES)
+        factory=lambda: CrashingRequests(
+            name="crashing-part", free_crashes=FREE_CRASHES
+        )
     )
-    # Called with a target that crashes under that part.
-    on_fatal: Callable[["SimulatedTarget"], None] = attrs.field(
-        default=lambda target: None
+    # The requests under which all targets crash, by their body.
+    crashing_bodies: dict[bytes, CrashingRequests] = attrs.field(factory=dict)
+    # Called with a target that crashes, and the request under which it does.
+    on_fatal: Callable[["SimulatedTarget", ForwardRequest], None] = attrs.field(
+        default=lambda target, request: None
     )
 
-    def is_fatal(self, request: ForwardRequest) -> bool:
-        """Whether a request's prompt has the part under which engines crash."""
+    def crashing_of(self, request: ForwardRequest) -> CrashingRequests | None:
+        """Return the requests to which one that crashes targets belongs."""
         shared = request.prompt.shared_parts if request.prompt else ()
-        return self.fatal_part in [part.id for part in shared]
+        if self.fatal_part in [part.id for part in shared]:
+            return self.crashing
+        return self.crashing_bodies.get(request.body)
 
     def happens(self, probability: float) -> bool:
         """Draw whether an event of a probability happens."""
