Merge the soak's silent targets and changes of the configuration

The world of the forwarding soak is split into modules; targets fall silent and go on, and configurations move routes, time limits and targets. The check that no answer is aborted while its target goes on comes with it.

--- a/sequoiawind/lab/forward_checks.py
+++ b/sequoiawind/lab/forward_checks.py
@@ -11,9 +11,11 @@
 REPEAT_RATIO: Final = 0.2
 REPEAT_ALLOWANCE: Final = 2.0
 REPEAT_WINDOW_S: Final = 10.0
-# Crashes under one part after which, and time from the last of them, at most
-# `MAX_FATAL_ARRIVALS` requests with it may arrive.
+# Crashes under one part, and under one request that is repeated, after which,
+# and time from the last of them, at most `MAX_FATAL_ARRIVALS` requests may
+# arrive.
 FREE_CRASHES: Final = 5
+FREE_REPEATS: Final = 3
 CONTACT_S: Final = 3.0
 MAX_FATAL_ARRIVALS: Final = 3
 # What a target with a limit may get in a window: a multiple of the limit and
@@ -33,10 +35,6 @@
     # When requests arrived that had arrived before; moved runs do not count.
     repeats_s: list[float] = attrs.field(factory=list)
     arrived: set[str] = attrs.field(factory=set)
-    # The same for requests with the part that crashes targets, repeats
-    # included, and when targets crashed under it.
-    fatal_s: list[float] = attrs.field(factory=list)
-    crashes_s: list[float] = attrs.field(factory=list)
 
     def add(self, request_id: str, now_s: float) -> None:
         """Count a request that arrives."""
@@ -63,20 +61,33 @@
                 f"{repeats} repeats from {start_s:.2f} s on, allowed {bound}",
             )
 
-    def check_fatal(self, calm_since_s: float) -> None:
-        """Check that the part is kept from targets.
+
+@attrs.define(kw_only=True)
+class CrashingRequests:
+    """Requests under which targets crash: with one part, or all the same."""
+
+    name: str
+    # Crashes after which they must be kept from targets.
+    free_crashes: int
+    # When they arrived at targets, repeats included, and when targets crashed
+    # under them, in seconds of the clock.
+    arrivals_s: list[float] = attrs.field(factory=list)
+    crashes_s: list[float] = attrs.field(factory=list)
+
+    def check(self, calm_since_s: float) -> None:
+        """Check that the requests are kept from targets.
 
         Args:
           calm_since_s: Since when no process and no store was disturbed.
         """
-        if len(self.crashes_s) < FREE_CRASHES:
+        if len(self.crashes_s) < self.free_crashes:
             return
-        fifth_s = self.crashes_s[FREE_CRASHES - 1]
-        since_s = max(fifth_s, calm_since_s) + CONTACT_S
-        late = sum(arrived_s > since_s for arrived_s in self.fatal_s)
+        last_free_s = self.crashes_s[self.free_crashes - 1]
+        since_s = max(last_free_s, calm_since_s) + CONTACT_S
+        late = sum(arrived_s > since_s for arrived_s in self.arrivals_s)
         invariants.check(
             late <= MAX_FATAL_ARRIVALS,
-            "crashing-part",
+            self.name,
             f"{late} requests after {since_s:.2f} s, "
             f"{len(self.crashes_s)} crashes",
         )
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -7,35 +7,27 @@
 
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Final
 
 import attrs
 
 from sequoiawind import invariants
 from sequoiawind.forward_plan import ForwardRequest
-from sequoiawind.forward_state import (
-    ForwardAccount,
-    ForwardKind,
-    ForwardPool,
-    ForwardRoute,
-    ForwardState,
-    ForwardTarget,
-)
+from sequoiawind.forward_state import ForwardKind, ForwardTarget
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.lab.forward_callers import (
     ISOLATED,
-    KEYS,
     KINDS,
     ForwardSoakCaller,
 )
+from sequoiawind.lab.forward_config import ENGINE_POOLS, ROUTES, SoakConfig
+from sequoiawind.lab.forward_crashers import CrashingCaller
+from sequoiawind.lab.forward_ends import Ends
 from sequoiawind.lab.forward_faults import ForwardFaults
 from sequoiawind.lab.forward_processes import Processes, SoakRouter
-from sequoiawind.lab.forward_world import (
-    CACHE_STORE,
-    MODEL,
-    SimulatedTarget,
-    World,
-)
+from sequoiawind.lab.forward_targets import SimulatedTarget
+from sequoiawind.lab.forward_world import MODEL, World
 from sequoiawind.lab.memory_network import Node
 from sequoiawind.lab.stream_content import (
     last_number,
@@ -45,26 +37,32 @@
 from sequoiawind.lab.virtual_clock import VirtualClock
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.rollout import NamedVersion
-from sequoiawind.tokens import token_digest
 
 ROUTERS: Final = 3
-ENGINES: Final = 6
+# Pools of the engines and of the targets for calls.
+ENGINES: Final = ("llm",) * 6 + ("llm2",) * 4
+PLAIN_TARGETS: Final = ("app",) * 3 + ("app2",) * 3
 # When faults stop, and how long the run lasts after that.
 FAULTY_S: Final = 30.0
 SETTLE_S: Final = 15.0
 REQUESTS_PER_S: Final = 14.0
-FAULTS_PER_S: Final = 0.6
+FAULTS_PER_S: Final = 1.0
+SILENCES_PER_S: Final = 0.7
 # Part of prompts under which engines crash, and requests with it per second.
 FATAL_PART: Final = "fatal"
 FATAL_PER_S: Final = 0.5
 # How often callers with broken streams take them up again, per second.
 RECONNECTS_PER_S: Final = 10.0
+# When callers begin to repeat requests that crash targets, and their routes.
+CRASHERS: Final = (
+    (6.0, "read"),
+    (9.0, "draft"),
+    (FAULTY_S + 0.5, "read"),
+    (FAULTY_S + 1.0, "brief"),
+)
 SOFTWARE: Final = ("v1", "v2")
 # How long after its revocation a key may still work.
 REVOKE_S: Final = 5.0
-# How long after its deadline an answer may come, in seconds: a few iterations
-# of the event loop.
-DEADLINE_TOLERANCE_S: Final = 0.05
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -77,14 +75,16 @@
     world: World = attrs.field(init=False)
     processes: Processes = attrs.field(init=False)
     callers: list[ForwardSoakCaller] = attrs.field(factory=list)
-    # Keys of callers that have not been revoked.
-    valid_keys: set[str] = attrs.field(factory=lambda: set(KEYS))
-    revision: int = 0
+    config: SoakConfig = attrs.field(init=False)
     # Weights versions in the order in which the operator named them.
     named_versions: list[NamedVersion] = attrs.field(factory=list)
     # Number of targets started so far.
     targets_started: int = 0
     faults: ForwardFaults = attrs.field(init=False)
+    ends: Ends = attrs.field(init=False)
+    # Callers whose requests crash targets, by when they begin: while faults
+    # come, and when all is calm.
+    crashers: dict[float, CrashingCaller] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Set up the platform, and start targets, agents and routers."""
@@ -97,14 +97,19 @@
         )
         self.processes = Processes(world=self.world, rng=self.rng)
         self.faults = ForwardFaults(soak=self)
+        self.ends = Ends(world=self.world, was_paused=self.faults.was_paused)
+        self.crashers = {
+            begins_s: CrashingCaller(soak=self, name=f"c{number}", route=route)
+            for number, (begins_s, route) in enumerate(CRASHERS)
+        }
         self.world.fatal_part = FATAL_PART
-        self.world.on_fatal = self.faults.crash
-        self.write_config()
-        for number in range(ENGINES):
-            self.add_target(f"e{number}", "llm", f"e{number}:1")
+        self.world.on_fatal = self.faults.crash_under_request
+        self.config = SoakConfig(world=self.world, rng=self.rng)
+        for number, pool in enumerate(ENGINES):
+            self.add_target(f"e{number}", pool, f"e{number}:1")
             self.processes.start_agent(f"e{number}:1")
-        for number in range(2):
-            self.add_target(f"p{number}", "app", f"p{number}:1")
+        for number, pool in enumerate(PLAIN_TARGETS):
+            self.add_target(f"p{number}", pool, f"p{number}:1")
         for number in range(ROUTERS):
             self.processes.start_router(Node(name=f"r{number}"))
 
@@ -116,6 +121,9 @@
             self.repeat(REQUESTS_PER_S, self.send_request)
             self.repeat(FATAL_PER_S, self.send_fatal)
             self.repeat(FAULTS_PER_S, self.faults.inject)
+            self.repeat(SILENCES_PER_S, self.faults.silence_target)
+            for begins_s, crasher in self.crashers.items():
+                crasher.start(begins_s)
             self.repeat(10.0, self.check_revisions)
             self.repeat(RECONNECTS_PER_S, self.reconnect_callers)
             self.clock.advance_to(FAULTY_S)
@@ -137,9 +145,20 @@
                 bool(item.prior and item.body) for item in self.callers
             ),
         }
-        arrivals = self.world.arrivals
-        caller_counts["crashes under a part"] = len(arrivals.crashes_s)
-        caller_counts["repeats"] = len(arrivals.repeats_s)
+        crashes_s = self.world.crashing.crashes_s
+        caller_counts["crashes under a part"] = len(crashes_s)
+        caller_counts["repeats"] = sum(
+            len(item.repeats_s) for item in self.world.arrivals.values()
+        )
+        crashers = self.crashers.values()
+        caller_counts["crashes under a request"] = sum(
+            len(item.crashing.crashes_s) for item in crashers
+        )
+        sound = [caller for item in crashers for caller in item.sound]
+        caller_counts["sound beside crashing"] = len(sound)
+        caller_counts["sound beside crashing, served"] = sum(
+            caller.is_served for caller in sound
+        )
         return {**self.world.counts, **caller_counts}
 
     def repeat(self, rate: float, action: Callable[[], None]) -> None:
@@ -158,46 +177,6 @@
 
     # The platform.
 
-    def write_config(self) -> None:
-        """Publish a configuration with the keys that are valid now."""
-        self.revision += self.rng.randrange(1, 4)
-        accounts = {
-            key: ForwardAccount(
-                name=KEYS[key],
-                token_digest=token_digest(key),
-                is_isolated=KEYS[key] == ISOLATED,
-            )
-            for key in sorted(self.valid_keys)
-        }
-        routes = {
-            name: ForwardRoute(
-                name=name,
-                host="h",
-                path=f"/{name}/",
-                kind=name,
-                pool="llm" if kind.is_stream else "app",
-            )
-            for name, kind in KINDS.items()
-        }
-        pools = {
-            "app": ForwardPool(name="app", service="plain"),
-            "llm": ForwardPool(
-                name="llm",
-                models=(MODEL,),
-                memory_tokens=100_000,
-                has_moves=True,
-            ),
-            "kept": ForwardPool(name="kept", cache_store=CACHE_STORE),
-        }
-        state = ForwardState(
-            revision=self.revision,
-            accounts=accounts,
-            kinds=dict(KINDS),
-            routes=routes,
-            pools=pools,
-        )
-        self.world.write("operator", "config", state)
-
     def name_weights(self) -> None:
         """Publish the operator's next weights version."""
         version = (
@@ -207,23 +186,31 @@
         self.named_versions.append(NamedVersion(version=version, named_s=now_s))
         self.world.write("operator", "weights/m", self.named_versions[-1])
 
-    def add_target(self, name: str, pool: str, address: str) -> None:
-        """Start a target and register it."""
+    def add_target(
+        self, name: str, pool: str, address: str, software: str = ""
+    ) -> None:
+        """Start a target, of the next software version unless one is named."""
         self.targets_started += 1
+        is_engine = pool in ENGINE_POOLS
         entry = ForwardTarget(
             name=name,
             pool=pool,
             address=address,
             born_ms=self.targets_started,
             slots=8,
-            software=SOFTWARE[self.targets_started % len(SOFTWARE)],
-            versions={MODEL: self.newest_version} if pool == "llm" else {},
+            software=software or self.next_software,
+            versions={MODEL: self.newest_version} if is_engine else {},
         )
         self.world.targets[name] = SimulatedTarget(
             world=self.world, entry=entry, version=self.newest_version
         )
         self.world.write("targets", name, entry)
 
+    @property
+    def next_software(self) -> str:
+        """The software version of the target that starts now."""
+        return SOFTWARE[self.targets_started % len(SOFTWARE)]
+
     @property
     def newest_version(self) -> int:
         """The newest weights version that was published; 1 before that."""
@@ -236,8 +223,8 @@
         router = self.router_up()
         if router is None:
             return
-        name = self.rng.choice(("read", "book", "brief", "draft", "draft"))
-        self.send(router, self.make_request(name), KINDS[name])
+        name = self.rng.choice(self.config.open_routes)
+        self.send(router, self.make_request(name))
 
     def send_fatal(self) -> None:
         """Send a request with the part under which engines crash."""
@@ -249,8 +236,7 @@
         root, _, own = request.prompt.parts
         fatal = PromptPart(id=FATAL_PART, tokens=100)
         prompt = attrs.evolve(request.prompt, parts=(root, fatal, own))
-        kind = KINDS[request.path.split("/")[1]]
-        self.send(router, attrs.evolve(request, prompt=prompt), kind)
+        self.send(router, attrs.evolve(request, prompt=prompt))
 
     def router_up(self) -> SoakRouter | None:
         """Return a router that is up; None if there is none."""
@@ -265,40 +251,50 @@
             router = self.router_up()
             if router is None or not caller.may_reconnect:
                 continue
+            route = route_of(caller.request)
+            if route not in self.config.pools:
+                continue
             caller.has_reconnected = True
             prior = whole_events(caller.prior + caller.body)
             request = attrs.evolve(
-                self.make_request(caller.kind.name),
+                self.make_request(route),
                 key=caller.request.key,
+                body=caller.request.body,
                 prompt=caller.request.prompt,
                 last_event_id=str(last_number(prior)),
                 resumes=stream_id(caller.request),
             )
             self.world.counts["callers reconnected"] += 1
-            self.send(router, request, caller.kind, prior)
+            self.send(router, request, prior)
 
     def send(
         self,
         router: SoakRouter,
         request: ForwardRequest,
-        kind: ForwardKind,
         prior: bytes = b"",
-    ) -> None:
+    ) -> ForwardSoakCaller:
         """Send a request to a router, with what the caller has already."""
         caller = ForwardSoakCaller(
             request=request,
-            kind=kind,
+            kind=KINDS[ROUTES[route_of(request)]],
             node=router.node,
             epoch=router.node.epoch,
             clock=self.clock,
+            due_s=self.due_s(router, request),
             prior=prior,
+            on_abort=self.ends.aborted,
+            on_failure=self.ends.failed,
         )
         self.callers.append(caller)
-        if request.prompt is not None:
-            self.world.arrivals.requests_s.append(self.clock.seconds())
+        # Until it learns of a change, a router sends to the pool of before.
+        known = router.board.state.routes.get(route_of(request))
+        pool = known.pool if known else self.config.pools[route_of(request)]
+        self.world.arrivals[pool].requests_s.append(self.clock.seconds())
 
         def arrive() -> None:
+            caller.due_s = self.due_s(router, request)
             forwarding = router.forwarder.submit(request, caller)
+            caller.is_accepted = forwarding is not None
             if forwarding is not None and self.rng.random() < 0.05:
                 delay_s = self.rng.uniform(0.0, 0.5)
                 router.clock.callLater(
@@ -306,6 +302,17 @@
                 )
 
         router.node.run(router.node.epoch, arrive)
+        return caller
+
+    def due_s(self, router: SoakRouter, request: ForwardRequest) -> float:
+        """Return the deadline of a request that a router gets now."""
+        kinds = router.board.state.kinds
+        kind = kinds.get(ROUTES[route_of(request)])
+        assert request.deadline_s is not None
+        limit_s = request.deadline_s
+        if isinstance(kind, ForwardKind):
+            limit_s = min(limit_s, kind.timeout_s)
+        return request.arrived_s + limit_s
 
     def disconnect(
         self, forwarding: Forwarding, caller: ForwardSoakCaller
@@ -317,7 +324,8 @@
             caller.ended()
 
     def make_request(self, name: str) -> ForwardRequest:
-        """Return a request with a random key, which may be revoked."""
+        """Return a request on a route, with a key that may be revoked."""
+        kind = KINDS[ROUTES[name]]
         number = len(self.callers)
         shared = f"shared{self.rng.randrange(4)}"
         prompt = Prompt(
@@ -338,11 +346,11 @@
             method=b"POST",
             request_target=f"/{name}/x".encode(),
             headers=[],
-            body=b"",
-            key=self.rng.choice(sorted(KEYS)),
+            body=f"body of q{number}".encode(),
+            key=self.config.random_key(),
             arrived_s=self.clock.seconds(),
-            deadline_s=KINDS[name].timeout_s,
-            prompt=prompt if KINDS[name].is_stream else None,
+            deadline_s=kind.timeout_s,
+            prompt=prompt if kind.is_stream else None,
         )
 
     # Checks.
@@ -355,28 +363,59 @@
             router.revision = revision
 
     def check_end(self) -> None:
-        """Check the answers, the newest weights, and that service recovered."""
+        """Check what shows at the end, each promise by itself."""
+        for check in (
+            self.check_answers,
+            self.ends.check_lost,
+            self.ends.check_moves,
+            self.check_weights,
+            self.check_arrivals,
+            self.check_crashers,
+            self.check_recovery,
+        ):
+            with suppress(invariants.InvariantError):
+                check()
+
+    def check_answers(self) -> None:
+        """Check the answers, and that each request ended in time."""
         for caller in self.callers:
             caller.check(self.world.runs[caller.request.request_id])
-            self.check_ended(caller)
+            self.ends.check_ended(caller, self.faults.pauses)
+
+    def check_weights(self) -> None:
+        """Check that all engines have the newest weights."""
         for target in self.world.targets.values():
             is_current = target.version == self.newest_version
-            is_engine = target.is_up and target.entry.pool == "llm"
+            is_engine = target.is_up and target.entry.pool in ENGINE_POOLS
             invariants.check(
                 is_current or not is_engine,
                 "weights-arrive",
                 f"target {target.entry.name} has version {target.version}, "
                 f"newest is {self.newest_version}",
             )
-        self.world.arrivals.check_repeats()
-        self.world.arrivals.check_fatal(FAULTY_S)
+
+    def check_arrivals(self) -> None:
+        """Check what arrived at the targets."""
+        for arrivals in self.world.arrivals.values():
+            arrivals.check_repeats()
+        self.world.crashing.check(FAULTY_S)
+
+    def check_crashers(self) -> None:
+        """Check that requests that crash targets are kept from them."""
+        calm_since_s = max(FAULTY_S, self.faults.disturbed_until_s)
+        for crasher in self.crashers.values():
+            with suppress(invariants.InvariantError):
+                crasher.crashing.check(calm_since_s)
+
+    def check_recovery(self) -> None:
+        """Check that service recovered after the faults."""
         since_s = FAULTY_S + SETTLE_S / 2
         recent = [
             caller
             for caller in self.callers
             if since_s <= caller.request.arrived_s <= since_s + 3.0
-            and caller.request.key in self.valid_keys
-            and not self.has_fatal_part(caller.request)
+            and caller.request.key in self.config.valid_keys
+            and self.world.crashing_of(caller.request) is None
         ]
         served = sum(item.is_served or item.is_broken for item in recent)
         invariants.check(
@@ -385,30 +424,10 @@
             f"{served} of {len(recent)} requests served or broken off",
         )
 
-    def has_fatal_part(self, request: ForwardRequest) -> bool:
-        """Whether engines crash under a part of a request's prompt."""
-        prompt = request.prompt
-        return prompt is not None and self.world.is_fatal(prompt)
 
-    def check_ended(self, caller: ForwardSoakCaller) -> None:
-        """Check that a request ended in time.
-
-        Requests to a router that was killed or paused meanwhile are exempt.
-        """
-        request, node = caller.request, caller.node
-        limit_s = (
-            request.arrived_s + caller.kind.timeout_s + DEADLINE_TOLERANCE_S
-        )
-        if limit_s > self.clock.seconds() or node.epoch != caller.epoch:
-            return
-        if self.faults.was_paused(node.name, request.arrived_s, limit_s):
-            return
-        invariants.check(
-            0.0 <= caller.ended_s <= limit_s,
-            "final-answer",
-            f"request {request.request_id} ended at {caller.ended_s}, "
-            f"due {limit_s}",
-        )
+def route_of(request: ForwardRequest) -> str:
+    """Return the name of a request's route."""
+    return request.path.split("/")[1]
 
 
 def run_seed(seed: int) -> tuple[list[str], dict[str, int]]:
