Move a run only with a permission to resume it elsewhere

What callers saw: a stream whose target was about to load weights was cut while the bound on repeats was reached.

Cause: a move stops the run, and the repeat that a refusing destination makes necessary was asked for only then.

Change: a repeat is counted in advance and given back when the run goes on, at either end, or the request ends. Without one the run stays. move_away is a function of stream_move now. A run that continues replaces the target that it was moved from, not the last one tried.

--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -30,7 +30,7 @@
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.request_signature import RequestSignature
 from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
-from sequoiawind.stream_move import StreamMove
+from sequoiawind.stream_move import StreamMove, move_away
 from sequoiawind.stream_origins import StreamOrigin, may_continue
 from sequoiawind.target_choice import (
     DEFAULT_PREFILL_TOKENS,
@@ -433,7 +433,7 @@
             for forwarding in list(self.open):
                 attempt = forwarding.current
                 if attempt is not None and attempt.view is view:
-                    forwarding.move_away()
+                    move_away(forwarding)
         if self.waiting and view.takes_work(now_s):
             self.serve_waiting()
 
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -250,6 +250,12 @@
         if not self.is_finished and self.replan():
             self.wait()
 
+    def hold_repeat(self) -> bool:
+        """Count a repeat in advance; return whether it is allowed."""
+        now_s = self.now_s
+        routers = self.forwarder.fleet.routers(now_s)
+        return self.attempts.hold(self.plan.pool.name, now_s, routers)
+
     def reserve_attempt(self) -> bool:
         """Count an attempt; return whether it is allowed."""
         now_s = self.now_s
@@ -299,35 +305,11 @@
 
     # Moves.
 
-    def move_away(self) -> None:
-        """Start to move the run to another target, if possible.
-
-        Requires that the pool supports moves, that the stream has begun, that
-        there is a target to move to, and that the request may be sent to yet
-        another one, should that one refuse it.
-        """
-        attempt = self.current
-        if attempt is None or attempt.is_over or attempt.move is not None:
-            return
-        if self.silence.kept or not self.may_send_elsewhere():
-            return
-        if not self.plan.pool.has_moves:
-            return
-        if not attempt.is_streaming or self.last_event is None:
-            return
-        if attempt.view.notice.paused_until_s > self.now_s:
-            return
-        destination = self.forwarder.move_destination(self, attempt.chosen)
-        if destination is not None and attempt.view.count_request(self.now_s):
-            StreamMove(
-                forwarding=self, attempt=attempt, destination=destination
-            ).start()
-
-    def continue_at(self, destination: Chosen, moved_from: str) -> None:
+    def continue_at(self, destination: Chosen, move: StreamMove) -> None:
         """Continue the run at the target that now has its memory."""
         # It is the same run, so it replaces the previous attempt.
-        self.sent_to.pop()
-        self.open_attempt(destination, moved_from)
+        self.sent_to.remove(move.attempt.view.target.name)
+        self.open_attempt(destination, move.moved_from)
 
     def may_send_elsewhere(self) -> bool:
         """Whether the request may still be sent to another target."""
@@ -345,6 +327,7 @@
         self.silence.heard(attempt)
         if attempt.move is None:
             self.silence.expect_event(attempt)
+            self.attempts.release(self.now_s)
         if self.note.first_chunk_s < 0.0:
             self.stream_began(attempt)
         if event_id is not None:
@@ -493,6 +476,7 @@
         """Close the request and report its end to the forwarder."""
         self.close()
         self.silence.end()
+        self.attempts.release(self.now_s)
         if failure is None and self.has_head:
             self.forwarder.origins.completed(self.stream_id)
         self.forwarder.finished(self, failure)
--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -72,8 +72,8 @@
     self.attempt.move = None
     port: Any = self.forwarding.forwarder.port
     destination = port.world.targets[self.destination.view.target.name]
-    moved_from = next(iter(destination.memories), self.moved_from)
-    self.forwarding.continue_at(self.destination, moved_from)
+    self.moved_from = next(iter(destination.memories), self.moved_from)
+    self.forwarding.continue_at(self.destination, self)
 
 
 MUTANTS: Final = tuple(
--- a/sequoiawind/repeat_window.py
+++ b/sequoiawind/repeat_window.py
@@ -80,6 +80,12 @@
         sends.repeats_s.append(now_s)
         return True
 
+    def give_back(self, pool: str, now_s: float) -> None:
+        """Take the last repeat back, which was counted and not sent."""
+        sends = self.sends_of(pool, now_s)
+        if sends.repeats_s:
+            sends.repeats_s.pop()
+
     def allowance_part(self, now_s: float, is_known: bool) -> float:
         """Return this router's part of the allowance, in repeats.
 
@@ -121,6 +127,8 @@
     is_first_counted: bool = False
     # Whether an attempt has been counted that has reached no target yet.
     is_reserved: bool = False
+    # The pool for which a repeat was counted in advance; empty if none was.
+    held_pool: str = ""
 
     def reserve(self, pool: str, now_s: float, routers: int) -> bool:
         """Count an attempt; return whether it is allowed.
@@ -135,6 +143,10 @@
         """
         if self.is_reserved:
             return True
+        if self.held_pool:
+            self.held_pool = ""
+            self.is_reserved = True
+            return True
         if self.is_first_counted:
             self.is_reserved = self.window.try_repeat(pool, now_s, routers)
         else:
@@ -145,3 +157,24 @@
     def use(self) -> None:
         """Note that the attempt has reached a target."""
         self.is_reserved = False
+
+    def hold(self, pool: str, now_s: float, routers: int) -> bool:
+        """Count a repeat in advance, in case one becomes necessary.
+
+        Args:
+          pool: The pool.
+          now_s: The time, in seconds of the clock.
+          routers: Number of routers; 0 if unknown.
+
+        Returns:
+          Whether the repeat is allowed.
+        """
+        if not self.held_pool and self.window.try_repeat(pool, now_s, routers):
+            self.held_pool = pool
+        return bool(self.held_pool)
+
+    def release(self, now_s: float) -> None:
+        """Give a repeat back that was counted in advance and is not needed."""
+        if self.held_pool:
+            self.window.give_back(self.held_pool, now_s)
+            self.held_pool = ""
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -132,9 +132,40 @@
             self.timer.cancel()
         self.attempt.move = None
         self.forwarding.forwarder.on_move(self)
-        self.forwarding.continue_at(self.destination, self.moved_from)
+        self.forwarding.continue_at(self.destination, self)
 
     def stop_waiting(self) -> None:
         """Stop waiting; the destination generates the last events again."""
         self.attempt.cancel()
         self.proceed()
+
+
+def move_away(forwarding: "Forwarding") -> None:
+    """Start to move a request's run to another target, if possible.
+
+    Requires that the pool supports moves, that the stream has begun, that there
+    is a target to move to, and that the request may be sent to yet another one,
+    should that one refuse it.
+    """
+    attempt = forwarding.current
+    if attempt is None or attempt.is_over or attempt.move is not None:
+        return
+    if forwarding.silence.kept or not forwarding.may_send_elsewhere():
+        return
+    if not forwarding.plan.pool.has_moves:
+        return
+    if not attempt.is_streaming or forwarding.last_event is None:
+        return
+    if attempt.view.notice.paused_until_s > forwarding.now_s:
+        return
+    destination = forwarding.forwarder.move_destination(
+        forwarding, attempt.chosen
+    )
+    if destination is None or not forwarding.hold_repeat():
+        return
+    if not attempt.view.count_request(forwarding.now_s):
+        forwarding.attempts.release(forwarding.now_s)
+        return
+    StreamMove(
+        forwarding=forwarding, attempt=attempt, destination=destination
+    ).start()
--- a/tests/test_accepted_requests.py
+++ b/tests/test_accepted_requests.py
@@ -1,9 +1,11 @@
 """A newer configuration does not end requests that were accepted before it."""
 
 import attrs
+from expression import Error, Ok
 from testtools import TestCase
 
 from sequoiawind.forward_state import ForwardAccount, ForwardPool, ForwardRoute
+from sequoiawind.stream_move import move_away
 from sequoiawind.tokens import token_digest
 from sequoiawind.verdict import Reason, Verdict, may_have_run, not_run
 from tests.forward_rig import KINDS, ForwardRig, state, target
@@ -154,17 +156,80 @@
 class MoveTest(TestCase):
     """A run is moved only if another target may take it up afterwards."""
 
-    def test_run_without_a_further_target_is_not_moved(self) -> None:
+    def moving(self, engines: int = 3) -> ForwardRig:
+        """Return a router before engines that can move runs."""
         router = ForwardRig()
-        router.add(*(target(f"e{number}", "llm") for number in range(3)))
+        router.add(*(target(f"e{number}", "llm") for number in range(engines)))
         pools = {"llm": ForwardPool(name="llm", models=("m",), has_moves=True)}
         router.configure(state(revision=2, pools=pools))
+        return router
+
+    def repeats(self, router: ForwardRig) -> int:
+        """Return the repeats that a router has counted."""
+        return len(router.forwarder.window.sends_of("llm", 0.0).repeats_s)
+
+    def test_run_without_a_further_target_is_not_moved(self) -> None:
+        router = self.moving()
         caller = router.submit("draft")
         router.port.sent[0].answer(503, refusal=BUSY)
         router.port.sent[1].begin(200, event(1))
         (forwarding,) = router.forwarder.open
-        forwarding.move_away()
+        move_away(forwarding)
         self.assertEqual([], router.port.moves)
         router.port.sent[1].sink.data(event(2))
         router.port.sent[1].sink.done()
         self.assertTrue(caller.is_ended)
+
+    def test_run_is_not_moved_while_repeats_are_used_up(self) -> None:
+        router = self.moving()
+        router.forwarder.window.allowance = 0.0
+        router.forwarder.window.ratio = 0.0
+        router.submit("draft")
+        router.port.sent[0].begin(200, event(1))
+        (forwarding,) = router.forwarder.open
+        move_away(forwarding)
+        self.assertEqual([], router.port.moves)
+
+    def test_run_whose_destination_refuses_is_resumed(self) -> None:
+        router = self.moving()
+        caller = router.submit("draft")
+        router.port.sent[0].begin(200, event(1))
+        (forwarding,) = router.forwarder.open
+        move_away(forwarding)
+        # From here on no further repeat is allowed.
+        router.forwarder.window.allowance = 0.0
+        router.forwarder.window.ratio = 0.0
+        router.port.move_answers[0].callback(Ok("ip:1/h"))
+        router.port.sent[0].sink.failed(LOST)
+        router.port.sent[1].answer(503, refusal=BUSY)
+        router.port.sent[2].answer(200, event(2))
+        self.assertEqual(event(1) + event(2), caller.body)
+        self.assertTrue(caller.is_ended)
+        self.assertEqual(1, self.repeats(router))
+
+    def test_permission_is_given_back_once_the_run_goes_on(self) -> None:
+        for is_moved in (True, False):
+            router = self.moving()
+            router.submit("draft")
+            router.port.sent[0].begin(200, event(1))
+            (forwarding,) = router.forwarder.open
+            move_away(forwarding)
+            self.assertEqual(1, self.repeats(router))
+            if is_moved:
+                router.port.move_answers[0].callback(Ok("ip:1/h"))
+                router.port.sent[0].sink.failed(LOST)
+                router.port.sent[1].begin(200, event(2))
+            else:
+                failure = not_run(Reason.TARGET_ERROR)
+                router.port.move_answers[0].callback(Error(failure))
+                router.port.sent[0].sink.data(event(2))
+            self.assertEqual(0, self.repeats(router), is_moved)
+
+    def test_permission_is_given_back_at_the_end(self) -> None:
+        router = self.moving()
+        router.submit("draft")
+        router.port.sent[0].begin(200, event(1))
+        (forwarding,) = router.forwarder.open
+        move_away(forwarding)
+        forwarding.caller_disconnected()
+        self.assertEqual(0, self.repeats(router))
--- a/tests/test_target_limit.py
+++ b/tests/test_target_limit.py
@@ -10,6 +10,7 @@
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.platform import engine_wire
 from sequoiawind.platform.engine import DecodingSink
+from sequoiawind.stream_move import move_away
 from sequoiawind.target_limit import TargetLimit
 from sequoiawind.verdict import Reason, Verdict, may_have_run
 from sequoiawind.wire import TargetStatus
@@ -242,7 +243,7 @@
                 view = rig.fleet.views[limited]
                 rig.fleet.record_limit(view, 0.0, 0.0)
             (forwarding,) = rig.forwarder.open
-            forwarding.move_away()
+            move_away(forwarding)
             self.assertEqual(moves, len(rig.port.moves), limited)
 
     def test_cache_of_a_limited_target_is_not_watched(self) -> None:
