Tests that fail: an engine that restarts at another software version

An engine may start again under its id at another version of its software. A router learns that from the engine's entry only, and no answer states the version. While the store does not answer, it goes on streams at the engine as if it still had its old version, and takes new streams there for streams of that version.

The engine's report states its start ('born') and its agent reads it five times a second, also while the store is away; but the agent passes on the start in the entry that it knows. Of these 7 tests 6 fail; one is a control.

--- a/tests/test_forward_agent.py
+++ b/tests/test_forward_agent.py
@@ -93,6 +93,14 @@
         Deferred.fromCoroutine(agent.run())
         return clock, agent, fake
 
+    def test_states_the_start_that_its_target_reports(self) -> None:
+        # The store may not have the entry of the new start yet.
+        clock, agent, fake = self.make(born_ms=7)
+        self.assertEqual(("e1", 7), (agent.status.target, agent.status.born_ms))
+        fake.report_now = attrs.evolve(fake.report_now, born_ms=8)
+        clock.advance(1.0)
+        self.assertEqual(8, agent.status.born_ms)
+
     def make_with_predecessors(self) -> tuple[Clock, ForwardAgent, FakeTarget]:
         clock, agent, fake = self.make()
         others = [f"f{number}" for number in range(30)]
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -103,6 +103,91 @@
                 self.assertEqual("v1", destination.software)
 
 
+class RestartTest(TestCase):
+    """An engine starts again under its id, perhaps at another version.
+
+    Its agent reads its start from the engine itself, also while the store,
+    which tells the version, does not answer.
+    """
+
+    def engine_restarted(self, rig: ForwardRig, name: str) -> None:
+        """Let an agent state a start after the one in the engine's entry."""
+        status = TargetStatus(target=name, born_ms=2, versions={"m": 1})
+        rig.fleet.record_status(name, status, rig.clock.seconds())
+
+    def test_stream_does_not_go_on_at_an_engine_that_has_restarted(
+        self,
+    ) -> None:
+        for has_restarted, sends in ((False, 2), (True, 1)):
+            rig = make_rig(e1="v1", e2="v2")
+            caller, _ = begin(rig, at="v1")
+            rig.add(target("e3", "llm", software="v1"))
+            if has_restarted:
+                self.engine_restarted(rig, "e3")
+            rig.port.sent[0].sink.failed(LOST)
+            self.assertEqual(sends, len(rig.port.sent))
+            self.assertIs(has_restarted, caller.is_broken)
+
+    def test_status_of_the_start_in_the_entry_changes_nothing(self) -> None:
+        for born_ms in (0, 1, 2):
+            rig = make_rig(e1="v1")
+            rig.add(target("e2", "llm", software="v1", born_ms=2))
+            status = TargetStatus(target="e2", born_ms=born_ms)
+            rig.fleet.record_status("e2", status, 0.0)
+            begin(rig)
+            rig.port.sent[0].sink.failed(LOST)
+            self.assertEqual(2, len(rig.port.sent), born_ms)
+
+    def test_stream_that_begins_at_an_unknown_version_does_not_go_on(
+        self,
+    ) -> None:
+        rig = make_rig(e1="v1")
+        rig.advance(SOFTWARE_MEMORY_S + 1.0)
+        self.engine_restarted(rig, "e1")
+        caller, _ = begin(rig, request_id="s")
+        rig.add(target("e2", "llm", software="v1"))
+        rig.add(target("e3", "llm", software="v2"))
+        rig.port.sent[0].sink.failed(LOST)
+        self.assertEqual(1, len(rig.port.sent))
+        self.assertTrue(caller.is_broken)
+        again = rig.submit("draft", last_event_id="2", resumes="s")
+        rig.advance(1.0)
+        assert again.failure is not None
+        self.assertEqual(Verdict.NOT_RUN, again.failure.verdict)
+        self.assertEqual(1, len(rig.port.sent))
+        # Nor may another router take it for a stream of a known version.
+        self.assertEqual([], rig.origin_log.records)
+
+    def test_unknown_version_rules_out_that_there_is_only_one(self) -> None:
+        rig = make_rig(e1="v1", e2="v1")
+        rig.advance(SOFTWARE_MEMORY_S + 1.0)
+        self.engine_restarted(rig, "e2")
+        caller = rig.submit("draft", last_event_id="2", resumes="other")
+        rig.advance(1.0)
+        assert caller.failure is not None
+        self.assertEqual(Verdict.NOT_RUN, caller.failure.verdict)
+        self.assertEqual([], rig.port.sent)
+
+    def test_only_the_entry_of_the_new_start_tells_its_version(self) -> None:
+        for born_ms, sends in ((0, 1), (1, 1), (2, 2)):
+            rig = make_rig(e1="v1", e2="v1")
+            self.engine_restarted(rig, "e2")
+            rig.add(target("e2", "llm", software="v1", born_ms=born_ms))
+            rig.add(target("e2", "llm", software="v1", born_ms=born_ms))
+            rig.fleet.views["e2"].open_requests = 50
+            begin(rig)
+            rig.port.sent[0].sink.failed(LOST)
+            self.assertEqual(sends, len(rig.port.sent), born_ms)
+
+    def test_pool_has_one_version_again_once_the_entry_has_come(self) -> None:
+        rig = make_rig(e1="v1", e2="v1")
+        self.engine_restarted(rig, "e2")
+        now_s = rig.clock.seconds()
+        self.assertEqual(2, len(rig.fleet.software("llm", now_s)))
+        rig.add(target("e2", "llm", software="v1", born_ms=2))
+        self.assertEqual({"v1"}, rig.fleet.software("llm", now_s))
+
+
 class ReconnectTest(TestCase):
     """Over several requests of a caller, at any router."""
 
