Do not go on with a stream where an engine has started again

An engine that starts again under its id may have another software version.

An agent now states the start that its engine reports, not the one in the entry that it knows. A start after the one in the router's entry makes the engine's version unknown until the entry of that start arrives: no stream goes on there, none that began there goes on elsewhere, and callers' streams of the pool are looked up as with several versions. No further calls: the report was read and the status sent already. The versions of a pool move into a module of their own.

Ruled out: asking the engine for its report on the same connection before each stream that goes on (sound without agents too, but a probe each, and streams that begin there need one as well). Left: the time until the agent's next report and status, 0.2 s and the way to the router, and targets without an agent.

--- a/sequoiawind/fleet.py
+++ b/sequoiawind/fleet.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -15,6 +15,7 @@
 from sequoiawind import defaults
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.members import Members
+from sequoiawind.software_memory import SoftwareMemory
 from sequoiawind.target_limit import TargetLimit
 from sequoiawind.wire import TargetStatus
 
@@ -24,9 +25,6 @@
 # Age above which an agent's status is too old to indicate its target's load,
 # in seconds.
 STATUS_LIFETIME_S: Final = 1.6
-# How long a pool remembers the software versions of targets that are gone, in
-# seconds: longer than callers try to resume a stream.
-SOFTWARE_MEMORY_S: Final = 30.0
 # Number of incarnations whose notices are kept.
 MAX_NOTICES: Final = 1_000
 # Share of a target's limit that routers divide equally; the rest goes by their
@@ -78,6 +76,9 @@
     notice: TargetNotice = attrs.field(factory=TargetNotice)
     # Newest weights version by model that its answers reported.
     seen_versions: dict[str, int] = attrs.field(factory=dict)
+    # Latest start that an agent has stated for a target of this name, in
+    # milliseconds since the epoch.
+    stated_born_ms: int = 0
 
     def fresh_status(self, now_s: float) -> TargetStatus | None:
         """Return the agent's last status; None if it is too old."""
@@ -166,10 +167,7 @@
     notices: OrderedDict[tuple[str, int], TargetNotice] = attrs.field(
         factory=OrderedDict
     )
-    # When targets of a pool and software version were last known, in seconds of
-    # the clock, and those of targets that have gone since.
-    software_seen_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    software_gone: set[tuple[str, str]] = attrs.field(factory=set)
+    software: SoftwareMemory = attrs.field(factory=SoftwareMemory)
     # Number of active routers that a relay has stated, and when, in seconds of
     # the clock.
     stated_routers: int = 0
@@ -177,6 +175,11 @@
     # This router's part of the demand of all of them; negative if unknown.
     demand_share: float = -1.0
     random: "random.Random" = attrs.field(factory=random.Random)
+    # Called with a target's entry and a later start, in milliseconds since the
+    # epoch, if its agent states that before the entry arrives.
+    on_restart: Callable[[ForwardTarget, int], None] = attrs.field(
+        default=lambda target, born_ms: None
+    )
 
     def put(self, target: ForwardTarget) -> bool:
         """Add or update an entry; return whether it is a new incarnation.
@@ -185,17 +188,23 @@
         """
         self.missing.pop(target.name, None)
         known = self.views.get(target.name)
+        stated_ms = known.stated_born_ms if known is not None else 0
+        if stated_ms > target.born_ms:
+            target = attrs.evolve(target, is_replaced=True)
         if known is None or known.target != target:
             self.pools.clear()
         if known and known.target.incarnation == target.incarnation:
-            self.software_gone.add(software_key(known.target))
+            self.software.note_gone(known.target)
             known.target = target
             return False
         if known is not None and known.target.born_ms > target.born_ms:
             return False
-        if known is not None:
-            self.software_gone.add(software_key(known.target))
-        view = self.views[target.name] = TargetView(target=target)
+        if known is not None and not (
+            known.target.is_replaced and stated_ms == target.born_ms
+        ):
+            self.software.note_gone(known.target)
+        view = TargetView(target=target, stated_born_ms=stated_ms)
+        self.views[target.name] = view
         view.notice = self.notices.get(target.incarnation, view.notice)
         self.members.health.pop(target.name, None)
         return True
@@ -225,24 +234,20 @@
         for name in self.missing:
             view = self.views.pop(name, None)
             if view is not None:
-                self.software_gone.add(software_key(view.target))
+                self.software.note_gone(view.target)
             self.members.health.pop(name, None)
         self.missing.clear()
 
-    def software(self, pool: str, now_s: float) -> frozenset[str]:
+    def software_versions(
+        self, pool: str, now_s: float
+    ) -> frozenset[str | None]:
         """Return the software versions that serve a pool, or did lately.
 
-        Those of targets that are gone count for `SOFTWARE_MEMORY_S`.
+        None stands for one that is unknown.
         """
         self.drop_missing(now_s)
-        seen_s, known = self.software_seen_s, self.software_gone
-        known.update(software_key(view.target) for view in self.views.values())
-        seen_s.update(dict.fromkeys(known, now_s))
-        known.clear()
-        for key in list(seen_s):
-            if now_s - seen_s[key] > SOFTWARE_MEMORY_S:
-                del seen_s[key]
-        return frozenset(version for name, version in seen_s if name == pool)
+        targets = [view.target for view in self.views.values()]
+        return self.software.versions(pool, targets, now_s)
 
     @property
     def missing_dropped_at_s(self) -> float:
@@ -316,6 +321,7 @@
         stated_per_s = view.status.limit_per_s if view.status else None
         view.status = status
         view.status_s = now_s
+        self.record_start(view, status.born_ms)
         if status.limit_per_s != stated_per_s:
             self.record_limit(view, status.limit_per_s, now_s)
         if view.notice.limit is not None:
@@ -323,6 +329,20 @@
         if is_leaving(view) != was_leaving:
             self.pools.clear()
 
+    def record_start(self, view: TargetView, born_ms: int) -> None:
+        """Record the start that an agent states for its target.
+
+        The target may have started again at another software version, which
+        is unknown until the entry of that start arrives.
+        """
+        view.stated_born_ms = max(view.stated_born_ms, born_ms)
+        target = view.target
+        if target.is_replaced or view.stated_born_ms <= target.born_ms:
+            return
+        self.software.note_gone(target)
+        view.target = attrs.evolve(target, is_replaced=True)
+        self.on_restart(target, born_ms)
+
     def record_success(self, name: str) -> None:
         """Record a success of a target; it ends an ejection."""
         if self.members.health_of(name).ejected_until_s > 0.0:
@@ -477,8 +497,3 @@
     if view.target.is_draining or view.notice.is_leaving:
         return True
     return view.status is not None and view.status.is_draining
-
-
-def software_key(target: ForwardTarget) -> tuple[str, str]:
-    """Return a target's pool and the version of its software."""
-    return (target.pool, target.software)
--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -191,7 +191,7 @@
         self.publish(
             TargetStatus(
                 target=target.name if target else "",
-                born_ms=target.born_ms if target else 0,
+                born_ms=report.born_ms,
                 waiting=report.waiting,
                 running=report.running,
                 reading=report.reading,
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -95,6 +95,9 @@
     # Version of its software, which is not that of its weights.  What targets
     # of different versions write does not fit together.
     software: str = ""
+    # A later start of it is known, but not the entry of that start, so that the
+    # version of its software is unknown.
+    is_replaced: bool = False
     # Requests that it runs concurrently.
     slots: int = 1
     # Weights version by model.
--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -17,10 +17,11 @@
 from twisted.internet.defer import Deferred
 
 from sequoiawind import messages, timing
-from sequoiawind.fleet import SOFTWARE_MEMORY_S, Fleet
+from sequoiawind.fleet import Fleet
 from sequoiawind.freshness import Freshness
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.record_ports import RecordsLost
+from sequoiawind.software_memory import SOFTWARE_MEMORY_S
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure, Reason, not_run
 
@@ -161,7 +162,8 @@
 
     def is_mixed(self, pool: str) -> bool:
         """Whether targets of several versions serve a pool, or did lately."""
-        return len(self.fleet.software(pool, self.clock.seconds())) > 1
+        now_s = self.clock.seconds()
+        return len(self.fleet.software_versions(pool, now_s)) > 1
 
     def record_in(self, delay_s: float) -> None:
         """Record the open streams after a delay, or before, if that is due."""
@@ -226,25 +228,29 @@
         return self.only_origin(pool, frozenset())
 
     def only_origin(
-        self, pool: str, recorded: frozenset[str]
+        self, pool: str, recorded: frozenset[str | None]
     ) -> StreamOrigin | None:
         """Return the only origin that a recent stream of a pool can have.
 
         Args:
           pool: The pool.
-          recorded: Further versions that may have begun streams.
+          recorded: Further versions that may have begun streams; None is an
+            unknown one.
 
         Returns:
           The origin; None if there are several, or if targets may have come of
           which this router does not know.
         """
-        versions = self.fleet.software(pool, self.clock.seconds()) | recorded
+        now_s = self.clock.seconds()
+        versions = self.fleet.software_versions(pool, now_s) | recorded
         if len(versions) != 1 or not self.freshness.may_deny:
             return None
         (software,) = versions
+        if software is None:
+            return None
         return StreamOrigin(pool=pool, software=software)
 
-    def recorded(self, pool: str) -> frozenset[str]:
+    def recorded(self, pool: str) -> frozenset[str | None]:
         """Return the versions that began a pool's streams, as read lately."""
         since_s = self.clock.seconds() - SOFTWARE_MEMORY_S
         return frozenset(
--- a/sequoiawind/platform/origins.py
+++ b/sequoiawind/platform/origins.py
@@ -21,7 +21,8 @@
 
     request: str
     pool: str
-    software: str
+    # None if the router did not know it.
+    software: str | None
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/wire.py
+++ b/sequoiawind/wire.py
@@ -143,9 +143,11 @@
     # Increases with each change; a router polls for a status with a higher
     # number than the last one it received.
     number: int = 0
-    # The target's name and start time, by which a router checks that the
-    # status is that of the target it knows.
+    # The target's name, by which a router checks that the status is that of
+    # the target it knows.
     target: str = ""
+    # Its start as it reports it, in milliseconds since the epoch, by which a
+    # router learns of a later one before its entry arrives; 0 if unknown.
     born_ms: int = 0
     waiting: int = 0
     running: int = 0
