--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -21,6 +21,9 @@
 MAX_HELD_EVENT_BYTES: Final = 1024 * 1024
 BODY_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 60.0
+# After an answer, for connections whose peer may still be sending.
+LINGER_S: Final = 3.0
+MAX_LINGER_BYTES: Final = 16 * 1024 * 1024
 REQUEST_DEADLINE_S: Final = 60.0
 DEFAULT_MAX_TOKENS: Final = 64
 MAX_ATTEMPTS: Final = 8
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -77,6 +77,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the components."""
         super().__attrs_post_init__()
+        self.closer = self.make_closer(self.metrics.closes_at_bound)
         options = self.options
         self.agent = ForwardAgent(
             address=str(options.target),
@@ -159,7 +160,7 @@
             (node.agent_port, served),
             (node.metrics_port, {METRICS_PATH: metrics}),
         ):
-            Pages(pages=pages, log=self.log).listen(
+            Pages(pages=pages, log=self.log, closer=self.closer).listen(
                 Address(host=node.ip, port=port)
             )
         self.log.info("listening", port=node.agent_port)
--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -10,9 +10,10 @@
 
 import attrs
 import structlog
+from prometheus_client import Counter
 from twisted.internet.defer import Deferred
 
-from sequoiawind import event_loop, logs
+from sequoiawind import event_loop, logs, metrics
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.feed_client import FeedClient, HttpFeedPort
 from sequoiawind.feed_cover import FeedCover
@@ -21,6 +22,7 @@
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.options import (
     BoundsOptions,
+    ClosingOptions,
     ForwardAgentSettings,
     ForwardRouterSettings,
 )
@@ -28,12 +30,16 @@
 from sequoiawind.record_follower import RecordFollower, RecordReader
 from sequoiawind.relay_choice import agent_address, relays_for
 from sequoiawind.settings_follower import SettingsFollower
+from sequoiawind.staged_close import StagedCloser
 
 Logger = structlog.typing.FilteringBoundLogger
 S = TypeVar("S", ForwardRouterSettings, ForwardAgentSettings)
 
 # How long the list of relays is used before it is made anew, in seconds.
 RELAYS_LIFETIME_S: Final = 0.5
+# Longest time for which a connection that is being closed may hold up the end
+# of the process, as a share of the time between SIGTERM and SIGKILL.
+LINGER_SHARE: Final = 0.4
 
 
 @attrs.define(kw_only=True)
@@ -47,6 +53,8 @@
     fleet: Fleet = attrs.field(factory=Fleet)
     client: Http1Client = attrs.field(init=False)
     store: StoreClient = attrs.field(init=False)
+    # Closes the connections that were made to this process.
+    closer: StagedCloser = attrs.field(init=False)
     known_relays: list[str] = attrs.field(factory=list)
     # When that list was made, in seconds of the clock.
     relays_made_s: float = float("-inf")
@@ -61,6 +69,20 @@
         """Return the HTTP client for targets and the store."""
         return Http1Client(reactor=event_loop.reactor)
 
+    def make_closer(self, counter: Counter) -> StagedCloser:
+        """Return the closer of connections, with a counter for its bounds."""
+        return StagedCloser(
+            clock=event_loop.reactor,
+            options=self.closing_options(),
+            on_bound=metrics.count_bound(counter),
+        )
+
+    def closing_options(self) -> ClosingOptions:
+        """Return the bounds on closes that leave time for the shutdown."""
+        closing = self.options.closing
+        longest_s = LINGER_SHARE * self.options.bounds.grace_s
+        return attrs.evolve(closing, linger_s=min(closing.linger_s, longest_s))
+
     def follow_records(
         self,
         topic: str,
@@ -143,6 +165,7 @@
             restart_needed=options != changed,
         )
         self.options = changed
+        self.closer.options = self.closing_options()
         self.apply_bounds(options.bounds)
 
     def apply_bounds(self, bounds: BoundsOptions) -> None:
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -104,6 +104,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the components."""
         super().__attrs_post_init__()
+        self.closer = self.make_closer(self.metrics.closes_at_bound)
         bounds = self.options.bounds
         self.freshness = Freshness(
             revoke_s=bounds.revoke_ms / 1000,
@@ -123,6 +124,7 @@
             on_request=self.take_request,
             limits=self.limits,
             on_refusal=self.notes.count_refusal,
+            closer=self.closer,
         )
         self.metrics.set_gauge_functions(
             age_s=lambda: self.freshness.age_s,
@@ -262,6 +264,7 @@
             on_request=self.answer_ready,
             limits=self.limits,
             on_refusal=self.notes.count_refusal,
+            closer=self.closer,
         )
         for address, site in ((entry.callers, self.site), (entry.ready, ready)):
             self.ports.append(
@@ -272,6 +275,7 @@
         pages = Pages(
             pages={METRICS_PATH: metrics_page(self.metrics.registry)},
             log=self.log,
+            closer=self.closer,
         )
         pages.listen(Address(host=node.ip, port=node.metrics_port))
         self.log.info("listening", port=entry.callers.port)
@@ -432,7 +436,9 @@
         self.site.close_idle()
 
     def is_idle(self) -> bool:
-        """Whether no request is in progress."""
-        return self.forwarder.open_requests == 0 and all(
-            connection.is_idle for connection in self.site.connections
+        """Whether no request is in progress, and no close after one."""
+        return (
+            self.forwarder.open_requests == 0
+            and not self.closer.connections
+            and all(item.is_idle for item in self.site.connections)
         )
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -17,6 +17,7 @@
 from sequoiawind import defaults, sockets
 from sequoiawind.headers import CallerLimits, Headers
 from sequoiawind.ports import Clock, Timer
+from sequoiawind.staged_close import StagedCloser
 from sequoiawind.verdict import HTTP_STATUS, Reason
 
 # Pipelined bytes that a caller may send during an answer before the server
@@ -64,7 +65,7 @@
         self.is_answering = False
         # The parts of an answer that is sent in one write; else None.
         self.collected: list[bytes] | None = None
-        # Whether the connection is lost, or has been closed by `close`.
+        # Whether the connection is lost, or is being closed.
         self.is_lost = False
         # Called once if the caller disconnects before its answer is complete.
         self.on_disconnect: Callable[[], None] | None = None
@@ -86,15 +87,19 @@
         self, reason: TwistedFailure = connectionDone
     ) -> None:
         """Report a disconnect before the end of the answer."""
-        self.is_lost = True
-        self.stop_timer()
-        self.site.connections.discard(self)
+        self.leave_site()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if self.is_answering:
             self.is_answering = False
             if on_disconnect is not None:
                 on_disconnect()
 
+    def leave_site(self) -> None:
+        """Stop handling the connection."""
+        self.is_lost = True
+        self.stop_timer()
+        self.site.connections.discard(self)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle bytes from the caller."""
         if self.http.their_state is h11.ERROR:
@@ -287,10 +292,15 @@
             )
             self.write(self.http.send(response))
             self.write(self.http.send(h11.EndOfMessage()))
-        self.close()
+        self.close_in_stages()
+
+    def close_in_stages(self) -> None:
+        """Close the connection although the caller may still be sending."""
+        self.leave_site()
+        self.site.closer.close(self.transport)
 
     def close(self) -> None:
-        """Close the connection after all data is written."""
+        """Close the idle connection."""
         self.is_lost = True
         self.transport.loseConnection()
 
@@ -327,12 +337,17 @@
         on_request: Callable[[HttpRequest, CallerConnection], None],
         limits: Callable[[], CallerLimits],
         on_refusal: Callable[[Reason], None],
+        closer: StagedCloser | None = None,
     ) -> None:
-        """Store the clock, the handler, the limits and the callbacks."""
+        """Store the clock, the handler, the limits and the callbacks.
+
+        The site makes a closer of its own if there is none to share.
+        """
         self.clock = clock
         self.on_request = on_request
         self.limits = limits
         self.on_refusal = on_refusal
+        self.closer = closer or StagedCloser(clock=clock)
         self.connections: set[CallerConnection] = set()
         # Whether each connection closes after its current answer.
         self.is_closing = False
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -12,6 +12,7 @@
     generate_latest,
 )
 
+from sequoiawind.staged_close import Bound
 from sequoiawind.verdict import Reason
 
 FIRST_CHUNK_BUCKETS_S = (
@@ -163,11 +164,13 @@
     config_age: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
     open_requests: Gauge = attrs.field(init=False)
+    closes_at_bound: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics, with every reason's counter at zero."""
         registry = self.registry
         ProcessCollector(registry=registry)
+        self.closes_at_bound = bound_counter(registry)
         self.requests = Counter(
             "sequoiawind_requests",
             "Requests ended, by repeat rule and verdict.",
@@ -242,10 +245,12 @@
 
     registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
     orders: Counter = attrs.field(init=False)
+    closes_at_bound: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
         ProcessCollector(registry=self.registry)
+        self.closes_at_bound = bound_counter(self.registry)
         self.orders = Counter(
             "sequoiawind_weight_orders",
             "Orders to load weights, by outcome.",
@@ -264,6 +269,24 @@
     return counter
 
 
+def bound_counter(registry: CollectorRegistry) -> Counter:
+    """Return a counter of closes at a bound, with each bound at zero."""
+    counter = Counter(
+        "sequoiawind_closes_at_bound",
+        "Connections ended while the peer had not closed them, by bound.",
+        ["bound"],
+        registry=registry,
+    )
+    for bound in Bound:
+        counter.labels(bound.value)
+    return counter
+
+
+def count_bound(counter: Counter) -> Callable[[Bound], None]:
+    """Return a function that counts a close at a bound."""
+    return lambda bound: counter.labels(bound.value).inc()
+
+
 def render(registry: CollectorRegistry) -> bytes:
     """Return all metrics in Prometheus' text format."""
     return generate_latest(registry)
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -31,6 +31,20 @@
     level: str = "info"
 
 
+@attrs.frozen(kw_only=True)
+class ClosingOptions:
+    """Bounds on the close of connections whose peers may still be sending.
+
+    What arrives after the answer is read and discarded until the peer closes
+    the connection too, or until a bound is reached.
+    """
+
+    # Time from the answer to the end of the connection, in seconds.
+    linger_s: float = defaults.LINGER_S
+    # Number of bytes that are read and discarded.
+    linger_bytes: int = defaults.MAX_LINGER_BYTES
+
+
 @attrs.frozen(kw_only=True)
 class PlatformOptions:
     """Addresses of the platform's services, and the log's retention time."""
@@ -145,6 +159,7 @@
     entry: EntryOptions
     bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
     lease: LeaseOptions = attrs.field(factory=LeaseOptions)
+    closing: ClosingOptions = attrs.field(factory=ClosingOptions)
     logs: LogsOptions = attrs.field(factory=LogsOptions)
 
 
@@ -157,6 +172,7 @@
     # Address of the agent's target.
     target: Address
     bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
+    closing: ClosingOptions = attrs.field(factory=ClosingOptions)
     logs: LogsOptions = attrs.field(factory=LogsOptions)
 
 
--- a/sequoiawind/pages.py
+++ b/sequoiawind/pages.py
@@ -17,6 +17,7 @@
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.options import Address
+from sequoiawind.staged_close import StagedCloser
 from sequoiawind.verdict import Reason
 
 METRICS_PATH: Final = b"/metrics"
@@ -38,6 +39,8 @@
 
     pages: Mapping[bytes, Page]
     log: Logger
+    # Closes the connections; None to do so with the default bounds.
+    closer: StagedCloser | None = None
 
     def listen(self, address: Address) -> None:
         """Serve the pages at an address."""
@@ -46,6 +49,7 @@
             on_request=self.handle_request,
             limits=CallerLimits,
             on_refusal=self.log_refusal,
+            closer=self.closer,
         )
         event_loop.reactor.listenTCP(
             address.port, site, event_loop.LISTEN_BACKLOG, address.host
--- /dev/null
+++ b/sequoiawind/staged_close.py
@@ -0,0 +1,122 @@
+"""Closing connections whose peer may still be sending (RFC 9112, section 9.6).
+
+If a socket is closed while received bytes are unread, or more arrive later, the
+kernel sends a reset, and the peer's system may then discard an answer that the
+peer has not read.  So only the sending side is closed at first.  What still
+arrives is read and discarded, up to a bound, until the peer closes too.
+"""
+
+import enum
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+from zope.interface import implementer
+
+from sequoiawind.options import ClosingOptions
+from sequoiawind.ports import Clock, Timer
+
+
+class Bound(enum.Enum):
+    """A bound at which a connection was ended before its peer closed it."""
+
+    BYTES = "bytes"
+    TIME = "time"
+
+
+def ignore(bound: Bound) -> None:
+    """Ignore a connection that ended at a bound."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class StagedCloser:
+    """Closes connections in stages and owns them meanwhile."""
+
+    clock: Clock
+    options: ClosingOptions = attrs.field(factory=ClosingOptions)
+    # Called for each connection that is ended at a bound.
+    on_bound: Callable[[Bound], None] = attrs.field(default=ignore)
+    # The connections that are being closed; each stays for `linger_s` at most.
+    connections: "set[StagedClose]" = attrs.field(factory=set)
+
+    def close(self, transport: Any) -> None:
+        """Close a connection once what was written to it has been sent.
+
+        Its protocol receives nothing more, not even `connectionLost`.
+        """
+        connection: Any = StagedClose(self)
+        transport.protocol = connection
+        connection.makeConnection(transport)
+
+
+@implementer(IHalfCloseableProtocol)
+class StagedClose(Protocol):
+    """A connection whose sending side is closed; discards what arrives."""
+
+    transport: Any
+
+    def __init__(self, closer: StagedCloser) -> None:
+        """Store the owner."""
+        self.closer = closer
+        self.discarded_bytes = 0
+        # Whether all data has been sent.
+        self.is_sent = False
+        self.timer: Timer | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Close the sending side and start the timer."""
+        closer = self.closer
+        closer.connections.add(self)
+        self.timer = closer.clock.callLater(
+            closer.options.linger_s, self.time_over
+        )
+        # Reading may have been paused.
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Discard data; end the connection if it is too much."""
+        self.discarded_bytes += len(data)
+        if self.discarded_bytes > self.closer.options.linger_bytes:
+            self.end(Bound.BYTES)
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Record that all data has been sent."""
+        self.is_sent = True
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, as the peer has done."""
+        self.transport.loseConnection()
+
+    def connectionLost(  # noqa: N802
+        self, reason: TwistedFailure = connectionDone
+    ) -> None:
+        """Forget the connection."""
+        self.forget()
+
+    def time_over(self) -> None:
+        """End the connection, unless an answer is still being sent."""
+        if self.is_sent:
+            self.end(Bound.TIME)
+            return
+        # The peer reads a long answer slowly.
+        self.forget()
+        self.transport.loseConnection()
+
+    def end(self, bound: Bound) -> None:
+        """End the connection at a bound."""
+        if self not in self.closer.connections:
+            return
+        self.forget()
+        self.closer.on_bound(bound)
+        self.transport.abortConnection()
+
+    def forget(self) -> None:
+        """Stop the timer and leave the owner's connections."""
+        self.closer.connections.discard(self)
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -17,6 +17,12 @@
     """A transport with the TCP methods that the code calls."""
 
     is_aborted = False
+    # Whether the sending side has been closed.
+    is_half_closed = False
+    # Whether the far end reads nothing, so that data stays unsent.
+    is_stalled = False
+    # Set by code that hands the connection to another protocol.
+    protocol: Any = None
 
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Do nothing."""
@@ -28,6 +34,12 @@
         """Return a socket on which options can be set."""
         return FakeSocket()
 
+    def loseWriteConnection(self) -> None:
+        """Close the sending side; tell the protocol once all data is sent."""
+        self.is_half_closed = True
+        if not self.is_stalled:
+            self.protocol.writeConnectionLost()
+
     def abortConnection(self) -> None:
         """Record the abort."""
         self.is_aborted = True
--- a/tests/test_forward_processes.py
+++ b/tests/test_forward_processes.py
@@ -28,6 +28,10 @@
 
 [bounds]
 revoke_ms = {revoke}
+grace_s = {grace}
+
+[closing]
+linger_s = 3600
 """
 # Timeout of each wait, in seconds; a wait ends as soon as its condition holds.
 WAIT_TIMEOUT_S = 30.0
@@ -61,8 +65,8 @@
         self.addCleanup(self.end)
         self.wait_for("listening")
 
-    def write(self, revoke: int) -> None:
-        text = SETTINGS.format(**self.ports, revoke=revoke)
+    def write(self, revoke: int, grace: float = 8.0) -> None:
+        text = SETTINGS.format(**self.ports, revoke=revoke, grace=grace)
         self.file.write_text(text, encoding="utf-8")
 
     def end(self) -> None:
@@ -124,3 +128,19 @@
         while self.process.poll() is None and time.monotonic() < deadline_s:
             time.sleep(0.01)
         self.assertEqual(0, self.process.returncode)
+
+    def test_stop_waits_for_no_refused_caller_beyond_its_time(self) -> None:
+        self.write(revoke=5000, grace=1.0)
+        self.process.send_signal(signal.SIGHUP)
+        self.wait_for("settings reloaded")
+        with socket.create_connection(
+            ("127.0.0.1", self.ports["callers"]), timeout=WAIT_TIMEOUT_S
+        ) as sock:
+            sock.sendall(b"malformed\r\n\r\n")
+            answer = b""
+            while part := sock.recv(65536):
+                answer += part
+            self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+            # The caller keeps its side open.
+            self.process.send_signal(signal.SIGTERM)
+            self.assertEqual(0, self.process.wait(timeout=WAIT_TIMEOUT_S))
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -40,6 +40,24 @@
         connection.makeConnection(transport)
         return connection, transport
 
+    def check_closes_in_stages(self, transport: FakeTransport) -> None:
+        """Check that the rest is discarded until the caller closes too."""
+        self.assertTrue(transport.is_half_closed)
+        self.assertFalse(transport.disconnecting)
+        before = (transport.value(), len(self.received))
+        transport.protocol.dataReceived(GET + b"x" * 1_000)
+        self.clock.advance(0.0)
+        self.assertEqual(before, (transport.value(), len(self.received)))
+        self.assertFalse(transport.disconnecting)
+        transport.protocol.readConnectionLost()
+        self.assertTrue(transport.disconnecting)
+        self.assertFalse(transport.is_aborted)
+        transport.protocol.connectionLost()
+        self.assertEqual(set(), self.site.closer.connections)
+        self.assertNotIn(
+            transport, [c.transport for c in self.site.connections]
+        )
+
     def test_requests_in_parts_and_whole(self) -> None:
         chunked = (
             b"POST /a?q=1 HTTP/1.1\r\nHost: h\r\n"
@@ -85,13 +103,14 @@
             connection.dataReceived(data)
             self.assertEqual(before, len(self.received), data[:60])
             self.assertIn(status, transport.value()[:20], data[:60])
-            self.assertTrue(transport.disconnecting)
+            self.check_closes_in_stages(transport)
 
     def test_slow_head_and_idle_connection_time_out(self) -> None:
         connection, transport = self.connect()
         connection.dataReceived(GET[:5])
         self.clock.advance(3.1)
         self.assertIn(b"408", transport.value()[:20])
+        self.check_closes_in_stages(transport)
         _, transport = self.connect()
         self.clock.advance(14.0)
         self.assertFalse(transport.disconnecting)
