--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -32,6 +32,7 @@
 
     body_timer: Any = None
     body_bytes: int = 0
+    is_refused: bool = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body whose announced length is too large."""
@@ -48,6 +49,8 @@
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Refuse a body that grows too large."""
+        if self.is_refused:
+            return
         self.body_bytes += len(data)
         if self.body_bytes > defaults.MAX_BODY_BYTES:
             self.refuse_body(Reason.BODY_TOO_LARGE)
@@ -58,8 +61,14 @@
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
-        """Process the request once its body has arrived."""
+        """Process the request once its body has arrived.
+
+        A refused one is not processed, though its end may have arrived together
+        with what was too large.
+        """
         self.stop_body_timer()
+        if self.is_refused:
+            return
         server.Request.requestReceived(self, command, path, version)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -76,8 +85,11 @@
         """Reply with an error without reading the rest, and close."""
         self.stop_body_timer()
         channel: Any = self.channel
-        if channel is None:
+        if channel is None or self.is_refused:
             return
+        self.is_refused = True
+        # The channel would send status 100 after the refusal.
+        self.requestHeaders.removeHeader(b"Expect")
         channel.site.on_refusal(reason)
         status = HTTP_STATUS[reason]
         text = b"HTTP/1.1 %d %s\r\nConnection: close\r\n" % (
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -5,9 +5,11 @@
 from typing import Any, Final
 
 import attrs
+import klein
 from testtools import TestCase
+from twisted.web import server
 
-from sequoiawind import event_loop
+from sequoiawind import defaults, event_loop, http_server
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.options import Address, ClosingOptions
@@ -145,3 +147,48 @@
     def send_without_end(self, sock: socket.socket) -> None:
         while True:
             sock.sendall(CHUNK)
+
+
+class OpenAiTest(TestCase):
+    """The HTTP server of the OpenAI-compatible interface and of agents."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        live.start_reactor_thread()
+        self.received: list[bytes] = []
+        self.refused: list[Reason] = []
+        app = klein.Klein()
+        app.route("/", branch=True)(self.answer)
+        port: Any = live.in_reactor(
+            http_server.listen, app, live.ANY_PORT, self.refused.append
+        )
+        self.addCleanup(live.in_reactor, port.stopListening)
+        self.address = live.address_of(port)
+
+    def answer(self, request: server.Request) -> bytes:
+        self.received.append(http_server.body_of(request))
+        return b"answer"
+
+    def test_body_that_ends_beyond_the_limit_is_refused_once(self) -> None:
+        whole = b"100000\r\n" + b"x" * 0x100000 + b"\r\n"
+        beyond = b"1\r\nx\r\n" * 3 + b"0\r\n\r\n"
+        parts = defaults.MAX_BODY_BYTES // 0x100000
+        with socket.create_connection(
+            (self.address.host, self.address.port), timeout=PATIENCE_S
+        ) as sock:
+            sock.sendall(CHUNKED + whole * parts + beyond + GET)
+            answer = b"".join(read_parts(sock))
+        self.assertEqual(1, answer.count(b"HTTP/1.1"), answer)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+        self.assertEqual([Reason.BODY_TOO_LARGE], self.refused)
+        self.assertEqual([], self.received)
+
+    def test_refused_body_is_not_asked_for(self) -> None:
+        head = HEAD + b"Content-Length: 99999999\r\nExpect: 100-continue\r\n"
+        with socket.create_connection(
+            (self.address.host, self.address.port), timeout=PATIENCE_S
+        ) as sock:
+            sock.sendall(head + b"\r\n")
+            answer = b"".join(read_parts(sock))
+        self.assertEqual(1, answer.count(b"HTTP/1.1"), answer)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
