--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -20,6 +20,7 @@
     http_ports,
     http_server,
     logs,
+    metrics,
 )
 from sequoiawind.admission import FairQueue
 from sequoiawind.agent import Agent
@@ -34,6 +35,7 @@
 from sequoiawind.metrics import AgentMetrics
 from sequoiawind.options import AgentSettings
 from sequoiawind.peers import ConfigFetcher, PeerClient
+from sequoiawind.staged_close import StagedCloser
 from sequoiawind.target_ports import EngineHttpPort, PlainHttpPort
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -98,7 +100,14 @@
             name=self.options.agent.name,
             domain=self.options.agent.failure_domain,
         )
-        self.port = http_server.listen(web.app(), self.options.agent.listen)
+        closer = StagedCloser(
+            clock=event_loop.reactor,
+            options=self.options.closing,
+            on_bound=metrics.count_bound(self.metrics.closes_at_bound),
+        )
+        self.port = http_server.listen(
+            web.app(), self.options.agent.listen, closer=closer
+        )
         self.log.info("listening", port=self.port.getHost().port)
 
     def start(self) -> None:
--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -11,11 +11,13 @@
 import klein
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IListeningPort
+from twisted.internet.protocol import connectionDone
 from twisted.web import http, server
 
 from sequoiawind import defaults
 from sequoiawind.event_loop import LISTEN_BACKLOG, reactor
 from sequoiawind.options import Address
+from sequoiawind.staged_close import StagedCloser
 from sequoiawind.verdict import HTTP_STATUS, Reason
 
 SECRET_HEADER: Final = "X-Sequoiawind-Secret"
@@ -25,6 +27,17 @@
 CACHED_TOKENS_HEADER: Final = "X-Sequoiawind-Cached-Tokens"
 IDEMPOTENCY_KEY_HEADER: Final = "Idempotency-Key"
 JSON_TYPE: Final = "application/json"
+# A status for which `twisted.web` has no name.
+HEADER_FIELDS_TOO_LARGE: Final = 431
+
+
+def refusal(status: int) -> bytes:
+    """Return an answer without a body, after which the connection closes."""
+    text = http.RESPONSES.get(status, b"refused")
+    return (
+        b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        % (status, text)
+    )
 
 
 class BoundedRequest(server.Request):
@@ -91,24 +104,70 @@
         # The channel would send status 100 after the refusal.
         self.requestHeaders.removeHeader(b"Expect")
         channel.site.on_refusal(reason)
-        status = HTTP_STATUS[reason]
-        text = b"HTTP/1.1 %d %s\r\nConnection: close\r\n" % (
-            status,
-            http.RESPONSES.get(status, b"refused"),
-        )
-        channel.transport.write(text + b"Content-Length: 0\r\n\r\n")
+        channel.transport.write(refusal(HTTP_STATUS[reason]))
         channel.loseConnection()
 
 
+class BoundedChannel(http.HTTPChannel):
+    """A connection that is closed in stages after its last answer."""
+
+    site: Any
+    transport: Any
+    # Whether the close has begun; what arrives is then no longer parsed.
+    is_closing: bool = False
+    # Whether no request was read or answered for too long.
+    is_timed_out: bool = False
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Parse a line of a request's head."""
+        if not self.is_closing:
+            http.HTTPChannel.lineReceived(self, line)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse a part of a request's body."""
+        if not self.is_closing:
+            http.HTTPChannel.rawDataReceived(self, data)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a head with a line that is too long."""
+        if not self.is_closing:
+            self.site.on_refusal(Reason.BAD_REQUEST)
+            self.transport.write(refusal(HEADER_FIELDS_TOO_LARGE))
+            self.loseConnection()
+
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close a connection on which nothing has arrived for too long."""
+        self.is_timed_out = True
+        http.HTTPChannel.timeoutConnection(self)
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection although the caller may still be sending."""
+        if self.is_timed_out:
+            http.HTTPChannel.loseConnection(self)
+        elif not self.is_closing:
+            self.is_closing = True
+            self.transport.unregisterProducer()
+            # Ends the requests and the timers of this class.
+            http.HTTPChannel.connectionLost(self, connectionDone)
+            self.site.closer.close(self.transport)
+
+
 class BoundedSite(server.Site):
     """A site that reports why it refused a request's body."""
 
+    protocol: Any = BoundedChannel
+
     def __init__(
-        self, *args: Any, on_refusal: Callable[[Reason], None], **kwargs: Any
+        self,
+        *args: Any,
+        on_refusal: Callable[[Reason], None],
+        closer: StagedCloser,
+        **kwargs: Any,
     ) -> None:
-        """Store the callback for refused bodies."""
+        """Store the callback for refused bodies, and the closer."""
         server.Site.__init__(self, *args, **kwargs)
         self.on_refusal = on_refusal
+        self.closer = closer
 
 
 def ignore(reason: Reason) -> None:
@@ -119,13 +178,18 @@
     app: klein.Klein,
     address: Address,
     on_refusal: Callable[[Reason], None] = ignore,
+    closer: StagedCloser | None = None,
 ) -> IListeningPort:
-    """Serve an application at an address; port 0 selects a free one."""
+    """Serve an application at an address; port 0 selects a free one.
+
+    Connections are closed with the default bounds if no closer is given.
+    """
     site = BoundedSite(
         app.resource(),
         requestFactory=BoundedRequest,
         timeout=defaults.IDLE_TIMEOUT_S,
         on_refusal=on_refusal,
+        closer=closer or StagedCloser(clock=reactor),
     )
     site.displayTracebacks = False
     port: IListeningPort = reactor.listenTCP(
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -45,11 +45,13 @@
     dropped_chunks: Counter = attrs.field(init=False)
     open_requests: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
+    closes_at_bound: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics, with every reason's counter at zero."""
         registry = self.registry
         ProcessCollector(registry=registry)
+        self.closes_at_bound = bound_counter(registry)
         self.requests = Counter(
             "sequoiawind_requests",
             "Requests ended, by kind and verdict.",
@@ -121,11 +123,13 @@
     queued: Gauge = attrs.field(init=False)
     running: Gauge = attrs.field(init=False)
     blocks: Gauge = attrs.field(init=False)
+    closes_at_bound: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
         registry = self.registry
         ProcessCollector(registry=registry)
+        self.closes_at_bound = bound_counter(registry)
         self.events = Counter(
             "sequoiawind_agent_events",
             "Attempts refused (by reason), resumed, cancelled; foreign chunks.",
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -183,6 +183,7 @@
     router: RouterOptions
     platform: PlatformOptions
     peers: PeerOptions
+    closing: ClosingOptions = attrs.field(factory=ClosingOptions)
     logs: LogsOptions = attrs.field(factory=LogsOptions)
 
 
@@ -193,4 +194,5 @@
     agent: AgentOptions
     platform: PlatformOptions
     peers: PeerOptions
+    closing: ClosingOptions = attrs.field(factory=ClosingOptions)
     logs: LogsOptions = attrs.field(factory=LogsOptions)
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -19,6 +19,7 @@
     http_server,
     keys,
     logs,
+    metrics,
 )
 from sequoiawind.admin import Admin
 from sequoiawind.blackboard import Blackboard, RequestNote
@@ -39,6 +40,7 @@
 from sequoiawind.placer import ProbingPlacer
 from sequoiawind.router import Router
 from sequoiawind.router_http import RouterHttp
+from sequoiawind.staged_close import StagedCloser
 from sequoiawind.verdict import Failure, Reason
 from sequoiawind.wire import Ended
 
@@ -60,6 +62,8 @@
     claimant: Claimant = attrs.field(init=False)
     router: Router = attrs.field(init=False)
     follower: ConfigFollower = attrs.field(init=False)
+    # Closes the callers' connections.
+    closer: StagedCloser = attrs.field(init=False)
     # The listening port; None before `listen`.
     port: Any = None
 
@@ -80,6 +84,11 @@
         self.claimant = self.make_claimant()
         self.router = self.make_router()
         self.follower = self.make_follower()
+        self.closer = StagedCloser(
+            clock=event_loop.reactor,
+            options=self.options.closing,
+            on_bound=metrics.count_bound(self.metrics.closes_at_bound),
+        )
 
     def make_claimant(self) -> Claimant:
         """Return the controller that claims idempotency keys."""
@@ -156,6 +165,7 @@
             self.make_http().app(),
             self.options.router.listen,
             on_refusal=self.count_refused_body,
+            closer=self.closer,
         )
         self.log.info("listening", port=self.port.getHost().port)
 
@@ -202,8 +212,12 @@
         )
 
     def is_idle(self) -> bool:
-        """Whether no request and no claim record is in progress."""
-        return self.router.open_requests == 0 and self.claimant.pending == 0
+        """Whether no request, close or claim record is in progress."""
+        return (
+            self.router.open_requests == 0
+            and self.claimant.pending == 0
+            and not self.closer.connections
+        )
 
     def stop_listening(self) -> None:
         """Accept no more connections."""
--- a/tests/live.py
+++ b/tests/live.py
@@ -30,6 +30,7 @@
     Address,
     AgentOptions,
     AgentSettings,
+    ClosingOptions,
     LogsOptions,
     PeerOptions,
     PlatformOptions,
@@ -44,6 +45,8 @@
 TOKEN = "nordlys-token"
 OPERATOR_TOKEN = "ops-token"
 READY_TRIES = 200
+# Longer than any caller in the tests sends, in seconds.
+LINGER_S = 60.0
 
 
 def start_reactor_thread() -> None:
@@ -161,6 +164,7 @@
                 router=RouterOptions(name=name, listen=ANY_PORT),
                 platform=self.platform,
                 peers=PeerOptions(secret=SECRET, routers=peers),
+                closing=ClosingOptions(linger_s=LINGER_S),
             )
         )
         phase = program.board.phase
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -171,21 +171,20 @@
 
     def test_chunked_body_too_large(self) -> None:
         part = b"100000\r\n" + b"x" * 0x100000 + b"\r\n"
-        try:
-            answer = send_raw(
-                b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
-                b"Transfer-Encoding: chunked\r\n\r\n" + part * 5
-            )
-        except ConnectionError:
-            # The router closed while this side was still sending.
-            return
+        # Beyond the limit more than the buffers of two sockets hold.
+        answer = send_raw(
+            b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + part * 16
+        )
         self.assertIn(b" 413 ", answer.split(b"\r\n")[0])
+        self.assertEqual(1, answer.count(b"HTTP/1.1"))
+        self.assertTrue(answer.endswith(b"\r\n\r\n"))
 
     def test_header_too_long(self) -> None:
         answer = send_raw(
             b"GET /healthz HTTP/1.1\r\nHost: x\r\nA: " + b"x" * 40000
         )
-        self.assertNotIn(b" 200 ", answer.split(b"\r\n")[0])
+        self.assertIn(b" 431 ", answer.split(b"\r\n")[0])
 
     def test_peer_paths_need_the_secret(self) -> None:
         for path in ("/peer/report", "/peer/config"):
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -53,6 +53,12 @@
         yield part
 
 
+def send_without_end(sock: socket.socket) -> None:
+    """Send chunks until the connection breaks."""
+    while True:
+        sock.sendall(CHUNK)
+
+
 class ForwardingTest(TestCase):
     """The interface that forwards requests unchanged."""
 
@@ -90,8 +96,7 @@
         self, status: bytes, reason: Reason, head: bytes, part: bytes
     ) -> None:
         answer = send_and_read(self.address, head, part)
-        lines = answer.split(b"\r\n")
-        self.assertTrue(lines[0].startswith(b"HTTP/1.1 " + status), answer)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 " + status), answer)
         self.assertIn(b"connection: close", answer.lower())
         self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
         self.assertEqual([reason], self.refused)
@@ -140,14 +145,10 @@
             (self.address.host, self.address.port), timeout=PATIENCE_S
         ) as sock:
             sock.sendall(CHUNKED)
-            self.assertRaises(ConnectionError, self.send_without_end, sock)
+            self.assertRaises(ConnectionError, send_without_end, sock)
         self.assertEqual([Bound.BYTES], self.bounds)
         self.assertEqual(set(), self.closer.connections)
 
-    def send_without_end(self, sock: socket.socket) -> None:
-        while True:
-            sock.sendall(CHUNK)
-
 
 class OpenAiTest(TestCase):
     """The HTTP server of the OpenAI-compatible interface and of agents."""
@@ -157,10 +158,20 @@
         live.start_reactor_thread()
         self.received: list[bytes] = []
         self.refused: list[Reason] = []
+        self.bounds: list[Bound] = []
+        self.closer = StagedCloser(
+            clock=event_loop.reactor,
+            options=GENEROUS,
+            on_bound=self.bounds.append,
+        )
         app = klein.Klein()
         app.route("/", branch=True)(self.answer)
         port: Any = live.in_reactor(
-            http_server.listen, app, live.ANY_PORT, self.refused.append
+            http_server.listen,
+            app,
+            live.ANY_PORT,
+            self.refused.append,
+            self.closer,
         )
         self.addCleanup(live.in_reactor, port.stopListening)
         self.address = live.address_of(port)
@@ -192,3 +203,70 @@
             answer = b"".join(read_parts(sock))
         self.assertEqual(1, answer.count(b"HTTP/1.1"), answer)
         self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+
+    def check_refused(
+        self, status: bytes, reasons: list[Reason], head: bytes, part: bytes
+    ) -> None:
+        answer = send_and_read(self.address, head, part)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 " + status), answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
+        self.assertEqual(1, answer.count(b"HTTP/1.1"), answer)
+        self.assertEqual(reasons, self.refused)
+        self.assertEqual([], self.received)
+        self.assertEqual([], self.bounds)
+
+    def test_body_in_chunks_too_large(self) -> None:
+        self.check_refused(b"413", [Reason.BODY_TOO_LARGE], CHUNKED, CHUNK)
+
+    def test_announced_body_too_large(self) -> None:
+        head = HEAD + b"Content-Length: 99999999\r\n\r\n"
+        self.check_refused(b"413", [Reason.BODY_TOO_LARGE], head, PART)
+
+    def test_malformed_request(self) -> None:
+        self.check_refused(b"400", [], b"malformed\r\n\r\n" + GET, PART)
+
+    def test_line_of_the_head_too_long(self) -> None:
+        self.check_refused(b"431", [Reason.BAD_REQUEST], HEAD + b"A: ", PART)
+
+    def test_head_too_long(self) -> None:
+        head = HEAD + b"A: x\r\n" * 4_000
+        self.check_refused(b"400", [], head, PART)
+
+    def test_malformed_header(self) -> None:
+        head = GET.replace(b"Host", b"Host: h\r\nA malformed\r\nB")
+        self.check_refused(b"400", [], head + GET, PART)
+
+    def test_malformed_chunk(self) -> None:
+        head = CHUNKED + b"malformed\r\n\r\n"
+        self.check_refused(b"400", [], head + GET, PART)
+
+    def test_caller_that_has_ended_before_the_refusal(self) -> None:
+        with socket.create_connection(
+            (self.address.host, self.address.port), timeout=PATIENCE_S
+        ) as sock:
+            sock.sendall(b"malformed\r\n\r\n")
+            sock.shutdown(socket.SHUT_WR)
+            answer = b"".join(read_parts(sock))
+        self.assertEqual(b"HTTP/1.1 400 Bad Request\r\n\r\n", answer)
+
+    def test_endless_sender_is_cut_off_and_counted(self) -> None:
+        self.closer.options = attrs.evolve(GENEROUS, linger_bytes=len(PART))
+        with socket.create_connection(
+            (self.address.host, self.address.port), timeout=PATIENCE_S
+        ) as sock:
+            sock.sendall(CHUNKED)
+            self.assertRaises(ConnectionError, send_without_end, sock)
+        self.assertEqual([Bound.BYTES], self.bounds)
+        self.assertEqual(set(), self.closer.connections)
+
+    def test_stop_of_a_router_waits_for_a_refused_caller(self) -> None:
+        router = live.shared().routers[1]
+        address = live.address_of(router.port)
+        with socket.create_connection(
+            (address.host, address.port), timeout=PATIENCE_S
+        ) as sock:
+            sock.sendall(b"malformed\r\n\r\n")
+            answer = b"".join(read_parts(sock))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+            self.assertFalse(live.in_reactor(router.is_idle))
+            sock.shutdown(socket.SHUT_WR)
