Change the configuration of the soak at a rate of its own

Cause: as five of 24 faults, changes of the configuration seldom met a silent target, and faults of other kinds had become rarer.

Change: 0.4 changes a second until faults end, beside 0.6 faults; newer weights are named a little more often, for moves of runs.

--- a/sequoiawind/lab/forward_config.py
+++ b/sequoiawind/lab/forward_config.py
@@ -35,6 +35,13 @@
 ANY_KEY_SHARE: Final = 0.4
 # Factors by which time limits may change.
 FACTORS: Final = (0.6, 1.0, 1.5)
+CHANGES: Final = (
+    "change_route",
+    "move_route",
+    "move_route",
+    "change_kind",
+    "add_key",
+)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -122,6 +129,12 @@
 
     # Changes.
 
+    def change(self) -> None:
+        """Change a route, the limits of a kind, or the keys of an account."""
+        change = self.rng.choice(CHANGES)
+        self.world.counts[f"config {change}"] += 1
+        getattr(self, change)()
+
     def change_route(self) -> None:
         """Add a route, or remove it if it exists."""
         name = self.rng.choice(OPTIONAL_ROUTES)
--- a/sequoiawind/lab/forward_faults.py
+++ b/sequoiawind/lab/forward_faults.py
@@ -255,21 +255,10 @@
         """Publish a configuration that differs in its revision alone."""
         self.soak.config.publish()
 
-    def change_route(self) -> None:
-        """Add or remove a route."""
-        self.soak.config.change_route()
-
-    def move_route(self) -> None:
-        """Move a route to another pool."""
-        self.soak.config.move_route()
-
-    def change_kind(self) -> None:
-        """Change the limits of a kind of requests."""
-        self.soak.config.change_kind()
-
-    def add_key(self) -> None:
-        """Add a key to an account."""
-        self.soak.config.add_key()
+    def change_rules(self) -> None:
+        """Publish a configuration that changes what is in force."""
+        if not self.is_healed:
+            self.soak.config.change()
 
     def name_weights(self) -> None:
         """Publish a newer weights version."""
@@ -308,11 +297,6 @@
     "revoke_key",
     "revoke_while_refused",
     "change_config",
-    "change_route",
-    "move_route",
-    "move_route",
-    "change_kind",
-    "add_key",
     "name_weights",
     "name_weights",
     "name_weights",
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -46,7 +46,8 @@
 FAULTY_S: Final = 30.0
 SETTLE_S: Final = 15.0
 REQUESTS_PER_S: Final = 14.0
-FAULTS_PER_S: Final = 1.0
+FAULTS_PER_S: Final = 0.6
+CHANGES_PER_S: Final = 0.4
 SILENCES_PER_S: Final = 0.7
 # Part of prompts under which engines crash, and requests with it per second.
 FATAL_PART: Final = "fatal"
@@ -121,6 +122,7 @@
             self.repeat(REQUESTS_PER_S, self.send_request)
             self.repeat(FATAL_PER_S, self.send_fatal)
             self.repeat(FAULTS_PER_S, self.faults.inject)
+            self.repeat(CHANGES_PER_S, self.faults.change_rules)
             self.repeat(SILENCES_PER_S, self.faults.silence_target)
             for begins_s, crasher in self.crashers.items():
                 crasher.start(begins_s)
