--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,13 +19,17 @@
             self.assertTrue(counts["ended_done"] > 50, counts)
 
     def test_forwarding_soak_finds_no_violation(self) -> None:
-        moved = 0
+        moved, sound = 0, 0
         for seed in range(5):
             violations, counts = forward_soak.run_seed(seed)
             self.assertEqual([], violations, f"seed {seed}")
             self.assertTrue(counts["forward_served"] > 100, counts)
+            self.assertTrue(counts["silences"] > 5, counts)
+            self.assertTrue(counts["crashes under a request"] > 5, counts)
             moved += counts.get("runs moved", 0)
+            sound += counts["sound beside crashing, served"]
         self.assertTrue(moved > 10, moved)
+        self.assertTrue(sound > 100, sound)
 
     def test_forwarding_soak_detects_a_mutant(self) -> None:
         # `make mutants` runs all mutants.
