Keep the last answer of a connection whole when requests cross its close

- Forwarding, `send_end` while the router stops, or after `Connection: close`: mended here.
Cause: the socket was closed right after the answer; a request that crosses the close is answered with a reset, which can take the answer with it.
A caller of a stream can lose its last events in the same way, and reconnects.
The crossing request itself is not passed on.
- 401, 403, 404, 421, 429, 503: left.
Both interfaces dispatch a request only when it was read whole, so these are answered with nothing of it unread, and on kept connections nothing is closed; where it is, see the first entry.
- Pages of routers and agents, readiness checks, operators' statements, the stand-ins: served by the same two classes, mended with them.
- Left: the close of an idle connection (time-out, `close_idle`), which answers nothing; `abort_answer`, whose answer must look broken, and whose caller resumes from what it has read; Twisted's idle time-out.

Change: `send_end` closes in stages. The end of the process waits for callers that were refused, not for these, so a stop takes no longer than before.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -439,6 +439,6 @@
         """Whether no request is in progress, and no close after one."""
         return (
             self.forwarder.open_requests == 0
-            and not self.closer.connections
+            and self.closer.is_idle
             and all(item.is_idle for item in self.site.connections)
         )
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -219,7 +219,8 @@
         self.is_answering = False
         self.on_disconnect = None
         if self.site.is_closing or self.http.our_state is not h11.DONE:
-            self.transport.loseConnection()
+            # The caller's next request may cross the close.
+            self.close_in_stages(holds_stop=False)
             return
         self.next_request()
 
@@ -292,12 +293,16 @@
             )
             self.write(self.http.send(response))
             self.write(self.http.send(h11.EndOfMessage()))
-        self.close_in_stages()
+        self.close_in_stages(holds_stop=True)
+
+    def close_in_stages(self, *, holds_stop: bool) -> None:
+        """Close the connection although the caller may still be sending.
 
-    def close_in_stages(self) -> None:
-        """Close the connection although the caller may still be sending."""
+        Args:
+          holds_stop: Whether the end of the process waits for it.
+        """
         self.leave_site()
-        self.site.closer.close(self.transport)
+        self.site.closer.close(self.transport, holds_stop=holds_stop)
 
     def close(self) -> None:
         """Close the idle connection."""
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -216,7 +216,7 @@
         return (
             self.router.open_requests == 0
             and self.claimant.pending == 0
-            and not self.closer.connections
+            and self.closer.is_idle
         )
 
     def stop_listening(self) -> None:
--- a/sequoiawind/staged_close.py
+++ b/sequoiawind/staged_close.py
@@ -42,12 +42,21 @@
     # The connections that are being closed; each stays for `linger_s` at most.
     connections: "set[StagedClose]" = attrs.field(factory=set)
 
-    def close(self, transport: Any) -> None:
+    @property
+    def is_idle(self) -> bool:
+        """Whether the process may end without waiting for a close."""
+        return not any(item.holds_stop for item in self.connections)
+
+    def close(self, transport: Any, *, holds_stop: bool = True) -> None:
         """Close a connection once what was written to it has been sent.
 
         Its protocol receives nothing more, not even `connectionLost`.
+
+        Args:
+          transport: The connection's transport.
+          holds_stop: Whether the end of the process waits for the close.
         """
-        connection: Any = StagedClose(self)
+        connection: Any = StagedClose(self, holds_stop)
         transport.protocol = connection
         connection.makeConnection(transport)
 
@@ -58,9 +67,10 @@
 
     transport: Any
 
-    def __init__(self, closer: StagedCloser) -> None:
-        """Store the owner."""
+    def __init__(self, closer: StagedCloser, holds_stop: bool) -> None:
+        """Store the owner, and whether the end of the process waits."""
         self.closer = closer
+        self.holds_stop = holds_stop
         self.discarded_bytes = 0
         # Whether all data has been sent.
         self.is_sent = False
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -30,6 +30,7 @@
 HEAD: Final = b"POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
 CHUNKED: Final = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 GET: Final = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+LAST_GET: Final = GET.replace(b"Host", b"Connection: close\r\nHost")
 CHUNK: Final = b"10000\r\n" + PART + b"\r\n"
 
 
@@ -149,6 +150,22 @@
         self.assertEqual([Bound.BYTES], self.bounds)
         self.assertEqual(set(), self.closer.connections)
 
+    def check_answered(self, request: bytes) -> None:
+        head = request + HEAD + b"Content-Length: 99999999\r\n\r\n"
+        answer = send_and_read(self.address, head, PART)
+        self.assertEqual(1, answer.count(b"HTTP/1.1"), answer)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\nanswer"), answer)
+        self.assertEqual(1, len(self.received))
+        self.assertEqual([], self.bounds)
+
+    def test_request_that_crosses_the_close_of_a_stop(self) -> None:
+        self.site.is_closing = True
+        self.check_answered(GET)
+
+    def test_request_behind_the_last_one(self) -> None:
+        self.check_answered(LAST_GET)
+
 
 class OpenAiTest(TestCase):
     """The HTTP server of the OpenAI-compatible interface and of agents."""
@@ -270,3 +287,12 @@
             self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
             self.assertFalse(live.in_reactor(router.is_idle))
             sock.shutdown(socket.SHUT_WR)
+
+    def test_request_behind_the_last_one(self) -> None:
+        head = LAST_GET + HEAD + b"Content-Length: 99999999\r\n\r\n"
+        answer = send_and_read(self.address, head, PART)
+        self.assertEqual(1, answer.count(b"HTTP/1.1"), answer)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertTrue(answer.endswith(b"answer\r\n0\r\n\r\n"), answer)
+        self.assertEqual([b""], self.received)
+        self.assertEqual([], self.bounds)
--- a/tests/test_staged_close.py
+++ b/tests/test_staged_close.py
@@ -72,8 +72,10 @@
             self.clock.advance(1.0)
             transport.protocol.dataReceived(b"x")
         self.assertFalse(transport.is_aborted)
+        self.assertFalse(self.closer.is_idle)
         self.clock.advance(1.0)
         self.check_ended_at(transport, Bound.TIME)
+        self.assertTrue(self.closer.is_idle)
 
     def test_caller_that_closes_is_not_counted(self) -> None:
         transport = self.refuse()
