Log restarts that agents state; tests and pages of unknown versions

A router logs 'target restarted' when an agent states a start after the one in the target's entry. The check in only_origin goes: a stream of an unknown origin finds no target in any case, and a mutant without it changed nothing.

Mutants by hand, of five places: each makes a test fail (may_continue, two in put, the start kept by the view, the agent's report).

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -116,6 +116,7 @@
             freshness=self.freshness,
             clock=event_loop.reactor,
         )
+        self.fleet.on_restart = self.notes.note_restart
         self.forwarder = self.make_forwarder()
         self.watcher = self.make_watcher()
         self.site = CallerSite(
--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -246,8 +246,6 @@
         if len(versions) != 1 or not self.freshness.may_deny:
             return None
         (software,) = versions
-        if software is None:
-            return None
         return StreamOrigin(pool=pool, software=software)
 
     def recorded(self, pool: str) -> frozenset[str | None]:
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -10,6 +10,7 @@
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_ports import AnswerHead
+from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.freshness import Freshness
 from sequoiawind.metrics import ForwardMetrics
@@ -88,6 +89,21 @@
             is_loading=status.is_loading if status else False,
         )
 
+    def note_restart(self, target: ForwardTarget, born_ms: int) -> None:
+        """Log that a target has started again, as its agent states.
+
+        Args:
+          target: Its entry, of an earlier start.
+          born_ms: The later start, in milliseconds since the epoch.
+        """
+        self.log.warning(
+            "target restarted",
+            target=target.name,
+            born_ms=born_ms,
+            replaced=target.born_ms,
+            software=target.software,
+        )
+
     def note_notice(self, view: TargetView, head: AnswerHead) -> None:
         """Log what a target has stated about itself in an answer."""
         self.log.info(
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -169,6 +169,17 @@
         self.assertEqual(Verdict.NOT_RUN, caller.failure.verdict)
         self.assertEqual([], rig.port.sent)
 
+    def test_restart_is_told_once(self) -> None:
+        rig = make_rig(e1="v1")
+        told: list[tuple[str, int, int]] = []
+        rig.fleet.on_restart = lambda entry, born_ms: told.append(
+            (entry.name, entry.born_ms, born_ms)
+        )
+        for _ in range(3):
+            self.engine_restarted(rig, "e1")
+            rig.add(target("e1", "llm", software="v1"))
+        self.assertEqual([("e1", 0, 2)], told)
+
     def test_only_the_entry_of_the_new_start_tells_its_version(self) -> None:
         for born_ms, sends in ((0, 1), (1, 1), (2, 2)):
             rig = make_rig(e1="v1", e2="v1")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -139,8 +139,11 @@
 class OriginTest(TestCase):
     """The log in which routers record which version began a stream."""
 
-    RECORD = OriginRecord(
-        request_id="q1", origin=StreamOrigin(pool="llm", software="v1")
+    RECORD, UNKNOWN = (
+        OriginRecord(
+            request_id="q1", origin=StreamOrigin(pool="llm", software=software)
+        )
+        for software in ("v1", None)
     )
 
     def call(self, name: str, *args: Any, reply: bytes) -> Any:
@@ -164,16 +167,17 @@
         return head % (status, len(body)) + body
 
     def test_what_is_appended_is_read(self) -> None:
-        answer = self.reply(b'{"offset": 0, "end": 1}')
-        done = self.call("append", [self.RECORD], 1.0, reply=answer)
-        self.assertTrue(done.is_ok())
-        target = b"POST /api/log-append?topic=stream-origins&part=0 HTTP"
-        self.assertTrue(self.request.startswith(target))
-        content = self.request.partition(b"\r\n\r\n")[2]
-        body = struct.pack(">QQ", 3, 0) + content + framed(b"other", b"{}")
-        page = self.call("read", 0, 0.0, 1.0, reply=self.reply(body)).ok
-        self.assertEqual([self.RECORD], page.records)
-        self.assertEqual((3, False), (page.end, page.has_more))
+        for record in (self.RECORD, self.UNKNOWN):
+            answer = self.reply(b'{"offset": 0, "end": 1}')
+            done = self.call("append", [record], 1.0, reply=answer)
+            self.assertTrue(done.is_ok())
+            target = b"POST /api/log-append?topic=stream-origins&part=0 HTTP"
+            self.assertTrue(self.request.startswith(target))
+            content = self.request.partition(b"\r\n\r\n")[2]
+            body = struct.pack(">QQ", 3, 0) + content + framed(b"other", b"{}")
+            page = self.call("read", 0, 0.0, 1.0, reply=self.reply(body)).ok
+            self.assertEqual([record], page.records)
+            self.assertEqual((3, False), (page.end, page.has_more))
 
     def test_failed_calls(self) -> None:
         for status in (429, 503, 507):
