Let a late end of a replaced connection leave a resumed answer alone

Cause: the agent detached an attempt whenever one of its connections ended, also one that a router had already replaced by resuming. The resumed answer lost its sink, was cancelled 2 s later as an orphan, and the caller's request ended with "cancelled". The timer of an earlier break also cut the grace of a later one short.

Change: a call's handle knows the sink of its own connection and detaches only that one; the attempt holds one timer for orphans, stopped by a resume.

Ruled out: the order of events in the lab.

--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -15,7 +15,7 @@
 from sequoiawind import defaults, invariants, messages, prefix
 from sequoiawind.admission import FairQueue, Job
 from sequoiawind.cache_index import CacheIndex
-from sequoiawind.ports import Call, Clock, Sink, TargetPort
+from sequoiawind.ports import Call, Clock, Sink, TargetPort, Timer
 from sequoiawind.state import State
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from sequoiawind.wire import (
@@ -42,6 +42,8 @@
     # Chunks by index, kept for a resume.
     chunks: dict[int, bytes] = attrs.field(factory=dict)
     end: Ended | None = None
+    # Cancels the attempt; set while no router is connected.
+    orphan_timer: Timer | None = None
 
     def started(self, load: LoadReport) -> None:
         """Do nothing: the router was notified when the agent admitted it."""
@@ -74,14 +76,20 @@
 
     agent: "Agent"
     relay: Relay
+    # What this handle's connection passes events to.
+    sink: Sink
 
     def cancel(self) -> None:
         """Stop the attempt, because its caller has disconnected."""
         self.agent.cancel(self.relay)
 
     def detach(self) -> None:
-        """Record that the router's connection broke; the router may resume."""
-        self.agent.detach(self.relay)
+        """Record that the router's connection broke; the router may resume.
+
+        It may have resumed before this end of the connection was noticed.
+        """
+        if self.relay.sink is self.sink:
+            self.agent.detach(self.relay)
 
 
 @attrs.define(kw_only=True)
@@ -117,7 +125,7 @@
         if attempt.resume_of:
             return self.resume(attempt, sink)
         relay = Relay(agent=self, attempt=attempt, sink=sink, chain=[])
-        call = AgentCall(agent=self, relay=relay)
+        call = AgentCall(agent=self, relay=relay, sink=sink)
         refused = self.refusal(attempt) or self.enqueue(relay)
         if refused is not None:
             return self.refuse(call, refused)
@@ -315,8 +323,9 @@
             empty = Relay(agent=self, attempt=attempt, sink=sink, chain=[])
             empty.end = Ended(failure=unknown, load=self.load())
             sink.ended(empty.end)
-            return AgentCall(agent=self, relay=empty)
+            return AgentCall(agent=self, relay=empty, sink=sink)
         self.on_event("resumed")
+        self.stop_orphan_timer(relay)
         relay.sink = sink
         sink.started(self.load())
         for index in sorted(relay.chunks):
@@ -324,11 +333,12 @@
                 sink.chunk(attempt.resume_of, index, relay.chunks[index])
         if relay.end is not None:
             sink.ended(relay.end)
-        return AgentCall(agent=self, relay=relay)
+        return AgentCall(agent=self, relay=relay, sink=sink)
 
     def cancel(self, relay: Relay) -> None:
         """End an attempt whose answer is no longer needed."""
         relay.sink = None
+        self.stop_orphan_timer(relay)
         if relay.end is not None:
             return
         self.on_event("cancelled")
@@ -345,10 +355,16 @@
         """
         relay.sink = None
         if relay.end is None and self.service == "engine":
-            self.clock.callLater(
+            self.stop_orphan_timer(relay)
+            relay.orphan_timer = self.clock.callLater(
                 defaults.RESUME_GRACE_S, self.cancel_orphan, relay
             )
 
+    def stop_orphan_timer(self, relay: Relay) -> None:
+        """Stop the timer that cancels an attempt without a router."""
+        if relay.orphan_timer is not None and relay.orphan_timer.active():
+            relay.orphan_timer.cancel()
+
     def cancel_orphan(self, relay: Relay) -> None:
         """Cancel an attempt that no router has resumed."""
         if relay.sink is None:
