Tell a router that resumes too late of the connection, not of a cancellation

Cause: an agent cancels an attempt that no router has resumed for 2 s and kept "cancelled" as its end. A router that notices the break later, as its own check for silence comes after 10 to 20 s, got that end when it resumed. "Cancelled" is never retried, so the accepted request of a waiting caller ended with 503.

Change: the end of such an attempt is "connection lost", which a router answers by going on at another target.

Ruled out: a longer grace; engines would work longer for routers that have died, and the same end would only come later.

test_router_learns_of_the_break_after_the_grace failed before ("503 may_have_run cancelled") and passes now.

--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -335,7 +335,7 @@
             sink.ended(relay.end)
         return AgentCall(agent=self, relay=relay, sink=sink)
 
-    def cancel(self, relay: Relay) -> None:
+    def cancel(self, relay: Relay, reason: Reason = Reason.CANCELLED) -> None:
         """End an attempt whose answer is no longer needed."""
         relay.sink = None
         self.stop_orphan_timer(relay)
@@ -346,7 +346,7 @@
         if relay.call is not None:
             relay.call.cancel()
         verdict = not_run if was_queued else may_have_run
-        relay.ended(Ended(failure=verdict(Reason.CANCELLED, "cancelled")))
+        relay.ended(Ended(failure=verdict(reason, "cancelled")))
 
     def detach(self, relay: Relay) -> None:
         """Disconnect the router from an attempt; a router may resume it.
@@ -366,9 +366,14 @@
             relay.orphan_timer.cancel()
 
     def cancel_orphan(self, relay: Relay) -> None:
-        """Cancel an attempt that no router has resumed."""
+        """Cancel an attempt that no router has resumed.
+
+        A router that has not noticed the broken connection yet still has a
+        caller that waits: it is told of the connection, not of a cancellation,
+        so that it goes on elsewhere.
+        """
         if relay.sink is None:
-            self.cancel(relay)
+            self.cancel(relay, Reason.CONNECTION_LOST)
 
     def follow_config(self, state: State) -> None:
         """Drain or admit as the configuration in force says.
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -68,3 +68,13 @@
         self.assertEqual(None, relay.end)
         session.do_run("0.2")
         self.assertNotEqual(None, relay.end)
+
+    def test_router_learns_of_the_break_after_the_grace(self) -> None:
+        # The caller has not left, so its answer must not end as cancelled.
+        session, _ = begin("1500")
+        # The router checks for silence 10 s and 20 s after the start; the agent
+        # still knows the attempt that it has cancelled at the second check.
+        session.do_run("9")
+        cut_far(session)
+        session.do_run("40")
+        self.check_whole(session)
