Keep a silent attempt until another delivers, and wait if none can

Cause: a timeout of an attempt ended it before it was known whether anything else could answer. An agent that was silent for 2 s before it admitted an attempt had it cancelled; an action that must not repeat then ended with "may have run" although the agent went on and could have answered, and a prompt was lost when the other targets refused, the retry budget was spent or the attempts were used up. In the middle of an answer the same came after 10 to 20 s; there the call was not even cancelled, so that the engine worked on in vain.

Change: a timeout marks the attempt as silent and leaves it open. Its run is resumed, or another target is tried beside it. The first attempt that delivers the next part takes the answer over and the others end, so that the parts of two runs are not joined. Nothing is given up while an attempt is open; the deadline ends all of them. No retry is spent where only targets are left that hold a run of the request. A connection that a resume has replaced is closed.

Ruled out: longer timeouts; they only move the loss, and delay the takeover.

--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -4,6 +4,11 @@
 answer on in order, resumes a broken answer at its agent or continues it at
 another target, and ends exactly once: with the whole answer, or with a failure
 whose verdict covers all its attempts.
+
+A silent attempt stays open while others are tried, since a sound target may go
+on after a silence.  The first attempt that delivers the next part of the answer
+takes the answer over, and the others end.  If nothing else can be tried, the
+silent attempts are waited for until the deadline.
 """
 
 import random
@@ -16,10 +21,11 @@
 
 from sequoiawind import defaults, invariants, messages, openai_format, retries
 from sequoiawind.chunk_order import ChunkOrder
+from sequoiawind.exchange_attempt import AttemptSink
 from sequoiawind.members import Members
 from sequoiawind.placement import Candidate, Choice
-from sequoiawind.ports import Clock, TargetPort
-from sequoiawind.request_execution import OpenAttempt, RequestExecution
+from sequoiawind.ports import Clock, ResumablePort
+from sequoiawind.request_execution import RequestExecution
 from sequoiawind.retries import RetryBudgets
 from sequoiawind.verdict import (
     Failure,
@@ -27,7 +33,7 @@
     may_have_run,
     not_run,
 )
-from sequoiawind.wire import Attempt, Ended, LoadReport, ProbeAnswer
+from sequoiawind.wire import Attempt, Ended, ProbeAnswer
 
 # Failures of the connection between router and agent, after which the agent
 # may still hold the answer.
@@ -68,7 +74,7 @@
 
     clock: Clock
     random: random.Random
-    port: TargetPort
+    port: ResumablePort
     members: Members
     budgets: RetryBudgets
     # Called with the reason of each retry, for metrics.
@@ -77,70 +83,6 @@
     )
 
 
-@attrs.define(kw_only=True, eq=False)
-class AttemptSink(OpenAttempt):
-    """Receives the events of one attempt of an exchange."""
-
-    exchange: "Exchange"
-    attempt: Attempt
-    candidate: Candidate
-    has_started: bool = False
-    # Whether a chunk has arrived since the timer was set.
-    has_received: bool = False
-
-    def started(self, load: LoadReport) -> None:
-        """Record that the agent has admitted the attempt."""
-        if self.is_over:
-            return
-        self.has_started = True
-        self.exchange.context.members.update_load(load, self.clock.seconds())
-        self.restart_timer(self.exchange.chunk_timeout_s, Reason.CHUNK_TIMEOUT)
-
-    def chunk(self, attempt_id: str, index: int, data: bytes) -> None:
-        """Accept a chunk, unless it belongs to another attempt."""
-        # The chunks of a resumed answer carry the id of its first attempt.
-        expected_id = self.attempt.resume_of or self.attempt.attempt_id
-        if self.is_over or attempt_id != expected_id:
-            self.exchange.foreign_chunks += 1
-            return
-        self.has_received = True
-        self.exchange.take_chunk(index, data)
-
-    def ended(self, ended: Ended) -> None:
-        """Close the attempt and pass its end to the exchange."""
-        if not self.close():
-            return
-        if ended.load is not None:
-            now_s = self.clock.seconds()
-            self.exchange.context.members.update_load(ended.load, now_s)
-        self.exchange.attempt_ended(self, ended)
-
-    def restart_timer(self, timeout_s: float, reason: Reason) -> None:
-        """End the attempt for a reason if nothing arrives in time."""
-        self.set_timeout(timeout_s, partial(self.timed_out, reason))
-
-    def timed_out(self, reason: Reason) -> None:
-        """End the attempt, unless a chunk has arrived since the last check."""
-        if self.is_over:
-            return
-        if self.has_received:
-            self.has_received = False
-            self.restart_timer(self.exchange.chunk_timeout_s, reason)
-            return
-        text = messages.START_TIMEOUT
-        if reason is Reason.CHUNK_TIMEOUT:
-            text = messages.CHUNK_TIMEOUT
-        elif self.call is not None:
-            self.call.cancel()
-        self.ended(Ended(failure=may_have_run(reason, text)))
-
-    def release(self) -> None:
-        """Remove the attempt from the target's open attempts."""
-        self.exchange.context.members.health_of(
-            self.candidate.name
-        ).open_attempts -= 1
-
-
 @attrs.define(kw_only=True, eq=False)
 class Exchange(RequestExecution):
     """A request in progress, with its attempts and its partial answer."""
@@ -168,13 +110,19 @@
     # Names, in the order of the attempts.
     targets_tried: list[str] = attrs.field(factory=list)
     foreign_chunks: int = 0
-    # Waits that refusing targets reported, by index in `choices`.
-    refused_waits_s: dict[int, float] = attrs.field(factory=dict)
+    # Waits that refusing targets reported, by name.
+    refused_waits_s: dict[str, float] = attrs.field(factory=dict)
     # Whether the target that refused with the shortest wait was tried again.
     has_tried_shortest_wait: bool = False
     # Number of chunks that had arrived when the answer was last resumed.
     arrived_at_resume: int = -1
+    # The attempt opened last, or the one that has taken the answer over.
     current: AttemptSink | None = None
+    # The attempts that have not ended; at most one of them is not silent, or
+    # two after the end of a silence.
+    open_attempts: list[AttemptSink] = attrs.field(factory=list)
+    # The run that delivered the last chunk.
+    run_id: str = ""
     # When the deadline passes, in seconds of the clock.
     deadline_at_s: float = 0.0
 
@@ -190,32 +138,59 @@
     def next_target(self, failure: Failure | None) -> None:
         """Try the next target, or give up.
 
-        After the last target, the one that refused with the shortest wait is
-        tried once more with the limit `max_first_s`.
+        An attempt that is not silent needs no other.
         """
-        if self.is_finished:
+        if self.is_finished or self.is_under_way:
             return
-        if self.attempts >= defaults.MAX_ATTEMPTS:
+        choice = None
+        if self.attempts < defaults.MAX_ATTEMPTS:
+            choice = self.next_choice()
+        if choice is None:
             self.give_up(failure)
-        elif self.position < len(self.choices):
+        else:
+            self.open(choice)
+
+    def next_choice(self) -> Choice | None:
+        """Return the next target to try; None if there is none left.
+
+        After the last target, the one that refused with the shortest wait is
+        tried once more with the limit `max_first_s`.
+        """
+        while self.position < len(self.choices):
             choice = self.choices[self.position]
             self.position += 1
-            self.open(choice.candidate, choice.max_first_s, choice.max_cost_s)
-        elif self.refused_waits_s and not self.has_tried_shortest_wait:
-            self.has_tried_shortest_wait = True
-            choice_index = min(
-                self.refused_waits_s, key=self.refused_waits_s.__getitem__
-            )
-            self.open(self.choices[choice_index].candidate, self.max_first_s)
-        else:
-            self.give_up(failure)
+            if not self.holds_run(choice):
+                return choice
+        left = [item for item in self.choices if not self.holds_run(item)]
+        if not left or not self.refused_waits_s or self.has_tried_shortest_wait:
+            return None
+        self.has_tried_shortest_wait = True
+        shortest = min(left, key=self.refused_wait_s)
+        return attrs.evolve(
+            shortest, max_first_s=self.max_first_s, max_cost_s=-1.0
+        )
+
+    def holds_run(self, choice: Choice) -> bool:
+        """Whether a target's agent has admitted an attempt that is open.
+
+        A silent target that has not is tried again: the connection may be at
+        fault.
+        """
+        return any(
+            sink.has_started and sink.candidate.name == choice.candidate.name
+            for sink in self.open_attempts
+        )
+
+    @property
+    def is_under_way(self) -> bool:
+        """Whether an open attempt is not silent."""
+        return any(not sink.is_silent for sink in self.open_attempts)
+
+    def refused_wait_s(self, choice: Choice) -> float:
+        """Return the wait for which a target refused; infinite if none."""
+        return self.refused_waits_s.get(choice.candidate.name, float("inf"))
 
-    def open(
-        self,
-        candidate: Candidate,
-        max_first_s: float,
-        max_cost_s: float = -1.0,
-    ) -> None:
+    def open(self, choice: Choice) -> None:
         """Open an attempt at a target."""
         order = self.order
         try:
@@ -228,15 +203,14 @@
         attempt = attrs.evolve(
             self.template,
             attempt_id=self.new_id(),
-            target=candidate.name,
-            max_first_s=min(max_first_s, left_s),
-            max_cost_s=max_cost_s,
+            target=choice.candidate.name,
+            max_first_s=min(choice.max_first_s, left_s),
+            max_cost_s=choice.max_cost_s,
             deadline_s=left_s,
             start_index=order.expected,
             partial=text,
         )
-        order.forget_early()
-        self.send(candidate, attempt)
+        self.send(choice.candidate, attempt)
 
     def send(self, candidate: Candidate, attempt: Attempt) -> None:
         """Send an attempt to a target's agent."""
@@ -253,6 +227,7 @@
             candidate=candidate,
         )
         self.current = sink
+        self.open_attempts.append(sink)
         self.context.members.health_of(candidate.name).open_attempts += 1
         sink.restart_timer(self.start_timeout_s, Reason.START_TIMEOUT)
         sink.call = self.context.port.open(candidate.address, attempt, sink)
@@ -261,6 +236,31 @@
         """Return a new attempt id."""
         return f"{self.context.random.getrandbits(64):016x}"
 
+    def attempt_started(self, sink: AttemptSink) -> None:
+        """Close the connections over which an attempt's run came before."""
+        for other in list(self.open_attempts):
+            if other is not sink and other.run_id == sink.run_id:
+                other.detach()
+
+    def take_over(self, sink: AttemptSink) -> None:
+        """Let one attempt deliver the answer, and end all others."""
+        if self.run_id == sink.run_id and len(self.open_attempts) == 1:
+            return
+        if self.run_id != sink.run_id:
+            # The waiting chunks are those of another run.
+            self.order.forget_early()
+        self.run_id = sink.run_id
+        self.current = sink
+        self.attempt_started(sink)
+        self.end_attempts(sink)
+
+    def end_attempts(self, kept: AttemptSink | None = None) -> None:
+        """End all open attempts but one; they may have run."""
+        for sink in list(self.open_attempts):
+            if sink is not kept:
+                self.any_may_have_run = True
+                sink.cancel()
+
     def take_chunk(self, index: int, data: bytes) -> None:
         """Pass on the chunks that are next in order."""
         if self.is_finished:
@@ -280,13 +280,27 @@
         failure = ended.failure or may_have_run(
             Reason.CHUNK_MISSING, messages.CHUNK_MISSING
         )
-        self.note_failure(sink, failure, ended.load)
+        self.record_verdict(failure)
+        self.note_failure(sink, failure)
+        if self.is_under_way:
+            return
         if ended.probe is not None and self.replan is not None:
             self.context.on_retry(failure.reason)
             replan, self.replan = self.replan, None
             planning = replan(sink.candidate, ended.probe)
             planning.addCallback(self.replanned, failure)
-        elif self.can_resume(sink, failure):
+        else:
+            self.go_on(sink, failure)
+
+    def attempt_silent(self, sink: AttemptSink, failure: Failure) -> None:
+        """Try to resume a silent attempt's run, or another target."""
+        self.note_failure(sink, failure)
+        if not self.is_finished and not self.is_under_way:
+            self.go_on(sink, failure)
+
+    def go_on(self, sink: AttemptSink, failure: Failure) -> None:
+        """Resume, retry or give up after an attempt has failed or is silent."""
+        if self.can_resume(sink, failure):
             self.resume(sink)
         elif not retries.may_retry(failure, self.is_idempotent):
             self.give_up(failure)
@@ -310,22 +324,14 @@
         """Whether the whole answer has arrived."""
         return ended.reply is not None or self.order.is_whole
 
-    def note_failure(
-        self, sink: AttemptSink, failure: Failure, load: LoadReport | None
-    ) -> None:
-        """Record a failure for the verdict and for the target's health."""
-        now_s = self.clock.seconds()
-        self.record_verdict(failure)
+    def note_failure(self, sink: AttemptSink, failure: Failure) -> None:
+        """Record a failure for the target's health and for further attempts."""
+        name = sink.candidate.name
         if failure.reason in TARGET_FAULTS:
-            self.context.members.record_failure(sink.candidate.name, now_s)
+            now_s = self.clock.seconds()
+            self.context.members.record_failure(name, now_s)
         if failure.reason is Reason.QUEUE_TOO_LONG:
-            choice_index = self.index_of_choice(sink.candidate)
-            self.refused_waits_s[choice_index] = failure.retry_after_s or 0.0
-
-    def index_of_choice(self, candidate: Candidate) -> int:
-        """Return the index of a target in `choices`."""
-        names = [choice.candidate.name for choice in self.choices]
-        return names.index(candidate.name)
+            self.refused_waits_s[name] = failure.retry_after_s or 0.0
 
     def can_resume(self, sink: AttemptSink, failure: Failure) -> bool:
         """Whether the agent may still deliver the rest of the answer."""
@@ -355,6 +361,11 @@
         if failure.reason in retries.SPILL_REASONS:
             self.next_target(failure)
             return
+        if self.attempts >= defaults.MAX_ATTEMPTS or all(
+            map(self.holds_run, self.choices)
+        ):
+            self.give_up(failure)
+            return
         if not self.context.budgets.spend(self.template.account):
             self.give_up(attrs.evolve(failure, reason=Reason.RETRY_BUDGET))
             return
@@ -366,7 +377,12 @@
         self.clock.callLater(pause_s, partial(self.next_target, failure))
 
     def give_up(self, failure: Failure | None) -> None:
-        """End with a failure whose verdict covers all attempts."""
+        """End with a failure whose verdict covers all attempts.
+
+        While an attempt is open, nothing is given up: its answer may come.
+        """
+        if self.open_attempts:
+            return
         last = self.with_overall_verdict(
             failure or not_run(Reason.NO_TARGET, messages.NO_TARGET)
         )
@@ -387,12 +403,16 @@
         """End a request whose caller has disconnected."""
         if self.is_finished:
             return
-        self.cancel_current()
         self.finish(
             Ended(failure=may_have_run(Reason.CANCELLED, messages.CANCELLED))
         )
 
+    def cancel_current(self) -> None:
+        """Cancel all open attempts."""
+        self.end_attempts()
+
     def finish(self, ended: Ended) -> None:
         """Close the exchange and pass its end to the caller."""
         self.close()
+        self.end_attempts()
         self.caller.ended(ended)
--- a/sequoiawind/http_ports.py
+++ b/sequoiawind/http_ports.py
@@ -19,7 +19,7 @@
     SECRET_HEADER,
 )
 from sequoiawind.options import Address
-from sequoiawind.ports import Call, LogPage, Sink
+from sequoiawind.ports import LogPage, ResumableCall, Sink
 from sequoiawind.verdict import Failure, Reason, may_have_run
 from sequoiawind.wire import (
     Attempt,
@@ -42,7 +42,7 @@
     client: HTTPClient
     secret: str
 
-    def open(self, address: str, attempt: Attempt, sink: Sink) -> Call:
+    def open(self, address: str, attempt: Attempt, sink: Sink) -> ResumableCall:
         """Open an attempt at the agent at an address."""
         call = AgentHttpCall(port=self, address=address, sink=sink)
         call.attempt_id = attempt.resume_of or attempt.attempt_id
@@ -107,13 +107,17 @@
             self.is_ended = True
             self.sink.ended(ended)
 
+    def detach(self) -> None:
+        """Close the connection; the agent keeps the attempt for a resume."""
+        self.is_ended = True
+        if self.stream is not None:
+            self.stream.cancel()
+
     def cancel(self) -> None:
         """Cancel the attempt at the agent."""
         if self.is_ended:
             return
-        self.is_ended = True
-        if self.stream is not None:
-            self.stream.cancel()
+        self.detach()
         json_client = JsonClient(
             client=self.port.client, secret=self.port.secret
         )
--- a/sequoiawind/lab/memory_network.py
+++ b/sequoiawind/lab/memory_network.py
@@ -253,12 +253,22 @@
         self.network.send(
             self.near, partial(self.sink.ended, Ended(failure=lost))
         )
+        self.detach_far()
+
+    def detach_far(self) -> None:
+        """Notify the far process that the connection has ended."""
         detach = getattr(self.far_call, "detach", None)
         if detach is None and self.far_call is not None:
             detach = self.far_call.cancel
         if detach is not None:
             self.network.send(self.far, detach)
 
+    def detach(self) -> None:
+        """Close the connection from the near process."""
+        if not self.is_closed:
+            self.close()
+            self.detach_far()
+
     def cancel(self) -> None:
         """Cancel the attempt from the near process."""
         if self.is_closed:
@@ -281,7 +291,7 @@
     # Returns the process and port at an address.
     look_up: Callable[[str], tuple[Node, Any]]
 
-    def open(self, address: str, attempt: Attempt, sink: Sink) -> Call:
+    def open(self, address: str, attempt: Attempt, sink: Sink) -> Connection:
         """Open an attempt at an address."""
         far, port = self.look_up(address)
         connection = Connection(
--- a/sequoiawind/lab/mutants.py
+++ b/sequoiawind/lab/mutants.py
@@ -27,6 +27,7 @@
 from sequoiawind.chunk_order import ChunkOrder
 from sequoiawind.claimant import Claimant, ClaimStream
 from sequoiawind.config_follower import ConfigFollower
+from sequoiawind.exchange_attempt import AttemptSink
 from sequoiawind.lab import memory_network, soak
 from sequoiawind.limits import AccountLimits
 from sequoiawind.verdict import not_run
@@ -89,7 +90,7 @@
 
 
 def take_foreign_chunk(
-    self: exchange.AttemptSink, attempt_id: str, index: int, data: bytes
+    self: AttemptSink, attempt_id: str, index: int, data: bytes
 ) -> None:
     """Accept chunks of other attempts."""
     if not self.is_over:
@@ -183,7 +184,7 @@
     ),
     Mutant(
         name="chunks of other attempts are taken",
-        owner=exchange.AttemptSink,
+        owner=AttemptSink,
         attribute="chunk",
         replacement=take_foreign_chunk,
     ),
--- a/sequoiawind/ports.py
+++ b/sequoiawind/ports.py
@@ -50,6 +50,23 @@
         """Start an attempt and deliver its events to the sink."""
 
 
+class ResumableCall(Call, Protocol):
+    """An attempt in progress at an agent."""
+
+    def detach(self) -> None:
+        """Close the connection; the agent keeps the attempt for a resume.
+
+        Nothing more is delivered.
+        """
+
+
+class ResumablePort(Protocol):
+    """Opens attempts at agents, which can resume them."""
+
+    def open(self, address: str, attempt: Attempt, sink: Sink) -> ResumableCall:
+        """Start an attempt and deliver its events to the sink."""
+
+
 class ProbePort(Protocol):
     """Queries agents for how soon a request could start."""
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -20,6 +20,7 @@
     "config_follower",
     "cache_watcher",
     "exchange",
+    "exchange_attempt",
     "fleet",
     "forward_agent",
     "forward_attempt",
