Take no refused attempt as proof that an earlier one has not run

Cause: whether a request may be sent again was decided by the verdict of its last attempt alone. A prompt of a kind that must not repeat, whose connection broke, is resumed at its agent; if that agent could not be reached, "connect failed, not run" let it begin at another engine. The check of the guarantee raised in a timer, so that the caller had neither an answer nor a refusal until its deadline. With a silent connection still open, the second run did begin.

Change: the verdict over all attempts decides, and a request that must not repeat is not sent while an attempt is open. The check of the guarantee counts open attempts too.

Ruled out: no resume for such kinds; it is safe and gets their answers.

--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -215,9 +215,8 @@
     def send(self, candidate: Candidate, attempt: Attempt) -> None:
         """Send an attempt to a target's agent."""
         if not self.is_idempotent and not attempt.resume_of:
-            invariants.not_repeated(
-                1 + int(self.any_may_have_run), self.template.request_id
-            )
+            has_run = self.any_may_have_run or bool(self.open_attempts)
+            invariants.not_repeated(1 + int(has_run), self.template.request_id)
         self.attempts += 1
         self.targets_tried.append(candidate.name)
         sink = AttemptSink(
@@ -302,11 +301,22 @@
         """Resume, retry or give up after an attempt has failed or is silent."""
         if self.can_resume(sink, failure):
             self.resume(sink)
-        elif not retries.may_retry(failure, self.is_idempotent):
+        elif not self.may_retry(failure):
             self.give_up(failure)
         else:
             self.retry(sink, failure)
 
+    def may_retry(self, failure: Failure) -> bool:
+        """Whether another attempt may begin, given those before and the last.
+
+        An attempt that is refused does not prove that one before it, whose
+        connection broke or which is open, has not run.
+        """
+        if self.open_attempts and not self.is_idempotent:
+            return False
+        overall = self.with_overall_verdict(failure)
+        return retries.may_retry(overall, self.is_idempotent)
+
     def replanned(self, choices: list[Choice], failure: Failure) -> None:
         """Continue with the targets found after a refusal for wait or cost."""
         if not choices:
