End an answer with its last chunk, whatever its connection does then

Cause: an attempt whose connection broke behind the last chunk, or fell silent there, counted as broken. The answer was begun again at another engine, whose last chunks reached the caller a second time; where none took it up, a caller that had the whole answer was told of a failure.

Change: once the last chunk has been passed on, the end of the attempt or a silence ends the request as answered.

Ruled out: ending at the last chunk itself; the end event that follows it carries the load of the target.

Both tests in test_ends.WholeAnswerTest failed before (the last chunk came twice) and pass now.

--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -276,6 +276,10 @@
             self.context.members.record_success(name)
             self.finish(ended)
             return
+        if self.order.is_whole:
+            # Only the agent's end event is missing.
+            self.finish(Ended(load=ended.load))
+            return
         failure = ended.failure or may_have_run(
             Reason.CHUNK_MISSING, messages.CHUNK_MISSING
         )
@@ -294,7 +298,11 @@
     def attempt_silent(self, sink: AttemptSink, failure: Failure) -> None:
         """Try to resume a silent attempt's run, or another target."""
         self.note_failure(sink, failure)
-        if not self.is_finished and not self.is_under_way:
+        if self.is_finished or self.is_under_way:
+            return
+        if self.order.is_whole:
+            self.finish(Ended())
+        else:
             self.go_on(sink, failure)
 
     def go_on(self, sink: AttemptSink, failure: Failure) -> None:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,9 +1,15 @@
 """Every accepted request ends once, with its answer or a true failure."""
 
+from unittest import mock
+
 from testtools import TestCase
 
 from sequoiawind import invariants, keys, openai_format
+from sequoiawind.exchange_attempt import AttemptSink
+from sequoiawind.openai_format import DONE
 from sequoiawind.plan import CallerRequest
+from sequoiawind.verdict import Reason, may_have_run
+from sequoiawind.wire import Ended
 from tests.session import Session, SessionCaller
 from tests.test_silent_targets import slow_down
 
@@ -68,3 +74,36 @@
         ]
         self.assertEqual([0, 0], others)
         self.assertIn("q1: 504 may_have_run deadline", session.lines[-1])
+
+
+class WholeAnswerTest(TestCase):
+    """An answer whose last chunk has arrived is complete."""
+
+    def test_connection_lost_behind_the_last_chunk(self) -> None:
+        session = Session()
+        name = begin(session)
+        caller = session.callers["q1"]
+        exchange = caller.active_request.exchange
+        sink = exchange.current
+        with mock.patch.object(AttemptSink, "ended"):
+            # The agent's end event is lost.
+            session.do_run("1")
+        self.assertEqual(DONE, caller.chunks[-1])
+        session.do_kill(f"agent-{name}")
+        lost = may_have_run(Reason.CONNECTION_LOST)
+        sink.ended(Ended(failure=lost))
+        session.do_run("5")
+        self.assertIn("whole answer, right", session.lines[-1])
+        self.assertEqual(1, caller.chunks.count(DONE))
+        self.assertEqual(1, exchange.attempts)
+
+    def test_silence_behind_the_last_chunk(self) -> None:
+        session = Session()
+        name = begin(session)
+        caller = session.callers["q1"]
+        with mock.patch.object(AttemptSink, "ended"):
+            session.do_run("1")
+        session.do_kill(f"agent-{name}")
+        session.do_run("25")
+        self.assertIn("whole answer, right", session.lines[-1])
+        self.assertEqual(1, caller.chunks.count(DONE))
