Fail an answer that cannot be assembled, instead of leaving its caller waiting

Cause: for a caller without a stream the router joins the chunks of an answer. If one had an unexpected form, the exception left the caller's connection open with nothing written: neither an answer nor a refusal. That included a form which the public API reference prescribes, a chunk with the usage and an empty list of choices, and an answer that consists of its end alone.

Change: a chunk without choices has no text. A chunk of another form raises FormatError everywhere; the caller gets 502 "may have run", the agent ends the attempt as a target error, and the router logs that the usage is not counted.

Ruled out: catching all exceptions in the writer, which would hide faults of the program.

--- a/sequoiawind/openai_format.py
+++ b/sequoiawind/openai_format.py
@@ -87,6 +87,10 @@
     """A chunk that does not have the expected format."""
 
 
+# Raised where a decoded chunk has another form than expected.
+MALFORMED: Final = (AttributeError, LookupError, TypeError, ValueError)
+
+
 def text_of(path: str, data: bytes) -> str:
     """Return the text that a chunk carries.
 
@@ -96,11 +100,14 @@
     if data == DONE:
         return ""
     try:
-        choice = decode(data)["choices"][0]
+        choices = decode(data)["choices"]
+        if choices == []:
+            # The chunk with the usage may carry nothing else.
+            return ""
         if path == CHAT_PATH:
-            return str(choice["delta"].get("content") or "")
-        return str(choice.get("text") or "")
-    except (ValueError, LookupError, TypeError, AttributeError) as error:
+            return str(choices[0]["delta"].get("content") or "")
+        return str(choices[0].get("text") or "")
+    except MALFORMED as error:
         raise FormatError(f"malformed chunk {data[:80]!r}") from error
 
 
@@ -110,10 +117,18 @@
 
 
 def whole_answer(path: str, chunks: Sequence[bytes]) -> bytes:
-    """Assemble the chunks of an answer into one JSON body."""
+    """Assemble the chunks of an answer into one JSON body.
+
+    Raises:
+      FormatError: The chunks are not those of a completion.
+    """
     bodies = [data for data in chunks if data != DONE]
-    last = decode(bodies[-1])
     text = joined_text(path, bodies)
+    try:
+        last = decode(bodies[-1])
+        names = {"id": last["id"], "model": last["model"]}
+    except MALFORMED as error:
+        raise FormatError("the answer lacks its id or model") from error
     choice: Json = {"index": 0, "finish_reason": "stop", "logprobs": None}
     if path == CHAT_PATH:
         choice["message"] = {"role": "assistant", "content": text}
@@ -121,10 +136,10 @@
         choice["text"] = text
     return encode(
         {
-            "id": last["id"],
+            "id": names["id"],
             "object": object_name(path, is_chunk=False),
             "created": CREATED,
-            "model": last["model"],
+            "model": names["model"],
             "choices": [choice],
             "usage": last.get("usage") or usage_json(Usage()),
         }
@@ -132,18 +147,25 @@
 
 
 def usage_of(data: bytes) -> Usage | None:
-    """Return the usage in a chunk; None if it carries none."""
+    """Return the usage in a chunk; None if it carries none.
+
+    Raises:
+      FormatError: The chunk is not one of a completion.
+    """
     if b'"usage"' not in data:
         return None
-    body = decode(data).get("usage")
-    if not body:
-        return None
-    details = body.get("prompt_tokens_details") or {}
-    return Usage(
-        prompt_tokens=count_in(body, "prompt_tokens"),
-        cached_tokens=count_in(details, "cached_tokens"),
-        completion_tokens=count_in(body, "completion_tokens"),
-    )
+    try:
+        body = decode(data).get("usage")
+        if not body:
+            return None
+        details = body.get("prompt_tokens_details") or {}
+        return Usage(
+            prompt_tokens=count_in(body, "prompt_tokens"),
+            cached_tokens=count_in(details, "cached_tokens"),
+            completion_tokens=count_in(body, "completion_tokens"),
+        )
+    except MALFORMED as error:
+        raise FormatError(f"malformed chunk {data[:80]!r}") from error
 
 
 def count_in(body: Mapping[str, Any], name: str) -> int:
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -376,7 +376,12 @@
 def usage_of(chunks: list[bytes]) -> Usage:
     """Return the usage in an answer's last two chunks, or an empty one."""
     for data in reversed(chunks[-2:]):
-        usage = openai_format.usage_of(data)
+        try:
+            usage = openai_format.usage_of(data)
+        except openai_format.FormatError as error:
+            # The caller's answer says so too; here only the counts are lost.
+            LOGGER.warn("usage not counted: {error}", error=error)
+            continue
         if usage is not None:
             return usage
     return Usage()
--- a/sequoiawind/router_http.py
+++ b/sequoiawind/router_http.py
@@ -24,7 +24,7 @@
 from sequoiawind.plan import CallerRequest
 from sequoiawind.ports import Clock
 from sequoiawind.router import ActiveRequest, Router
-from sequoiawind.verdict import Failure, Reason, Verdict, not_run
+from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from sequoiawind.wire import Ended
 
 # Largest number of completion tokens that a caller may request.
@@ -71,13 +71,18 @@
         self.request.finish()
 
     def write_whole(self) -> None:
-        """Write the buffered chunks as one JSON reply."""
-        usage = openai_format.usage_of(self.chunks[-2])
+        """Write the buffered chunks as one JSON reply, if they are one."""
+        try:
+            body = openai_format.whole_answer(self.path, self.chunks)
+            usage = openai_format.usage_of(self.chunks[-2])
+        except openai_format.FormatError as error:
+            self.fail(may_have_run(Reason.TARGET_ERROR, str(error)))
+            return
         if usage is not None:
             cached = str(usage.cached_tokens)
             self.request.setHeader(http_server.CACHED_TOKENS_HEADER, cached)
         self.begin(http.OK, http_server.JSON_TYPE, Verdict.DONE)
-        self.request.write(openai_format.whole_answer(self.path, self.chunks))
+        self.request.write(body)
 
     def fail(self, failure: Failure) -> None:
         """Write an error: as the reply, or as the last event of a stream."""
--- a/sequoiawind/target_ports.py
+++ b/sequoiawind/target_ports.py
@@ -122,7 +122,11 @@
         try:
             for event in self.reader.feed(data):
                 self.event(event)
-        except (sse.SseError, wire.WireError) as problem:
+        except (
+            sse.SseError,
+            wire.WireError,
+            openai_format.FormatError,
+        ) as problem:
             self.refuse(str(problem))
 
     def event(self, event: sse.Event) -> None:
