Go on to targets that joined or were left out when the choices are used up

Cause: the targets of a request were fixed when it was placed: its home and a few more of the pool. When an engine was lost in the middle of an answer and an operator had begun to drain the other choices, or had replaced them, the answer broke off although other targets of the pool were sound. A router that had not read the change yet refused new requests for the same reason.

Change: once all choices are tried, the placer adds further targets by the configuration in force, two at a time and up to the number of attempts. It does so for requests that have begun and after refusals of targets that leave.

Ruled out: adding targets after every refusal; under overload each request would ask the whole pool.

Three of the tests in test_changes_during_requests failed before ("503 may_have_run draining" twice, "503 not_run draining"). Those of a removed account, route, pool, kind and targets, of a changed kind, of a drained engine and of an action whose service goes while it waits for its claim passed before as well.

--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -12,9 +12,9 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
-from typing import Protocol
+from typing import Final, Protocol
 
 import attrs
 from twisted.internet.defer import Deferred
@@ -51,6 +51,8 @@
         Reason.TARGET_LOST,
     }
 )
+# Refusals of targets that leave, which say nothing of the load of others.
+LEAVING: Final = frozenset({Reason.DRAINING, Reason.SHUTTING_DOWN})
 
 
 class CallerSink(Protocol):
@@ -66,6 +68,9 @@
 # Returns the targets to try, given the one that refused and what a probe of it
 # would have returned.
 Replan = Callable[[Candidate, ProbeAnswer], Deferred[list[Choice]]]
+# Returns further targets by the configuration in force, given the names of
+# those known.
+Extend = Callable[[Collection[str]], list[Choice]]
 
 
 @attrs.define(kw_only=True)
@@ -101,6 +106,8 @@
     chunk_timeout_s: float = defaults.CHUNK_TIMEOUT_S
     # Returns the targets to try after a first refusal for wait or cost.
     replan: Replan | None = None
+    # Returns further targets, once those in `choices` have been tried.
+    extend: Extend | None = None
     order: ChunkOrder = attrs.field(factory=ChunkOrder)
     # Index in `choices` of the next target to try.
     position: int = 0
@@ -144,18 +151,24 @@
             return
         choice = None
         if self.attempts < defaults.MAX_ATTEMPTS:
-            choice = self.next_choice()
+            choice = self.next_choice(failure)
         if choice is None:
             self.give_up(failure)
         else:
             self.open(choice)
 
-    def next_choice(self) -> Choice | None:
+    def next_choice(self, failure: Failure | None) -> Choice | None:
         """Return the next target to try; None if there is none left.
 
-        After the last target, the one that refused with the shortest wait is
+        A request that has begun, or was refused by a target that leaves, goes
+        on to the other targets of the pool.  A request that the targets
+        have no room for does not: asking all would add to the overload.  After
+        the last target, the one that refused with the shortest wait is
         tried once more with the limit `max_first_s`.
         """
+        has_begun = self.any_may_have_run or bool(self.open_attempts)
+        if has_begun or (failure and failure.reason in LEAVING):
+            self.extend_choices()
         while self.position < len(self.choices):
             choice = self.choices[self.position]
             self.position += 1
@@ -170,6 +183,12 @@
             shortest, max_first_s=self.max_first_s, max_cost_s=-1.0
         )
 
+    def extend_choices(self) -> None:
+        """Add further targets if all choices have been tried."""
+        if self.extend is not None and self.position >= len(self.choices):
+            known = {choice.candidate.name for choice in self.choices}
+            self.choices = [*self.choices, *self.extend(known)]
+
     def holds_run(self, choice: Choice) -> bool:
         """Whether a target's agent has admitted an attempt that is open.
 
@@ -379,6 +398,7 @@
         if failure.reason in retries.SPILL_REASONS:
             self.next_target(failure)
             return
+        self.extend_choices()
         if self.attempts >= defaults.MAX_ATTEMPTS or all(
             map(self.holds_run, self.choices)
         ):
--- a/sequoiawind/placer.py
+++ b/sequoiawind/placer.py
@@ -10,7 +10,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from functools import partial
 from typing import Protocol
 
@@ -21,7 +21,7 @@
 
 from sequoiawind import defaults, placement, prefix, timing
 from sequoiawind.blackboard import Blackboard
-from sequoiawind.exchange import Replan
+from sequoiawind.exchange import Extend, Replan
 from sequoiawind.placement import Candidate, Choice
 from sequoiawind.plan import Plan
 from sequoiawind.ports import Clock, ProbePort
@@ -38,6 +38,8 @@
     choices: list[Choice]
     # Returns the targets to try after the first has refused for wait or cost.
     replan: Replan | None = None
+    # Returns further targets when all of these have been tried.
+    extend: Extend | None = None
     # Number of blocks in the prefix that is the placement key, and of the
     # targets among which that prefix is spread; for `explain request`.
     depth: int = 0
@@ -86,7 +88,8 @@
             choices=[
                 Choice(candidate=item, max_first_s=plan.kind.max_first_s)
                 for item in ranked[: defaults.MAX_UNPROBED_CHOICES]
-            ]
+            ],
+            extend=partial(self.extend, plan, key),
         )
 
     def place_prompt(self, plan: Plan) -> Placed:
@@ -113,10 +116,20 @@
         return Placed(
             choices=home + unprobed(plan, ranked[1:]),
             replan=partial(self.replan, plan, chain, ranked, holders),
+            extend=partial(self.extend, plan, chosen.key),
             depth=chosen.depth,
             holders=holders,
         )
 
+    def extend(
+        self, plan: Plan, key: int, known: Collection[str]
+    ) -> list[Choice]:
+        """Return targets that are not known yet, as they are configured now."""
+        candidates = [
+            item for item in self.candidates(plan) if item.name not in known
+        ]
+        return unprobed(plan, placement.rank(key, candidates))
+
     def home_cost_limit_s(self, plan: Plan) -> float:
         """Return the cost above which a prompt's home refuses it, in seconds.
 
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -305,6 +305,7 @@
             is_idempotent=plan.is_idempotent,
             choices=placed.choices,
             replan=placed.replan,
+            extend=placed.extend,
             max_first_s=plan.kind.max_first_s,
             chunk_timeout_s=timeout_s,
         )
--- /dev/null
+++ b/tests/test_changes_during_requests.py
@@ -0,0 +1,135 @@
+"""Requests end as they would have, whatever is configured meanwhile."""
+
+from testtools import TestCase
+
+from sequoiawind.lab.rig import RigTarget
+from tests.session import Session
+
+ENGINES = ("e1", "e2", "e3")
+MORE = ("e4", "e5", "e6")
+# Takes about 20 s of virtual time at one engine.
+TOKENS = "2000"
+
+
+def begin(session: Session) -> str:
+    """Send a prompt and run until its answer has begun; return its engine."""
+    session.do_prompt("q1", "r0", TOKENS, "A briefing.")
+    while len(session.callers["q1"].chunks) < 3:
+        session.do_run("0.001")
+    (name,) = [
+        name
+        for name, rig_agent in session.rig.agents.items()
+        if rig_agent.agent.relays
+    ]
+    return name
+
+
+def configure(session: Session, *statements: str) -> None:
+    """Run operators' statements, each of which must be accepted."""
+    for statement in statements:
+        session.do_ops("r0", statement)
+        assert "accepted" in session.lines[-2], session.lines
+
+
+def grow(session: Session) -> None:
+    """Add three targets to the pool of engines."""
+    for name in MORE:
+        session.rig.add_target(RigTarget(name=name, pool="engines"))
+        configure(
+            session, f"create target {name} with pool = engines, agent = {name}"
+        )
+
+
+class ChangeTest(TestCase):
+    """Changes while a prompt is answered."""
+
+    def check_whole(self, session: Session) -> None:
+        """Check that the answer is whole."""
+        session.do_run("40")
+        self.assertIn("whole answer, right", session.lines[-1])
+
+    def test_everything_is_removed(self) -> None:
+        session = Session()
+        begin(session)
+        configure(
+            session,
+            "delete account nordlys",
+            "delete route prompts",
+            *(f"delete target {name}" for name in ENGINES),
+            "delete pool engines",
+            "delete kind prompt",
+        )
+        self.check_whole(session)
+
+    def test_kind_is_changed(self) -> None:
+        session = Session()
+        begin(session)
+        configure(
+            session,
+            "set repeat of kind prompt to never",
+            "set deadline_s of kind prompt to 1",
+            "set max_first_s of kind prompt to 0.01",
+        )
+        self.check_whole(session)
+
+    def test_engine_is_drained(self) -> None:
+        session = Session()
+        name = begin(session)
+        configure(session, f"drain target {name}")
+        self.check_whole(session)
+
+    def test_engine_is_lost_and_the_other_choices_drain(self) -> None:
+        session = Session()
+        grow(session)
+        name = begin(session)
+        exchange = session.callers["q1"].active_request.exchange
+        for choice in exchange.choices:
+            if choice.candidate.name != name:
+                configure(session, f"drain target {choice.candidate.name}")
+        session.do_crash(name, "30")
+        self.check_whole(session)
+
+    def test_all_targets_are_replaced(self) -> None:
+        session = Session()
+        name = begin(session)
+        grow(session)
+        configure(
+            session,
+            *(f"drain target {other}" for other in ENGINES if other != name),
+        )
+        session.do_crash(name, "30")
+        self.check_whole(session)
+
+    def test_choices_drain_before_the_router_knows(self) -> None:
+        session = Session()
+        grow(session)
+        session.router("r0").follower.is_stopped = True
+        session.do_run("2")
+        placed = session.router("r0")
+        session.do_prompt("q0", "r0", "1", "A briefing.")
+        session.do_run("1")
+        exchange = session.callers["q0"].active_request.exchange
+        for choice in exchange.choices:
+            session.do_ops("r1", f"drain target {choice.candidate.name}")
+        self.assertNotEqual(
+            placed.board.state.revision,
+            session.router("r1").board.state.revision,
+        )
+        session.do_prompt("q0", "r0", "1", "A briefing.")
+        session.do_run("5")
+        self.assertIn("whole answer, right", session.lines[-1])
+
+
+class ClaimedActionTest(TestCase):
+    """Changes while an action waits for its claim."""
+
+    def test_service_is_removed(self) -> None:
+        session = Session()
+        session.rig.log.latency_s = 4.0
+        session.do_book("b1", "r0", "k1", "{}")
+        session.rig.log.latency_s = 0.002
+        configure(session, "delete target service")
+        session.do_run("20")
+        self.assertIn("b1: 503 not_run no_target", session.lines[-1])
+        session.do_executions("k1")
+        self.assertEqual("executed 0 times", session.lines[-1])
