Order weights only while the agent is idle, and admit nothing meanwhile

Cause: an agent orders its engine to load weights, which ends the engine's work, after it has found itself idle. Between that check and the order it waits for a slot on the log. Prompts that it admitted in that time, by routers that did not know the new weights yet, were broken off by the order, and nothing could go on with them once the other engines had the new weights.

Change: the check is repeated when the slot is there; the slot is kept and the order follows later. While the order is answered, the agent refuses work as not run, with the reason "wrong weights".

Ruled out: refusing work while the agent waits for a slot; the wait lasts as long as the loads of others.

Both tests in test_changes_during_requests.WeightsTest failed before ("503 may_have_run wrong_weights"; the attempt was admitted) and pass now.

--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -113,6 +113,8 @@
     # Why no new work is accepted; empty if it is accepted.
     drain_reason: str = ""
     is_shutting_down: bool = False
+    # Whether the target is being ordered to load weights, which ends its work.
+    is_ordering: bool = False
     relays: OrderedDict[str, Relay] = attrs.field(factory=OrderedDict)
     # Maps recent placement blocks to the engine block at the end of each.
     placement_blocks: OrderedDict[int, int] = attrs.field(factory=OrderedDict)
@@ -150,6 +152,8 @@
         failure: Failure | None = None
         if self.drain_reason:
             failure = not_run(Reason.DRAINING, messages.DRAINING)
+        elif self.is_ordering:
+            failure = not_run(Reason.WRONG_WEIGHTS, messages.WRONG_WEIGHTS)
         elif attempt.target != self.target:
             failure = not_run(Reason.NO_TARGET, messages.NO_TARGET)
         elif attempt.attempt_id in self.relays:
--- a/sequoiawind/engine_watcher.py
+++ b/sequoiawind/engine_watcher.py
@@ -89,13 +89,21 @@
 
         The order is repeated until the engine reports the version.  Repeating
         it is harmless: an order to load what is being loaded changes nothing.
+        A load ends the engine's work, so it is ordered only while the agent is
+        idle; work that was admitted during the wait for a slot comes first.
         """
         self.is_queued = True
         state = self.board.state
         if not await self.slots.acquire(pool.name, state, pool.load_slots):
             return
+        if not self.agent.is_idle():
+            return
         self.ordered = (pool.version, state.revision)
-        await self.port.order_version(*self.ordered)
+        self.agent.is_ordering = True
+        try:
+            await self.port.order_version(*self.ordered)
+        finally:
+            self.agent.is_ordering = False
 
     def pool(self) -> Pool | None:
         """Return the pool of this target; None if it is not known."""
--- a/tests/test_changes_during_requests.py
+++ b/tests/test_changes_during_requests.py
@@ -1,8 +1,16 @@
 """Requests end as they would have, whatever is configured meanwhile."""
 
+from unittest import mock
+
+import attrs
+from expression import Ok
 from testtools import TestCase
+from twisted.internet.defer import Deferred
 
+from sequoiawind.lab.memory_network import MemoryEnginePort
 from sequoiawind.lab.rig import RigTarget
+from sequoiawind.verdict import Reason, Verdict
+from sequoiawind.wire import Attempt
 from tests.session import Session
 
 ENGINES = ("e1", "e2", "e3")
@@ -120,6 +128,60 @@
         self.assertIn("whole answer, right", session.lines[-1])
 
 
+class WeightsTest(TestCase):
+    """An order to load weights breaks no answer off."""
+
+    def test_prompt_that_begins_while_the_agent_waits_for_a_slot(self) -> None:
+        session = Session()
+        watchers = [session.rig.agents[name].watcher for name in ENGINES]
+        for watcher in watchers:
+            watcher.is_stopped = True
+        session.do_run("1")
+        session.rig.log.latency_s = 1.0
+        pool = attrs.evolve(watchers[0].pool(), version="v2", load_slots=3)
+        for watcher in watchers:
+            Deferred.fromCoroutine(watcher.order(pool))
+        session.do_run("0.5")
+        home = begin(session)
+        session.do_run("25")
+        self.assertIn("whole answer, right", session.lines[-1])
+        versions = {
+            name: session.rig.agents[name].target.version for name in ENGINES
+        }
+        self.assertEqual("", versions.pop(home))
+        self.assertEqual(["v2", "v2"], list(versions.values()))
+        # The slot is kept: the order follows once the agent is idle.
+        Deferred.fromCoroutine(session.rig.agents[home].watcher.order(pool))
+        session.do_run("10")
+        self.assertEqual("v2", session.rig.agents[home].target.version)
+
+    def test_agent_admits_nothing_while_the_order_is_answered(self) -> None:
+        session = Session()
+        watcher = session.rig.agents["e1"].watcher
+        answered: Deferred[object] = Deferred()
+        with mock.patch.object(
+            MemoryEnginePort, "order_version", return_value=answered
+        ):
+            ordering = Deferred.fromCoroutine(watcher.order(watcher.pool()))
+            session.do_run("0.5")
+            attempt = Attempt(
+                attempt_id="a1",
+                request_id="q1",
+                account="nordlys",
+                kind="prompt",
+                target="e1",
+                max_first_s=5.0,
+                prompt="x",
+                max_tokens=1,
+            )
+            refused = watcher.agent.refusal(attempt)
+            self.assertEqual(Reason.WRONG_WEIGHTS, refused.failure.reason)
+            self.assertEqual(Verdict.NOT_RUN, refused.failure.verdict)
+            answered.callback(Ok(True))
+        self.assertTrue(ordering.called)
+        self.assertEqual(None, watcher.agent.refusal(attempt))
+
+
 class ClaimedActionTest(TestCase):
     """Changes while an action waits for its claim."""
 
