Let answers leave before a stopping daemon ends

Cause: a daemon that stops ends once no request is in progress, and a request counts as ended when its last byte has been written to the connection's buffer. A caller or router that read slowly lost what was still in that buffer: the connection ended without a complete answer.

Change: a router and an agent are idle only when their finished answers have left, or 10 s after their end, so that a peer that does not read cannot hold a stop up.

Ruled out: a longer fixed pause before the stop; it is too short for some and delays all others.

test_stopping.test_answer_that_its_caller_has_not_read failed before (2.5 MB, idle with the caller's buffer full) and passes now.

--- a/sequoiawind/agent_http.py
+++ b/sequoiawind/agent_http.py
@@ -11,6 +11,7 @@
 from sequoiawind.http_ports import EVENT_ENDED, EVENT_STARTED
 from sequoiawind.metrics import AgentMetrics
 from sequoiawind.reports import DaemonReport, agent_report
+from sequoiawind.unsent_answers import UnsentAnswers
 from sequoiawind.verdict import Reason, not_run
 from sequoiawind.wire import Attempt, Ended, LoadReport, Probe
 
@@ -59,6 +60,7 @@
     secret: str
     name: str
     domain: str
+    unsent: UnsentAnswers
 
     def app(self) -> klein.Klein:
         """Return the application."""
@@ -95,6 +97,7 @@
                 request, wire.encode(failure), http.BAD_REQUEST
             )
         request.setHeader("Content-Type", sse.CONTENT_TYPE)
+        self.unsent.track(request)
         sink = ResponseSink(request=request)
         done = http_server.when_finished(request)
         call = self.agent.open("", attempt, sink)
--- a/sequoiawind/agent_main.py
+++ b/sequoiawind/agent_main.py
@@ -26,7 +26,7 @@
     program = AgentProgram(options=options)
     daemon = Daemon(
         phase=program.board.phase,
-        is_idle=program.agent.is_idle,
+        is_idle=program.is_idle,
         on_leaving=program.agent.stop_admitting,
     )
     with daemon:
--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -35,6 +35,7 @@
 from sequoiawind.options import AgentSettings
 from sequoiawind.peers import ConfigFetcher, PeerClient
 from sequoiawind.target_ports import EngineHttpPort, PlainHttpPort
+from sequoiawind.unsent_answers import UnsentAnswers
 
 Logger = structlog.typing.FilteringBoundLogger
 
@@ -54,6 +55,9 @@
     board: Blackboard = attrs.field(factory=Blackboard)
     json: JsonClient = attrs.field(init=False)
     agent: Agent = attrs.field(init=False)
+    unsent: UnsentAnswers = attrs.field(
+        factory=lambda: UnsentAnswers(clock=event_loop.reactor)
+    )
     # The listening port; None before `listen`.
     port: Any = None
 
@@ -88,6 +92,10 @@
             on_event=partial(agent_http.count_event, self.metrics),
         )
 
+    def is_idle(self) -> bool:
+        """Whether no attempt is in progress and all answers have left."""
+        return self.agent.is_idle() and self.unsent.is_empty
+
     def listen(self) -> None:
         """Open the listening port."""
         web = AgentHttp(
@@ -97,6 +105,7 @@
             secret=self.options.peers.secret,
             name=self.options.agent.name,
             domain=self.options.agent.failure_domain,
+            unsent=self.unsent,
         )
         self.port = http_server.listen(web.app(), self.options.agent.listen)
         self.log.info("listening", port=self.port.getHost().port)
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -20,6 +20,8 @@
 MAX_HELD_BODY_BYTES: Final = 8 * 1024 * 1024
 MAX_HELD_EVENT_BYTES: Final = 1024 * 1024
 BODY_TIMEOUT_S: Final = 10.0
+# How long a daemon that stops waits for a peer to read a finished answer.
+SEND_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 60.0
 REQUEST_DEADLINE_S: Final = 60.0
 DEFAULT_MAX_TOKENS: Final = 64
--- a/sequoiawind/router_http.py
+++ b/sequoiawind/router_http.py
@@ -24,6 +24,7 @@
 from sequoiawind.plan import CallerRequest
 from sequoiawind.ports import Clock
 from sequoiawind.router import ActiveRequest, Router
+from sequoiawind.unsent_answers import UnsentAnswers
 from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from sequoiawind.wire import Ended
 
@@ -131,6 +132,7 @@
     clock: Clock
     random: random.Random
     secret: str
+    unsent: UnsentAnswers
 
     def app(self) -> klein.Klein:
         """Return the application."""
@@ -239,6 +241,7 @@
         is_streamed: bool,
     ) -> Deferred[None] | bytes:
         """Submit a request to the router and write its answer."""
+        self.unsent.track(request)
         caller = Caller(
             request=request,
             request_id=caller_request.request_id,
@@ -276,6 +279,7 @@
                 request, wire.encode(result.error), result.error.status
             )
 
+        self.unsent.track(request)
         return Deferred.fromCoroutine(run())
 
     def refuse_without_secret(self, request: server.Request) -> bool:
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -39,6 +39,7 @@
 from sequoiawind.placer import ProbingPlacer
 from sequoiawind.router import Router
 from sequoiawind.router_http import RouterHttp
+from sequoiawind.unsent_answers import UnsentAnswers
 from sequoiawind.verdict import Failure, Reason
 from sequoiawind.wire import Ended
 
@@ -60,6 +61,7 @@
     claimant: Claimant = attrs.field(init=False)
     router: Router = attrs.field(init=False)
     follower: ConfigFollower = attrs.field(init=False)
+    http: RouterHttp = attrs.field(init=False)
     # The listening port; None before `listen`.
     port: Any = None
 
@@ -80,6 +82,7 @@
         self.claimant = self.make_claimant()
         self.router = self.make_router()
         self.follower = self.make_follower()
+        self.http = self.make_http()
 
     def make_claimant(self) -> Claimant:
         """Return the controller that claims idempotency keys."""
@@ -148,12 +151,13 @@
             clock=event_loop.reactor,
             random=self.random,
             secret=self.options.peers.secret,
+            unsent=UnsentAnswers(clock=event_loop.reactor),
         )
 
     def listen(self) -> None:
         """Open the listening port."""
         self.port = http_server.listen(
-            self.make_http().app(),
+            self.http.app(),
             self.options.router.listen,
             on_refusal=self.count_refused_body,
         )
@@ -202,8 +206,12 @@
         )
 
     def is_idle(self) -> bool:
-        """Whether no request and no claim record is in progress."""
-        return self.router.open_requests == 0 and self.claimant.pending == 0
+        """Whether nothing is in progress and all answers have left."""
+        return (
+            self.router.open_requests == 0
+            and self.claimant.pending == 0
+            and self.http.unsent.is_empty
+        )
 
     def stop_listening(self) -> None:
         """Accept no more connections."""
--- a/sequoiawind/sockets.py
+++ b/sequoiawind/sockets.py
@@ -33,6 +33,13 @@
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def has_unsent(transport: Any) -> bool:
+    """Whether bytes written to a transport wait for its peer to read."""
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return False
+    return bool(transport.dataBuffer or transport._tempDataLen)
+
+
 def write_now(transport: Any, data: bytes) -> None:
     """Write to a transport, without waiting for the event loop if possible.
 
