Wait for the answers of operators' statements before a router stops

Cause: a statement runs for up to some seconds, since a command is read back from the log, and did not count as work in flight. A router that was stopped meanwhile ended without an answer, although the command could be in force.

Change: a router is idle only when no statement is in progress.

Ruled out: refusing statements while a router stops; one that is already in the log must be answered all the same.

test_stopping.test_statement_without_an_answer failed before and passes now.

--- a/sequoiawind/router_http.py
+++ b/sequoiawind/router_http.py
@@ -133,6 +133,8 @@
     random: random.Random
     secret: str
     unsent: UnsentAnswers
+    # Operators' statements that have no answer yet.
+    open_statements: int = 0
 
     def app(self) -> klein.Klein:
         """Return the application."""
@@ -272,7 +274,11 @@
             return self.refuse(request, failure)
 
         async def run() -> bytes:
-            result = await self.admin.run(text, operator)
+            self.open_statements += 1
+            try:
+                result = await self.admin.run(text, operator)
+            finally:
+                self.open_statements -= 1
             if result.is_ok():
                 return http_server.json_reply(request, wire.encode(result.ok))
             return http_server.json_reply(
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -210,6 +210,7 @@
         return (
             self.router.open_requests == 0
             and self.claimant.pending == 0
+            and self.http.open_statements == 0
             and self.http.unsent.is_empty
         )
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,14 +1,20 @@
 """A daemon that stops lets the answers that it has begun leave first."""
 
+import json
 import socket
+import threading
 import time
+import urllib.request
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
+from expression import Ok
 from testtools import TestCase
+from twisted.internet.defer import Deferred
 
-from sequoiawind import wire
+from sequoiawind import query, wire
+from sequoiawind.admin import Admin
 from sequoiawind.lab.plain_model import PlainModel
 from sequoiawind.wire import Reply
 from tests import live
@@ -69,3 +75,40 @@
         patch.start()
         self.addCleanup(patch.stop)
         return ends
+
+    def test_statement_without_an_answer(self) -> None:
+        system = live.shared()
+        program = system.routers[0]
+        running: Deferred[Any] = Deferred()
+        asked = threading.Event()
+
+        async def run(admin: Admin, text: str, operator: Any) -> Any:
+            asked.set()
+            return await running
+
+        answers: list[int] = []
+
+        def ask() -> None:
+            request = urllib.request.Request(
+                f"{system.url()}/admin/statements",
+                data=json.dumps({"statement": "show targets"}).encode(),
+                headers={"Authorization": f"Bearer {live.OPERATOR_TOKEN}"},
+            )
+            with urllib.request.urlopen(
+                request, timeout=WAIT_TIMEOUT_S
+            ) as reply:
+                answers.append(reply.status)
+
+        with mock.patch.object(Admin, "run", run):
+            thread = threading.Thread(target=ask)
+            thread.start()
+            self.assertTrue(asked.wait(WAIT_TIMEOUT_S))
+            is_idle = live.in_reactor(program.is_idle)
+            live.in_reactor(
+                running.callback,
+                Ok(query.Answer(revision=1, expected=1, answered=1)),
+            )
+            thread.join()
+        self.assertFalse(is_idle)
+        self.assertEqual([200], answers)
+        self.assertTrue(wait_until(program.is_idle))
