Deliver answers of plain services up to the size that agents accept

Cause: an agent takes an answer of up to 8 MiB and sends it to the router as one event, in Base64. The router refused events over 4 MiB, the bound of a caller's request. Answers from 3 MiB on were lost after their action had run, and the caller was told "may have run".

Change: the bound of an event between daemons follows from the bound of an answer.

Ruled out: a smaller bound at the agent; the action has run by then.

test_large_requests.test_large_answer_of_an_action_arrives failed before (502 "may have run" for 6 MB) and passes now.

--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -28,6 +28,8 @@
 
 POOL_SIZE: Final = 64
 CONNECT_TIMEOUT_S: Final = 1.0
+# Largest event: one with a whole body in Base64, which adds a third.
+MAX_EVENT_BYTES: Final = defaults.MAX_HELD_BODY_BYTES * 3 // 2
 
 # Errors raised before a connection was open, so before anything was sent.
 NOT_SENT: Final = (
@@ -156,7 +158,9 @@
     on_headers: Callable[[Any], None] = attrs.field(
         default=lambda headers: None
     )
-    reader: sse.EventReader = attrs.field(factory=sse.EventReader)
+    reader: sse.EventReader = attrs.field(
+        factory=lambda: sse.EventReader(max_bytes=MAX_EVENT_BYTES)
+    )
     request: Deferred[Any] | None = None
     receiver: StreamReceiver | None = None
     is_over: bool = False
