Refuse a request that no agent takes, before it is sent

Cause: a router takes bodies of up to 4 MiB. An attempt carries the prompt of a chat twice, as text and in its body, and can be larger than an agent takes. The agent closed the connection, which the router took for a fault of the target: it spent retries, counted failures against sound targets until they were ejected, and ended the request with 503 "may have run".

Change: the port to the agents refuses such an attempt as not run, with 413; the refusal is final, as every target's agent has the same bound.

Ruled out: a larger bound at the agents, which share their server with routers; sending the text once would move the bound and is left for later.

test_large_requests.test_request_that_is_too_large_for_an_agent_is_refused failed before (503 "may have run") and passes now.

--- a/sequoiawind/http_ports.py
+++ b/sequoiawind/http_ports.py
@@ -20,7 +20,7 @@
 )
 from sequoiawind.options import Address
 from sequoiawind.ports import LogPage, ResumableCall, Sink
-from sequoiawind.verdict import Failure, Reason, may_have_run
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from sequoiawind.wire import (
     Attempt,
     Ended,
@@ -46,10 +46,16 @@
         """Open an attempt at the agent at an address."""
         call = AgentHttpCall(port=self, address=address, sink=sink)
         call.attempt_id = attempt.resume_of or attempt.attempt_id
+        body = wire.encode(attempt)
+        if len(body) > defaults.MAX_BODY_BYTES:
+            # The agent would close the connection, which proves nothing.
+            text = messages.ATTEMPT_TOO_LARGE
+            call.refused(not_run(Reason.BODY_TOO_LARGE, text))
+            return call
         call.stream = EventCall(
             client=self.client,
             url=f"http://{address}/attempts",
-            body=wire.encode(attempt),
+            body=body,
             headers={
                 SECRET_HEADER: self.secret,
                 "Content-Type": JSON_TYPE,
--- a/sequoiawind/retries.py
+++ b/sequoiawind/retries.py
@@ -26,6 +26,8 @@
         Reason.WRONG_WEIGHTS,
     }
 )
+# Failures that would be the same at every target, or that nobody waits for.
+FINAL_REASONS: Final = frozenset({Reason.CANCELLED, Reason.BODY_TOO_LARGE})
 
 
 @attrs.define(kw_only=True)
@@ -66,7 +68,7 @@
 
 def may_retry(failure: Failure, is_idempotent: bool) -> bool:
     """Whether a failed request may be sent again."""
-    if failure.reason is Reason.CANCELLED:
+    if failure.reason in FINAL_REASONS:
         return False
     if failure.verdict is Verdict.NOT_RUN:
         return True
--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -1,5 +1,6 @@
 """Large requests and answers between router and agent."""
 
+import json
 import urllib.error
 import urllib.request
 from unittest import mock
@@ -8,10 +9,13 @@
 
 from sequoiawind import keys, wire
 from sequoiawind.lab.plain_model import PlainModel
+from sequoiawind.openai_format import CHAT_PATH
 from sequoiawind.wire import Reply
 from tests import live
 
 TIMEOUT_S = 30
+# Below the bound of the caller's body; the attempt carries the text twice.
+LARGE_TEXT = "a weather window " * 150_000
 # Below the bound of an agent for an answer.
 LARGE_REPLY = b"x" * 6_000_000
 
@@ -36,6 +40,20 @@
 class LargeTest(TestCase):
     """What is accepted is served; what cannot be is refused as not run."""
 
+    def test_request_that_is_too_large_for_an_agent_is_refused(self) -> None:
+        body = {
+            "model": "polar",
+            "max_tokens": 1,
+            "messages": [{"role": "user", "content": LARGE_TEXT}],
+        }
+        health = live.shared().routers[0].board.members.health
+        failures = sum(item.failures for item in health.values())
+        status, verdict, _ = call(CHAT_PATH, json.dumps(body).encode())
+        self.assertEqual((413, "not_run"), (status, verdict))
+        # No target is at fault.
+        later = sum(item.failures for item in health.values())
+        self.assertEqual(failures, later)
+
     def test_large_answer_of_an_action_arrives(self) -> None:
         large = Reply(
             status=200, content_type="a/b", body=wire.encode_body(LARGE_REPLY)
