End an attempt whose agent breaks off an error answer

Cause: when the body of an agent's error answer broke off, the exception was none of those that the call expected, and the attempt was never told of its end. Its timeout hid that; now that a silent attempt is waited for, a request that must not repeat would have waited until its deadline. A body that trickles had the same effect.

--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -16,7 +16,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.client import Agent as WebAgent
-from twisted.web.client import HTTPConnectionPool, PartialDownloadError
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from sequoiawind import defaults, messages, sse, timing, wire
@@ -192,10 +192,14 @@
 
     async def refused(self, response: Any) -> None:
         """End the call with the failure in an error reply."""
+        reading = timing.with_timeout(
+            treq.content(response), defaults.PEER_TIMEOUT_S, reactor
+        )
         try:
-            content = await treq.content(response)
-        except (error.ConnectionClosed, PartialDownloadError):
-            content = b""
+            content = await reading
+        except Exception as problem:
+            # Whatever the error, the status shows that the call has failed.
+            content = repr(problem).encode()
         self.end(error_of(response.code, content))
 
     def failed(self, failure: TwistedFailure) -> None:
