--- a/tests/test_agent_ports.py
+++ b/tests/test_agent_ports.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from sequoiawind import http_client
+from sequoiawind import defaults, http_client
 from sequoiawind.http_ports import AgentPort
 from sequoiawind.verdict import Verdict
 from tests import live
@@ -24,6 +24,16 @@
 )
 
 
+class PoolTest(TestCase):
+    """No call is sent on a connection that its server is about to close."""
+
+    def test_client_closes_idle_connections_first(self) -> None:
+        pool = http_client.make_client()._agent._pool
+        self.assertLess(
+            pool.cachedConnectionTimeout, defaults.IDLE_TIMEOUT_S / 2
+        )
+
+
 class AgentPortTest(TestCase):
     """An attempt whose call fails always ends, since it is waited for."""
 
