--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -30,7 +30,7 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 # Idle time for which a connection is kept: well below that after which servers
 # close theirs, so that no call meets a connection that is being closed.
-KEEP_IDLE_S: Final = defaults.IDLE_TIMEOUT_S / 3
+KEEP_IDLE_S: Final = int(defaults.IDLE_TIMEOUT_S / 3)
 # Largest event: one with a whole body in Base64, which adds a third.
 MAX_EVENT_BYTES: Final = defaults.MAX_HELD_BODY_BYTES * 3 // 2
 
