Let the rest of an answer that has begun wait for room

Cause: an answer whose engine was lost is continued at another target under the limit for the time to the first token, which its caller already has. Where the other targets were full for longer than that limit, the answer broke off, although its deadline was far.

Change: after the usual limits, the target with the shortest wait is asked once more with the time left until the deadline. No new plan for the first token is made for such an answer, as that plan leaves out targets beyond the limit.

Ruled out: the long limit at the first target asked; others may have room.

test_silent_targets.FullTargetsTest failed before ("queue_too_long", may have run) and passes now.

--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -164,7 +164,7 @@
         on to the other targets of the pool.  A request that the targets
         have no room for does not: asking all would add to the overload.  After
         the last target, the one that refused with the shortest wait is
-        tried once more with the limit `max_first_s`.
+        tried once more with a longer limit.
         """
         has_begun = self.any_may_have_run or bool(self.open_attempts)
         if has_begun or (failure and failure.reason in LEAVING):
@@ -179,9 +179,14 @@
             return None
         self.has_tried_shortest_wait = True
         shortest = min(left, key=self.refused_wait_s)
-        return attrs.evolve(
-            shortest, max_first_s=self.max_first_s, max_cost_s=-1.0
-        )
+        # The rest of an answer that has begun waits until the deadline.
+        limit_s = self.left_s if self.order.passed else self.max_first_s
+        return attrs.evolve(shortest, max_first_s=limit_s, max_cost_s=-1.0)
+
+    @property
+    def left_s(self) -> float:
+        """The time until the deadline, in seconds."""
+        return self.deadline_at_s - self.clock.seconds()
 
     def extend_choices(self) -> None:
         """Add further targets if all choices have been tried."""
@@ -218,7 +223,7 @@
             # Without the text so far no other target can continue the answer.
             self.give_up(may_have_run(Reason.TARGET_ERROR, str(error)))
             return
-        left_s = self.deadline_at_s - self.clock.seconds()
+        left_s = self.left_s
         attempt = attrs.evolve(
             self.template,
             attempt_id=self.new_id(),
@@ -267,6 +272,8 @@
         if self.run_id != sink.run_id:
             # The waiting chunks are those of another run.
             self.order.forget_early()
+            self.refused_waits_s.clear()
+            self.has_tried_shortest_wait = False
         self.run_id = sink.run_id
         self.current = sink
         self.attempt_started(sink)
@@ -306,7 +313,12 @@
         self.note_failure(sink, failure)
         if self.is_under_way:
             return
-        if ended.probe is not None and self.replan is not None:
+        # Plans are for the time to the first token.
+        if (
+            ended.probe is not None
+            and self.replan is not None
+            and not self.order.passed
+        ):
             self.context.on_retry(failure.reason)
             replan, self.replan = self.replan, None
             planning = replan(sink.candidate, ended.probe)
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -4,8 +4,9 @@
 from testtools import TestCase
 
 from sequoiawind import defaults
-from sequoiawind.openai_format import DONE
+from sequoiawind.openai_format import DONE, TEXT_PATH
 from sequoiawind.retries import Budget
+from sequoiawind.wire import Attempt, Ended, LoadReport
 from tests.session import Session
 
 ENGINES = ("e1", "e2", "e3")
@@ -216,3 +217,58 @@
         self.assertIn("504 may_have_run deadline", session.lines[-1])
         self.assertEqual(0, len(session.rig.agents[home].target.batch))
         self.assertTrue(session.rig.agents[home].agent.is_idle())
+
+
+class FullTargetsTest(TestCase):
+    """The engine of an answer that has begun is lost, and others are full."""
+
+    def test_continuation_waits_for_room(self) -> None:
+        session = Session()
+        session.do_prompt("q1", "r0", "40", "A briefing.")
+        while len(session.callers["q1"].chunks) < 5:
+            session.do_run("0.001")
+        home = home_of(session)
+        for name in ENGINES:
+            if name != home:
+                self.fill(session, name)
+        session.do_crash(home, "30")
+        session.do_run("9")
+        self.assertEqual(None, session.callers["q1"].end)
+        session.do_run("25")
+        self.assertIn("whole answer, right", session.lines[-1])
+
+    def fill(self, session: Session, name: str) -> None:
+        """Let a prompt hold an engine's only place for about 20 s."""
+        slow_down(session, name, 10.0)
+        agent = session.rig.agents[name].agent
+        agent.queue.max_running = 1
+        agent.queue.slot_time_s = 20.0
+        attempt = Attempt(
+            attempt_id=f"a-{name}",
+            request_id="other",
+            account="petra",
+            kind="prompt",
+            target=name,
+            max_first_s=5.0,
+            prompt="x",
+            max_tokens=2,
+            path=TEXT_PATH,
+        )
+        agent.open("", attempt, NoSink())
+        session.do_run("0.01")
+        engine = session.rig.agents[name].target
+        usual = session.rig.parameters
+        session.rig.clock.callLater(15.0, setattr, engine, "parameters", usual)
+
+
+class NoSink:
+    """Drops the events of an attempt."""
+
+    def started(self, load: LoadReport) -> None:
+        """Ignore the start."""
+
+    def chunk(self, attempt_id: str, index: int, data: bytes) -> None:
+        """Ignore a chunk."""
+
+    def ended(self, ended: Ended) -> None:
+        """Ignore the end."""
