Look again before a daemon stops

Cause: a daemon that found itself idle stopped 50 ms later whatever had come meanwhile, such as a router that resumes an answer at an agent, or a refusal that is still being sent.

Change: it stops only if it is still idle then, and else waits on.

test_daemon.StopTest failed before ("stopped" with work in flight) and passes now.

--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -2,7 +2,6 @@
 
 import signal
 from collections.abc import Callable
-from functools import partial
 from typing import Any, Final
 
 import attrs
@@ -80,7 +79,13 @@
         """Stop the daemon as soon as no work is in flight."""
         if self.is_idle():
             # The last answers must still be written to their sockets.
-            stop = partial(self.lifecycle.idle)
-            event_loop.reactor.callLater(IDLE_CHECK_S, stop)
+            event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_if_idle)
             return
         event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_when_idle)
+
+    def stop_if_idle(self) -> None:
+        """Stop the daemon, unless work has come since the last check."""
+        if self.is_idle():
+            self.lifecycle.idle()
+        else:
+            self.stop_when_idle()
