Keep an agent that stops until routers have fetched their answers

Cause: an answer whose connection to the router broke is kept so that the router can resume it. An agent that had been told to stop ended as soon as its engine was idle; a whole answer was lost, and a prompt that must not repeat could not be served at all.

--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -398,6 +398,20 @@
         """Whether no attempt is queued or running."""
         return not self.queue.running and self.queue.queued == 0
 
+    def may_stop(self) -> bool:
+        """Whether the agent is idle and holds no answer for a router.
+
+        A whole answer of an engine whose connection broke is kept for
+        `RESUME_KEEP_S`; routers do not resume calls to plain services.
+        """
+        is_held = self.service == "engine" and any(
+            relay.sink is None
+            and relay.end is not None
+            and relay.end.failure is None
+            for relay in self.relays.values()
+        )
+        return self.is_idle() and not is_held
+
     def load(self) -> LoadReport:
         """Return the load report that is attached to answers."""
         return LoadReport(
--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -93,8 +93,8 @@
         )
 
     def is_idle(self) -> bool:
-        """Whether no attempt is in progress and all answers have left."""
-        return self.agent.is_idle() and self.unsent.is_empty
+        """Whether nothing is in progress and all answers have left."""
+        return self.agent.may_stop() and self.unsent.is_empty
 
     def listen(self) -> None:
         """Open the listening port."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -6,9 +6,10 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
-from sequoiawind import event_loop
+from sequoiawind import defaults, event_loop
 from sequoiawind.daemon import IDLE_CHECK_S, Daemon
 from sequoiawind.lifecycle import Phase
+from tests.session import Session
 
 
 @attrs.define(kw_only=True)
@@ -40,3 +41,37 @@
             for _ in range(3):
                 clock.advance(IDLE_CHECK_S)
         self.assertEqual("stopped", phase.name)
+
+
+class UnfetchedAnswerTest(TestCase):
+    """An agent that stops keeps an answer that its router has yet to fetch."""
+
+    def test_answer_whose_connection_broke(self) -> None:
+        session = Session()
+        session.do_prompt("q1", "r0", "10", "A briefing.")
+        while len(session.callers["q1"].chunks) < 3:
+            session.do_run("0.001")
+        (agent,) = [
+            rig_agent.agent
+            for rig_agent in session.rig.agents.values()
+            if rig_agent.agent.relays
+        ]
+        (connection,) = session.router("r0").node.connections
+        # The agent notices the break; the router will later.
+        connection.far_call.detach()
+        agent.stop_admitting()
+        session.do_run("1")
+        self.assertTrue(agent.is_idle())
+        self.assertFalse(agent.may_stop())
+        session.do_run(str(defaults.RESUME_KEEP_S))
+        self.assertTrue(agent.may_stop())
+
+    def test_answer_that_was_delivered_or_cancelled(self) -> None:
+        session = Session()
+        session.do_prompt("q1", "r0", "10", "A briefing.")
+        session.do_prompt("q2", "r0", "500", "A briefing.")
+        session.do_run("1")
+        session.do_leave("q2")
+        session.do_run("0.1")
+        for rig_agent in session.rig.agents.values():
+            self.assertTrue(rig_agent.agent.may_stop())
