Let a prompt under which engines crash reach no more targets than before

Cause: since further targets are added when the choices are used up, a prompt under which each engine crashes could reach up to eight of them, where it had reached its three choices.

Change: after a failure that may have run, the choices are gone through again; targets are added only after attempts that have not run, so that an answer whose choices are all down still goes on elsewhere.

--- a/sequoiawind/exchange.py
+++ b/sequoiawind/exchange.py
@@ -30,6 +30,7 @@
 from sequoiawind.verdict import (
     Failure,
     Reason,
+    Verdict,
     may_have_run,
     not_run,
 )
@@ -410,7 +411,9 @@
         if failure.reason in retries.SPILL_REASONS:
             self.next_target(failure)
             return
-        self.extend_choices()
+        if failure.verdict is Verdict.NOT_RUN:
+            # A request under which targets crash must not reach them all.
+            self.extend_choices()
         if self.attempts >= defaults.MAX_ATTEMPTS or all(
             map(self.holds_run, self.choices)
         ):
--- a/tests/test_changes_during_requests.py
+++ b/tests/test_changes_during_requests.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 from twisted.internet.defer import Deferred
 
+from sequoiawind.lab.engine_model import EngineModel, Generation
 from sequoiawind.lab.memory_network import MemoryEnginePort
 from sequoiawind.lab.rig import RigTarget
 from sequoiawind.verdict import Reason, Verdict
@@ -108,6 +109,34 @@
         session.do_crash(name, "30")
         self.check_whole(session)
 
+    def test_all_choices_are_lost(self) -> None:
+        session = Session()
+        grow(session)
+        name = begin(session)
+        exchange = session.callers["q1"].active_request.exchange
+        for choice in exchange.choices:
+            session.do_crash(choice.candidate.name, "60")
+        session.do_run("45")
+        self.assertIn("whole answer, right", session.lines[-1])
+        self.assertNotEqual(name, exchange.current.candidate.name)
+
+    def test_prompt_that_crashes_engines_stays_among_its_choices(self) -> None:
+        session = Session()
+        grow(session)
+        begun: list[str] = []
+
+        def crash(engine: EngineModel, generation: Generation) -> None:
+            begun.append(engine.name)
+            engine.crash()
+
+        with mock.patch.object(EngineModel, "emit_token", crash):
+            session.do_prompt("q1", "r0", TOKENS, "A briefing.")
+            exchange = session.callers["q1"].active_request.exchange
+            choices = len(exchange.choices)
+            session.do_run("30")
+        self.assertEqual(choices, len(set(begun)))
+        self.assertIn("may_have_run target_lost", session.lines[-1])
+
     def test_choices_drain_before_the_router_knows(self) -> None:
         session = Session()
         grow(session)
