Let engines fall silent in the soak

The soak knew engines that crash, but none that yields nothing for a while and goes on, which is why it did not show what a silence costs a request. A random engine is now silent for 1, 3 or 25 s.

--- a/sequoiawind/lab/soak_faults.py
+++ b/sequoiawind/lab/soak_faults.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from sequoiawind.lab.engine_model import EngineModel
+from sequoiawind.lab.engine_model import EngineModel, EngineParameters
 from sequoiawind.lab.memory_network import ChunkFaults, Node
 from sequoiawind.lab.plain_model import PlainModel
 from sequoiawind.lab.rig import Rig, RigAgent
@@ -38,6 +38,7 @@
             self.kill_agent,
             self.pause_agent,
             self.crash_engine,
+            self.silence_engine,
             self.crash_plain,
             self.log_outage,
             self.log_slow,
@@ -121,6 +122,21 @@
         """Crash a random engine; it is down for a random time."""
         self.random_engine().crash(self.rng.choice((0.0, 0.5, 3.0)))
 
+    def silence_engine(self) -> None:
+        """Let a random engine yield nothing for a while, and then go on."""
+        engine = self.random_engine()
+        usual_s = EngineParameters().step_base_s
+        silence_s = self.rng.choice((1.0, 3.0, 25.0))
+
+        def set_step(step_s: float) -> None:
+            engine.parameters = attrs.evolve(
+                engine.parameters, step_base_s=step_s
+            )
+
+        # The step that is begun next lasts as long as the silence.
+        set_step(silence_s)
+        self.rig.clock.callLater(0.1, set_step, usual_s)
+
     def crash_plain(self) -> None:
         """Crash the plain service; it is down for a random time."""
         self.plain_service().crash(self.rng.choice((0.0, 0.5, 3.0)))
