--- a/sequoiawind/lab/soak.py
+++ b/sequoiawind/lab/soak.py
@@ -36,6 +36,7 @@
 PROMPTS_PER_S: Final = 5.0
 BOOKINGS_PER_S: Final = 3.0
 FAULTS_PER_S: Final = 0.7
+SILENCES_PER_S: Final = 0.07
 COMMANDS_PER_S: Final = 0.5
 ANSWER_TOKENS: Final = 12
 RESUBMISSIONS: Final = 3
@@ -163,6 +164,7 @@
             (PROMPTS_PER_S, self.send_prompt),
             (BOOKINGS_PER_S, self.send_booking),
             (FAULTS_PER_S, self.faults.inject),
+            (SILENCES_PER_S, self.faults.silence_engine),
             (COMMANDS_PER_S, self.race_commands),
         ):
             self.repeat(rate, action)
--- a/sequoiawind/lab/soak_faults.py
+++ b/sequoiawind/lab/soak_faults.py
@@ -38,7 +38,6 @@
             self.kill_agent,
             self.pause_agent,
             self.crash_engine,
-            self.silence_engine,
             self.crash_plain,
             self.log_outage,
             self.log_slow,
@@ -124,6 +123,7 @@
 
     def silence_engine(self) -> None:
         """Let a random engine yield nothing for a while, and then go on."""
+        self.count("silence_engine")
         engine = self.random_engine()
         usual_s = EngineParameters().step_base_s
         silence_s = self.rng.choice((1.0, 3.0, 25.0))
