--- a/sequoiawind/agent.py
+++ b/sequoiawind/agent.py
@@ -15,7 +15,7 @@
 from sequoiawind import defaults, invariants, messages, prefix
 from sequoiawind.admission import FairQueue, Job
 from sequoiawind.cache_index import CacheIndex
-from sequoiawind.ports import Call, Clock, Sink, TargetPort
+from sequoiawind.ports import Call, Clock, Sink, TargetPort, Timer
 from sequoiawind.state import State
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from sequoiawind.wire import (
@@ -42,6 +42,8 @@
     # Chunks by index, kept for a resume.
     chunks: dict[int, bytes] = attrs.field(factory=dict)
     end: Ended | None = None
+    # Cancels the attempt; set while no router is connected.
+    orphan_timer: Timer | None = None
 
     def started(self, load: LoadReport) -> None:
         """Do nothing: the router was notified when the agent admitted it."""
@@ -74,14 +76,20 @@
 
     agent: "Agent"
     relay: Relay
+    # What this handle's connection passes events to.
+    sink: Sink
 
     def cancel(self) -> None:
         """Stop the attempt, because its caller has disconnected."""
         self.agent.cancel(self.relay)
 
     def detach(self) -> None:
-        """Record that the router's connection broke; the router may resume."""
-        self.agent.detach(self.relay)
+        """Record that the router's connection broke; the router may resume.
+
+        It may have resumed before this end of the connection was noticed.
+        """
+        if self.relay.sink is self.sink:
+            self.agent.detach(self.relay)
 
 
 @attrs.define(kw_only=True)
@@ -105,6 +113,8 @@
     # Why no new work is accepted; empty if it is accepted.
     drain_reason: str = ""
     is_shutting_down: bool = False
+    # Whether the target is being ordered to load weights, which ends its work.
+    is_ordering: bool = False
     relays: OrderedDict[str, Relay] = attrs.field(factory=OrderedDict)
     # Maps recent placement blocks to the engine block at the end of each.
     placement_blocks: OrderedDict[int, int] = attrs.field(factory=OrderedDict)
@@ -117,7 +127,7 @@
         if attempt.resume_of:
             return self.resume(attempt, sink)
         relay = Relay(agent=self, attempt=attempt, sink=sink, chain=[])
-        call = AgentCall(agent=self, relay=relay)
+        call = AgentCall(agent=self, relay=relay, sink=sink)
         refused = self.refusal(attempt) or self.enqueue(relay)
         if refused is not None:
             return self.refuse(call, refused)
@@ -142,6 +152,8 @@
         failure: Failure | None = None
         if self.drain_reason:
             failure = not_run(Reason.DRAINING, messages.DRAINING)
+        elif self.is_ordering:
+            failure = not_run(Reason.WRONG_WEIGHTS, messages.WRONG_WEIGHTS)
         elif attempt.target != self.target:
             failure = not_run(Reason.NO_TARGET, messages.NO_TARGET)
         elif attempt.attempt_id in self.relays:
@@ -315,8 +327,9 @@
             empty = Relay(agent=self, attempt=attempt, sink=sink, chain=[])
             empty.end = Ended(failure=unknown, load=self.load())
             sink.ended(empty.end)
-            return AgentCall(agent=self, relay=empty)
+            return AgentCall(agent=self, relay=empty, sink=sink)
         self.on_event("resumed")
+        self.stop_orphan_timer(relay)
         relay.sink = sink
         sink.started(self.load())
         for index in sorted(relay.chunks):
@@ -324,11 +337,12 @@
                 sink.chunk(attempt.resume_of, index, relay.chunks[index])
         if relay.end is not None:
             sink.ended(relay.end)
-        return AgentCall(agent=self, relay=relay)
+        return AgentCall(agent=self, relay=relay, sink=sink)
 
-    def cancel(self, relay: Relay) -> None:
+    def cancel(self, relay: Relay, reason: Reason = Reason.CANCELLED) -> None:
         """End an attempt whose answer is no longer needed."""
         relay.sink = None
+        self.stop_orphan_timer(relay)
         if relay.end is not None:
             return
         self.on_event("cancelled")
@@ -336,7 +350,7 @@
         if relay.call is not None:
             relay.call.cancel()
         verdict = not_run if was_queued else may_have_run
-        relay.ended(Ended(failure=verdict(Reason.CANCELLED, "cancelled")))
+        relay.ended(Ended(failure=verdict(reason, "cancelled")))
 
     def detach(self, relay: Relay) -> None:
         """Disconnect the router from an attempt; a router may resume it.
@@ -345,14 +359,25 @@
         """
         relay.sink = None
         if relay.end is None and self.service == "engine":
-            self.clock.callLater(
+            self.stop_orphan_timer(relay)
+            relay.orphan_timer = self.clock.callLater(
                 defaults.RESUME_GRACE_S, self.cancel_orphan, relay
             )
 
+    def stop_orphan_timer(self, relay: Relay) -> None:
+        """Stop the timer that cancels an attempt without a router."""
+        if relay.orphan_timer is not None and relay.orphan_timer.active():
+            relay.orphan_timer.cancel()
+
     def cancel_orphan(self, relay: Relay) -> None:
-        """Cancel an attempt that no router has resumed."""
+        """Cancel an attempt that no router has resumed.
+
+        A router that has not noticed the broken connection yet still has a
+        caller that waits: it is told of the connection, not of a cancellation,
+        so that it goes on elsewhere.
+        """
         if relay.sink is None:
-            self.cancel(relay)
+            self.cancel(relay, Reason.CONNECTION_LOST)
 
     def follow_config(self, state: State) -> None:
         """Drain or admit as the configuration in force says.
@@ -373,6 +398,20 @@
         """Whether no attempt is queued or running."""
         return not self.queue.running and self.queue.queued == 0
 
+    def may_stop(self) -> bool:
+        """Whether the agent is idle and holds no answer for a router.
+
+        A whole answer of an engine whose connection broke is kept for
+        `RESUME_KEEP_S`; routers do not resume calls to plain services.
+        """
+        is_held = self.service == "engine" and any(
+            relay.sink is None
+            and relay.end is not None
+            and relay.end.failure is None
+            for relay in self.relays.values()
+        )
+        return self.is_idle() and not is_held
+
     def load(self) -> LoadReport:
         """Return the load report that is attached to answers."""
         return LoadReport(
--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -37,6 +37,7 @@
 from sequoiawind.peers import ConfigFetcher, PeerClient
 from sequoiawind.staged_close import StagedCloser
 from sequoiawind.target_ports import EngineHttpPort, PlainHttpPort
+from sequoiawind.unsent_answers import UnsentAnswers
 
 Logger = structlog.typing.FilteringBoundLogger
 
@@ -56,6 +57,9 @@
     board: Blackboard = attrs.field(factory=Blackboard)
     json: JsonClient = attrs.field(init=False)
     agent: Agent = attrs.field(init=False)
+    unsent: UnsentAnswers = attrs.field(
+        factory=lambda: UnsentAnswers(clock=event_loop.reactor)
+    )
     # The listening port; None before `listen`.
     port: Any = None
 
@@ -90,6 +94,10 @@
             on_event=partial(agent_http.count_event, self.metrics),
         )
 
+    def is_idle(self) -> bool:
+        """Whether nothing is in progress and all answers have left."""
+        return self.agent.may_stop() and self.unsent.is_empty
+
     def listen(self) -> None:
         """Open the listening port."""
         web = AgentHttp(
@@ -99,6 +107,7 @@
             secret=self.options.peers.secret,
             name=self.options.agent.name,
             domain=self.options.agent.failure_domain,
+            unsent=self.unsent,
         )
         closer = StagedCloser(
             clock=event_loop.reactor,
--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -16,7 +16,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.client import Agent as WebAgent
-from twisted.web.client import HTTPConnectionPool, PartialDownloadError
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from sequoiawind import defaults, messages, sse, timing, wire
@@ -28,6 +28,11 @@
 
 POOL_SIZE: Final = 64
 CONNECT_TIMEOUT_S: Final = 1.0
+# Idle time for which a connection is kept: well below that after which servers
+# close theirs, so that no call meets a connection that is being closed.
+KEEP_IDLE_S: Final = int(defaults.IDLE_TIMEOUT_S / 3)
+# Largest event: one with a whole body in Base64, which adds a third.
+MAX_EVENT_BYTES: Final = defaults.MAX_HELD_BODY_BYTES * 3 // 2
 
 # Errors raised before a connection was open, so before anything was sent.
 NOT_SENT: Final = (
@@ -46,6 +51,7 @@
     pool = HTTPConnectionPool(reactor, persistent=True)
     pool.maxPersistentPerHost = POOL_SIZE
     pool.retryAutomatically = False
+    pool.cachedConnectionTimeout = KEEP_IDLE_S
     web_agent: Any = WebAgent(
         reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool
     )
@@ -156,7 +162,9 @@
     on_headers: Callable[[Any], None] = attrs.field(
         default=lambda headers: None
     )
-    reader: sse.EventReader = attrs.field(factory=sse.EventReader)
+    reader: sse.EventReader = attrs.field(
+        factory=lambda: sse.EventReader(max_bytes=MAX_EVENT_BYTES)
+    )
     request: Deferred[Any] | None = None
     receiver: StreamReceiver | None = None
     is_over: bool = False
@@ -188,10 +196,14 @@
 
     async def refused(self, response: Any) -> None:
         """End the call with the failure in an error reply."""
+        reading = timing.with_timeout(
+            treq.content(response), defaults.PEER_TIMEOUT_S, reactor
+        )
         try:
-            content = await treq.content(response)
-        except (error.ConnectionClosed, PartialDownloadError):
-            content = b""
+            content = await reading
+        except Exception as problem:
+            # Whatever the error, the status shows that the call has failed.
+            content = repr(problem).encode()
         self.end(error_of(response.code, content))
 
     def failed(self, failure: TwistedFailure) -> None:
--- a/sequoiawind/http_ports.py
+++ b/sequoiawind/http_ports.py
@@ -19,8 +19,8 @@
     SECRET_HEADER,
 )
 from sequoiawind.options import Address
-from sequoiawind.ports import Call, LogPage, Sink
-from sequoiawind.verdict import Failure, Reason, may_have_run
+from sequoiawind.ports import LogPage, ResumableCall, Sink
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from sequoiawind.wire import (
     Attempt,
     Ended,
@@ -42,14 +42,20 @@
     client: HTTPClient
     secret: str
 
-    def open(self, address: str, attempt: Attempt, sink: Sink) -> Call:
+    def open(self, address: str, attempt: Attempt, sink: Sink) -> ResumableCall:
         """Open an attempt at the agent at an address."""
         call = AgentHttpCall(port=self, address=address, sink=sink)
         call.attempt_id = attempt.resume_of or attempt.attempt_id
+        body = wire.encode(attempt)
+        if len(body) > defaults.MAX_BODY_BYTES:
+            # The agent would close the connection, which proves nothing.
+            text = messages.ATTEMPT_TOO_LARGE
+            call.refused(not_run(Reason.BODY_TOO_LARGE, text))
+            return call
         call.stream = EventCall(
             client=self.client,
             url=f"http://{address}/attempts",
-            body=wire.encode(attempt),
+            body=body,
             headers={
                 SECRET_HEADER: self.secret,
                 "Content-Type": JSON_TYPE,
@@ -107,13 +113,17 @@
             self.is_ended = True
             self.sink.ended(ended)
 
+    def detach(self) -> None:
+        """Close the connection; the agent keeps the attempt for a resume."""
+        self.is_ended = True
+        if self.stream is not None:
+            self.stream.cancel()
+
     def cancel(self) -> None:
         """Cancel the attempt at the agent."""
         if self.is_ended:
             return
-        self.is_ended = True
-        if self.stream is not None:
-            self.stream.cancel()
+        self.detach()
         json_client = JsonClient(
             client=self.port.client, secret=self.port.secret
         )
--- a/sequoiawind/router_http.py
+++ b/sequoiawind/router_http.py
@@ -24,7 +24,8 @@
 from sequoiawind.plan import CallerRequest
 from sequoiawind.ports import Clock
 from sequoiawind.router import ActiveRequest, Router
-from sequoiawind.verdict import Failure, Reason, Verdict, not_run
+from sequoiawind.unsent_answers import UnsentAnswers
+from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run, not_run
 from sequoiawind.wire import Ended
 
 # Largest number of completion tokens that a caller may request.
@@ -71,13 +72,18 @@
         self.request.finish()
 
     def write_whole(self) -> None:
-        """Write the buffered chunks as one JSON reply."""
-        usage = openai_format.usage_of(self.chunks[-2])
+        """Write the buffered chunks as one JSON reply, if they are one."""
+        try:
+            body = openai_format.whole_answer(self.path, self.chunks)
+            usage = openai_format.usage_of(self.chunks[-2])
+        except openai_format.FormatError as error:
+            self.fail(may_have_run(Reason.TARGET_ERROR, str(error)))
+            return
         if usage is not None:
             cached = str(usage.cached_tokens)
             self.request.setHeader(http_server.CACHED_TOKENS_HEADER, cached)
         self.begin(http.OK, http_server.JSON_TYPE, Verdict.DONE)
-        self.request.write(openai_format.whole_answer(self.path, self.chunks))
+        self.request.write(body)
 
     def fail(self, failure: Failure) -> None:
         """Write an error: as the reply, or as the last event of a stream."""
@@ -126,6 +132,9 @@
     clock: Clock
     random: random.Random
     secret: str
+    unsent: UnsentAnswers
+    # Operators' statements that have no answer yet.
+    open_statements: int = 0
 
     def app(self) -> klein.Klein:
         """Return the application."""
@@ -234,6 +243,7 @@
         is_streamed: bool,
     ) -> Deferred[None] | bytes:
         """Submit a request to the router and write its answer."""
+        self.unsent.track(request)
         caller = Caller(
             request=request,
             request_id=caller_request.request_id,
@@ -264,13 +274,18 @@
             return self.refuse(request, failure)
 
         async def run() -> bytes:
-            result = await self.admin.run(text, operator)
+            self.open_statements += 1
+            try:
+                result = await self.admin.run(text, operator)
+            finally:
+                self.open_statements -= 1
             if result.is_ok():
                 return http_server.json_reply(request, wire.encode(result.ok))
             return http_server.json_reply(
                 request, wire.encode(result.error), result.error.status
             )
 
+        self.unsent.track(request)
         return Deferred.fromCoroutine(run())
 
     def refuse_without_secret(self, request: server.Request) -> bool:
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -41,6 +41,7 @@
 from sequoiawind.router import Router
 from sequoiawind.router_http import RouterHttp
 from sequoiawind.staged_close import StagedCloser
+from sequoiawind.unsent_answers import UnsentAnswers
 from sequoiawind.verdict import Failure, Reason
 from sequoiawind.wire import Ended
 
@@ -64,6 +65,7 @@
     follower: ConfigFollower = attrs.field(init=False)
     # Closes the callers' connections.
     closer: StagedCloser = attrs.field(init=False)
+    http: RouterHttp = attrs.field(init=False)
     # The listening port; None before `listen`.
     port: Any = None
 
@@ -89,6 +91,7 @@
             options=self.options.closing,
             on_bound=metrics.count_bound(self.metrics.closes_at_bound),
         )
+        self.http = self.make_http()
 
     def make_claimant(self) -> Claimant:
         """Return the controller that claims idempotency keys."""
@@ -157,12 +160,13 @@
             clock=event_loop.reactor,
             random=self.random,
             secret=self.options.peers.secret,
+            unsent=UnsentAnswers(clock=event_loop.reactor),
         )
 
     def listen(self) -> None:
         """Open the listening port."""
         self.port = http_server.listen(
-            self.make_http().app(),
+            self.http.app(),
             self.options.router.listen,
             on_refusal=self.count_refused_body,
             closer=self.closer,
@@ -212,11 +216,13 @@
         )
 
     def is_idle(self) -> bool:
-        """Whether no request, close or claim record is in progress."""
+        """Whether nothing is in progress and all answers have left."""
         return (
             self.router.open_requests == 0
             and self.claimant.pending == 0
             and self.closer.is_idle
+            and self.http.open_statements == 0
+            and self.http.unsent.is_empty
         )
 
     def stop_listening(self) -> None:
