--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -1,19 +1,22 @@
 """Mutants of the forwarding: one mechanism broken at a time."""
 
-from collections.abc import Callable
 from typing import Any, Final
 
+from expression import Result
+
 from sequoiawind import forwarder, prompt_cache, retries, rollout, target_choice
 from sequoiawind.crash_registry import CrashRegistry
-from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.fleet import Fleet
 from sequoiawind.forward_attempt import ForwardAttempt
-from sequoiawind.forward_plan import Planner
+from sequoiawind.forward_plan import ForwardPlan, Planner
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.lab import forward_soak
 from sequoiawind.lab.mutants import Mutant
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.request_execution import RequestExecution
+from sequoiawind.request_signature import RequestSignature
 from sequoiawind.rollout import NamedVersion
+from sequoiawind.silent_attempts import SilentAttempts
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.verdict import Failure, Reason, may_have_run
 
@@ -77,52 +80,21 @@
     self.forwarding.continue_at(self.destination, self)
 
 
-def give_up_silent_run(self: Forwarding, attempt: ForwardAttempt) -> None:
+def give_up_silent_run(self: SilentAttempts, attempt: ForwardAttempt) -> None:
     """Give a silent run up before another target has taken the stream up."""
-    if attempt.is_over or not self.may_send_elsewhere():
+    forwarding = self.forwarding
+    if attempt.is_over or not forwarding.may_send_elsewhere():
         return
     attempt.cancel()
-    self.attempt_failed(attempt, may_have_run(Reason.CHUNK_TIMEOUT))
-
-
-def apply_newest_config(
-    self: Forwarding, original: Callable[..., bool] = Forwarding.replan
-) -> bool:
-    """Apply the newest configuration to a request that was accepted before."""
-    if not original(self):
-        return False
-    planned = self.forwarder.planner.plan(self.plan.request)
-    if planned.is_error():
-        self.give_up(planned.error)
-        return False
-    self.plan = planned.ok
-    return True
-
-
-def refuse_parts_only(
-    self: CrashRegistry,
-    request: Any,
-    original: Callable[..., Failure | None] = CrashRegistry.refusal,
-) -> Failure | None:
-    """Keep requests from targets for shared parts of their prompts alone."""
-    prompt = request.prompt
-    if prompt is None or not prompt.shared_parts:
-        return None
-    return original(self, request)
-
-
-def report_parts_only(
-    self: CrashRegistry,
-    view: TargetView,
-    request: Any,
-    first_event_s: float,
-    failure: Failure,
-    original: Callable[..., None] = CrashRegistry.attempt_broken,
-) -> None:
-    """Report crashes only under requests whose prompts share parts."""
-    prompt = request.prompt
-    if prompt is not None and prompt.shared_parts:
-        original(self, view, request, first_event_s, failure)
+    failure = may_have_run(Reason.CHUNK_TIMEOUT)
+    forwarding.attempt_failed(attempt, failure)
+
+
+def plan_anew(
+    self: Planner, plan: ForwardPlan, has_begun: bool
+) -> Result[ForwardPlan, Failure]:
+    """Plan an accepted request as if it had just arrived."""
+    return self.plan(plan.request)
 
 
 MUTANTS: Final = tuple(
@@ -206,17 +178,29 @@
             "refusal",
             lambda self, prompt: None,
         ),
+        (
+            "whole requests that crash targets are sent on",
+            RequestSignature,
+            "names",
+            property(lambda self: self.parts),
+        ),
         (
             "silent runs are given up",
-            Forwarding,
+            SilentAttempts,
             "handle_silence",
             give_up_silent_run,
         ),
         (
-            "accepted requests are planned again",
+            "accepted requests are planned anew",
+            Planner,
+            "renew",
+            plan_anew,
+        ),
+        (
+            "runs are moved without a permission to resume them",
             Forwarding,
-            "replan",
-            apply_newest_config,
+            "hold_repeat",
+            lambda self: True,
         ),
         (
             "limits that targets state are not read",
