Let a begun stream wait until its deadline for what it needs

What callers saw: a stream whose target broke off, or refused a moved run, was cut although it had time left.

Cause: a request waits for a target for 0.3 of its time, and is refused when keys may not be trusted, so that its caller can return early. A caller that has a part of the answer gains nothing from an early end.

Change: a stream that has begun waits until its deadline for a target, and for a confirmed configuration. It still ends at once if no target of its version is left, or its key is gone. No run is moved while keys are not trusted.

Evidence: the four tests of BegunAnswerTest failed before and pass.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -186,11 +186,15 @@
     def replan(self) -> bool:
         """Update the plan; return whether the request may be sent.
 
-        If not, it has been refused.
+        If not, it has been refused, or waits for a newer configuration.
         """
         refused = self.update_plan()
         if refused is None:
             return True
+        if self.has_head and refused.reason is Reason.CONFIG_STALE:
+            # The caller has a part of the answer; the store may answer soon.
+            self.forwarder.wait(self)
+            return False
         self.note.not_retried = refused.reason.value
         self.give_up(refused)
         return False
@@ -227,6 +231,9 @@
             self.waiting_since_s = now_s
         waited_s = now_s - self.waiting_since_s
         limit_s = WAIT_SHARE * (self.plan.ends_s - self.plan.request.arrived_s)
+        if self.has_head:
+            # Ending the answer is no better for its caller than the deadline.
+            limit_s = float("inf")
         room_in_s = self.forwarder.room_in_s(self)
         if room_in_s is not None and waited_s + room_in_s > limit_s:
             self.stop(
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -158,6 +158,8 @@
         return
     if attempt.view.notice.paused_until_s > forwarding.now_s:
         return
+    if forwarding.update_plan() is not None:
+        return
     destination = forwarding.forwarder.move_destination(
         forwarding, attempt.chosen
     )
--- a/tests/test_accepted_requests.py
+++ b/tests/test_accepted_requests.py
@@ -8,7 +8,7 @@
 from sequoiawind.stream_move import move_away
 from sequoiawind.tokens import token_digest
 from sequoiawind.verdict import Reason, Verdict, may_have_run, not_run
-from tests.forward_rig import KINDS, ForwardRig, state, target
+from tests.forward_rig import KINDS, FakeCaller, ForwardRig, state, target
 
 BUSY = not_run(Reason.TARGET_BUSY, "busy")
 LOST = may_have_run(Reason.CONNECTION_LOST, "lost")
@@ -153,10 +153,68 @@
         self.assertEqual(Verdict.NOT_RUN, caller.failure.verdict)
 
 
+class BegunAnswerTest(TestCase):
+    """A stream that has begun waits for what it needs until its deadline."""
+
+    def begun(self, router: ForwardRig) -> FakeCaller:
+        """Return the caller of a stream whose target has just broken off."""
+        caller = router.submit("draft", deadline_s=20.0)
+        router.port.sent[0].begin(200, event(1))
+        return caller
+
+    def test_it_waits_until_keys_may_be_trusted_again(self) -> None:
+        router = rig()
+        caller = self.begun(router)
+        # The store does not answer for a while.
+        router.clock.advance(4.5)
+        router.port.sent[0].sink.failed(LOST)
+        self.assertFalse(caller.is_broken)
+        self.assertEqual(1, len(router.port.sent))
+        router.advance(0.2)
+        router.port.sent[1].answer(200, event(2))
+        self.assertEqual(event(1) + event(2), caller.body)
+        self.assertTrue(caller.is_ended)
+
+    def test_it_waits_for_a_target_that_is_busy_for_long(self) -> None:
+        router = rig()
+        caller = self.begun(router)
+        now_s = router.clock.seconds()
+        for view in router.fleet.views.values():
+            router.fleet.record_notice(view, False, 3.0, now_s)
+        router.port.sent[0].sink.failed(LOST)
+        router.advance(2.5)
+        self.assertFalse(caller.is_broken)
+        router.advance(1.0)
+        router.port.sent[1].answer(200, event(2))
+        self.assertEqual(event(1) + event(2), caller.body)
+
+    def test_it_ends_at_its_deadline(self) -> None:
+        router = rig()
+        caller = self.begun(router)
+        now_s = router.clock.seconds()
+        for view in router.fleet.views.values():
+            router.fleet.record_notice(view, False, 60.0, now_s)
+        router.port.sent[0].sink.failed(LOST)
+        router.advance(4.5)
+        self.assertFalse(caller.is_broken)
+        router.advance(0.6)
+        self.assertTrue(caller.is_broken)
+        self.assertEqual(0, router.forwarder.open_requests)
+
+    def test_run_is_not_moved_while_keys_are_not_trusted(self) -> None:
+        router = MoveTest.moving(3)
+        self.begun(router)
+        router.clock.advance(4.5)
+        (forwarding,) = router.forwarder.open
+        move_away(forwarding)
+        self.assertEqual([], router.port.moves)
+
+
 class MoveTest(TestCase):
     """A run is moved only if another target may take it up afterwards."""
 
-    def moving(self, engines: int = 3) -> ForwardRig:
+    @staticmethod
+    def moving(engines: int = 3) -> ForwardRig:
         """Return a router before engines that can move runs."""
         router = ForwardRig()
         router.add(*(target(f"e{number}", "llm") for number in range(engines)))
