--- a/sequoiawind/lab/forward_faults.py
+++ b/sequoiawind/lab/forward_faults.py
@@ -161,8 +161,9 @@
             return
         for forwarding in list(router.forwarder.open):
             # The connections of a killed router break, which stops its runs.
-            if forwarding.current is not None and forwarding.current.call:
-                forwarding.current.call.cancel()
+            for attempt in (forwarding.current, *forwarding.silence.kept):
+                if attempt is not None and attempt.call is not None:
+                    attempt.call.cancel()
         router.node.kill()
         self.disturb(RESTART_S)
 
