Keep the kind of a request that a target has got

Cause: a renewed plan took over the whole kind of a newer configuration if that kind may not be repeated. A stream in progress whose path became a call was collected as a body, and cut at its end; a request that never repeats got a shorter time. Change: of the newer kind only the ban on repeats counts.

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -121,7 +121,7 @@
     ) -> Result[ForwardPlan, Failure]:
         """Return the plan of a request that a target has got, or a refusal.
 
-        The request was accepted, so it keeps its time, its repeats and, if its
+        The request was accepted, so it keeps its kind and, if its
         route or pool has gone since, these too.  Its key must still be good,
         and it may not be repeated if a newer configuration forbids that.
 
@@ -137,7 +137,9 @@
             revision = self.board.state.revision
             return Ok(attrs.evolve(plan, revision=revision))
         new = planned.ok
-        kind = plan.kind if new.kind.may_repeat else new.kind
+        kind = plan.kind
+        if not new.kind.may_repeat:
+            kind = attrs.evolve(kind, repeat="never", is_resumable=False)
         pool = plan.pool if has_begun else new.pool
         return Ok(attrs.evolve(new, kind=kind, pool=pool))
 
