Keep a stream in the pool of the attempt that began it

Cause: a silent request without an event was planned anew, and its route's new pool stayed in the plan when the first target began all the same. If that broke off, the stream was looked for a target in the wrong pool and cut. Change: an attempt holds its pool, and a stream that begins takes it over. test_pool_of_a_stream_that_begins_after_its_silence failed before.

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -12,6 +12,7 @@
 from sequoiawind.event_stream import EventSplitter
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_ports import AnswerHead
+from sequoiawind.forward_state import ForwardPool
 from sequoiawind.headers import Framing
 from sequoiawind.request_execution import OpenAttempt
 from sequoiawind.stream_move import StreamMove
@@ -28,6 +29,8 @@
 
     forwarding: "Forwarding"
     chosen: Chosen
+    # The pool of the request's plan when the attempt began.
+    pool: ForwardPool
     answer: AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -287,7 +287,10 @@
         self.sent_to.append(target.name)
         self.note.targets_tried.append(target.name)
         attempt = ForwardAttempt(
-            clock=self.clock, forwarding=self, chosen=chosen
+            clock=self.clock,
+            forwarding=self,
+            chosen=chosen,
+            pool=self.plan.pool,
         )
         self.current = attempt
         chosen.view.count_request(self.now_s)
@@ -349,6 +352,7 @@
 
     def stream_began(self, attempt: ForwardAttempt) -> None:
         """Note the origin of a stream, for callers that take it up again."""
+        self.plan = attrs.evolve(self.plan, pool=attempt.pool)
         if self.origin is None:
             self.origin = StreamOrigin.of(attempt.view.target)
         if self.plan.kind.may_repeat:
