Keep the repeat of a run that a failed move may have stopped

Cause: the repeat that was counted in advance was given back at the next event, also if the move may have stopped the run; its stream then ended without a permission to resume it. Found by the review. Change: it is kept until the end. test_permission_kept_while_the_run_may_be_stopped failed before.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -337,7 +337,8 @@
         self.silence.heard(attempt)
         if attempt.move is None:
             self.silence.expect_event(attempt)
-            self.attempts.release(self.now_s)
+            if not attempt.may_be_stopped:
+                self.attempts.release(self.now_s)
         if self.note.first_chunk_s < 0.0:
             self.stream_began(attempt)
         if event_id is not None:
