Let an answer without an event end no stream beside a kept attempt

Cause: a successor whose answer ended without an event counted as the end of the resumed stream, and the kept attempt, which was to go on, was cancelled; the caller got a part of the answer as a complete one. Found by the review. Change: while another attempt is open, such an answer counts as failed. test_empty_end_of_successor_is_no_end_of_the_stream failed before.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -378,7 +378,7 @@
         is_fault = answer.status >= 500
         signature = self.signature if attempt.has_written else None
         self.forwarder.outcome(name, is_fault, signature)
-        is_unfit = is_fault or (self.has_head and not attempt.is_streaming)
+        is_unfit = is_fault or (self.has_head and not attempt.has_event)
         if is_unfit and self.silence.lost(attempt):
             return
         self.silence.heard(attempt)
