Ask for the plan in force before a call is repeated after an error

Cause: after an error status a call was sent to another target by the plan it had, though a newer configuration forbids its repeat or its key has gone; a broken connection did ask. Found by the review. Change: the plan is renewed, and the caller gets the error if the call may not be sent. test_what_must_no_longer_repeat_after_an_error_answer failed before.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -404,6 +404,8 @@
           gets the error answer unchanged.
         """
         self.attempts.use()
+        if self.update_plan() is not None or not self.may_send_elsewhere():
+            return False
         chosen = self.forwarder.choose(self)
         if chosen is None or not self.reserve_attempt():
             return False
