Count one repeat for a silence whose other target is not reached

Cause: each look for another target used up the reservation that an unreached one had left, and recorded another failure of the silent target, so a VM that had gone ate the bound on repeats. Change: an attempt's own send is used up once, and its silence counts once. test_connect_failures_cost_one_repeat failed before (three in place of one).

--- a/sequoiawind/silent_attempts.py
+++ b/sequoiawind/silent_attempts.py
@@ -42,6 +42,8 @@
     kept: "list[ForwardAttempt]" = attrs.field(factory=list)
     # The attempt whose silence has been reported, until it is heard from.
     reported: "ForwardAttempt | None" = None
+    # The attempt whose silence counts against its target.
+    counted: "ForwardAttempt | None" = None
 
     def expect_first(self, attempt: "ForwardAttempt") -> None:
         """Start the timeout for the first event or answer, if repeatable."""
@@ -76,20 +78,27 @@
         if not forwarding.may_send_elsewhere():
             return
         failure = may_have_run(Reason.CHUNK_TIMEOUT, messages.CHUNK_TIMEOUT)
-        chosen, outcome = self.find_other()
+        chosen, outcome = self.find_other(attempt)
         self.report(attempt, outcome)
         if chosen is None:
             self.start_timeout(attempt, RECHECK_S)
             return
         forwarding.last_failure = failure
         forwarding.record_verdict(failure)
-        forwarding.forwarder.attempt_failed(forwarding, attempt, failure)
+        if attempt is not self.counted:
+            self.counted = attempt
+            forwarding.forwarder.attempt_failed(forwarding, attempt, failure)
         self.kept.append(attempt)
         forwarding.send(chosen)
 
-    def find_other(self) -> tuple[Chosen | None, str]:
+    def find_other(
+        self, attempt: "ForwardAttempt"
+    ) -> tuple[Chosen | None, str]:
         """Choose another target, and count the repeat.
 
+        Args:
+          attempt: The silent attempt.
+
         Returns:
           The target, or None; and, for the log, what becomes of the request.
         """
@@ -102,7 +111,9 @@
         chosen = forwarding.forwarder.choose(forwarding)
         if chosen is None:
             return None, Reason.NO_TARGET.value
-        forwarding.attempts.use()
+        if attempt is not self.counted:
+            # Its own send; a repeat that reached no target is still there.
+            forwarding.attempts.use()
         if not forwarding.reserve_attempt():
             return None, Reason.RETRY_BUDGET.value
         return chosen, "asked_elsewhere"
