--- a/sequoiawind/staged_close.py
+++ b/sequoiawind/staged_close.py
@@ -44,8 +44,13 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the process may end without waiting for a close."""
-        return not any(item.holds_stop for item in self.connections)
+        """Whether the process may end without waiting for a close.
+
+        All answers must have been sent, or have been waited for.
+        """
+        return not any(
+            item.holds_stop or not item.is_sent for item in self.connections
+        )
 
     def close(self, transport: Any, *, holds_stop: bool = True) -> None:
         """Close a connection once what was written to it has been sent.
