Answer a request that meets a fault of ours as it starts

Cause: an exception while a whole request was started, for example by an entry whose address cannot be used, ended its connection without an answer.

Left: exceptions in later callbacks; a request then ends at its deadline.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -193,6 +193,7 @@
             on_move=notes.note_move,
             on_retry=notes.count_retry,
             on_silence=notes.note_silence,
+            on_fault=notes.note_fault,
             on_refusal=notes.note_refusal,
             on_notice=notes.note_notice,
             on_attempt_failed=notes.note_attempt_failed,
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -26,7 +26,6 @@
 from sequoiawind.home_order import HomeOrder
 from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.ports import Clock, Timer
-from sequoiawind.prompt_cache import Prompt
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.request_signature import RequestSignature
 from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
@@ -38,18 +37,16 @@
     Chosen,
     PromptChooser,
     choose_call,
+    is_long_run,
 )
 from sequoiawind.target_limit import DemandMeter, TargetLimit
-from sequoiawind.verdict import Failure, Reason, Verdict
+from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run
 
 Logger = structlog.typing.FilteringBoundLogger
 
 # Interval at which waiting requests look for a target if no event makes them
 # look earlier, in seconds.
 WAITING_TICK_S: Final = 0.05
-# Longest answer of a run that a target still accepts while it winds down to
-# load weights, in tokens: engines generate about as many in that time.
-SHORT_RUN_TOKENS: Final = 64
 # Weight of a prompt in the moving average of tokens to prefill: covers about
 # the last 30 prompts.
 PREFILL_AVERAGE_WEIGHT: Final = 0.03
@@ -96,6 +93,10 @@
     on_end: Callable[[Forwarding, Failure | None], None] = attrs.field(
         default=lambda forwarding, failure: None
     )
+    # Called with a fault of ours that has ended a request.
+    on_fault: Callable[[Forwarding, Exception], None] = attrs.field(
+        default=lambda forwarding, fault: None
+    )
     on_retry: Callable[[Reason], None] = attrs.field(
         default=lambda reason: None
     )
@@ -154,7 +155,12 @@
         )
         self.open[forwarding] = None
         self.board.note_request(forwarding.note)
-        forwarding.start()
+        try:
+            forwarding.start()
+        except Exception as fault:
+            # The caller would lose its connection without an answer.
+            self.on_fault(forwarding, fault)
+            forwarding.give_up(may_have_run(Reason.INTERNAL_ERROR))
         return forwarding
 
     @property
@@ -487,8 +493,3 @@
     is_long = prompt is not None and is_long_run(prompt)
     origin = forwarding.origin
     return (plan.pool.name, model, is_long, origin, *forwarding.sent_to)
-
-
-def is_long_run(prompt: Prompt) -> bool:
-    """Whether a prompt's answer is likely to take long to generate."""
-    return prompt.likely_tokens > SHORT_RUN_TOKENS
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -1,5 +1,6 @@
 """Counts and logs what a forwarding router decides about requests."""
 
+import traceback
 from typing import Final
 
 import attrs
@@ -58,6 +59,14 @@
             config_age_s=round(min(self.freshness.age_s, 1e6), 3),
         )
 
+    def note_fault(self, forwarding: Forwarding, fault: Exception) -> None:
+        """Log a fault of ours that has ended a request."""
+        self.log.error(
+            "request failed by a fault",
+            request_id=forwarding.note.request_id,
+            traceback="".join(traceback.format_exception(fault, limit=-4)),
+        )
+
     def note_silence(
         self, forwarding: Forwarding, attempt: ForwardAttempt, outcome: str
     ) -> None:
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -58,6 +58,9 @@
 # Cost of a call to a plain service whose recent calls have all failed, in open
 # requests per slot.
 FAILING_COST: Final = 8.0
+# Longest answer of a run that a target still accepts while it winds down to
+# load weights, in tokens: engines generate about as many in that time.
+SHORT_RUN_TOKENS: Final = 64
 
 
 @attrs.frozen(kw_only=True)
@@ -415,3 +418,8 @@
         )
 
     return Chosen(view=min(ready, key=cost))
+
+
+def is_long_run(prompt: Prompt) -> bool:
+    """Whether a prompt's answer is likely to take long to generate."""
+    return prompt.likely_tokens > SHORT_RUN_TOKENS
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -7,7 +7,7 @@
 from twisted.internet.testing import StringTransport
 
 from sequoiawind.crash_evidence import Suspect
-from sequoiawind.forward_ports import AnswerHead
+from sequoiawind.forward_ports import AnswerHead, ForwardSink, SendOrder
 from sequoiawind.forward_state import (
     ForwardAccount,
     ForwardPool,
@@ -20,7 +20,14 @@
 from sequoiawind.stream_move import move_away
 from sequoiawind.tokens import token_digest
 from sequoiawind.verdict import Reason, Verdict, may_have_run, not_run
-from tests.forward_rig import KINDS, ForwardRig, state, target
+from tests.forward_rig import (
+    KINDS,
+    FakeCall,
+    FakePort,
+    ForwardRig,
+    state,
+    target,
+)
 
 OTHER_ACCOUNTS = {
     "b/0": ForwardAccount(name="b", token_digest=token_digest("key-of-b"))
@@ -30,6 +37,14 @@
 UNREACHED = not_run(Reason.CONNECT_FAILED, "refused")
 
 
+class FailingPort(FakePort):
+    """A port with a fault."""
+
+    def send(self, order: SendOrder, sink: ForwardSink) -> FakeCall:
+        """Raise an exception."""
+        raise ValueError("a fault")
+
+
 class UnsentTransport(StringTransport):
     """A transport whose peer reads nothing."""
 
@@ -302,10 +317,7 @@
     def test_whole_request_that_meets_a_fault_of_ours_is_answered(self) -> None:
         rig = rig_with()
 
-        def fail(order: object, sink: object) -> None:
-            raise ValueError("a fault")
-
-        rig.port.send = fail  # type: ignore[method-assign, assignment]
+        rig.forwarder.port = FailingPort()
         caller = rig.submit("read")
         assert caller.failure is not None
         self.assertEqual(Reason.INTERNAL_ERROR, caller.failure.reason)
