Ask no other target for a silent request under which targets crash

Cause: a request with two crashes against it is not repeated when its target breaks off, and was when its target fell silent. Change: it stays where it is. test_silent_stream_whose_prompt_is_doubtful_is_not_sent_on failed before.

--- a/sequoiawind/silent_attempts.py
+++ b/sequoiawind/silent_attempts.py
@@ -108,6 +108,8 @@
             return None, refused.reason.value
         if not forwarding.may_send_elsewhere():
             return None, Reason.MAX_TARGETS.value
+        if not forwarding.forwarder.crashes.may_repeat(forwarding.signature):
+            return None, Reason.BLOCKED_REQUEST.value
         chosen = forwarding.forwarder.choose(forwarding)
         if chosen is None:
             return None, Reason.NO_TARGET.value
