Tests that guard what a silent request may not do

The tests now assert that nothing is sent elsewhere against a bound, a ban or without a key, that a target which goes on is used again, and the verdict of two refusals after a silence.

--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -8,7 +8,13 @@
 
 from sequoiawind.forward_state import ForwardAccount, ForwardPool, ForwardRoute
 from sequoiawind.tokens import token_digest
-from sequoiawind.verdict import Reason, Verdict, may_have_run, not_run
+from sequoiawind.verdict import (
+    Reason,
+    Verdict,
+    forwarded_status,
+    may_have_run,
+    not_run,
+)
 from tests.forward_rig import KINDS, FakeCaller, ForwardRig, state, target
 
 BUSY = not_run(Reason.TARGET_BUSY, "busy")
@@ -116,6 +122,15 @@
     rig.configure(state(revision=2, accounts=OTHER_ACCOUNTS))
 
 
+def forbid_repeats(rig: ForwardRig) -> None:
+    """Apply a configuration under which nothing may be repeated."""
+    kinds = {
+        name: attrs.evolve(kind, repeat="never", is_resumable=False)
+        for name, kind in KINDS.items()
+    }
+    rig.configure(state(revision=2, kinds=kinds))
+
+
 # What keeps other targets from continuing a request.
 OBSTACLES: list[Callable[[ForwardRig], None]] = [
     use_up_repeats,
@@ -127,6 +142,17 @@
     allow_one_target,
     shorten_time,
     revoke_keys,
+    forbid_repeats,
+]
+
+
+# Of these, the ones under which no other target may get the request at all.
+FORBIDDING: list[Callable[[ForwardRig], None]] = [
+    use_up_repeats,
+    remove_others,
+    stop_others,
+    revoke_keys,
+    forbid_repeats,
 ]
 
 
@@ -158,6 +184,44 @@
             rig.port.sent[0].sink.done()
             self.check_whole(caller, name)
 
+    def test_nothing_is_sent_elsewhere_against_a_bound_or_a_ban(self) -> None:
+        for obstacle in FORBIDDING:
+            rig = rig_with()
+            self.submit(rig)
+            obstacle(rig)
+            rig.advance(LONG_SILENCE_S)
+            self.assertEqual(1, len(rig.port.sent), obstacle.__name__)
+            rig = rig_with()
+            rig.submit("read")
+            obstacle(rig)
+            rig.advance(4.5)
+            self.assertEqual(1, len(rig.port.sent), obstacle.__name__)
+
+    def test_target_that_goes_on_gets_requests_again(self) -> None:
+        rig = rig_with(engines=3)
+        for _ in range(3):
+            rig.submit("draft")
+        used = rig.port.sent[0].order.target.name
+        silent = [
+            sent for sent in rig.port.sent if sent.order.target.name == used
+        ]
+        for sent in silent:
+            sent.begin(200, event(1))
+        health = rig.fleet.members.health_of(used)
+        rig.fleet.record_failure(used, rig.clock.seconds(), is_certain=True)
+        rig.advance(SILENCE_S)
+        silent[0].sink.data(event(2))
+        self.assertEqual(0.0, health.ejected_until_s)
+
+    def test_refused_elsewhere_may_still_have_run(self) -> None:
+        rig = rig_with()
+        caller = rig.submit("read")
+        rig.advance(2.2)
+        rig.port.sent[0].answer(503, refusal=BUSY)
+        rig.port.sent[1].answer(503, refusal=BUSY)
+        assert caller.failure is not None
+        self.assertEqual(502, forwarded_status(caller.failure))
+
     def test_goes_on_if_the_other_target_fails(self) -> None:
         def refuse(sent: Any) -> None:
             sent.answer(503, refusal=BUSY)
