Move waiting requests and their refusal out of the forwarder

The queue of waiting requests becomes a module, and the decision to give up waiting a pure function in sequoiawind/load.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -407,7 +407,7 @@
         self.check_prepared()
         self.watcher.follow()
         self.forwarder.forget_targets()
-        self.forwarder.serve_waiting()
+        self.forwarder.waiting.serve()
 
     def apply_bounds(self, bounds: BoundsOptions) -> None:
         """Apply changed bounds to the components."""
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -25,7 +25,7 @@
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.home_order import HomeOrder
 from sequoiawind.origin_registry import OriginRegistry
-from sequoiawind.ports import Clock, Timer
+from sequoiawind.ports import Clock
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.request_signature import RequestSignature
 from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
@@ -41,12 +41,10 @@
 )
 from sequoiawind.target_limit import DemandMeter, TargetLimit
 from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run
+from sequoiawind.waiting_requests import WaitingRequests
 
 Logger = structlog.typing.FilteringBoundLogger
 
-# Interval at which waiting requests look for a target if no event makes them
-# look earlier, in seconds.
-WAITING_TICK_S: Final = 0.05
 # Weight of a prompt in the moving average of tokens to prefill: covers about
 # the last 30 prompts.
 PREFILL_AVERAGE_WEIGHT: Final = 0.03
@@ -76,8 +74,7 @@
     # By pool.
     homes: dict[str, HomeOrder] = attrs.field(factory=dict)
     spare: SpareLists = attrs.field(init=False)
-    waiting: list[Forwarding] = attrs.field(factory=list)
-    waiting_timer: Timer | None = None
+    waiting: WaitingRequests = attrs.field(init=False)
     # Requests that have not ended, in the order of arrival, so that a seeded
     # soak repeats.
     open: dict[Forwarding, None] = attrs.field(factory=dict)
@@ -120,6 +117,7 @@
         """Let the watcher of caches respect what targets have stated."""
         self.caches.is_paused = self.is_paused
         self.spare = SpareLists(fleet=self.fleet)
+        self.waiting = WaitingRequests(clock=self.clock)
 
     def is_paused(self, name: str) -> bool:
         """Whether a target wants no calls beside requests from this VM now."""
@@ -335,7 +333,7 @@
             limits.append(view.notice.limit)
         if not limits:
             return None
-        ahead = sum(item.plan.pool.name == pool for item in self.waiting)
+        ahead = self.waiting.count(pool)
         per_s = sum(1.0 / limit.interval_s for limit in limits)
         first_s = min(limit.room_in_s(now_s) for limit in limits)
         return first_s + ahead / per_s
@@ -440,36 +438,8 @@
                 attempt = forwarding.current
                 if attempt is not None and attempt.view is view:
                     move_away(forwarding)
-        if self.waiting and view.takes_work(now_s):
-            self.serve_waiting()
-
-    # Waiting.
-
-    def wait(self, forwarding: Forwarding) -> None:
-        """Queue a request until a target is ready."""
-        self.waiting.append(forwarding)
-        if self.waiting_timer is None or not self.waiting_timer.active():
-            self.waiting_timer = self.clock.callLater(
-                WAITING_TICK_S, self.serve_waiting
-            )
-
-    def serve_waiting(self) -> None:
-        """Retry waiting requests, the most urgent ones first.
-
-        Once no target was ready for a request, the others that may go to the
-        same targets only check whether they may go on waiting.
-        """
-        waiting, self.waiting = self.waiting, []
-        waiting.sort(key=lambda item: (item.plan.priority, item.plan.ends_s))
-        without_target: set[tuple[object, ...]] = set()
-        for forwarding in waiting:
-            key = choice_key(forwarding)
-            if key in without_target:
-                forwarding.wait_longer()
-                continue
-            forwarding.next_target()
-            if self.waiting and self.waiting[-1] is forwarding:
-                without_target.add(key)
+        if self.waiting.items and view.takes_work(now_s):
+            self.waiting.serve()
 
     def finished(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Record the end of a request."""
@@ -483,13 +453,3 @@
             note.verdict = failure.verdict.value
             note.reason = failure.reason.value
         self.on_end(forwarding, failure)
-
-
-def choice_key(forwarding: Forwarding) -> tuple[object, ...]:
-    """Return what determines the targets that may take a request."""
-    plan = forwarding.plan
-    prompt = plan.request.prompt
-    model = prompt.model if prompt is not None else ""
-    is_long = prompt is not None and is_long_run(prompt)
-    origin = forwarding.origin
-    return (plan.pool.name, model, is_long, origin, *forwarding.sent_to)
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -22,6 +22,7 @@
     SendOrder,
 )
 from sequoiawind.forward_state import ForwardPool
+from sequoiawind.load import waiting
 from sequoiawind.repeat_window import AttemptCount
 from sequoiawind.request_execution import RequestExecution
 from sequoiawind.request_signature import RequestSignature
@@ -40,13 +41,8 @@
 if TYPE_CHECKING:
     from sequoiawind.forwarder import Forwarder
 
-# Share of its time limit for which a request waits for a target to be ready.
-WAIT_SHARE: Final = 0.3
 # Minimum deadline sent to a target, in seconds.
 MIN_DEADLINE_S: Final = 0.005
-# Retry-after of a refusal because no target is available, in seconds: about
-# the time for which a target sheds load, loads weights or restarts.
-BUSY_RETRY_AFTER_S: Final = 0.4
 
 # Value of `RequestNote.not_retried` for a request that may have run.
 NOT_REPEATABLE: Final = "not_repeatable"
@@ -193,7 +189,7 @@
             return True
         if self.has_head and refused.reason is Reason.CONFIG_STALE:
             # The caller has a part of the answer; the store may answer soon.
-            self.forwarder.wait(self)
+            self.forwarder.waiting.add(self)
             return False
         self.note.not_retried = refused.reason.value
         self.give_up(refused)
@@ -229,28 +225,20 @@
         now_s = self.now_s
         if self.waiting_since_s is None:
             self.waiting_since_s = now_s
-        waited_s = now_s - self.waiting_since_s
-        limit_s = WAIT_SHARE * (self.plan.ends_s - self.plan.request.arrived_s)
-        if self.has_head:
-            # Ending the answer is no better for its caller than the deadline.
-            limit_s = float("inf")
-        room_in_s = self.forwarder.room_in_s(self)
-        if room_in_s is not None and waited_s + room_in_s > limit_s:
-            self.stop(
-                not_run(Reason.TARGET_LIMIT, messages.TARGET_LIMIT, room_in_s)
-            )
-            return
-        has_targets = self.forwarder.has_targets(self)
-        if waited_s >= limit_s or not has_targets:
-            self.stop(
-                not_run(
-                    Reason.NO_TARGET,
-                    messages.ORIGIN_GONE if self.origin else messages.NO_TARGET,
-                    BUSY_RETRY_AFTER_S,
-                )
+        refused = waiting.refusal(
+            waiting.WaitState(
+                waited_s=now_s - self.waiting_since_s,
+                time_limit_s=self.plan.ends_s - self.plan.request.arrived_s,
+                has_answer_begun=self.has_head,
+                is_resumed_stream=self.origin is not None,
+                room_in_s=self.forwarder.room_in_s(self),
+                has_targets=self.forwarder.has_targets(self),
             )
+        )
+        if refused is not None:
+            self.stop(refused)
             return
-        self.forwarder.wait(self)
+        self.forwarder.waiting.add(self)
 
     def wait_longer(self) -> None:
         """Go on waiting without a new choice, if the request still may."""
@@ -464,7 +452,9 @@
             return
         failure = self.with_overall_verdict(failure)
         if failure.verdict is Verdict.NOT_RUN and not failure.retry_after_s:
-            failure = attrs.evolve(failure, retry_after_s=BUSY_RETRY_AFTER_S)
+            failure = attrs.evolve(
+                failure, retry_after_s=waiting.BUSY_RETRY_AFTER_S
+            )
         if self.has_head:
             self.caller.abort_answer()
             self.forwarder.origins.broken(self.stream_id)
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -226,7 +226,7 @@
 
         def changed() -> None:
             watcher.follow()
-            forwarder.serve_waiting()
+            forwarder.waiting.serve()
 
         targets = TargetReader(
             fleet=fleet,
--- /dev/null
+++ b/sequoiawind/waiting_requests.py
@@ -0,0 +1,62 @@
+"""The requests of one router that wait for a target."""
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from sequoiawind.ports import Clock, Timer
+from sequoiawind.target_choice import is_long_run
+
+if TYPE_CHECKING:
+    from sequoiawind.forwarding import Forwarding
+
+# Interval at which waiting requests look for a target if no event makes them
+# look earlier, in seconds.
+WAITING_TICK_S: Final = 0.05
+
+
+@attrs.define(kw_only=True, eq=False)
+class WaitingRequests:
+    """Requests that wait, served in the order of urgency."""
+
+    clock: Clock
+    items: "list[Forwarding]" = attrs.field(factory=list)
+    timer: Timer | None = None
+
+    def add(self, forwarding: "Forwarding") -> None:
+        """Queue a request until a target is ready."""
+        self.items.append(forwarding)
+        if self.timer is None or not self.timer.active():
+            self.timer = self.clock.callLater(WAITING_TICK_S, self.serve)
+
+    def count(self, pool: str) -> int:
+        """Return how many requests wait for a pool."""
+        return sum(item.plan.pool.name == pool for item in self.items)
+
+    def serve(self) -> None:
+        """Retry waiting requests, the most urgent ones first.
+
+        Once no target was ready for a request, the others that may go to the
+        same targets only check whether they may go on waiting.
+        """
+        waiting, self.items = self.items, []
+        waiting.sort(key=lambda item: (item.plan.priority, item.plan.ends_s))
+        without_target: set[tuple[object, ...]] = set()
+        for forwarding in waiting:
+            key = choice_key(forwarding)
+            if key in without_target:
+                forwarding.wait_longer()
+                continue
+            forwarding.next_target()
+            if self.items and self.items[-1] is forwarding:
+                without_target.add(key)
+
+
+def choice_key(forwarding: "Forwarding") -> tuple[object, ...]:
+    """Return what determines the targets that may take a request."""
+    plan = forwarding.plan
+    prompt = plan.request.prompt
+    model = prompt.model if prompt is not None else ""
+    is_long = prompt is not None and is_long_run(prompt)
+    origin = forwarding.origin
+    return (plan.pool.name, model, is_long, origin, *forwarding.sent_to)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -344,7 +344,7 @@
             return original(forwarder, forwarding)
 
         self.patch(Forwarder, "choose", choose)
-        rig.forwarder.serve_waiting()
+        rig.forwarder.waiting.serve()
         self.assertEqual(1, len(placed))
         rig.forwarder.status_changed("e1")
         self.assertEqual(1, len(placed))
