Keep a target's error answer when no other target takes the request

A call whose target answered with an error status, and which the next target refused, ended with a failure of the router in place of that answer. The answer was dropped as soon as the request was sent on. It is kept now and delivered if no better one arrives. test_error_answer_is_kept_for_want_of_a_better failed before and passes; its entry leaves KNOWN-RED.txt.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -70,6 +70,8 @@
     last_event: int | None = None
     # Where the stream that the caller gets began; None before its first event.
     origin: StreamOrigin | None = None
+    # A target's whole error answer, for want of a better one.
+    error_answer: tuple[AnswerHead, bytes] | None = None
     # Since when the request has been waiting for a target; None if it is not.
     waiting_since_s: float | None = None
 
@@ -400,6 +402,7 @@
         self.last_failure = may_have_run(
             Reason.TARGET_ERROR, f"status {answer.status}"
         )
+        self.error_answer = (answer, bytes(attempt.body))
         self.send(chosen)
         return True
 
@@ -450,6 +453,9 @@
         """
         if self.is_finished:
             return
+        if self.error_answer is not None and not self.has_head:
+            self.reply(*self.error_answer)
+            return
         failure = self.with_overall_verdict(failure)
         if failure.verdict is Verdict.NOT_RUN and not failure.retry_after_s:
             failure = attrs.evolve(
