Let a target that has begun an event go on alone within 0.4 s

Half a second after a second target had sent a part of an event, it and the silent attempt were both still open, while two targets may work on one request beside each other for 0.4 s. The attempt whose event has begun is now taken as the one that goes on after 0.3 s, and the others are cancelled. test_successor_that_has_begun_an_event failed before and passes.

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -71,6 +71,8 @@
             if not self.has_event:
                 self.first_event_s = self.clock.seconds()
             self.forwarding.take_event(self, event.data, event.id)
+        if self.splitter.is_inside_event:
+            self.forwarding.silence.event_begun(self)
         if len(self.splitter.rest) > defaults.MAX_HELD_EVENT_BYTES:
             self.abort_oversized()
 
--- a/sequoiawind/silent_attempts.py
+++ b/sequoiawind/silent_attempts.py
@@ -28,6 +28,10 @@
 # left, so that the other target has time to answer.
 FIRST_AIM_FACTOR: Final = 3.0
 FIRST_LEFT_SHARE: Final = 0.4
+# Time from the first bytes of an event, in seconds, after which its target
+# alone goes on, though the event is not complete.  Targets may work on one
+# request beside each other for 0.4 s, and the bytes took some of that.
+BEGUN_EVENT_S: Final = 0.3
 # Time after which a request that no other target could take looks for one
 # again, in seconds.
 RECHECK_S: Final = 0.2
@@ -42,6 +46,8 @@
     kept: "list[ForwardAttempt]" = attrs.field(factory=list)
     # The attempt whose silence has been reported, until it is heard from.
     reported: "ForwardAttempt | None" = None
+    # The attempt that has sent a part of an event beside silent ones.
+    begun: "ForwardAttempt | None" = None
     # The attempt whose silence counts against its target.
     counted: "ForwardAttempt | None" = None
 
@@ -146,6 +152,19 @@
             if other is not None and other is not attempt:
                 other.cancel()
 
+    def event_begun(self, attempt: "ForwardAttempt") -> None:
+        """Go on with an attempt that has sent a part of an event, soon."""
+        if not self.kept or self.begun is attempt:
+            return
+        self.begun = attempt
+        clock = self.forwarding.clock
+        clock.callLater(BEGUN_EVENT_S, self.end_competition, attempt)
+
+    def end_competition(self, attempt: "ForwardAttempt") -> None:
+        """Cancel the other attempts if the given one is still open."""
+        if not attempt.is_over and not self.forwarding.is_finished:
+            self.heard(attempt)
+
     def lost(self, attempt: "ForwardAttempt") -> bool:
         """Go on without an attempt that has failed.
 
