Resume a begun stream at a third target after an error of the second

A resumed stream was cut when its second target answered with an error status, though the route allowed a third target. The error now counts as a failed attempt, and the stream waits for a further target until its deadline. test_error_of_a_second_target_leaves_a_third failed before and passes.

--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -14,7 +14,7 @@
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.headers import Framing, Headers
 from sequoiawind.ports import Call
-from sequoiawind.verdict import Failure
+from sequoiawind.verdict import Failure, Reason, may_have_run
 
 
 @attrs.frozen(kw_only=True)
@@ -72,6 +72,11 @@
     # it states no limit.
     limit_per_s: float | None = None
 
+    @property
+    def failure(self) -> Failure:
+        """The failure that an error status stands for."""
+        return may_have_run(Reason.TARGET_ERROR, f"status {self.status}")
+
 
 class ForwardSink(Protocol):
     """Receives an answer; the last call is one to `done` or `failed`."""
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -378,8 +378,11 @@
             self.caller.send_end()
             self.finish(None)
             return
-        if is_fault and self.may_send_elsewhere() and not self.has_head:
+        if is_fault and self.may_send_elsewhere():
             self.any_may_have_run = True
+            if self.has_head:
+                self.resume_after_error(answer)
+                return
             if self.repeat_elsewhere(attempt, answer):
                 return
         self.reply(answer, bytes(attempt.body))
@@ -399,13 +402,17 @@
         chosen = self.forwarder.choose(self)
         if chosen is None or not self.reserve_attempt():
             return False
-        self.last_failure = may_have_run(
-            Reason.TARGET_ERROR, f"status {answer.status}"
-        )
+        self.last_failure = answer.failure
         self.error_answer = (answer, bytes(attempt.body))
         self.send(chosen)
         return True
 
+    def resume_after_error(self, answer: AnswerHead) -> None:
+        """Resume a begun stream at a further target, waiting for one."""
+        self.attempts.use()
+        self.last_failure = answer.failure
+        self.next_target()
+
     def reply(self, answer: AnswerHead, body: bytes) -> None:
         """Send a target's whole answer to the caller."""
         if self.has_head:
