Ask two targets for their present load before a prompt is sent

What a router knows of a target's load is up to half a second old: reports, relays and the thresholds of publishing add up, while a prompt waits for 0.35 s at the median.

--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -34,6 +34,8 @@
 IDLE_REPORT_S: Final = 0.2
 REPORT_S: Final = 0.1
 REPORT_TIMEOUT_S: Final = 0.2
+# Time allowed for a report that a router waits for, in seconds.
+PROBE_REPORT_S: Final = 0.015
 # Consecutive unanswered report requests after which the target counts as lost.
 LOST_AFTER_MISSES: Final = 2
 ORDER_TIMEOUT_S: Final = 1.0
@@ -186,25 +188,35 @@
 
     def publish_report(self, report: TargetReport) -> None:
         """Publish the status that follows from the target's report."""
+        self.publish(self.status_of(report))
+
+    def status_of(self, report: TargetReport) -> TargetStatus:
+        """Return the status that follows from the target's report."""
         now_s = self.clock.seconds()
         target = self.target
-        self.publish(
-            TargetStatus(
-                target=target.name if target else "",
-                born_ms=report.born_ms,
-                waiting=report.waiting,
-                running=report.running,
-                reading=report.reading,
-                used_tokens=report.used_tokens,
-                is_loading=report.is_busy or now_s < self.loading_until_s,
-                is_winding_down=self.winding_down_since_s is not None,
-                is_draining=report.is_draining,
-                versions=dict(report.versions),
-                routers=self.count_routers(now_s),
-                limit_per_s=report.limit_per_s,
-            )
+        return TargetStatus(
+            target=target.name if target else "",
+            born_ms=report.born_ms,
+            waiting=report.waiting,
+            running=report.running,
+            reading=report.reading,
+            used_tokens=report.used_tokens,
+            is_loading=report.is_busy or now_s < self.loading_until_s,
+            is_winding_down=self.winding_down_since_s is not None,
+            is_draining=report.is_draining,
+            versions=dict(report.versions),
+            routers=self.count_routers(now_s),
+            limit_per_s=report.limit_per_s,
         )
 
+    async def current_status(self) -> TargetStatus:
+        """Return the target's present status; the last one if it is silent."""
+        answered = await self.port.report(self.address, PROBE_REPORT_S)
+        if answered.is_error():
+            return self.status
+        number = self.status.number
+        return attrs.evolve(self.status_of(answered.ok), number=number)
+
     def publish(self, status: TargetStatus) -> None:
         """Store a status and notify waiting routers, if it differs enough."""
         old = self.status
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -168,11 +168,13 @@
     async def status_body(self, request: HttpRequest) -> bytes:
         """Return the target's status, encoded.
 
-        Waits up to `STATUS_WAIT_S` for a status with a higher number than
-        `after` in the query.
+        With `now` in the query, it is the present one.  Otherwise waits
+        up to `STATUS_WAIT_S` for a status with a higher number than `after`.
         """
         query = request.request_target.partition(b"?")[2].decode("latin-1")
         arguments = dict(parse_qsl(query))
+        if arguments.get("now"):
+            return wire.encode(await self.agent.current_status())
         after = arguments.get("after", "-1")
         number = int(after) if after.lstrip("-").isdigit() else -1
         if arguments.get("router"):
--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -152,6 +152,14 @@
             return False
         return self.forwarding.plan.kind.is_stream and answer.status < 300
 
+    def occupy(self) -> None:
+        """Add the attempt to the target's counts."""
+        view = self.view
+        view.count_request(self.clock.seconds())
+        view.open_requests += 1
+        view.pending_prefills += 1
+        view.pending_prefill_tokens += self.chosen.prefill_tokens
+
     def release(self) -> None:
         """Remove the attempt from the target's counts."""
         self.view.open_requests -= 1
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -199,18 +199,21 @@
             on_attempt_failed=notes.note_attempt_failed,
         )
 
-    def make_watcher(self) -> StatusWatcher:
-        """Return the controller that polls the agents for their status."""
-        agents = AgentClient(
+    def make_agents(self) -> AgentClient:
+        """Return the client for the agents' statuses."""
+        return AgentClient(
             router=self.options.node.name,
             client=self.client,
             agent_port=self.options.node.agent_port,
             timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
             log=self.log,
         )
+
+    def make_watcher(self) -> StatusWatcher:
+        """Return the controller that polls the agents for their status."""
         return StatusWatcher(
             fleet=self.fleet,
-            agents=agents,
+            agents=self.make_agents(),
             clock=event_loop.reactor,
             random=self.random,
             log=self.log,
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -24,6 +24,7 @@
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.home_order import HomeOrder
+from sequoiawind.load.probing import to_probe
 from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.ports import Clock
 from sequoiawind.repeat_window import RepeatWindow
@@ -40,6 +41,7 @@
     is_long_run,
 )
 from sequoiawind.target_limit import DemandMeter, TargetLimit
+from sequoiawind.target_probes import TargetProbes
 from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run
 from sequoiawind.waiting_requests import WaitingRequests
 
@@ -69,6 +71,8 @@
     caches: CacheWatcher
     origins: OriginRegistry
     crashes: CrashRegistry
+    # None where targets are not asked before a choice.
+    probes: TargetProbes | None = None
     # Moving average of the tokens that a prompt has to prefill.
     average_prefill_tokens: float = DEFAULT_PREFILL_TOKENS
     # By pool.
@@ -170,6 +174,33 @@
 
     def choose(self, forwarding: Forwarding) -> Chosen | None:
         """Return a target for a request; None if none is ready."""
+        ranked = self.ranked(forwarding)
+        probed = [
+            option
+            for option in ranked
+            if option.view.target.name in forwarding.probed
+        ]
+        return next(iter(probed or ranked), None)
+
+    def probe(self, forwarding: Forwarding) -> bool:
+        """Ask a few targets for their load before a prompt is sent.
+
+        Returns:
+          Whether that was done; `forwarding.next_target` is called then.
+        """
+        if self.probes is None or forwarding.plan.request.prompt is None:
+            return False
+        ranked = [option.view.target.name for option in self.ranked(forwarding)]
+        able = [name for name in ranked if self.probes.may_ask(name)]
+        names = to_probe(able, forwarding.left_s, self.random)
+        if not names:
+            return False
+        forwarding.probed = names
+        self.probes.ask(names, forwarding.next_target)
+        return True
+
+    def ranked(self, forwarding: Forwarding) -> list[Chosen]:
+        """Return the targets that may take a request, the best first."""
         plan = forwarding.plan
         now_s = self.clock.seconds()
         prompt = plan.request.prompt
@@ -181,8 +212,9 @@
                 if view.target.name not in forwarding.sent_to
                 and may_continue(forwarding.origin, view.target)
             ]
-            return choose_call(ready, self.fleet.members, self.domain)
-        return self.chooser(plan, prompt.model, forwarding.origin).choose(
+            call = choose_call(ready, self.fleet.members, self.domain)
+            return [call] if call is not None else []
+        return self.chooser(plan, prompt.model, forwarding.origin).ranked(
             prompt,
             plan.account.name,
             plan.account.is_isolated,
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -59,6 +59,8 @@
     current: ForwardAttempt | None = None
     # Names of the targets to which the request was sent.
     sent_to: list[str] = attrs.field(factory=list)
+    # Names of the targets that were asked for their load before a choice.
+    probed: tuple[str, ...] = ()
     attempts: AttemptCount = attrs.field(init=False)
     silence: SilentAttempts = attrs.field(init=False)
     signature: RequestSignature = attrs.field(init=False)
@@ -161,7 +163,9 @@
         if len(self.sent_to) >= max(1, kind.max_targets):
             self.stop(not_run(Reason.MAX_TARGETS, messages.MAX_TARGETS))
             return
-        chosen = self.forwarder.choose(self)
+        if not (self.sent_to or self.probed) and self.forwarder.probe(self):
+            return
+        chosen, self.probed = self.forwarder.choose(self), ()
         if chosen is None:
             self.wait()
             return
@@ -283,10 +287,7 @@
             pool=self.plan.pool,
         )
         self.current = attempt
-        chosen.view.count_request(self.now_s)
-        chosen.view.open_requests += 1
-        chosen.view.pending_prefills += 1
-        chosen.view.pending_prefill_tokens += chosen.prefill_tokens
+        attempt.occupy()
         order = SendOrder(
             request=self.plan.request,
             target=target,
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -150,6 +150,20 @@
     ready: Address
 
 
+@attrs.frozen(kw_only=True)
+class LoadOptions:
+    """Which parts of load control run, where something calls for them."""
+
+    # Limits of client accounts, where the configuration has any.
+    account_limits: bool = False
+    # Choice by the targets' speeds, where these are seen to differ.
+    pace: bool = False
+    # Refusal of requests that cannot be answered in time.
+    admission: bool = False
+    # Order of waiting requests by account.
+    fairness: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class ForwardRouterSettings:
     """The settings file of `sequoiawind-forward-router`."""
@@ -159,6 +173,7 @@
     entry: EntryOptions
     bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
     lease: LeaseOptions = attrs.field(factory=LeaseOptions)
+    load: LoadOptions = attrs.field(factory=LoadOptions)
     closing: ClosingOptions = attrs.field(factory=ClosingOptions)
     logs: LogsOptions = attrs.field(factory=LogsOptions)
 
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -56,15 +56,34 @@
         Returns:
           The status; None if the call failed or its answer is no status.
         """
+        query = f"?after={after}&router={quote(self.router)}"
+        return await self.fetch_status(address, query, self.timeout_s)
+
+    async def current_status(
+        self, address: str, timeout_s: float
+    ) -> TargetStatus | None:
+        """Return the present status of the target at an address.
+
+        Args:
+          address: Address of the target, as host:port.
+          timeout_s: Time allowed for the answer, in seconds.
+
+        Returns:
+          The status; None if the call failed or its answer is no status.
+        """
+        return await self.fetch_status(address, "?now=1", timeout_s)
+
+    async def fetch_status(
+        self, address: str, query: str, timeout_s: float
+    ) -> TargetStatus | None:
+        """Send a request to the agent beside a target."""
         agent = f"{address.rpartition(':')[0]}:{self.agent_port}"
-        router = quote(self.router)
         request = OutgoingRequest(
             method=b"GET",
-            request_target=STATUS_PATH
-            + f"?after={after}&router={router}".encode(),
+            request_target=STATUS_PATH + query.encode(),
             headers=[(b"host", agent.encode())],
         )
-        result = await fetch(self.client, agent, request, self.timeout_s)
+        result = await fetch(self.client, agent, request, timeout_s)
         if result.is_error() or result.ok.status != 200:
             return None
         try:
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -193,6 +193,31 @@
     ) -> Chosen | None:
         """Return the cheapest target; None if none may take the prompt.
 
+        The arguments are those of `ranked`.
+        """
+        options = self.ranked(
+            prompt,
+            account,
+            is_isolated,
+            oldest_version,
+            oldest_queued,
+            is_long,
+            excluded,
+        )
+        return options[0] if options else None
+
+    def ranked(
+        self,
+        prompt: Prompt,
+        account: str,
+        is_isolated: bool,
+        oldest_version: int = 0,
+        oldest_queued: int = 0,
+        is_long: bool = False,
+        excluded: Collection[str] = (),
+    ) -> list[Chosen]:
+        """Return the targets that may take the prompt, the cheapest first.
+
         Args:
           prompt: The prompt.
           account: Name of its client account.
@@ -235,14 +260,12 @@
             able = [name for name in self.pool if is_able(name, is_long)]
         if not able and is_long:
             able = [name for name in self.pool if is_able(name, False)]
-        if not able:
-            return None
         homes = order[:HOME_COUNT]
         options = [
             self.option(view, holders_for(view), homes)
             for view in map(self.pool.__getitem__, able)
         ]
-        return min(options, key=lambda option: self.cost(option, homes))
+        return sorted(options, key=lambda option: self.cost(option, homes))
 
     def candidates(
         self,
