Add up what routers state, over all relays

Components that share a limit or a measurement between routers need the sum of a figure over all of them. Routers state a table in their request for the feed; relays hold the latest of each router, exchange their tables with the stamps of the statements in them, and return the totals.

--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -1,15 +1,17 @@
 """Reads the feed of another process: from a relay, or from a single agent."""
 
 import random
-from collections.abc import Callable, Sequence
+import time
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final, Protocol
 from urllib.parse import urlencode
 
 import attrs
 import structlog
 
-from sequoiawind import feed_messages, supervise, timing
+from sequoiawind import feed_messages, feed_statement, supervise, timing
 from sequoiawind.feed_messages import FEED_PATH, FeedReply
+from sequoiawind.feed_statement import Statement
 from sequoiawind.feed_table import Level
 from sequoiawind.http1_client import Http1Client, OutgoingRequest, fetch
 from sequoiawind.ports import Clock
@@ -44,6 +46,23 @@
     is_records_only: bool = False
     # Demand of the router that asks, in requests a second.
     demand_per_s: float = 0.0
+    # What that router states; None if it cannot be read.
+    statement: Statement | None = feed_statement.EMPTY
+
+    def arguments(self) -> dict[str, str | int | float]:
+        """Return the arguments of the request; an empty statement has none."""
+        arguments: dict[str, str | int | float] = {
+            "reader": self.reader,
+            "router": int(self.is_router),
+            "run": self.run,
+            "after": self.after,
+            "level": int(self.level),
+            "records": int(self.is_records_only),
+            "demand": round(self.demand_per_s, 3),
+        }
+        if self.statement is not None and self.statement.units:
+            arguments["statement"] = feed_statement.encode(self.statement)
+        return arguments
 
 
 class FeedPort(Protocol):
@@ -66,17 +85,7 @@
         self, address: str, query: FeedQuery, timeout_s: float
     ) -> FeedReply | None:
         """Return the reply; None if there was no valid one in time."""
-        arguments = urlencode(
-            {
-                "reader": query.reader,
-                "router": int(query.is_router),
-                "run": query.run,
-                "after": query.after,
-                "level": int(query.level),
-                "records": int(query.is_records_only),
-                "demand": round(query.demand_per_s, 3),
-            }
-        )
+        arguments = urlencode(query.arguments())
         request = OutgoingRequest(
             method=b"GET",
             request_target=FEED_PATH + b"?" + arguments.encode(),
@@ -116,6 +125,16 @@
     # Returns the demand to state, in requests a second, and what was stated.
     demand_per_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     stated_demand_per_s: float = 0.0
+    # Returns the figures to state, by key; called for each request.
+    statement: Callable[[], Mapping[str, float]] = attrs.field(
+        default=lambda: {}
+    )
+    # What the last request that was answered contained: the largest of these
+    # figures, rounded.
+    stated: Mapping[str, float] = attrs.field(factory=dict)
+    # Stamp of the last statement.  It starts from the wall clock, so that it
+    # is greater than those of an earlier process.
+    stamp: int = attrs.field(factory=lambda: time.time_ns() // 1_000_000)
     # Address of the last reply; empty if the last request failed.
     address: str = ""
     run_id: int = 0
@@ -163,6 +182,8 @@
         if address != self.address:
             self.after = -1
         self.stated_demand_per_s = self.demand_per_s()
+        self.stamp += 1
+        units = feed_statement.limited(self.statement())
         query = FeedQuery(
             reader=self.reader,
             is_router=self.is_router,
@@ -171,6 +192,7 @@
             level=self.level,
             is_records_only=self.is_records_only,
             demand_per_s=self.stated_demand_per_s,
+            statement=Statement(self.stamp, units),
         )
         sent_s = self.age_clock()
         reply = await self.port.read(address, query, HOLD_S + RESPONSE_MARGIN_S)
@@ -180,6 +202,7 @@
             self.avoided_until_s[address] = self.clock.seconds() + AVOID_S
             self.lose(f"{address} did not answer")
             return True
+        self.stated = feed_statement.as_values(units)
         self.take(address, reply, sent_s)
         return True
 
--- a/sequoiawind/feed_messages.py
+++ b/sequoiawind/feed_messages.py
@@ -79,6 +79,13 @@
     parts: list[PartItem] = []
     # Demand of those routers, in requests a second.
     demand_per_s: float = 0.0
+    # Whether the totals are known, and contain what the reader has stated in
+    # its request; relays of earlier releases have none.
+    has_totals: bool = False
+    # For relays: the stamps of the statements in the totals, by router.
+    counted: dict[str, int] = {}
+    # Sums of what those routers have stated, by key.
+    totals: dict[str, float] = {}
 
 
 ENCODER: Final = msgspec.msgpack.Encoder()
--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -1,6 +1,6 @@
 """Applies what a relay tells a router about the fleet."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -36,6 +36,16 @@
     on_status: Callable[[str], None]
     # Returns the demand that this router has stated, in requests a second.
     own_demand_per_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
+    # Returns what this router has stated in the request for the reply.
+    own_statement: Callable[[], Mapping[str, float]] = attrs.field(
+        default=lambda: {}
+    )
+    # Called with the totals over all routers, this router's own statement as
+    # they contain it, and when the request for them was sent, in seconds of
+    # the age clock.  Not called for a reply without totals.
+    on_totals: Callable[
+        [Mapping[str, float], Mapping[str, float], float], None
+    ] = attrs.field(default=lambda totals, stated, sent_s: None)
     age_clock: Callable[[], float] = suspended_clock_s
     # Times as of which the operator's records and the targets' entries are
     # known, in seconds of the age clock.
@@ -73,6 +83,14 @@
             if item.status.target == item.target:
                 self.fleet.record_status(item.target, item.status, now_s)
                 self.on_status(item.target)
+        if reply.has_totals:
+            stated = self.own_statement()
+            contained = {
+                key: value
+                for key, value in stated.items()
+                if key in reply.totals
+            }
+            self.on_totals(reply.totals, contained, sent_s)
 
     def note_ages(self, reply: FeedReply, sent_s: float) -> None:
         """Record how old the relay's records are.
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -9,7 +9,7 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from sequoiawind import event_loop, wire
+from sequoiawind import event_loop, feed_statement, wire
 from sequoiawind.feed_client import FeedClient, FeedQuery
 from sequoiawind.feed_messages import CONTENT_TYPE, FEED_PATH, FeedReply
 from sequoiawind.feed_publisher import (
@@ -310,6 +310,7 @@
         level=Level(min(max(number("level", 0), Level.OWN), Level.ALL)),
         is_records_only=number("records", 0) == 1,
         demand_per_s=decimal(arguments.get("demand", "")),
+        statement=feed_statement.decode(arguments.get("statement", "")),
     )
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -21,6 +21,8 @@
     "cache_watcher",
     "exchange",
     "exchange_attempt",
+    "feed_statement",
+    "feed_sums",
     "fleet",
     "forward_agent",
     "forward_attempt",
