--- a/sequoiawind/feed_sums.py
+++ b/sequoiawind/feed_sums.py
@@ -209,19 +209,20 @@
         totals would not contain its own value.
         """
         sums = self.sums[Level.ALL]
+        held = self.held.get(router)
+        own = held.units if held is not None else {}
         if len(sums) > MAX_REPLY_KEYS:
             if now_s - self.ranked_s >= RANKING_LIFETIME_S:
                 self.ranked_s = now_s
                 self.ranking = ranked(sums, MAX_REPLY_KEYS)
-            held = self.held.get(router)
-            own = held.units if held is not None else {}
             keys = dict.fromkeys((*own, *self.ranking))
-            chosen = (
-                key
-                for key in keys
-                if key in sums and (key in own or key not in statement.units)
+            chosen = islice(
+                (key for key in keys if key in sums), MAX_REPLY_KEYS
             )
-            sums = {key: sums[key] for key in islice(chosen, MAX_REPLY_KEYS)}
+            sums = {key: sums[key] for key in chosen}
+        if len(own) < len(statement.units):
+            refused = statement.units.keys() - own.keys()
+            sums = {key: sums[key] for key in sums if key not in refused}
         return as_values(self.scaled(sums, Level.ALL, scale))
 
     def scaled(
