Name only the routers that a relay's totals contain

A relay that had taken a moved router out of a table still named it, so the reader took it out again: with one router of 20 and nine of 1, a total of 29 fell to 25 for a reply.

--- a/sequoiawind/feed_sums.py
+++ b/sequoiawind/feed_sums.py
@@ -247,8 +247,10 @@
         found = {name: item.stamp for name, item in self.held.items()}
         for source in self.sources.values():
             if source.level <= level:
-                for name, stamp in source.counted.items():
-                    found[name] = max(stamp, found.get(name, -1))
+                # Those that were taken out must not be taken out again by the
+                # reader.
+                for name in source.counted.keys() - source.moved:
+                    found[name] = source.counted[name]
         return found
 
     # Bookkeeping.
--- a/tests/test_feed_mutants.py
+++ b/tests/test_feed_mutants.py
@@ -16,7 +16,9 @@
 from sequoiawind.feed_client import FeedClient
 from sequoiawind.feed_reader import FeedReader
 from sequoiawind.feed_relay import FeedRelay
+from sequoiawind.feed_sums import FeedSums
 from sequoiawind.feed_table import FeedTable
+from sequoiawind.feed_totals import RelayTotals
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_readers import OperatorReader, TargetReader
 from sequoiawind.platform import engine_wire
@@ -26,6 +28,7 @@
     test_crashing_parts,
     test_feed,
     test_feed_programs,
+    test_feed_sums,
     test_forwarding,
     test_platform,
     test_record_followers,
@@ -174,6 +177,46 @@
         case=test_target_limit.PartTest,
         test="test_many_routers_stay_within_the_limit",
     ),
+    FeedMutant(
+        name="a router that has moved counts at both relays",
+        owner=FeedSums,
+        attribute="remaining",
+        replacement=lambda self, source: source.units,
+        case=test_feed_sums.TotalsTest,
+        test="test_router_that_changes_its_relay_counts_once",
+    ),
+    FeedMutant(
+        name="who was taken out of a table is said to be in it",
+        owner=FeedSums,
+        attribute="counted",
+        replacement=lambda self, level: (
+            {
+                name: stamp
+                for source in self.sources.values()
+                if source.level <= level
+                for name, stamp in source.counted.items()
+            }
+            | {name: held.stamp for name, held in self.held.items()}
+        ),
+        case=test_feed_sums.TotalsTest,
+        test="test_router_that_changes_its_relay_counts_once",
+    ),
+    FeedMutant(
+        name="a relay gives totals before its routers have come",
+        owner=RelayTotals,
+        attribute="is_settled",
+        replacement=lambda self, level, now_s: True,
+        case=test_feed_sums.TotalsTest,
+        test="test_relay_that_ends_leaves_no_totals_too_small",
+    ),
+    FeedMutant(
+        name="a relay that is not heard counts as one without routers",
+        owner=RelayTotals,
+        attribute="scale",
+        replacement=lambda self, level, now_s: 1.0,
+        case=test_feed_sums.TotalsTest,
+        test="test_relay_that_is_not_heard_is_estimated",
+    ),
     FeedMutant(
         name="a relay passes its records on as new",
         owner=FeedRelay,
--- a/tests/test_feed_sums.py
+++ b/tests/test_feed_sums.py
@@ -5,7 +5,6 @@
 
 import random
 import time
-from collections.abc import Callable
 from functools import partial
 from urllib.parse import urlencode
 
@@ -30,6 +29,9 @@
 
 # By the page: time after which what a router has stated is dropped.
 LIFETIME_S = 5.0
+# Time from a move to totals that contain the router once: until its request to
+# the old relay times out, and for two requests between relays.
+MOVED_S = 2.0
 OLD_FIELDS = 12
 
 
@@ -151,16 +153,13 @@
         self.routers[name] = client
         Deferred.fromCoroutine(client.run())
 
-    def totals(self, since_s: float = 0.0) -> list[float]:
-        """Return the totals that routers have got since a time."""
-        return [total for at_s, _, total in self.seen if at_s >= since_s]
-
-    def wait_for(self, is_so: Callable[[], bool], most_s: float) -> float:
-        """Advance until a condition holds; return how long it took."""
-        started_s = self.clock.seconds()
-        while not is_so() and self.clock.seconds() - started_s <= most_s:
-            self.clock.advance(0.01)
-        return self.clock.seconds() - started_s
+    def totals(self, since_s: float = 0.0, router: str = "") -> list[float]:
+        """Return the totals that all routers, or one, got since a time."""
+        return [
+            total
+            for at_s, name, total in self.seen
+            if at_s >= since_s and router in ("", name)
+        ]
 
 
 class StatementTest(TestCase):
@@ -267,6 +266,14 @@
         self.sums.take_table("a", Level.ALL, {"x": 4000}, old, 0.0)
         self.sums.take_table("b", Level.ALL, {"x": 1000}, {"r": 2}, 0.0)
         self.assertEqual({"x": 4.0}, self.sums.totals(Level.ALL))
+        # Who reads these totals does not take it out again.
+        expected = {"r": 2, "s": 1, "t": 1, "u": 1}
+        self.assertEqual(expected, self.sums.counted(Level.ALL))
+
+    def test_router_that_was_taken_out_is_not_said_to_be_counted(self) -> None:
+        self.sums.take_table("b", Level.DOMAIN, {"x": 9}, {"r": 1, "s": 1}, 0.0)
+        self.sums.take_table("d1", Level.ALL, {"x": 7}, {"r": 2}, 0.0)
+        self.assertEqual({"s": 1}, self.sums.counted(Level.DOMAIN))
 
     def test_keys_beyond_the_bound_are_not_said_to_be_contained(self) -> None:
         table = {f"a:{n}": 5 for n in range(MAX_KEYS - 1)}
@@ -363,29 +370,29 @@
         self.assertEqual(6.0, rig.last["r0"]["a:x"])
         self.assertEqual(2.0, rig.last["r3"]["a:x"])
 
-    def test_router_that_changes_its_relay_counts_once_at_once(self) -> None:
+    def test_router_that_changes_its_relay_counts_once(self) -> None:
+        # It was counted at the old relay too, for as long as its statement
+        # lives there.
         for to_domain in ("d0", "d1"):
             rig = self.fleet(9, 3, 9)
-            # The second relay of each domain has routers too.
+            rig.routers["r0"].statement = lambda: {"a:x": 20.0}
+            first = self.relays(rig, "d0")[0]
             second = self.relays(rig, to_domain)[1]
             rig.route("r9", second)
             rig.advance(4.0)
-            self.assert_exact(rig, 10)
-            old = self.relays(rig, "d0")[0]
-            rig.cut.add(("r0", f"{old}:{PORT}"))
-            rig.routers["r0"].candidates = lambda at=second: [f"{at}:{PORT}"]
-            moved_s = rig.clock.seconds()
-            rig.advance(0.9)
-            rig.seen.clear()
-            rig.advance(2.0)
-            # Its own totals are right from its first reply on.
-            own = [total for _, name, total in rig.seen if name == "r0"]
-            self.assertEqual({10.0}, set(own), to_domain)
-            rig.advance(moved_s + LIFETIME_S - rig.clock.seconds())
-            self.assert_exact(rig, 10)
-            # The others count it twice for less than the lifetime.
-            late_s = moved_s + 0.9 + 2.0
-            self.assertEqual({10.0}, set(rig.totals(late_s)), to_domain)
+            for relay, other in ((second, first), (first, second)):
+                rig.cut = {("r0", f"{other}:{PORT}")}
+                rig.routers["r0"].candidates = lambda at=relay: [f"{at}:{PORT}"]
+                began_s = rig.clock.seconds()
+                rig.advance(4.0)
+                self.assertTrue(min(rig.totals(began_s)) >= 29.0, to_domain)
+                if relay == second:
+                    # The new relay takes it out of the old table at once.
+                    own = rig.totals(began_s, "r0")
+                    self.assertEqual({29.0}, set(own), to_domain)
+                since_s = began_s + MOVED_S
+                self.assertEqual({29.0}, set(rig.totals(since_s)), to_domain)
+                self.assertEqual(29.0, rig.last["r0"]["a:x"])
 
     def test_relay_that_ends_leaves_no_totals_too_small(self) -> None:
         # The first routers at a new relay got totals of themselves alone, and
