--- a/tests/test_feed_sums.py
+++ b/tests/test_feed_sums.py
@@ -3,6 +3,7 @@
 Run as a program, it prints the bytes and the processor time that they take.
 """
 
+import logging
 import random
 import time
 from functools import partial
@@ -10,6 +11,7 @@
 
 import attrs
 import msgspec
+import structlog
 from testtools import TestCase
 from twisted.internet.defer import Deferred
 
@@ -607,5 +609,46 @@
             print(routers, accounts, round(each_s * 1e3, 3), round(cores, 3))
 
 
+def measure_losses() -> None:
+    """Print how often totals are too small when messages are lost.
+
+    Each direction of a message is lost with the stated probability.  The sum
+    of the parts is of the equal demand of 12 routers over their totals.
+    """
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    print("lost totals too_small least parts_p50 parts_p99 parts_max")
+    case = TotalsTest("test_all_routers_get_the_sum_over_all")
+    for lost in (0.005, 0.02, 0.05):
+        totals: list[float] = []
+        parts: list[float] = []
+        for seed in range(6):
+            rig = case.fleet(6, 2, 12)
+            rig.rng.seed(seed)
+            rig.advance(3.0)
+            rig.lost, rig.repeated = lost, 0.2
+            rig.seen.clear()
+            for _ in range(600):
+                rig.advance(0.1)
+                since_s = rig.clock.seconds() - 2.0
+                last = {
+                    name: total
+                    for at_s, name, total in rig.seen[-90:]
+                    if at_s > since_s
+                }
+                parts.append(sum(1.0 / total for total in last.values()))
+            totals += rig.totals()
+        parts.sort()
+        shown = (0.5, 0.99, 1.0)
+        print(
+            *(lost, len(totals)),
+            round(sum(item < 12.0 for item in totals) / len(totals), 4),
+            min(totals),
+            *(round(parts[int(p * (len(parts) - 1))], 3) for p in shown),
+        )
+
+
 if __name__ == "__main__":
     measure()
+    measure_losses()
