Merge the totals over all routers in the feed

Routers state a small table with each request for the feed, and relays return the sums over all routers.

--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -24,6 +24,7 @@
     Stamp,
     Topic,
 )
+from sequoiawind.feed_totals import SETTLED_GAP_S, RelayTotals
 from sequoiawind.fleet import Fleet
 from sequoiawind.ports import Clock
 from sequoiawind.relay_choice import (
@@ -91,6 +92,13 @@
     # Routers that a relay of each other failure domain has stated.
     other_routers: dict[str, RouterCount] = attrs.field(factory=dict)
     waiting: list[Waiting] = attrs.field(factory=list)
+    # What the routers have stated, to this relay and others.
+    totals: RelayTotals = attrs.field(
+        default=attrs.Factory(
+            lambda self: RelayTotals(began_s=self.clock.seconds()),
+            takes_self=True,
+        )
+    )
     # The feeds that are read: by agent address, or by failure domain.
     clients: dict[str, FeedClient] = attrs.field(factory=dict)
     # When they were last compared with the fleet, in seconds of the clock.
@@ -175,10 +183,16 @@
         """Return the encoded reply to a request, once there is news."""
         now_s = self.clock.seconds()
         is_new = not self.is_asked_for(query.level)
+        if not self.is_asked_for(query.level, SETTLED_GAP_S):
+            self.totals.note_begin(query.level, now_s)
         self.asked_s[query.level] = now_s
         if query.is_router:
             self.routers[query.reader] = now_s
             self.demands_per_s[query.reader] = query.demand_per_s
+            if query.statement is not None:
+                self.totals.sums.take_statement(
+                    query.reader, query.statement, now_s
+                )
         if is_new or now_s - self.adjusted_s >= ADJUST_S:
             self.adjust_clients()
         if query.run == self.table.run and query.after >= 0:
@@ -227,6 +241,7 @@
             demand_per_s=total.demand_per_s,
         )
         feed_messages.add_entries(reply, changes)
+        self.totals.add_to(reply, query, self.clock.seconds())
         return reply
 
     def age_s(self, as_of_s: float | None) -> float:
@@ -270,9 +285,11 @@
 
     # Reading.
 
-    def is_asked_for(self, level: Level) -> bool:
+    def is_asked_for(
+        self, level: Level, within_s: float = DEMAND_LIFETIME_S
+    ) -> bool:
         """Whether a level, or one above it, was asked for recently."""
-        oldest_s = self.clock.seconds() - DEMAND_LIFETIME_S
+        oldest_s = self.clock.seconds() - within_s
         return any(
             asked_s >= oldest_s
             for asked, asked_s in self.asked_s.items()
@@ -283,16 +300,24 @@
         """Start to read the feeds that the readers need, and stop others."""
         self.adjusted_s = self.clock.seconds()
         wanted: dict[str, tuple[Level, str]] = {}
+        relays: list[str] = []
+        domains: set[str] = set()
         targets = [view.target for view in self.fleet.views.values()]
         if self.is_asked_for(Level.DOMAIN):
-            for target in ranked(targets, self.domain):
-                address = agent_address(target, self.agent_port)
+            agents = [
+                agent_address(target, self.agent_port)
+                for target in ranked(targets, self.domain)
+            ]
+            for address in agents:
                 if address != self.address:
-                    wanted[address] = (Level.OWN, target.domain)
+                    wanted[address] = (Level.OWN, self.domain)
+            relays = agents[: relay_count(targets, self.domain)]
         if self.is_asked_for(Level.ALL):
             for target in targets:
                 if target.domain != self.domain and has_agent(target):
                     wanted[target.domain] = (Level.DOMAIN, target.domain)
+                    domains.add(target.domain)
+        self.totals.set_feeds(set(wanted), domains, relays)
         for name in self.clients.keys() - wanted.keys():
             self.clients.pop(name).stop()
         for name in wanted.keys() - self.clients.keys():
@@ -325,6 +350,7 @@
     ) -> None:
         """Store what another process has replied."""
         at_level = Level.DOMAIN if level is Level.OWN else Level.ALL
+        self.totals.take(reply, source, at_level, self.clock.seconds())
         if level is Level.DOMAIN:
             self.take_records(reply, sent_s)
             self.other_routers[source] = RouterCount(
