--- a/sequoiawind/waiting_requests.py
+++ b/sequoiawind/waiting_requests.py
@@ -1,5 +1,6 @@
 """The requests of one router that wait for a target."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -15,11 +16,20 @@
 WAITING_TICK_S: Final = 0.05
 
 
+def by_urgency(waiting: "list[Forwarding]") -> "list[Forwarding]":
+    """Return requests in the order of priority, then deadline."""
+    return sorted(
+        waiting, key=lambda item: (item.plan.priority, item.plan.ends_s)
+    )
+
+
 @attrs.define(kw_only=True, eq=False)
 class WaitingRequests:
     """Requests that wait, served in the order of urgency."""
 
     clock: Clock
+    # Returns the requests in the order in which to serve them.
+    order: "Callable[[list[Forwarding]], list[Forwarding]]" = by_urgency
     items: "list[Forwarding]" = attrs.field(factory=list)
     timer: Timer | None = None
 
@@ -34,15 +44,14 @@
         return sum(item.plan.pool.name == pool for item in self.items)
 
     def serve(self) -> None:
-        """Retry waiting requests, the most urgent ones first.
+        """Retry waiting requests in their order, the most urgent ones first.
 
         Once no target was ready for a request, the others that may go to the
         same targets only check whether they may go on waiting.
         """
         waiting, self.items = self.items, []
-        waiting.sort(key=lambda item: (item.plan.priority, item.plan.ends_s))
         without_target: set[tuple[object, ...]] = set()
-        for forwarding in waiting:
+        for forwarding in self.order(waiting):
             key = choice_key(forwarding)
             if key in without_target:
                 forwarding.wait_longer()
