--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -57,6 +57,7 @@
     BLOCKED_PART = "blocked_part"
     BLOCKED_REQUEST = "blocked_request"
     TARGET_LIMIT = "target_limit"
+    OVERLOADED = "overloaded"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
