Hold two tests of admission control to the bounds asked for

Two tests were looser than their targets: the least urgent were asked for 0.07 instead of a tenth, and the end of refusals was checked 1.5 s after estimates fitted instead of 1 s.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -213,7 +213,7 @@
             for number in range(1_000)
         ]
         admitted = sum(one is ADMIT for one in decisions) / len(decisions)
-        self.assertTrue(admitted >= 0.07, admitted)
+        self.assertTrue(admitted >= 0.1, admitted)
 
     def test_small_overshoot_refuses_nobody(self) -> None:
         for number in range(50):
@@ -225,8 +225,8 @@
 
     def test_refusals_end_within_a_second(self) -> None:
         self.assertTrue(self.load(3.0, 3.0, 0.0) > 0.0)
-        self.load(0.3, 1.5, 3.0)
-        self.assertEqual(0.0, self.load(0.3, 1.0, 4.5))
+        self.load(0.3, 1.0, 3.0)
+        self.assertEqual(0.0, self.load(0.3, 1.0, 4.0))
 
     def test_wrong_estimates_refuse_less(self) -> None:
         # The answers begin in a quarter or four times the estimated time.
