--- a/sequoiawind/spare_targets.py
+++ b/sequoiawind/spare_targets.py
@@ -1,11 +1,12 @@
 """The targets of each pool that have the least pending work."""
 
+from collections.abc import Callable
 from typing import Final
 
 import attrs
 
-from sequoiawind.fleet import Fleet
-from sequoiawind.target_choice import backlog_tokens
+from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.target_choice import backlog_tokens, equal_factor
 
 # How long the list of least loaded targets is used, in seconds; the statuses
 # that it is made of are older.
@@ -31,6 +32,8 @@
 
     fleet: Fleet
     lists: dict[str, SpareTargets] = attrs.field(factory=dict)
+    # Returns a target's time for some work relative to the pool's middle.
+    factor: Callable[[TargetView], float] = equal_factor
 
     def targets(
         self, pool: str, now_s: float, average_prefill_tokens: float
@@ -48,7 +51,8 @@
             return known
         ready = [
             (
-                backlog_tokens(view, now_s, average_prefill_tokens),
+                self.factor(view)
+                * backlog_tokens(view, now_s, average_prefill_tokens),
                 view.target.name,
             )
             for view in self.fleet.pool(pool, now_s).usable.values()
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -1,6 +1,6 @@
 """Choosing the target of a forwarded request.
 
-The choice is a pure function of the router's state.  It handles four patterns
+The choice is a pure function of the router's state.  It handles five patterns
 of load:
 
 - Prompts with long shared prefixes.  They go to a home target, found by
@@ -10,11 +10,14 @@
   or fetching the parts at another target.
 - Changing weights.  A target whose weights are older than the request may run
   on is left out, and one that loads weights is not among the ready ones.
+- Targets of unequal speed.  The work at a target is multiplied by its factor,
+  its time for some work relative to the middle of its pool.
 - Pools of many targets.  Only a few candidates are compared: the first homes,
   targets that hold the deepest shared part, and the least loaded targets.  So
   the time for a choice hardly grows with the pool.
 """
 
+import random
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Final
 
@@ -58,6 +61,9 @@
 # Cost of a call to a plain service whose recent calls have all failed, in open
 # requests per slot.
 FAILING_COST: Final = 8.0
+# Cost of generating a token, in prompt tokens: what it adds to the steps of the
+# engine model in `lab`, relative to prefilling one.
+GENERATED_TOKENS: Final = 8.0
 # Longest answer of a run that a target still accepts while it winds down to
 # load weights, in tokens: engines generate about as many in that time.
 SHORT_RUN_TOKENS: Final = 64
@@ -77,6 +83,9 @@
     # the cache store that should store the prefilled parts; empty for none.
     source: str = ""
     cache_store: str = ""
+    # Work of the target before the answer can begin: its pending work and
+    # `prefill_tokens`, in prompt tokens; 1 for a call to a plain service.
+    work_tokens: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -161,6 +170,11 @@
         return sources, count
 
 
+def equal_factor(view: TargetView) -> float:
+    """Return the factor of a target if speeds are not known."""
+    return 1.0
+
+
 @attrs.frozen(kw_only=True)
 class PromptChooser:
     """Chooses targets for prompts."""
@@ -180,6 +194,8 @@
     newest_version: int = 0
     # Average of the tokens to prefill for a prompt of this router.
     average_prefill_tokens: float = DEFAULT_PREFILL_TOKENS
+    # Returns a target's time for some work relative to the pool's middle.
+    factor: Callable[[TargetView], float] = equal_factor
 
     def choose(
         self,
@@ -242,7 +258,11 @@
             self.option(view, holders_for(view), homes)
             for view in map(self.pool.__getitem__, able)
         ]
-        return min(options, key=lambda option: self.cost(option, homes))
+        likely_tokens = prompt.likely_tokens
+        return min(
+            options,
+            key=lambda option: self.cost(option, homes, likely_tokens),
+        )
 
     def candidates(
         self,
@@ -281,13 +301,16 @@
         held = holders.held_tokens(view.target.name)
         source = self.source(view, holders, homes)
         gained = int(source.tokens * (1.0 - source.fetch_cost))
+        prefill_tokens = max(0, prompt.tokens - held - gained)
+        backlog = backlog_tokens(view, self.now_s, self.average_prefill_tokens)
         return Chosen(
             view=view,
             version=view.version(prompt.model),
             salt=holders.salt,
-            prefill_tokens=max(0, prompt.tokens - held - gained),
+            prefill_tokens=prefill_tokens,
             source=source.address,
             cache_store=self.cache_store_address(holders, source),
+            work_tokens=float(prefill_tokens) + backlog,
         )
 
     def home_store(self, prompt: Prompt) -> CacheStore | None:
@@ -358,10 +381,22 @@
                 return Source(address=self.pool[home].target.address)
         return best
 
-    def cost(self, option: Chosen, homes: Sequence[str]) -> float:
-        """Return an option's cost, in prompt tokens to prefill."""
+    def cost(
+        self, option: Chosen, homes: Sequence[str], likely_tokens: int = 0
+    ) -> float:
+        """Return an option's cost, in prompt tokens to prefill.
+
+        Args:
+          option: The option.
+          homes: The prompt's homes, preferred first.
+          likely_tokens: Tokens that are likely to be generated.  They cost the
+            same at all targets of equal speed, and are compared only with a
+            target of the pool's middle.
+        """
         view = option.view
-        cost = float(option.prefill_tokens) + self.backlog_tokens(view)
+        factor = self.factor(view)
+        cost = factor * option.work_tokens
+        cost += (factor - 1.0) * likely_tokens * GENERATED_TOKENS
         if option.version is not None and option.version < self.newest_version:
             cost += OLD_WEIGHTS_TOKENS
         if view.is_agent_silent(self.now_s):
@@ -371,8 +406,13 @@
         return cost + SECOND_HOME_TOKENS * homes.index(view.target.name)
 
     def backlog_tokens(self, view: TargetView) -> float:
-        """Return a target's pending work, in prompt tokens to prefill."""
-        return backlog_tokens(view, self.now_s, self.average_prefill_tokens)
+        """Return a target's pending work times its factor.
+
+        The unit is a prompt token to prefill at the pool's middle.
+        """
+        return self.factor(view) * backlog_tokens(
+            view, self.now_s, self.average_prefill_tokens
+        )
 
 
 def backlog_tokens(
@@ -397,27 +437,54 @@
 
 
 def choose_call(
-    ready: Sequence[TargetView], members: Members, domain: str
+    ready: Sequence[TargetView],
+    members: Members,
+    domain: str,
+    factor: Callable[[TargetView], float] = equal_factor,
+    source: random.Random | None = None,
 ) -> Chosen | None:
     """Return the target of a call to a plain service; None if none is ready.
 
     Takes the target with the fewest open requests of this router per slot,
-    plus a penalty for recent failures.  Ties go to this router's failure
-    domain, so that calls stay near where that costs nothing.
+    plus a penalty for recent failures.  If speeds differ, it takes the one that
+    is expected to answer the call first instead.
+
+    Args:
+      ready: The targets that take a call now.
+      members: The health of the targets.
+      domain: This router's failure domain.
+      factor: Returns a target's service time relative to the pool's middle.
+      source: Chooses two of the equally good targets, so that routers that
+        share few targets do not all call the same one; None to compare all.
+
+    Returns:
+      The target.  Ties go to this router's failure domain, so that calls stay
+      near where that costs nothing.
     """
     if not ready:
         return None
-
-    def cost(view: TargetView) -> tuple[float, bool, str]:
+    factors = [factor(view) for view in ready]
+    is_equal = all(item == 1.0 for item in factors)
+    costs: list[float] = []
+    for view, slow in zip(ready, factors, strict=True):
         failing = members.health_of(view.target.name).failure_share
-        load = view.open_requests / max(1, view.target.slots)
-        return (
-            round(load + FAILING_COST * failing, 2),
-            view.target.domain != domain,
-            view.target.name,
-        )
-
-    return Chosen(view=min(ready, key=cost))
+        slots = max(1, view.target.slots)
+        if is_equal:
+            load = view.open_requests / slots
+        else:
+            load = (view.open_requests + 1) / slots * slow
+        costs.append(round(load + FAILING_COST * failing, 2))
+    least = min(costs)
+    best = [
+        view for view, cost in zip(ready, costs, strict=True) if cost == least
+    ]
+    if source is not None and len(best) > 2:
+        best = source.sample(best, 2)
+
+    def order(view: TargetView) -> tuple[bool, str]:
+        return view.target.domain != domain, view.target.name
+
+    return Chosen(view=min(best, key=order), work_tokens=1.0)
 
 
 def is_long_run(prompt: Prompt) -> bool:
