Learn target speeds over half a minute from the samples of all routers

Factors that were averaged over 6 s differed by a sixth between equal engines in lab/pace_model. They are now the average of all routers over 30 s, with the last seconds and the last second beside it where they differ significantly.

--- a/sequoiawind/lab/pace_model.py
+++ b/sequoiawind/lab/pace_model.py
@@ -10,6 +10,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 import attrs
@@ -48,8 +49,8 @@
 SLOW_S: Final = 0.6
 SLOW_FACTOR: Final = 2.5
 SLOW_EVERY_S: Final = 6.0
-# Time between two statuses of an agent, between two feed requests, and until
-# either arrives, in seconds.
+# Time between two statuses of an agent, which polls its engine as often,
+# between two feed requests, and until any of them arrives, in seconds.
 STATUS_EVERY_S: Final = 0.2
 FEED_EVERY_S: Final = 0.5
 DELAY_S: Final = 0.02
@@ -282,10 +283,10 @@
         self.at(0.0, self.arrive)
         for place, name in enumerate(self.engines):
             offset_s = STATUS_EVERY_S * place / len(self.engines)
-            self.at(offset_s, lambda name=name: self.publish(name))
+            self.at(offset_s, partial(self.publish, name))
         for number in range(scenario.routers if scenario.has_totals else 0):
             offset_s = FEED_EVERY_S * number / scenario.routers
-            self.at(offset_s, lambda number=number: self.feed(number))
+            self.at(offset_s, partial(self.feed, number))
         if scenario.restart_s >= 0.0:
             self.at(scenario.restart_s, self.restart)
         while self.events and self.events[0][0] < scenario.duration_s:
--- a/sequoiawind/load/target_pace.py
+++ b/sequoiawind/load/target_pace.py
@@ -2,10 +2,11 @@
 
 Answers the load of pools whose targets differ in speed, and of targets that
 slow down for a while.  A target's factor is its time for some work relative to
-the middle of its pool.  Three averages of observed over expected time make it:
-that of all routers over seconds, by the totals over all routers; that of this
-router over a longer time, for a router without totals; and that of this
-router's last second, in which requests count that wait longer than expected.
+the middle of its pool.  Three averages of observed over expected time make it,
+of which a shorter one counts only if it differs by more than chance explains:
+that of all routers over half a minute, that of all routers over seconds, and
+that of this router's last second, in which requests count that wait longer
+than expected.
 """
 
 import math
@@ -18,13 +19,20 @@
 from sequoiawind.load.work_model import WorkModel
 
 # Times over which samples are averaged, in seconds: those that are stated to
-# other routers, this router's alone, and the latest.
+# other routers, those that speeds are learned from, and the latest.  Over the
+# stated time alone the factors of equal engines differ by a sixth in
+# `lab.pace_model`, mostly by requests that wait behind unknown ones.
 STATED_TIME_S: Final = 6.0
 LONG_TIME_S: Final = 30.0
 RECENT_TIME_S: Final = 1.0
 # Weight of what was assumed before the samples, in samples of mean time.
 PRIOR_SAMPLES: Final = 4.0
 RECENT_PRIOR_SAMPLES: Final = 2.0
+# How many times its usual error the last second and the last seconds may differ
+# by chance: a router looks at few samples very often, and requests that wait
+# behind the same unknown one are late together.
+STATED_ERRORS: Final = 2.0
+RECENT_ERRORS: Final = 3.0
 # Bounds of a factor.
 MIN_FACTOR: Final = 0.4
 MAX_FACTOR: Final = 4.0
@@ -95,8 +103,11 @@
 class TargetPace:
     """What is known of the speed of one incarnation of a target."""
 
+    # Samples of this router, over the time that is stated.
     stated: Seconds = attrs.field(factory=lambda: Seconds(time_s=STATED_TIME_S))
+    # Samples of all routers.
     long: Seconds = attrs.field(factory=lambda: Seconds(time_s=LONG_TIME_S))
+    # The latest samples, compared with the estimates for this target.
     recent: Seconds = attrs.field(factory=lambda: Seconds(time_s=RECENT_TIME_S))
     # Samples whose answer has not begun, the oldest first.
     open: "dict[PaceSample, None]" = attrs.field(factory=dict)
@@ -108,22 +119,15 @@
     is_apart: bool = False
 
     def overdue(
-        self, ratio: float, error_factor: float, now_s: float
-    ) -> tuple[float, float]:
-        """Return the expected and the observed seconds of overdue samples.
-
-        Args:
-          ratio: Observed over expected time of the target.
-          error_factor: The usual error of an estimate.
-          now_s: The time, in seconds of the clock.
-        """
-        expected_s = observed_s = 0.0
+        self, error_factor: float, now_s: float
+    ) -> "list[tuple[PaceSample, float]]":
+        """Return the overdue samples and their time so far, in seconds."""
+        found: list[tuple[PaceSample, float]] = []
         for sample in self.open:
             passed_s = now_s - sample.sent_s
-            if passed_s > error_factor * ratio * sample.expected_s:
-                expected_s += sample.expected_s
-                observed_s += min(passed_s, OUTLIER * sample.expected_s)
-        return expected_s, observed_s
+            if passed_s > error_factor * sample.estimate_s:
+                found.append((sample, passed_s))
+        return found
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -134,7 +138,7 @@
     target: str
     work_tokens: float
     sent_s: float
-    # Expected time of the pool's middle, and estimated time of the target, in
+    # Expected time of the pool's middle and estimate for the target, both in
     # seconds.
     expected_s: float
     estimate_s: float
@@ -230,11 +234,11 @@
         pool.model.add(sample.work_tokens, observed_s, sample.estimate_s)
         if not sample.is_measure:
             return
-        expected_s = sample.expected_s
-        observed_s = min(observed_s, OUTLIER * expected_s)
-        pace = sample.pace
-        for sums in (pace.stated, pace.long, pace.recent):
-            sums.add(expected_s, observed_s, now_s)
+        pace, expected_s = sample.pace, sample.expected_s
+        limited_s = min(observed_s, OUTLIER * expected_s)
+        pace.stated.add(expected_s, limited_s, now_s)
+        limited_s = min(observed_s, OUTLIER * sample.estimate_s)
+        pace.recent.add(sample.estimate_s, limited_s, now_s)
 
     def dropped(self, sample: PaceSample) -> None:
         """Discard a sample that failed, was refused or cancelled."""
@@ -287,19 +291,16 @@
                 error_factor=math.inf,
             )
         pace = known.targets.get(target)
-        ratio = 1.0
+        expected_s = known.middle * known.model.expected_s(work_tokens)
         if pace is not None:
-            # A factor that counts as equal hides the ratio of the target.
-            ratio = pace.ratio if recent == pace.factor else recent
-        return Estimate(
-            expected_s=known.model.expected_s(work_tokens)
-            * known.middle
-            * ratio,
-            error_factor=known.error_factor,
-        )
+            # A factor that counts as equal hides the target's ratio.
+            is_usual = recent == pace.factor
+            expected_s *= pace.ratio if is_usual else recent
+        return Estimate(expected_s=expected_s, error_factor=known.error_factor)
 
     def refresh(self, pool: PoolPace, now_s: float) -> None:
         """Compute the factors of a pool's targets, without the last second."""
+        passed_s = min(now_s - pool.refreshed_s, STATED_TIME_S)
         pool.refreshed_s = now_s
         model = pool.model
         if not model.is_known and not self.others:
@@ -315,26 +316,14 @@
             if others is not None:
                 expected_s += weight * others[0]
                 observed_s += weight * others[1]
+            # The integral of sums that decay over a time, divided by that time,
+            # is the sum of the samples.
+            share = passed_s / STATED_TIME_S
+            pace.long.add(share * expected_s, share * observed_s, now_s)
             sums.append((pace, expected_s, observed_s))
-        pool.middle = middle_of(
-            [item for item in sums if item[1] >= model.mean_s], pool.middle
-        )
-        prior_s = PRIOR_SAMPLES * model.mean_s
+        pool.middle = middle_of(pool, pool.middle)
         for pace, expected_s, observed_s in sums:
-            long_s, long_observed_s = pace.long.at(now_s)
-            long_ratio = (long_observed_s / pool.middle + prior_s) / (
-                long_s + prior_s
-            )
-            pace.ratio = (observed_s / pool.middle + prior_s * long_ratio) / (
-                expected_s + prior_s
-            )
-            samples = expected_s / model.mean_s + PRIOR_SAMPLES
-            distance = abs(math.log(pace.ratio))
-            if pace.is_apart:
-                pace.is_apart = distance > EQUAL_AGAIN_LOG
-            else:
-                pace.is_apart = distance > apart_log(model, samples)
-            pace.factor = bounded(pace.ratio) if pace.is_apart else 1.0
+            set_factor(pool, pace, expected_s, observed_s)
 
     def stated_seconds(
         self, pool: PoolPace, pace: TargetPace, now_s: float
@@ -342,10 +331,9 @@
         """Return a target's seconds at this router, with overdue samples."""
         expected_s, observed_s = pace.stated.at(now_s)
         if pace.open and pool.model.is_known:
-            late_s, late_observed_s = pace.overdue(
-                pool.middle * pace.ratio, pool.error_factor, now_s
-            )
-            return expected_s + late_s, observed_s + late_observed_s
+            for sample, passed_s in pace.overdue(pool.error_factor, now_s):
+                expected_s += sample.expected_s
+                observed_s += min(passed_s, OUTLIER * sample.expected_s)
         return expected_s, observed_s
 
     # Totals over all routers.
@@ -412,57 +400,92 @@
                 self.others[name] = (expected_s, observed_s)
 
 
+def set_factor(
+    pool: PoolPace, pace: TargetPace, expected_s: float, observed_s: float
+) -> None:
+    """Compute a target's ratio and factor.
+
+    Args:
+      pool: Its pool.
+      pace: The target.
+      expected_s: Expected seconds of the samples of all routers over seconds.
+      observed_s: The observed seconds of these.
+    """
+    model = pool.model
+    prior_s = PRIOR_SAMPLES * model.mean_s
+    long_s = pace.long.expected_s + expected_s + prior_s
+    long_observed_s = pace.long.observed_s + observed_s
+    ratio = (long_observed_s / pool.middle + prior_s) / long_s
+    # What has changed in the last seconds.
+    change = (observed_s / (pool.middle * ratio) + prior_s) / (
+        expected_s + prior_s
+    )
+    samples = expected_s / model.mean_s + PRIOR_SAMPLES
+    if abs(math.log(change)) > apart_log(pool, samples, STATED_ERRORS):
+        ratio *= change
+    else:
+        samples = long_s / model.mean_s
+    pace.ratio = ratio
+    distance = abs(math.log(ratio))
+    if pace.is_apart:
+        pace.is_apart = distance > EQUAL_AGAIN_LOG
+    else:
+        pace.is_apart = distance > apart_log(pool, samples)
+    pace.factor = bounded(ratio) if pace.is_apart else 1.0
+
+
 def with_recent(pool: PoolPace, pace: TargetPace, now_s: float) -> float:
     """Return a target's factor with the samples of the last second.
 
     Overdue samples count as their time so far.  The factor over seconds is kept
     unless the last second differs from it by more than chance explains.
     """
-    model = pool.model
-    if not model.is_known:
+    if not pool.model.is_known:
         return pace.factor
-    middle = pool.middle
     expected_s, observed_s = pace.recent.at(now_s)
     if pace.open:
         oldest = next(iter(pace.open))
         if now_s - oldest.sent_s > OPEN_LIFETIME_S:
             del pace.open[oldest]
-        late_s, late_observed_s = pace.overdue(
-            middle * pace.ratio, pool.error_factor, now_s
-        )
-        expected_s += late_s
-        observed_s += late_observed_s
-    prior_s = RECENT_PRIOR_SAMPLES * model.mean_s
-    change = (observed_s / (middle * pace.ratio) + prior_s) / (
-        expected_s + prior_s
-    )
-    samples = expected_s / model.mean_s + RECENT_PRIOR_SAMPLES
-    if abs(math.log(change)) <= apart_log(model, samples):
+        for sample, passed_s in pace.overdue(pool.error_factor, now_s):
+            expected_s += sample.estimate_s
+            observed_s += min(passed_s, OUTLIER * sample.estimate_s)
+    mean_s = pool.model.mean_s * pool.middle * pace.ratio
+    prior_s = RECENT_PRIOR_SAMPLES * mean_s
+    change = (observed_s + prior_s) / (expected_s + prior_s)
+    samples = expected_s / mean_s + RECENT_PRIOR_SAMPLES
+    least_log = apart_log(pool, samples, RECENT_ERRORS)
+    if abs(math.log(change)) <= least_log:
         return pace.factor
     return bounded(pace.ratio * change)
 
 
-def apart_log(model: WorkModel, samples: float) -> float:
+def apart_log(pool: PoolPace, samples: float, errors: float = 1.0) -> float:
     """Return the distance beyond which a target is not equal to the middle.
 
     Args:
-      model: The model of its pool, with the usual error of one sample.
+      pool: Its pool, with the usual error of one sample.
       samples: The number of samples of the target.
+      errors: How many times its usual error the mean of the samples may differ
+        by chance.
 
     Returns:
       The distance, as a logarithm of the factor.
     """
-    return EQUAL_LOG + model.error / math.sqrt(samples)
+    return EQUAL_LOG + errors * pool.model.error / math.sqrt(samples)
+
 
+def middle_of(pool: PoolPace, otherwise: float) -> float:
+    """Return the median of observed over expected time of a pool's targets.
 
-def middle_of(
-    sums: list[tuple[TargetPace, float, float]], otherwise: float
-) -> float:
-    """Return the median of observed over expected time."""
-    if not sums:
-        return otherwise
-    ratios = [observed_s / expected_s for _, expected_s, observed_s in sums]
-    return max(statistics.median(ratios), 0.01)
+    Targets with less than one sample do not count.
+    """
+    ratios = [
+        pace.long.observed_s / pace.long.expected_s
+        for pace in pool.targets.values()
+        if pace.long.expected_s >= pool.model.mean_s
+    ]
+    return max(statistics.median(ratios), 0.01) if ratios else otherwise
 
 
 def bounded(ratio: float) -> float:
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -61,9 +61,18 @@
 # Cost of a call to a plain service whose recent calls have all failed, in open
 # requests per slot.
 FAILING_COST: Final = 8.0
-# Cost of generating a token, in prompt tokens: what it adds to the steps of the
-# engine model in `lab`, relative to prefilling one.
-GENERATED_TOKENS: Final = 8.0
+# Share of a router's average of tokens to prefill that costs a target nothing
+# more if it is slow.  The same as if slow targets were cheaper by it: otherwise
+# they would stand idle, since any faster one is better for each prompt alone.
+# Of 0 to 2, this one evens out the use of targets in `lab.pace_model`.
+SHARED_TOKENS: Final = 0.7
+# How much more a prompt's own tokens to prefill count than the work before it,
+# where speeds differ: long prompts go to fast targets and short ones to slow
+# ones, behind which fewer then wait for long.  Chosen in the same way.
+SIZE_WEIGHT: Final = 2.5
+# Highest factor to which both apply.  Beyond it, a target has come to a halt or
+# slowed down for a while, and no prompt should be drawn to it.
+MAX_SHARED_FACTOR: Final = 1.8
 # Longest answer of a run that a target still accepts while it winds down to
 # load weights, in tokens: engines generate about as many in that time.
 SHORT_RUN_TOKENS: Final = 64
@@ -258,11 +267,7 @@
             self.option(view, holders_for(view), homes)
             for view in map(self.pool.__getitem__, able)
         ]
-        likely_tokens = prompt.likely_tokens
-        return min(
-            options,
-            key=lambda option: self.cost(option, homes, likely_tokens),
-        )
+        return min(options, key=lambda option: self.cost(option, homes))
 
     def candidates(
         self,
@@ -381,22 +386,17 @@
                 return Source(address=self.pool[home].target.address)
         return best
 
-    def cost(
-        self, option: Chosen, homes: Sequence[str], likely_tokens: int = 0
-    ) -> float:
-        """Return an option's cost, in prompt tokens to prefill.
-
-        Args:
-          option: The option.
-          homes: The prompt's homes, preferred first.
-          likely_tokens: Tokens that are likely to be generated.  They cost the
-            same at all targets of equal speed, and are compared only with a
-            target of the pool's middle.
-        """
+    def cost(self, option: Chosen, homes: Sequence[str]) -> float:
+        """Return an option's cost, in prompt tokens to prefill."""
         view = option.view
         factor = self.factor(view)
         cost = factor * option.work_tokens
-        cost += (factor - 1.0) * likely_tokens * GENERATED_TOKENS
+        if factor <= MAX_SHARED_FACTOR:
+            average = self.average_prefill_tokens
+            cost += (factor - 1.0) * (
+                SIZE_WEIGHT * (option.prefill_tokens - average)
+                - SHARED_TOKENS * average
+            )
         if option.version is not None and option.version < self.newest_version:
             cost += OLD_WEIGHTS_TOKENS
         if view.is_agent_silent(self.now_s):
