--- a/sequoiawind/lab/choice_slope.py
+++ b/sequoiawind/lab/choice_slope.py
@@ -5,11 +5,15 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Final
 
+import attrs
+
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.home_order import HomeOrder
+from sequoiawind.load.target_pace import TargetPaces
 from sequoiawind.prompt_cache import (
     HeldParts,
     PartIndex,
@@ -26,6 +30,8 @@
 SPARE: Final = 2
 # Number of runs; the fastest counts.
 REPEATS: Final = 5
+# Samples of each target from which speeds are learned.
+SAMPLES: Final = 30
 MODEL: Final = "m"
 
 
@@ -80,9 +86,46 @@
     )
 
 
-def choice_us(size: int) -> float:
+def paced_chooser(size: int) -> PromptChooser:
+    """Return a chooser for targets whose speeds were learned and differ.
+
+    One target in three is 1.6 times slower, and each has an open request.
+    """
+    paces = TargetPaces()
+    now_s = 0.0
+    plain = chooser(size)
+    for _ in range(SAMPLES):
+        now_s += 0.5
+        for number, name in enumerate(plain.pool):
+            sample = paces.sent("p", name, 2_000.0, now_s)
+            taken_s = 0.16 * (1.6 if number % 3 == 0 else 1.0)
+            paces.began(sample, now_s + taken_s)
+    for name in plain.pool:
+        paces.sent("p", name, 2_000.0, now_s)
+    return attrs.evolve(
+        plain,
+        factor=lambda view: paces.factor("p", view.target.name, now_s),
+    )
+
+
+def refresh_us(size: int) -> float:
+    """Return the mean time of computing a pool's factors, in microseconds."""
+    paces = TargetPaces()
+    for step in range(SAMPLES):
+        for number in range(size):
+            sample = paces.sent("p", f"e{number}", 2_000.0, 0.5 * step)
+            paces.began(sample, 0.5 * step + 0.16)
+    began = time.perf_counter()
+    for step in range(PROMPTS):
+        paces.factor("p", "e0", 0.5 * (SAMPLES + step))
+    return (time.perf_counter() - began) / PROMPTS * 1e6
+
+
+def choice_us(
+    size: int, make: Callable[[int], PromptChooser] = chooser
+) -> float:
     """Return the mean time of a choice, in microseconds."""
-    choose, placed = chooser(size).choose, prompts()
+    choose, placed = make(size).choose, prompts()
     times: list[float] = []
     for _ in range(REPEATS):
         began = time.perf_counter()
--- a/sequoiawind/load/target_pace.py
+++ b/sequoiawind/load/target_pace.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from sequoiawind.load.pace_sums import Seconds
 from sequoiawind.load.work_model import WorkModel
 
 # Times over which samples are averaged, in seconds: those that are stated to
@@ -39,7 +40,10 @@
 # Logarithm of the factor up to which a target counts as equal to the middle,
 # and below which one that did not count as equal does again.
 EQUAL_LOG: Final = math.log(1.25)
-EQUAL_AGAIN_LOG: Final = math.log(1.12)
+EQUAL_AGAIN_LOG: Final = math.log(1.18)
+# Samples without which a target counts as equal: the middle of the pool is not
+# known well enough before.
+LEAST_APART_SAMPLES: Final = 10.0
 # Longest time of one sample relative to the expected one.
 OUTLIER: Final = 6.0
 # How long the factors over seconds are used, in seconds.
@@ -72,33 +76,6 @@
     error_factor: float
 
 
-@attrs.define(kw_only=True)
-class Seconds:
-    """Expected and observed time of samples; both lose weight with age."""
-
-    # Time in which the weight of a sample falls to 1/e, in seconds.
-    time_s: float
-    expected_s: float = 0.0
-    observed_s: float = 0.0
-    updated_s: float = 0.0
-
-    def add(self, expected_s: float, observed_s: float, now_s: float) -> None:
-        """Add a sample."""
-        kept = self.kept(now_s)
-        self.expected_s = kept * self.expected_s + expected_s
-        self.observed_s = kept * self.observed_s + observed_s
-        self.updated_s = now_s
-
-    def kept(self, now_s: float) -> float:
-        """Return the weight that the sums have left."""
-        return math.exp(min(0.0, self.updated_s - now_s) / self.time_s)
-
-    def at(self, now_s: float) -> tuple[float, float]:
-        """Return the expected and the observed seconds."""
-        kept = self.kept(now_s)
-        return kept * self.expected_s, kept * self.observed_s
-
-
 @attrs.define(kw_only=True, eq=False)
 class TargetPace:
     """What is known of the speed of one incarnation of a target."""
@@ -430,7 +407,9 @@
     if pace.is_apart:
         pace.is_apart = distance > EQUAL_AGAIN_LOG
     else:
-        pace.is_apart = distance > apart_log(pool, samples)
+        is_certain = samples >= PRIOR_SAMPLES + LEAST_APART_SAMPLES
+        least_log = apart_log(pool, samples, STATED_ERRORS)
+        pace.is_apart = is_certain and distance > least_log
     pace.factor = bounded(ratio) if pace.is_apart else 1.0
 
 
