--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -13,6 +13,32 @@
 from sequoiawind.state import Account, Kind, Pool, Route, State, Target
 
 
+@attrs.frozen(kw_only=True)
+class LimitedAccount:
+    """The rate limit of a client account, over all routers together."""
+
+    name: str
+    # In tokens or requests a second.
+    rate_per_s: float
+    # What may be used at once after a pause, in tokens or requests.
+    burst: float
+    # Cost of a request that specifies no tokens, in tokens.
+    plain_cost: float = 0.0
+    # Whether costs are counted in tokens; otherwise in requests.
+    is_in_tokens: bool = True
+
+    def cost(self, request_tokens: float | None) -> float:
+        """Return the cost of a request.
+
+        Args:
+          request_tokens: Tokens of its prompt plus the maximum number of those
+            of its answer; None if it specifies none.
+        """
+        if not self.is_in_tokens:
+            return 1.0
+        return self.plain_cost if request_tokens is None else request_tokens
+
+
 @attrs.frozen(kw_only=True)
 class ForwardAccount(Account):
     """A client account under one of its keys."""
@@ -21,6 +47,8 @@
     is_isolated: bool = False
     # 0 is the most urgent; None to use the priority of the route's kind.
     priority: int | None = None
+    # None if its rate is not limited.
+    limit: LimitedAccount | None = None
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/sequoiawind/load/account_limits.py
@@ -0,0 +1,409 @@
+"""Rate limits of client accounts, enforced by all routers together.
+
+Each router spends from a token bucket that refills at its share of the limit:
+a guaranteed share, equal for all routers, and a share of the remainder by the
+part of its stated demand in the totals over all routers.  A request is admitted
+while the bucket is not in debt, since one request often costs more than the
+bucket of one router holds.
+
+If many routers are idle, each may overdraw its bucket by one request, which is
+more than the limit allows if all do so at once.  So while the total demand is
+above the limit, a request that the bucket does not cover is admitted at random,
+with the limit's part of the demand as probability.
+
+State exists for accounts with a limit that have been used lately.
+"""
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Container, Mapping
+from typing import Final
+
+import attrs
+
+from sequoiawind import defaults, messages
+from sequoiawind.forward_state import LimitedAccount
+from sequoiawind.verdict import Failure, Reason, not_run
+
+# Prefix of the keys in statements and totals.
+KEY_PREFIX: Final = "a:"
+# Part of a limit that is divided equally among the routers.
+GUARANTEED_PART: Final = 0.2
+# Part of the rate that is used: shares of routers change at different times.
+USED_PART: Final = 0.98
+# Age of the totals, in seconds, from which only the guaranteed share is left.
+TOTALS_LIFETIME_S: Final = 2.0
+MARGIN = 1.2
+MIX = 0.5
+# Times over which demand is averaged, in seconds; the higher average counts.
+# The short one follows callers that begin, the long one keeps the shares of
+# routers among which callers move.
+FAST_DEMAND_S: Final = 0.5
+SLOW_DEMAND_S: Final = 4.0
+# Time for which the highest number of routers counts, in seconds.
+ROUTERS_WINDOW_S: Final = 8.0
+# Shortest Retry-After of a refusal, in seconds.
+LEAST_RETRY_AFTER_S: Final = 0.02
+# Time without requests after which an account out of debt is dropped, in
+# seconds, and the time between two searches for such accounts.
+IDLE_S: Final = 30.0
+SWEEP_S: Final = 5.0
+# Demand that is not stated: below this part of a limit.
+LEAST_STATED_PART: Final = 1e-4
+# Change of a share that is reported, as a factor, and the time between two
+# reports of an account, in seconds.
+REPORTED_CHANGE: Final = 1.0 + 1.0 / 3.0
+REPORT_PERIOD_S: Final = 1.0
+
+
+@attrs.define(kw_only=True)
+class DemandAverage:
+    """Demand of one account at one router, averaged over two times."""
+
+    fast: float = 0.0
+    slow: float = 0.0
+    # When the sums were updated, in seconds of the clock.
+    updated_s: float = 0.0
+
+    def add(self, cost: float, now_s: float) -> None:
+        """Count a request, admitted or not."""
+        self.decay(now_s)
+        self.fast += cost
+        self.slow += cost
+
+    def decay(self, now_s: float) -> None:
+        """Reduce the sums by what is long ago."""
+        age_s = max(0.0, now_s - self.updated_s)
+        self.fast *= math.exp(-age_s / FAST_DEMAND_S)
+        self.slow *= math.exp(-age_s / SLOW_DEMAND_S)
+        self.updated_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        """Return the demand, in tokens or requests a second."""
+        self.decay(now_s)
+        return MIX * self.fast / FAST_DEMAND_S + (1-MIX) * self.slow / SLOW_DEMAND_S
+
+
+@attrs.define(kw_only=True)
+class AccountCounts:
+    """Tokens or requests of one account at this router since its start."""
+
+    asked: float = 0.0
+    granted: float = 0.0
+    refused: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class ShareInputs:
+    """What a router's share of a limit depends on."""
+
+    # Demand of this router and of all, as stated; in units a second.
+    stated_per_s: float
+    total_per_s: float
+    # Age of the totals, in seconds; infinite if there are none.
+    age_s: float
+    routers: int
+
+
+@attrs.define(kw_only=True)
+class AccountBucket:
+    """The state of one limited account at one router."""
+
+    limit: LimitedAccount
+    share: float
+    # What may be spent; negative while in debt.
+    level: float
+    # When the level was updated, in seconds of the clock.
+    updated_s: float
+    # When a request arrived last, in seconds of the clock.
+    used_s: float
+    # The share that was reported last, and when, in seconds of the clock.
+    reported_share: float
+    reported_s: float = float("-inf")
+    is_placed: bool = False
+    demand: DemandAverage = attrs.field(factory=DemandAverage)
+    counts: AccountCounts = attrs.field(factory=AccountCounts)
+
+    @property
+    def rate_per_s(self) -> float:
+        """Rate at which the bucket refills."""
+        return USED_PART * self.limit.rate_per_s * self.share
+
+    @property
+    def capacity(self) -> float:
+        """What the bucket holds."""
+        return self.limit.burst * self.share
+
+    def refill(self, limit: LimitedAccount, share: float, now_s: float) -> None:
+        """Refill the bucket, then adapt it to the limit and share in force.
+
+        The time since the last update counts at the lower of the two rates. A
+        level above zero falls with the capacity, and does not rise with it:
+        else a router with a full bucket that gets a larger share would have a
+        burst that other routers have spent.
+        """
+        elapsed_s = max(0.0, now_s - self.updated_s)
+        self.updated_s = max(now_s, self.updated_s)
+        if limit is self.limit and share == self.share:
+            self.fill(elapsed_s * self.rate_per_s)
+            return
+        old_rate, old_capacity = self.rate_per_s, self.capacity
+        self.limit, self.share = limit, share
+        self.level += elapsed_s * min(old_rate, self.rate_per_s)
+        self.level = min(self.level, max(old_capacity, 0.0))
+        if self.level > 0.0 and self.capacity < old_capacity:
+            self.level *= self.capacity / old_capacity
+        self.fill(0.0)
+
+    def fill(self, amount: float) -> None:
+        """Add to the level, as far as the bucket holds it."""
+        self.level = min(self.level + amount, self.capacity)
+
+    def wait_s(self, level: float) -> float:
+        """Return the time until a level is reached, in seconds."""
+        missing = level - self.level
+        return max(LEAST_RETRY_AFTER_S, missing / self.rate_per_s)
+
+
+@attrs.define(kw_only=True)
+class AccountLimits:
+    """Enforces the rate limits of all client accounts at one router.
+
+    Times `now_s` are in seconds of the steady clock.
+    """
+
+    # Clock that includes suspended time, in seconds; dates the totals.
+    age_clock: Callable[[], float]
+    random: random.Random
+    # When this router started.
+    started_s: float
+    # Called with an account, its new share and the inputs of the share.
+    on_share_change: Callable[[str, float, ShareInputs], None] = attrs.field(
+        default=lambda account, share, inputs: None
+    )
+    buckets: dict[str, AccountBucket] = attrs.field(factory=dict)
+    # The last totals, the statement that they contain and their date by
+    # `age_clock`.
+    totals: Mapping[str, float] = attrs.field(factory=dict)
+    stated: Mapping[str, float] = attrs.field(factory=dict)
+    as_of_s: float = float("-inf")
+    # Numbers of routers with the time at which each was last stated; falling
+    # numbers in the order of time.
+    known_routers: deque[tuple[float, int]] = attrs.field(factory=deque)
+    is_count_known: bool = False
+    swept_s: float = float("-inf")
+
+    # Requests.
+
+    def admit(
+        self, account: LimitedAccount, cost: float, now_s: float
+    ) -> Failure | None:
+        """Admit a request and charge its cost, or return a refusal."""
+        bucket = self.bucket(account, now_s)
+        bucket.used_s = now_s
+        bucket.demand.add(cost, now_s)
+        bucket.counts.asked += cost
+        wait_s = self.refusal_s(bucket, cost, now_s)
+        if wait_s is None:
+            bucket.level -= cost
+            bucket.counts.granted += cost
+            return None
+        bucket.counts.refused += cost
+        return not_run(Reason.RATE_LIMIT, messages.ACCOUNT_RATE_LIMIT, wait_s)
+
+    def refusal_s(
+        self, bucket: AccountBucket, cost: float, now_s: float
+    ) -> float | None:
+        """Return when a refused request has room; None if it has it now."""
+        if bucket.level >= cost:
+            return None
+        excess = self.total_now(bucket, now_s) / bucket.limit.rate_per_s
+        part = min(1.0, MARGIN / excess) if excess > 0.0 else 1.0
+        if part >= 1.0:
+            bucket.is_placed = False
+        if bucket.level >= 0.0 and not bucket.is_placed:
+            if self.random.random() >= part:
+                missing = (1.0 - part) * self.random.random()
+                bucket.level -= missing * cost
+        if part < 1.0:
+            bucket.is_placed = True
+        if bucket.level < 0.0:
+            return bucket.wait_s(0.0)
+        return None
+
+    def total_now(self, bucket: AccountBucket, now_s: float) -> float:
+        """Return the demand of all routers, this one's as of now."""
+        key = KEY_PREFIX + bucket.limit.name
+        others = self.totals.get(key, 0.0) - self.stated.get(key, 0.0)
+        return max(0.0, others) + bucket.demand.per_s(now_s)
+
+    def charge(
+        self, account: LimitedAccount, cost: float, now_s: float
+    ) -> None:
+        """Charge a further attempt of an admitted request."""
+        bucket = self.bucket(account, now_s)
+        bucket.used_s = now_s
+        bucket.level -= cost
+        bucket.demand.add(cost, now_s)
+        bucket.counts.asked += cost
+        bucket.counts.granted += cost
+
+    def give_back(self, account_name: str, cost: float, now_s: float) -> None:
+        """Refund what a target reports as not run."""
+        bucket = self.buckets.get(account_name)
+        if bucket is None:
+            return
+        self.refill(bucket, bucket.limit, now_s)
+        bucket.fill(cost)
+        bucket.counts.granted -= cost
+
+    # Shares.
+
+    def bucket(self, account: LimitedAccount, now_s: float) -> AccountBucket:
+        """Return an account's bucket, refilled."""
+        self.sweep(now_s)
+        bucket = self.buckets.get(account.name)
+        if bucket is not None:
+            self.refill(bucket, account, now_s)
+            return bucket
+        share = self.share(account.name, now_s)
+        bucket = AccountBucket(
+            limit=account,
+            share=share,
+            level=0.0,
+            updated_s=self.started_s,
+            used_s=now_s,
+            reported_share=share,
+        )
+        bucket.demand.updated_s = now_s
+        # Without requests here only the guaranteed share was saved up.
+        self.buckets[account.name] = bucket
+        bucket.share = self.guaranteed_share(now_s)
+        bucket.refill(account, bucket.share, now_s)
+        bucket.refill(account, share, now_s)
+        return bucket
+
+    def refill(
+        self, bucket: AccountBucket, limit: LimitedAccount, now_s: float
+    ) -> None:
+        """Refill a bucket at the share in force, and report changes of it."""
+        share = self.share(limit.name, now_s)
+        bucket.refill(limit, share, now_s)
+        least, most = sorted((share, bucket.reported_share))
+        if most < least * REPORTED_CHANGE:
+            return
+        if now_s - bucket.reported_s < REPORT_PERIOD_S:
+            return
+        bucket.reported_share, bucket.reported_s = share, now_s
+        self.on_share_change(limit.name, share, self.inputs(limit.name, now_s))
+
+    def share(self, account_name: str, now_s: float) -> float:
+        """Return this router's share of an account's limit, from 0 to 1."""
+        guaranteed = self.guaranteed_share(now_s)
+        if self.age_clock() - self.as_of_s >= TOTALS_LIFETIME_S:
+            return guaranteed
+        key = KEY_PREFIX + account_name
+        stated = self.stated.get(key, 0.0)
+        if stated <= 0.0:
+            return guaranteed
+        total = max(stated, self.totals.get(key, 0.0))
+        return guaranteed + (1.0 - GUARANTEED_PART) * stated / total
+
+    def guaranteed_share(self, now_s: float) -> float:
+        """Return the share that needs no totals."""
+        return GUARANTEED_PART / self.routers(now_s)
+
+    def routers(self, now_s: float) -> int:
+        """Return the highest number of routers known lately."""
+        known = self.known_routers
+        while len(known) > 1 and known[0][0] <= now_s - ROUTERS_WINDOW_S:
+            known.popleft()
+        routers = known[0][1] if known else 0
+        if not self.is_count_known:
+            routers = max(routers, defaults.ASSUMED_ROUTERS)
+        return routers
+
+    def inputs(self, account_name: str, now_s: float) -> ShareInputs:
+        """Return what the share of an account depends on."""
+        key = KEY_PREFIX + account_name
+        return ShareInputs(
+            stated_per_s=self.stated.get(key, 0.0),
+            total_per_s=self.totals.get(key, 0.0),
+            age_s=self.age_clock() - self.as_of_s,
+            routers=self.routers(now_s),
+        )
+
+    # What other components tell.
+
+    def statement(self, now_s: float) -> dict[str, float]:
+        """Return the demand to state, by key, in units a second."""
+        self.sweep(now_s)
+        found: dict[str, float] = {}
+        for name, bucket in self.buckets.items():
+            demand = bucket.demand.per_s(now_s)
+            if demand > LEAST_STATED_PART * bucket.limit.rate_per_s:
+                found[KEY_PREFIX + name] = demand
+        return found
+
+    def take_totals(
+        self,
+        totals: Mapping[str, float],
+        stated: Mapping[str, float],
+        as_of_s: float,
+        now_s: float,
+    ) -> None:
+        """Use totals over all routers, unless newer ones are known.
+
+        Args:
+          totals: Demand of all routers by key, in units a second.
+          stated: This router's statement that they contain.
+          as_of_s: When the request that returned them was sent, in seconds of
+            `age_clock`.
+          now_s: The time, in seconds of the clock.
+        """
+        if as_of_s <= self.as_of_s:
+            return
+        # The time up to now counts at the share that was in force.
+        for bucket in self.buckets.values():
+            self.refill(bucket, bucket.limit, now_s)
+        self.totals = own_keys(totals)
+        self.stated = own_keys(stated)
+        self.as_of_s = as_of_s
+        for bucket in self.buckets.values():
+            self.refill(bucket, bucket.limit, now_s)
+
+    def note_routers(self, routers: int, now_s: float) -> None:
+        """Record the number of routers; 0 if it is unknown."""
+        self.is_count_known = routers > 0
+        if routers <= 0:
+            return
+        while self.known_routers and self.known_routers[-1][1] <= routers:
+            self.known_routers.pop()
+        self.known_routers.append((now_s, routers))
+
+    def keep_only(self, account_names: Container[str]) -> None:
+        """Drop the accounts that a new configuration does not limit."""
+        for name in [n for n in self.buckets if n not in account_names]:
+            del self.buckets[name]
+
+    def sweep(self, now_s: float) -> None:
+        """Drop the accounts without recent use that are out of debt."""
+        if now_s - self.swept_s < SWEEP_S:
+            return
+        self.swept_s = now_s
+        for name, bucket in list(self.buckets.items()):
+            if now_s - bucket.used_s < IDLE_S:
+                continue
+            self.refill(bucket, bucket.limit, now_s)
+            if bucket.level >= 0.0:
+                del self.buckets[name]
+
+
+def own_keys(figures: Mapping[str, float]) -> dict[str, float]:
+    """Return the figures of client accounts."""
+    return {
+        key: value
+        for key, value in figures.items()
+        if key.startswith(KEY_PREFIX)
+    }
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -90,6 +90,8 @@
 # Values of `kind` of a route.
 IDEMPOTENT: Final = "idempotent"
 STREAMING: Final = "streaming"
+# Unit of the rate limit of a client account that is counted in tokens.
+TOKEN_UNIT: Final = "token_stream"
 # Values of `state` of a target's entry.
 READY: Final = "ready"
 DRAINING: Final = "draining"
