Spend in advance below and place at random above an account's limit

Routers now spend the refill of 2 s in advance, and above the limit admit first requests at random; shares are the larger of the guaranteed one and that by demand.

--- a/sequoiawind/lab/limit_model.py
+++ b/sequoiawind/lab/limit_model.py
@@ -303,7 +303,9 @@
         return granted / permitted if permitted else 1.0
 
 
-def anywhere(routers: int, reached: int) -> Callable[[float, random.Random], int]:
+def anywhere(
+    routers: int, reached: int
+) -> Callable[[float, random.Random], int]:
     """Return the places of callers that reach some routers alike."""
     return lambda now_s, rng: rng.randrange(min(reached, routers))
 
--- a/sequoiawind/load/account_limits.py
+++ b/sequoiawind/load/account_limits.py
@@ -1,15 +1,16 @@
 """Rate limits of client accounts, enforced by all routers together.
 
 Each router spends from a token bucket that refills at its share of the limit:
-a guaranteed share, equal for all routers, and a share of the remainder by the
-part of its stated demand in the totals over all routers.  A request is admitted
-while the bucket is not in debt, since one request often costs more than the
-bucket of one router holds.
+its part of the stated demand in the totals over all routers, and at least a
+guaranteed share that is equal for all.
 
-If many routers are idle, each may overdraw its bucket by one request, which is
-more than the limit allows if all do so at once.  So while the total demand is
-above the limit, a request that the bucket does not cover is admitted at random,
-with the limit's part of the demand as probability.
+One request often costs more than the bucket of a router holds, and totals are
+about a second old.  So a router may spend some of its refill in advance: what
+its present part of the demand earns in a short time, and at least one request.
+If hundreds of routers do that at once they exceed the limit.  So while the
+demand is above the limit, the first request that a bucket does not cover is
+admitted at random, with the limit's part of the demand as probability; a router
+that refuses it starts with a random debt, as if it had been in use before.
 
 State exists for accounts with a limit that have been used lately.
 """
@@ -34,13 +35,28 @@
 USED_PART: Final = 0.98
 # Age of the totals, in seconds, from which only the guaranteed share is left.
 TOTALS_LIFETIME_S: Final = 2.0
-MARGIN = 1.2
-MIX = 0.5
-# Times over which demand is averaged, in seconds; the higher average counts.
-# The short one follows callers that begin, the long one keeps the shares of
-# routers among which callers move.
-FAST_DEMAND_S: Final = 0.5
-SLOW_DEMAND_S: Final = 4.0
+# Time over which demand is averaged, in seconds.  With 4 s, callers that move
+# each second find routers whose shares follow too late.
+DEMAND_TIME_S: Final = 1.0
+# What all routers together may spend in advance: the refill of some seconds,
+# and half of the excess in tokens that the limit tolerates.
+ADVANCE_S: Final = 2.0
+ADVANCE_TOKENS: Final = 55_000.0
+# Demand above which an account counts as over its limit, and above which the
+# advance falls, as parts of the limit.  The first is above 1, as the demand of
+# accounts with few requests varies.
+OVER_LIMIT: Final = 1.2
+FAR_OVER_LIMIT: Final = 2.5
+# Part of the limit's part of the demand that is used as probability, and the
+# limit's part of the demand below which it falls further: demand far over the
+# limit has usually just risen, and was admitted until the totals showed it.
+CHANCE_MARGIN: Final = 0.9
+STEEP_PART: Final = 0.6
+# What a bucket of an account over its limit holds in addition, in requests of
+# mean cost, so that a router with few requests keeps what it refills between
+# them, and the weight of one request in the mean cost.
+SPARE_REQUESTS: Final = 1.5
+COST_WEIGHT: Final = 0.2
 # Time for which the highest number of routers counts, in seconds.
 ROUTERS_WINDOW_S: Final = 8.0
 # Shortest Retry-After of a refusal, in seconds.
@@ -59,30 +75,25 @@
 
 @attrs.define(kw_only=True)
 class DemandAverage:
-    """Demand of one account at one router, averaged over two times."""
+    """Demand of one account at one router, averaged over some time."""
 
-    fast: float = 0.0
-    slow: float = 0.0
-    # When the sums were updated, in seconds of the clock.
+    total: float = 0.0
+    # When the total was updated, in seconds of the clock.
     updated_s: float = 0.0
 
     def add(self, cost: float, now_s: float) -> None:
         """Count a request, admitted or not."""
-        self.decay(now_s)
-        self.fast += cost
-        self.slow += cost
-
-    def decay(self, now_s: float) -> None:
-        """Reduce the sums by what is long ago."""
-        age_s = max(0.0, now_s - self.updated_s)
-        self.fast *= math.exp(-age_s / FAST_DEMAND_S)
-        self.slow *= math.exp(-age_s / SLOW_DEMAND_S)
+        self.total = self.decayed(now_s) + cost
         self.updated_s = now_s
 
     def per_s(self, now_s: float) -> float:
         """Return the demand, in tokens or requests a second."""
-        self.decay(now_s)
-        return MIX * self.fast / FAST_DEMAND_S + (1-MIX) * self.slow / SLOW_DEMAND_S
+        return self.decayed(now_s) / DEMAND_TIME_S
+
+    def decayed(self, now_s: float) -> float:
+        """Return the total without what is long ago."""
+        age_s = max(0.0, now_s - self.updated_s)
+        return self.total * math.exp(-age_s / DEMAND_TIME_S)
 
 
 @attrs.define(kw_only=True)
@@ -121,7 +132,11 @@
     # The share that was reported last, and when, in seconds of the clock.
     reported_share: float
     reported_s: float = float("-inf")
+    # Whether the bucket has been in use since the account was over its limit.
     is_placed: bool = False
+    # Mean cost of a request, and what the bucket holds in addition.
+    mean_cost: float = 0.0
+    spare: float = 0.0
     demand: DemandAverage = attrs.field(factory=DemandAverage)
     counts: AccountCounts = attrs.field(factory=AccountCounts)
 
@@ -133,7 +148,7 @@
     @property
     def capacity(self) -> float:
         """What the bucket holds."""
-        return self.limit.burst * self.share
+        return self.limit.burst * self.share + self.spare
 
     def refill(self, limit: LimitedAccount, share: float, now_s: float) -> None:
         """Refill the bucket, then adapt it to the limit and share in force.
@@ -202,9 +217,9 @@
         """Admit a request and charge its cost, or return a refusal."""
         bucket = self.bucket(account, now_s)
         bucket.used_s = now_s
-        bucket.demand.add(cost, now_s)
         bucket.counts.asked += cost
         wait_s = self.refusal_s(bucket, cost, now_s)
+        bucket.demand.add(cost, now_s)
         if wait_s is None:
             bucket.level -= cost
             bucket.counts.granted += cost
@@ -216,27 +231,52 @@
         self, bucket: AccountBucket, cost: float, now_s: float
     ) -> float | None:
         """Return when a refused request has room; None if it has it now."""
-        if bucket.level >= cost:
+        bucket.mean_cost += COST_WEIGHT * (cost - bucket.mean_cost)
+        rate_per_s = bucket.limit.rate_per_s
+        own, total = self.demand_now(bucket, now_s)
+        # This request counts as demand of its router only below the limit: in a
+        # fleet with few requests for each router, every router would otherwise
+        # take it for a large part of the demand.
+        if total <= OVER_LIMIT * rate_per_s:
+            own += cost / DEMAND_TIME_S
+            total += cost / DEMAND_TIME_S
+        is_over = total > OVER_LIMIT * rate_per_s
+        if is_over:
+            if not bucket.is_placed and 0.0 <= bucket.level < cost:
+                self.place(bucket, cost, rate_per_s / total)
+            bucket.spare = SPARE_REQUESTS * bucket.mean_cost
+        else:
+            bucket.spare = 0.0
+        bucket.is_placed = is_over
+        if bucket.level >= 0.0:
+            return None
+        advance = advance_of(bucket.limit) * own / max(total, own, 1e-9)
+        if is_over:
+            advance *= min(1.0, FAR_OVER_LIMIT * rate_per_s / total)
+        if bucket.level - cost >= -advance:
             return None
-        excess = self.total_now(bucket, now_s) / bucket.limit.rate_per_s
-        part = min(1.0, MARGIN / excess) if excess > 0.0 else 1.0
-        if part >= 1.0:
-            bucket.is_placed = False
-        if bucket.level >= 0.0 and not bucket.is_placed:
-            if self.random.random() >= part:
-                missing = (1.0 - part) * self.random.random()
-                bucket.level -= missing * cost
-        if part < 1.0:
-            bucket.is_placed = True
-        if bucket.level < 0.0:
-            return bucket.wait_s(0.0)
-        return None
-
-    def total_now(self, bucket: AccountBucket, now_s: float) -> float:
-        """Return the demand of all routers, this one's as of now."""
+        return bucket.wait_s(0.0)
+
+    def place(self, bucket: AccountBucket, cost: float, part: float) -> None:
+        """Put a bucket into debt at random.
+
+        Args:
+          bucket: A bucket that is not in debt and does not cover the request.
+          cost: The request's cost.
+          part: The limit's part of the demand.
+        """
+        chance = part * min(CHANCE_MARGIN, part / STEEP_PART)
+        if self.random.random() >= chance:
+            bucket.level -= (1.0 - chance) * self.random.random() * cost
+
+    def demand_now(
+        self, bucket: AccountBucket, now_s: float
+    ) -> tuple[float, float]:
+        """Return this router's demand as of now, and that of all routers."""
         key = KEY_PREFIX + bucket.limit.name
         others = self.totals.get(key, 0.0) - self.stated.get(key, 0.0)
-        return max(0.0, others) + bucket.demand.per_s(now_s)
+        own = bucket.demand.per_s(now_s)
+        return own, max(0.0, others) + own
 
     def charge(
         self, account: LimitedAccount, cost: float, now_s: float
@@ -308,7 +348,7 @@
         if stated <= 0.0:
             return guaranteed
         total = max(stated, self.totals.get(key, 0.0))
-        return guaranteed + (1.0 - GUARANTEED_PART) * stated / total
+        return max(guaranteed, stated / total)
 
     def guaranteed_share(self, now_s: float) -> float:
         """Return the share that needs no totals."""
@@ -400,6 +440,12 @@
                 del self.buckets[name]
 
 
+def advance_of(limit: LimitedAccount) -> float:
+    """Return what all routers may spend in advance, in units of the limit."""
+    tokens = ADVANCE_TOKENS if limit.is_in_tokens else 0.0
+    return ADVANCE_S * limit.rate_per_s + tokens
+
+
 def own_keys(figures: Mapping[str, float]) -> dict[str, float]:
     """Return the figures of client accounts."""
     return {
