Ask load control at the points of a forwarded request

A request is charged to its account when it arrives, two targets are asked for their load and speeds weigh the choice, and admission control may refuse what no target has got; samples, refunds and the order of waiting requests follow. A part does nothing for a pool until accounts have limits or three of its targets differ in speed; without that no state arises (a test).

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -14,6 +14,7 @@
 from sequoiawind.forward_ports import AnswerHead
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.headers import Framing
+from sequoiawind.load.target_pace import PaceSample
 from sequoiawind.request_execution import OpenAttempt
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.target_choice import Chosen
@@ -39,6 +40,8 @@
     # When the first complete event of a stream arrived, in seconds of the
     # clock; negative before it.
     first_event_s: float = -1.0
+    # What it teaches of its target's speed; None once its answer has begun.
+    sample: PaceSample | None = None
     # The pending move of the run to another target, if any.
     move: StreamMove | None = None
     # Whether a move that failed may have stopped the run.
@@ -70,6 +73,7 @@
         for event in self.splitter.take(data):
             if not self.has_event:
                 self.first_event_s = self.clock.seconds()
+                self.answer_began()
             self.forwarding.take_event(self, event.data, event.id)
         if self.splitter.is_inside_event:
             self.forwarding.silence.event_begun(self)
@@ -89,6 +93,8 @@
             text = messages.STREAM_TRUNCATED
             self.failed(may_have_run(Reason.CONNECTION_LOST, text))
             return
+        if self.has_written:
+            self.answer_began()
         if not self.close():
             return
         if self.move is not None and self.is_close_delimited:
@@ -164,6 +170,15 @@
         """Remove the attempt from the target's counts."""
         self.view.open_requests -= 1
         self.begin()
+        sample, self.sample = self.sample, None
+        self.forwarding.forwarder.load.dropped(sample)
+
+    def answer_began(self) -> None:
+        """Learn how soon the target began its answer, once."""
+        sample, self.sample = self.sample, None
+        self.forwarding.forwarder.load.began(
+            self.forwarding.plan, sample, self.clock.seconds()
+        )
 
     def begin(self) -> None:
         """Remove the prompt from the target's pending prefills, once."""
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -1,6 +1,6 @@
 """The components of a forwarding router, and how they are connected."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import attrs
@@ -23,6 +23,7 @@
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
+from sequoiawind.load.controller import make_controller
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.options import (
     Address,
@@ -44,6 +45,7 @@
     AgentClient,
     StatusWatcher,
 )
+from sequoiawind.target_probes import TargetProbes
 from sequoiawind.weights_holder import WeightsHolder
 
 # Share of the revocation bound for which the store may wait for a change before
@@ -188,6 +190,14 @@
                 weights_s=bounds.weights_ms / 1000,
                 settle_s=bounds.settle_ms / 1000,
             ),
+            load=make_controller(
+                self.options.load, self.random, event_loop.reactor.seconds()
+            ),
+            probes=TargetProbes(
+                port=self.make_agents(),
+                fleet=self.fleet,
+                clock=event_loop.reactor,
+            ),
             on_reconnect=notes.note_reconnect,
             on_end=notes.note_end,
             on_move=notes.note_move,
@@ -260,6 +270,25 @@
             self.on_prepared = None
             self.log.info("ready", revision=self.board.state.revision)
 
+    def config_changed(self) -> None:
+        """Adapt to a configuration; become ready if it is the first."""
+        state = self.board.state
+        if isinstance(state, ForwardState):
+            self.forwarder.load.configured(state.limited_accounts)
+        self.check_prepared()
+
+    def totals_changed(
+        self,
+        totals: Mapping[str, float],
+        stated: Mapping[str, float],
+        as_of_s: float,
+    ) -> None:
+        """Pass totals over all routers on; see `FeedReader.on_totals`."""
+        now_s = event_loop.reactor.seconds()
+        self.forwarder.load.take_totals(
+            totals, stated, as_of_s, now_s, self.fleet.routers(now_s)
+        )
+
     # Ports and controllers.
 
     def listen(self) -> None:
@@ -301,7 +330,7 @@
             freshness=self.freshness,
             may_confirm=self.may_trust_records,
             on_weights=self.forwarder.weights.version_named,
-            on_config=self.check_prepared,
+            on_config=self.config_changed,
         )
         targets = TargetReader(
             fleet=self.fleet,
@@ -317,6 +346,8 @@
             targets=targets,
             crashes=self.forwarder.crashes,
             own_demand_per_s=lambda: self.feed.stated_demand_per_s,
+            own_statement=lambda: self.feed.stated,
+            on_totals=self.totals_changed,
             caches=self.forwarder.caches,
             clock=event_loop.reactor,
             capacity_of=self.forwarder.memory_of,
@@ -330,6 +361,9 @@
             demand_per_s=lambda: self.forwarder.demand.per_s(
                 event_loop.reactor.seconds()
             ),
+            statement=lambda: self.forwarder.load.statement(
+                event_loop.reactor.seconds()
+            ),
         )
         cover = FeedCover(
             clock=event_loop.reactor, is_given=lambda: self.feed.is_live
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -143,6 +143,15 @@
 
     limits: CallerLimits = attrs.field(factory=CallerLimits)
 
+    @cached_property
+    def limited_accounts(self) -> frozenset[str]:
+        """Names of the client accounts whose rate is limited."""
+        return frozenset(
+            account.name
+            for account in self.accounts.values()
+            if isinstance(account, ForwardAccount) and account.limit
+        )
+
     @cached_property
     def routes_by_host(self) -> dict[str, list[ForwardRoute]]:
         """Routes by host, those with the longest path first."""
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -5,7 +5,6 @@
 target.
 """
 
-import random
 from collections.abc import Callable, Mapping
 from typing import Final
 
@@ -13,35 +12,24 @@
 import structlog
 from expression import Result
 
-from sequoiawind.allowed_weights import AllowedWeights
-from sequoiawind.blackboard import Blackboard, RequestNote
-from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.blackboard import RequestNote
 from sequoiawind.crash_registry import CrashRegistry
-from sequoiawind.fleet import Fleet, TargetView
+from sequoiawind.fleet import TargetView
 from sequoiawind.forward_attempt import ForwardAttempt
-from sequoiawind.forward_plan import ForwardPlan, ForwardRequest, Planner
+from sequoiawind.forward_placement import ForwardPlacement
+from sequoiawind.forward_plan import ForwardRequest, Planner
 from sequoiawind.forward_ports import AnswerHead, ForwardCaller, ForwardPort
-from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
-from sequoiawind.home_order import HomeOrder
-from sequoiawind.load.probing import to_probe
 from sequoiawind.origin_registry import OriginRegistry
-from sequoiawind.ports import Clock
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.request_signature import RequestSignature
-from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
+from sequoiawind.spare_targets import SpareLists
 from sequoiawind.stream_move import StreamMove, move_away
 from sequoiawind.stream_origins import StreamOrigin, may_continue
 from sequoiawind.target_choice import (
-    DEFAULT_PREFILL_TOKENS,
-    CacheStore,
     Chosen,
-    PromptChooser,
-    choose_call,
-    is_long_run,
 )
 from sequoiawind.target_limit import DemandMeter, TargetLimit
-from sequoiawind.target_probes import TargetProbes
 from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run
 from sequoiawind.waiting_requests import WaitingRequests
 
@@ -50,34 +38,17 @@
 # Weight of a prompt in the moving average of tokens to prefill: covers about
 # the last 30 prompts.
 PREFILL_AVERAGE_WEIGHT: Final = 0.03
-# Memory assumed for a target whose pool does not state it, in tokens.
-DEFAULT_MEMORY_TOKENS: Final = 50_000
 
 
 @attrs.define(kw_only=True, eq=False)
-class Forwarder:
-    """Starts forwarded requests and chooses their targets."""
+class Forwarder(ForwardPlacement):
+    """Starts forwarded requests, and keeps what they share."""
 
-    board: Blackboard
-    fleet: Fleet
     planner: Planner
     port: ForwardPort
-    clock: Clock
     window: RepeatWindow
-    random: random.Random
-    # This router's failure domain.
-    domain: str
-    weights: AllowedWeights
-    caches: CacheWatcher
     origins: OriginRegistry
     crashes: CrashRegistry
-    # None where targets are not asked before a choice.
-    probes: TargetProbes | None = None
-    # Moving average of the tokens that a prompt has to prefill.
-    average_prefill_tokens: float = DEFAULT_PREFILL_TOKENS
-    # By pool.
-    homes: dict[str, HomeOrder] = attrs.field(factory=dict)
-    spare: SpareLists = attrs.field(init=False)
     waiting: WaitingRequests = attrs.field(init=False)
     # Requests that have not ended, in the order of arrival, so that a seeded
     # soak repeats.
@@ -121,7 +92,12 @@
         """Let the watcher of caches respect what targets have stated."""
         self.caches.is_paused = self.is_paused
         self.spare = SpareLists(fleet=self.fleet)
-        self.waiting = WaitingRequests(clock=self.clock)
+        self.waiting = WaitingRequests(
+            clock=self.clock,
+            order=lambda waiting: self.load.ordered(
+                waiting, self.clock.seconds()
+            ),
+        )
 
     def is_paused(self, name: str) -> bool:
         """Whether a target wants no calls beside requests from this VM now."""
@@ -141,12 +117,19 @@
             caller.refuse(planned.error)
             return None
         plan = planned.ok
-        self.demand.add(self.clock.seconds())
+        now_s = self.clock.seconds()
+        charge = self.load.charge(plan, now_s)
+        if isinstance(charge, Failure):
+            self.on_refusal(request, charge)
+            caller.refuse(charge)
+            return None
+        self.demand.add(now_s)
         forwarding = Forwarding(
             clock=self.clock,
             forwarder=self,
             plan=plan,
             caller=caller,
+            charge=charge,
             note=RequestNote(
                 request_id=request.request_id,
                 account=plan.account.name,
@@ -170,123 +153,7 @@
         """Number of requests that have not ended."""
         return len(self.open)
 
-    # Placement.
-
-    def choose(self, forwarding: Forwarding) -> Chosen | None:
-        """Return a target for a request; None if none is ready."""
-        ranked = self.ranked(forwarding)
-        probed = [
-            option
-            for option in ranked
-            if option.view.target.name in forwarding.probed
-        ]
-        return next(iter(probed or ranked), None)
-
-    def probe(self, forwarding: Forwarding) -> bool:
-        """Ask a few targets for their load before a prompt is sent.
-
-        Returns:
-          Whether that was done; `forwarding.next_target` is called then.
-        """
-        if self.probes is None or forwarding.plan.request.prompt is None:
-            return False
-        ranked = [option.view.target.name for option in self.ranked(forwarding)]
-        able = [name for name in ranked if self.probes.may_ask(name)]
-        names = to_probe(able, forwarding.left_s, self.random)
-        if not names:
-            return False
-        forwarding.probed = names
-        self.probes.ask(names, forwarding.next_target)
-        return True
-
-    def ranked(self, forwarding: Forwarding) -> list[Chosen]:
-        """Return the targets that may take a request, the best first."""
-        plan = forwarding.plan
-        now_s = self.clock.seconds()
-        prompt = plan.request.prompt
-        is_long = prompt is not None and is_long_run(prompt)
-        if prompt is None or not plan.pool.models:
-            ready = [
-                view
-                for view in self.fleet.ready(plan.pool.name, now_s, is_long)
-                if view.target.name not in forwarding.sent_to
-                and may_continue(forwarding.origin, view.target)
-            ]
-            call = choose_call(ready, self.fleet.members, self.domain)
-            return [call] if call is not None else []
-        return self.chooser(plan, prompt.model, forwarding.origin).ranked(
-            prompt,
-            plan.account.name,
-            plan.account.is_isolated,
-            self.weights.oldest(prompt.model),
-            self.weights.oldest(prompt.model, is_queued=True),
-            is_long,
-            forwarding.sent_to,
-        )
-
-    def chooser(
-        self, plan: ForwardPlan, model: str, origin: StreamOrigin | None
-    ) -> PromptChooser:
-        """Return a chooser with the current state of a plan's pool.
-
-        Args:
-          plan: The plan.
-          model: The model of its prompt.
-          origin: Where the request's stream began; None if it has not begun.
-        """
-        now_s = self.clock.seconds()
-        pool = self.fleet.pool(plan.pool.name, now_s)
-        homes = self.homes.setdefault(plan.pool.name, HomeOrder())
-        homes.set_members(pool.members)
-        average = self.average_prefill_tokens
-        spare = self.spare.targets(plan.pool.name, now_s, average)
-        drawn = min(SPARE_CANDIDATES, len(spare.names))
-        return PromptChooser(
-            index=self.caches.index,
-            homes=homes,
-            pool=pool.usable
-            if origin is None
-            else {
-                name: view
-                for name, view in pool.usable.items()
-                if may_continue(origin, view.target)
-            },
-            # Drawn at random, so that not all routers choose the same one.
-            spare=self.random.sample(spare.names, drawn),
-            cache_stores=self.cache_stores(),
-            now_s=now_s,
-            newest_version=self.weights.newest(model),
-            average_prefill_tokens=self.average_prefill_tokens,
-        )
-
-    def move_destination(
-        self, forwarding: Forwarding, chosen: Chosen
-    ) -> Chosen | None:
-        """Return a target with the same weights to continue a run at.
-
-        Returns:
-          The ready target with the least backlog; None if there is none.
-        """
-        plan, prompt = forwarding.plan, forwarding.plan.request.prompt
-        if prompt is None or chosen.version is None:
-            return None
-        ready = self.fleet.ready(plan.pool.name, self.clock.seconds())
-        able = [
-            view
-            for view in ready
-            if view is not chosen.view
-            and view.version(prompt.model) == chosen.version
-            and may_continue(forwarding.origin, view.target)
-        ]
-        if not able:
-            return None
-        chooser = self.chooser(plan, prompt.model, forwarding.origin)
-        backlog = chooser.backlog_tokens
-        return Chosen(
-            view=min(able, key=lambda view: (backlog(view), view.target.name)),
-            version=chosen.version,
-            salt=chosen.salt,
-        )
+    # Targets.
 
     def sent(self, forwarding: Forwarding, chosen: Chosen) -> None:
         """Account for a prompt that is sent to a target.
@@ -308,44 +175,6 @@
         forwarding.note.prompt_tokens = prompt.tokens
         forwarding.note.cached_tokens = prompt.tokens - chosen.prefill_tokens
 
-    def cache_stores(self) -> list[CacheStore]:
-        """Return the cache stores that can be reached."""
-        found = []
-        for pool in self.board.state.pools.values():
-            if not isinstance(pool, ForwardPool) or not pool.cache_store:
-                continue
-            memory = self.memory_of(pool.name)
-            self.caches.watch(pool.name, pool.cache_store, memory)
-            if self.caches.caches[pool.name].is_alive:
-                found.append(
-                    CacheStore(name=pool.name, address=pool.cache_store)
-                )
-        return found
-
-    def memory_of(self, cache: str) -> int:
-        """Return how many tokens a target or cache store can hold."""
-        view = self.fleet.views.get(cache)
-        name = view.target.pool if view is not None else cache
-        pool = self.board.state.pools.get(name)
-        if isinstance(pool, ForwardPool) and pool.memory_tokens:
-            return pool.memory_tokens
-        return DEFAULT_MEMORY_TOKENS
-
-    def has_targets(self, forwarding: Forwarding) -> bool:
-        """Whether a request's pool has a usable target for it, ready or not.
-
-        A stream that has begun needs another target of its software version.
-        """
-        origin, name = forwarding.origin, forwarding.plan.pool.name
-        usable = self.fleet.pool(name, self.clock.seconds()).usable
-        if origin is None:
-            return bool(usable)
-        return any(
-            may_continue(origin, view.target)
-            and view.target.name not in forwarding.sent_to
-            for view in usable.values()
-        )
-
     def room_in_s(self, forwarding: Forwarding) -> float | None:
         """Return when targets' limits may leave room for a request.
 
@@ -377,8 +206,9 @@
             self.caches.forget(name)
 
     def incarnation_began(self, name: str) -> None:
-        """Drop the cache state of a target's previous incarnation."""
+        """Drop what is known of a target's previous incarnation."""
         self.caches.forget(name)
+        self.load.forget_target(name)
 
     # Outcomes.
 
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -9,10 +9,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from expression import Ok, Result
-from twisted.internet.defer import Deferred
 
-from sequoiawind import messages, retries
+from sequoiawind import messages, retries, stream_reconnect
 from sequoiawind.blackboard import RequestNote
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import ForwardPlan, urgency
@@ -21,8 +19,9 @@
     ForwardCaller,
     SendOrder,
 )
-from sequoiawind.forward_state import ForwardPool
 from sequoiawind.load import waiting
+from sequoiawind.load.account_charge import AccountCharge
+from sequoiawind.load.admission import Action
 from sequoiawind.repeat_window import AttemptCount
 from sequoiawind.request_execution import RequestExecution
 from sequoiawind.request_signature import RequestSignature
@@ -56,6 +55,10 @@
     plan: ForwardPlan
     caller: ForwardCaller
     note: RequestNote
+    # What it takes from its account's rate limit; None without a limit.
+    charge: AccountCharge | None = None
+    # Whether admission control has let it in.
+    is_admitted: bool = False
     current: ForwardAttempt | None = None
     # Names of the targets to which the request was sent.
     sent_to: list[str] = attrs.field(factory=list)
@@ -91,45 +94,10 @@
             return
         self.start_deadline(left_s)
         if self.plan.kind.is_stream and self.plan.request.last_event_id:
-            self.reconnect_caller()
+            stream_reconnect.start(self)
         else:
             self.next_target()
 
-    # Streams that callers resume.
-
-    def reconnect_caller(self) -> None:
-        """Continue a stream where it began; look that up if it is unknown."""
-        request, pool = self.plan.request, self.plan.pool.name
-        known = self.forwarder.origins.known(request.resumes, pool)
-        if known is not None:
-            self.origin_found(Ok(known))
-            return
-        finding = self.forwarder.origins.find(request.resumes, pool)
-        Deferred.fromCoroutine(finding).addCallback(self.origin_found)
-
-    def origin_found(self, found: Result[StreamOrigin, Failure]) -> None:
-        """Send the request to a target that may continue its stream."""
-        if self.is_finished:
-            return
-        self.forwarder.on_reconnect(self, found)
-        if found.is_error():
-            self.give_up(found.error)
-            return
-        self.origin = found.ok
-        self.plan = self.with_pool_of_origin(self.plan)
-        self.next_target()
-
-    def with_pool_of_origin(self, plan: ForwardPlan) -> ForwardPlan:
-        """Return a plan with the pool that began the stream, if it may be."""
-        if self.origin is None:
-            return plan
-        name = self.origin.pool
-        pool = self.forwarder.board.state.pools.get(name)
-        shares = {share.pool for share in plan.route.shares}
-        if name not in shares or not isinstance(pool, ForwardPool):
-            return plan
-        return attrs.evolve(plan, pool=pool)
-
     @property
     def stream_id(self) -> str:
         """Id of the request that brought the first event of the stream."""
@@ -165,15 +133,27 @@
             return
         if not (self.sent_to or self.probed) and self.forwarder.probe(self):
             return
-        chosen, self.probed = self.forwarder.choose(self), ()
-        if chosen is None:
-            self.wait()
+        options = self.forwarder.options(self)
+        self.probed = ()
+        if not options or not self.is_let_in(options):
+            if not self.is_finished:
+                self.wait()
             return
         self.waiting_since_s = None
         if not self.reserve_attempt():
             self.stop(not_run(Reason.RETRY_BUDGET, messages.RETRY_BUDGET))
             return
-        self.send(chosen)
+        self.send(options[0])
+
+    def is_let_in(self, options: list[Chosen]) -> bool:
+        """Whether the request is sent now; end it if it is refused."""
+        if self.is_admitted or self.sent_to or self.origin is not None:
+            return True
+        decision = self.forwarder.decide(self, options)
+        self.is_admitted = decision.action is not Action.WAIT
+        if decision.failure is not None:
+            self.stop(decision.failure)
+        return decision.action is Action.ADMIT
 
     def stop(self, why: Failure) -> None:
         """Give up because no further attempt can be made.
@@ -223,7 +203,9 @@
             planned = planner.plan(self.plan.request)
         if planned.is_error():
             return planned.error
-        self.plan = self.with_pool_of_origin(planned.ok)
+        self.plan = stream_reconnect.with_pool_of_origin(
+            planned.ok, self.origin, self.forwarder.board.state
+        )
         return None
 
     def wait(self) -> None:
@@ -273,7 +255,13 @@
             )
             self.forwarder.on_retry(reason)
         self.forwarder.sent(self, chosen)
+        if self.charge is not None:
+            self.charge.sent(self.now_s)
         self.open_attempt(chosen)
+        if self.current is not None:
+            self.current.sample = self.forwarder.load.sent(
+                self.plan, chosen, self.now_s
+            )
 
     def open_attempt(self, chosen: Chosen, moved_from: str = "") -> None:
         """Start an attempt, or continue a run that was moved."""
@@ -434,6 +422,8 @@
         self.last_failure = failure
         self.forwarder.attempt_failed(self, attempt, failure)
         self.record_verdict(failure)
+        if self.charge is not None and failure.verdict is Verdict.NOT_RUN:
+            self.charge.not_run()
         if failure.reason is Reason.CONNECT_FAILED:
             # Nothing was sent, so the target does not count as tried.
             self.sent_to.remove(attempt.view.target.name)
@@ -495,6 +485,8 @@
         self.close()
         self.silence.end()
         self.attempts.release(self.now_s)
+        if self.charge is not None:
+            self.charge.ended(self.now_s)
         if failure is None and self.has_head:
             self.forwarder.origins.completed(self.stream_id)
         self.forwarder.finished(self, failure)
--- a/sequoiawind/load/target_pace.py
+++ b/sequoiawind/load/target_pace.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from sequoiawind.load.estimate import Estimate
 from sequoiawind.load.pace_sums import Seconds
 from sequoiawind.load.work_model import WorkModel
 
@@ -66,16 +67,6 @@
 KEY_PREFIX: Final = "p:"
 
 
-@attrs.frozen(kw_only=True)
-class Estimate:
-    """When the answer to a request is expected to begin."""
-
-    # Seconds until the first event.
-    expected_s: float
-    # Usual error of `expected_s` as a factor; infinite without samples.
-    error_factor: float
-
-
 @attrs.define(kw_only=True, eq=False)
 class TargetPace:
     """What is known of the speed of one incarnation of a target."""
@@ -249,6 +240,18 @@
             return pace.factor
         return with_recent(known, pace, now_s)
 
+    def is_uneven(self, pool: str, least: int) -> bool:
+        """Whether several targets of a pool differ from its middle.
+
+        Args:
+          pool: The pool.
+          least: Number of targets that must differ.
+        """
+        known = self.pools.get(pool)
+        if known is None:
+            return False
+        return sum(pace.is_apart for pace in known.targets.values()) >= least
+
     def expected_s(
         self, pool: str, target: str, work_tokens: float, now_s: float
     ) -> Estimate:
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -17,7 +17,6 @@
   the time for a choice hardly grows with the pool.
 """
 
-import random
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Final
 
@@ -26,7 +25,6 @@
 
 from sequoiawind.fleet import TargetView
 from sequoiawind.home_order import HomeOrder
-from sequoiawind.members import Members
 from sequoiawind.prompt_cache import PartIndex, Prompt, cache_salt
 
 # Cost of a request that is already running, in prompt tokens to prefill: as
@@ -58,9 +56,6 @@
 # Cost added to targets whose agent has stopped reporting, in prompt tokens:
 # their VM may be lost.
 SILENT_AGENT_TOKENS: Final = 10_000
-# Cost of a call to a plain service whose recent calls have all failed, in open
-# requests per slot.
-FAILING_COST: Final = 8.0
 # Share of a router's average of tokens to prefill that costs a target nothing
 # more if it is slow.  The same as if slow targets were cheaper by it: otherwise
 # they would stand idle, since any faster one is better for each prompt alone.
@@ -459,57 +454,6 @@
     )
 
 
-def choose_call(
-    ready: Sequence[TargetView],
-    members: Members,
-    domain: str,
-    factor: Callable[[TargetView], float] = equal_factor,
-    source: random.Random | None = None,
-) -> Chosen | None:
-    """Return the target of a call to a plain service; None if none is ready.
-
-    Takes the target with the fewest open requests of this router per slot,
-    plus a penalty for recent failures.  If speeds differ, it takes the one that
-    is expected to answer the call first instead.
-
-    Args:
-      ready: The targets that take a call now.
-      members: The health of the targets.
-      domain: This router's failure domain.
-      factor: Returns a target's service time relative to the pool's middle.
-      source: Chooses two of the equally good targets, so that routers that
-        share few targets do not all call the same one; None to compare all.
-
-    Returns:
-      The target.  Ties go to this router's failure domain, so that calls stay
-      near where that costs nothing.
-    """
-    if not ready:
-        return None
-    factors = [factor(view) for view in ready]
-    is_equal = all(item == 1.0 for item in factors)
-    costs: list[float] = []
-    for view, slow in zip(ready, factors, strict=True):
-        failing = members.health_of(view.target.name).failure_share
-        slots = max(1, view.target.slots)
-        if is_equal:
-            load = view.open_requests / slots
-        else:
-            load = (view.open_requests + 1) / slots * slow
-        costs.append(round(load + FAILING_COST * failing, 2))
-    least = min(costs)
-    best = [
-        view for view, cost in zip(ready, costs, strict=True) if cost == least
-    ]
-    if source is not None and len(best) > 2:
-        best = source.sample(best, 2)
-
-    def order(view: TargetView) -> tuple[bool, str]:
-        return view.target.domain != domain, view.target.name
-
-    return Chosen(view=min(best, key=order), work_tokens=1.0)
-
-
 def is_long_run(prompt: Prompt) -> bool:
     """Whether a prompt's answer is likely to take long to generate."""
     return prompt.likely_tokens > SHORT_RUN_TOKENS
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -337,13 +337,13 @@
         for _ in range(30):
             rig.submit("brief")
         placed: list[Forwarding] = []
-        original = Forwarder.choose
+        original = Forwarder.ranked
 
-        def choose(forwarder: Forwarder, forwarding: Forwarding) -> Any:
+        def ranked(forwarder: Forwarder, forwarding: Forwarding) -> Any:
             placed.append(forwarding)
             return original(forwarder, forwarding)
 
-        self.patch(Forwarder, "choose", choose)
+        self.patch(Forwarder, "ranked", ranked)
         rig.forwarder.waiting.serve()
         self.assertEqual(1, len(placed))
         rig.forwarder.status_changed("e1")
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -5,6 +5,7 @@
 import attrs
 from testtools import TestCase
 
+from sequoiawind.call_choice import choose_call
 from sequoiawind.fleet import TargetView
 from sequoiawind.home_order import HomeOrder
 from sequoiawind.members import Members
@@ -19,7 +20,6 @@
     CacheStore,
     Chosen,
     PromptChooser,
-    choose_call,
 )
 from sequoiawind.wire import TargetStatus
 from tests.forward_rig import target
--- a/tests/test_target_probes.py
+++ b/tests/test_target_probes.py
@@ -40,6 +40,8 @@
     rig.forwarder.probes = TargetProbes(
         port=agents, fleet=rig.fleet, clock=rig.clock
     )
+    # Accounts compete for the pool.
+    rig.forwarder.load.has_limited_accounts = True
     for name in NAMES:
         status = TargetStatus(target=name, versions={"m": 1})
         rig.fleet.record_status(name, status, rig.clock.seconds())
