--- a/sequoiawind/load/account_limits.py
+++ b/sequoiawind/load/account_limits.py
@@ -45,8 +45,8 @@
 # Demand above which an account counts as over its limit, and above which the
 # advance falls, as parts of the limit.  The first is above 1, as the demand of
 # accounts with few requests varies.
-OVER_LIMIT: Final = 1.2
-FAR_OVER_LIMIT: Final = 2.5
+OVER_LIMIT: Final = 1.4
+FAR_OVER_LIMIT: Final = 3.0
 # Part of the limit's part of the demand that is used as probability, and the
 # limit's part of the demand below which it falls further: demand far over the
 # limit has usually just risen, and was admitted until the totals showed it.
@@ -67,6 +67,9 @@
 SWEEP_S: Final = 5.0
 # Demand that is not stated: below this part of a limit.
 LEAST_STATED_PART: Final = 1e-4
+# Accounts whose counts are returned by name, and the name of all others.
+NAMED_ACCOUNTS: Final = 8
+OTHERS: Final = "others"
 # Change of a share that is reported, as a factor, and the time between two
 # reports of an account, in seconds.
 REPORTED_CHANGE: Final = 1.0 + 1.0 / 3.0
@@ -104,6 +107,12 @@
     granted: float = 0.0
     refused: float = 0.0
 
+    def add(self, other: "AccountCounts") -> None:
+        """Add the counts of another account."""
+        self.asked += other.asked
+        self.granted += other.granted
+        self.refused += other.refused
+
 
 @attrs.frozen(kw_only=True)
 class ShareInputs:
@@ -164,11 +173,16 @@
             self.fill(elapsed_s * self.rate_per_s)
             return
         old_rate, old_capacity = self.rate_per_s, self.capacity
+        lowered = limit.rate_per_s / self.limit.rate_per_s
         self.limit, self.share = limit, share
         self.level += elapsed_s * min(old_rate, self.rate_per_s)
         self.level = min(self.level, max(old_capacity, 0.0))
         if self.level > 0.0 and self.capacity < old_capacity:
             self.level *= self.capacity / old_capacity
+        elif self.level < 0.0 and lowered < 1.0:
+            # The higher limit allowed it, which the lower one takes no longer
+            # to pay off.
+            self.level *= lowered
         self.fill(0.0)
 
     def fill(self, amount: float) -> None:
@@ -208,6 +222,8 @@
     known_routers: deque[tuple[float, int]] = attrs.field(factory=deque)
     is_count_known: bool = False
     swept_s: float = float("-inf")
+    # Counts of the accounts that were dropped.
+    dropped: AccountCounts = attrs.field(factory=AccountCounts)
 
     # Requests.
 
@@ -250,6 +266,9 @@
         bucket.is_placed = is_over
         if bucket.level >= 0.0:
             return None
+        if not self.are_totals_fresh:
+            # Its part of the demand is not known.
+            return bucket.wait_s(0.0)
         advance = advance_of(bucket.limit) * own / max(total, own, 1e-9)
         if is_over:
             advance *= min(1.0, FAR_OVER_LIMIT * rate_per_s / total)
@@ -307,7 +326,7 @@
         if bucket is not None:
             self.refill(bucket, account, now_s)
             return bucket
-        share = self.share(account.name, now_s)
+        share = self.share(account, now_s)
         bucket = AccountBucket(
             limit=account,
             share=share,
@@ -328,7 +347,7 @@
         self, bucket: AccountBucket, limit: LimitedAccount, now_s: float
     ) -> None:
         """Refill a bucket at the share in force, and report changes of it."""
-        share = self.share(limit.name, now_s)
+        share = self.share(limit, now_s)
         bucket.refill(limit, share, now_s)
         least, most = sorted((share, bucket.reported_share))
         if most < least * REPORTED_CHANGE:
@@ -338,18 +357,27 @@
         bucket.reported_share, bucket.reported_s = share, now_s
         self.on_share_change(limit.name, share, self.inputs(limit.name, now_s))
 
-    def share(self, account_name: str, now_s: float) -> float:
+    def share(self, limit: LimitedAccount, now_s: float) -> float:
         """Return this router's share of an account's limit, from 0 to 1."""
         guaranteed = self.guaranteed_share(now_s)
-        if self.age_clock() - self.as_of_s >= TOTALS_LIFETIME_S:
+        if not self.are_totals_fresh:
             return guaranteed
-        key = KEY_PREFIX + account_name
+        key = KEY_PREFIX + limit.name
         stated = self.stated.get(key, 0.0)
         if stated <= 0.0:
             return guaranteed
         total = max(stated, self.totals.get(key, 0.0))
+        if total > limit.rate_per_s:
+            # All routers together would have more than the limit, and far more
+            # if some take their number to be too low.
+            return stated / total
         return max(guaranteed, stated / total)
 
+    @property
+    def are_totals_fresh(self) -> bool:
+        """Whether totals are recent enough for more than the guaranteed."""
+        return self.age_clock() - self.as_of_s < TOTALS_LIFETIME_S
+
     def guaranteed_share(self, now_s: float) -> float:
         """Return the share that needs no totals."""
         return GUARANTEED_PART / self.routers(now_s)
@@ -425,7 +453,29 @@
     def keep_only(self, account_names: Container[str]) -> None:
         """Drop the accounts that a new configuration does not limit."""
         for name in [n for n in self.buckets if n not in account_names]:
-            del self.buckets[name]
+            self.drop(name)
+
+    def figures(self) -> dict[str, AccountCounts]:
+        """Return the counts of the largest accounts, and of all others.
+
+        They count from the start of the process; an account that was dropped
+        since is among the others.
+        """
+        largest = sorted(
+            self.buckets, key=lambda name: -self.buckets[name].counts.asked
+        )
+        found = {
+            name: self.buckets[name].counts for name in largest[:NAMED_ACCOUNTS]
+        }
+        others = attrs.evolve(self.dropped)
+        for name in largest[NAMED_ACCOUNTS:]:
+            others.add(self.buckets[name].counts)
+        found[OTHERS] = others
+        return found
+
+    def drop(self, name: str) -> None:
+        """Drop an account's state; its counts go to the others."""
+        self.dropped.add(self.buckets.pop(name).counts)
 
     def sweep(self, now_s: float) -> None:
         """Drop the accounts without recent use that are out of debt."""
@@ -437,7 +487,7 @@
                 continue
             self.refill(bucket, bucket.limit, now_s)
             if bucket.level >= 0.0:
-                del self.buckets[name]
+                self.drop(name)
 
 
 def advance_of(limit: LimitedAccount) -> float:
