--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -42,6 +42,9 @@
     first_event_s: float = -1.0
     # What it teaches of its target's speed; None once its answer has begun.
     sample: PaceSample | None = None
+    # When its answer was expected to begin after it was sent, in seconds;
+    # negative if unknown.
+    expected_s: float = -1.0
     # The pending move of the run to another target, if any.
     move: StreamMove | None = None
     # Whether a move that failed may have stopped the run.
@@ -173,6 +176,12 @@
         sample, self.sample = self.sample, None
         self.forwarding.forwarder.load.dropped(sample)
 
+    def expect(self, sample: PaceSample | None) -> None:
+        """Note how soon the answer is expected to begin."""
+        self.sample = sample
+        if sample is not None:
+            self.expected_s = sample.estimate_s
+
     def answer_began(self) -> None:
         """Learn how soon the target began its answer, once."""
         sample, self.sample = self.sample, None
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -24,6 +24,7 @@
 from sequoiawind.http1_client import Http1Client
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.load.controller import make_controller
+from sequoiawind.load_metrics import LoadCollector
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.options import (
     Address,
@@ -121,6 +122,12 @@
         )
         self.fleet.on_restart = self.notes.note_restart
         self.forwarder = self.make_forwarder()
+        load = self.forwarder.load
+        if load.limits is not None:
+            load.limits.on_share_change = self.notes.note_share
+        self.metrics.registry.register(
+            LoadCollector(load=load, now=event_loop.reactor.seconds)
+        )
         self.watcher = self.make_watcher()
         self.site = CallerSite(
             clock=event_loop.reactor,
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -22,6 +22,7 @@
 from sequoiawind.load import waiting
 from sequoiawind.load.account_charge import AccountCharge
 from sequoiawind.load.admission import Action
+from sequoiawind.load.target_pace import PaceSample
 from sequoiawind.repeat_window import AttemptCount
 from sequoiawind.request_execution import RequestExecution
 from sequoiawind.request_signature import RequestSignature
@@ -64,6 +65,8 @@
     sent_to: list[str] = attrs.field(factory=list)
     # Names of the targets that were asked for their load before a choice.
     probed: tuple[str, ...] = ()
+    # Number of targets that were asked so far.
+    asked: int = 0
     attempts: AttemptCount = attrs.field(init=False)
     silence: SilentAttempts = attrs.field(init=False)
     signature: RequestSignature = attrs.field(init=False)
@@ -134,6 +137,7 @@
         if not (self.sent_to or self.probed) and self.forwarder.probe(self):
             return
         options = self.forwarder.options(self)
+        self.asked += len(self.probed)
         self.probed = ()
         if not options or not self.is_let_in(options):
             if not self.is_finished:
@@ -257,13 +261,15 @@
         self.forwarder.sent(self, chosen)
         if self.charge is not None:
             self.charge.sent(self.now_s)
-        self.open_attempt(chosen)
-        if self.current is not None:
-            self.current.sample = self.forwarder.load.sent(
-                self.plan, chosen, self.now_s
-            )
-
-    def open_attempt(self, chosen: Chosen, moved_from: str = "") -> None:
+        sample = self.forwarder.load.sent(self.plan, chosen, self.now_s)
+        self.open_attempt(chosen, sample=sample)
+
+    def open_attempt(
+        self,
+        chosen: Chosen,
+        moved_from: str = "",
+        sample: PaceSample | None = None,
+    ) -> None:
         """Start an attempt, or continue a run that was moved."""
         target = chosen.view.target
         self.sent_to.append(target.name)
@@ -275,6 +281,7 @@
             pool=self.plan.pool,
         )
         self.current = attempt
+        attempt.expect(sample)
         attempt.occupy()
         order = SendOrder(
             request=self.plan.request,
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -1,5 +1,6 @@
 """Counts and logs what a forwarding router decides about requests."""
 
+import math
 import traceback
 from typing import Final
 
@@ -15,6 +16,7 @@
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.freshness import Freshness
+from sequoiawind.load.account_limits import ShareInputs
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.ports import Clock
 from sequoiawind.prompt_cache import Prompt
@@ -176,6 +178,20 @@
             waited_s=round(self.clock.seconds() - request.arrived_s, 4),
         )
 
+    def note_share(
+        self, account: str, share: float, inputs: ShareInputs
+    ) -> None:
+        """Log another share of an account's rate limit, with its inputs."""
+        self.log.info(
+            "account share",
+            account=account,
+            share=round(share, 4),
+            stated_per_s=round(inputs.stated_per_s, 1),
+            total_per_s=round(inputs.total_per_s, 1),
+            age_s=finite(inputs.age_s),
+            routers=inputs.routers,
+        )
+
     def note_end(self, forwarding: Forwarding, failure: Failure | None) -> None:
         """Count and log the end of a request."""
         note, plan = forwarding.note, forwarding.plan
@@ -206,6 +222,9 @@
             prompt_tokens=note.prompt_tokens,
             cached_tokens=note.cached_tokens,
             likely_tokens=prompt.likely_tokens if prompt else 0,
+            work_tokens=round(attempt.chosen.work_tokens) if attempt else 0,
+            expected_s=round(attempt.expected_s, 4) if attempt else -1.0,
+            asked=forwarding.asked,
             verdict=note.verdict,
             reason=note.reason,
             not_retried=note.not_retried,
@@ -221,6 +240,11 @@
         )
 
 
+def finite(value: float) -> float:
+    """Return a number for a log; -1 for one that is not finite."""
+    return round(value, 4) if math.isfinite(value) else -1.0
+
+
 def is_cut(forwarding: Forwarding, failure: Failure | None) -> bool:
     """Whether this router ended an answer before its end."""
     if failure is None or failure.reason is Reason.CANCELLED:
