Weigh speeds only in pools that are seen to be uneven

Near their capacity, equal engines differ by the work that they are found behind, so a few of them were taken for slow. A pool now counts as uneven if a quarter of its targets, at least three, differ from its middle, and factors weigh the choice only there, so that pools of equal targets are served as before.

--- a/sequoiawind/load/controller.py
+++ b/sequoiawind/load/controller.py
@@ -39,8 +39,10 @@
 # Work of generating a token, in prompt tokens to prefill: a step of a busy
 # batch takes about as long as reading several tokens, shared by its runs.
 GENERATED_TOKENS: Final = 8.0
-# Targets of a pool that must differ from the middle for it to count as uneven:
-# a single one may only be in trouble.
+# Part of a pool's targets that must differ from the middle for the pool to
+# count as uneven, and their least number: a few may only be in trouble, or be
+# found behind more work than others.
+UNEVEN_SHARE: Final = 0.25
 UNEVEN_TARGETS: Final = 3
 
 
@@ -68,7 +70,7 @@
         if self.has_limited_accounts:
             return True
         return self.paces is not None and self.paces.is_uneven(
-            pool, UNEVEN_TARGETS
+            pool, UNEVEN_SHARE, UNEVEN_TARGETS
         )
 
     # Limits of accounts.
@@ -98,7 +100,7 @@
     def factor(self, pool: str, now_s: float) -> Callable[[TargetView], float]:
         """Return a function for the factors of a pool's targets."""
         paces = self.paces
-        if paces is None:
+        if paces is None or not self.is_active(pool):
             return equal_factor
         return lambda view: paces.factor(pool, view.target.name, now_s)
 
--- a/sequoiawind/load/target_pace.py
+++ b/sequoiawind/load/target_pace.py
@@ -240,17 +240,19 @@
             return pace.factor
         return with_recent(known, pace, now_s)
 
-    def is_uneven(self, pool: str, least: int) -> bool:
+    def is_uneven(self, pool: str, share: float, least: int) -> bool:
         """Whether several targets of a pool differ from its middle.
 
         Args:
           pool: The pool.
+          share: Part of its targets that must differ.
           least: Number of targets that must differ.
         """
         known = self.pools.get(pool)
         if known is None:
             return False
-        return sum(pace.is_apart for pace in known.targets.values()) >= least
+        apart = sum(pace.is_apart for pace in known.targets.values())
+        return apart >= max(least, share * len(known.targets))
 
     def expected_s(
         self, pool: str, target: str, work_tokens: float, now_s: float
