--- a/sequoiawind/load/account_limits.py
+++ b/sequoiawind/load/account_limits.py
@@ -39,23 +39,25 @@
 # each second find routers whose shares follow too late.
 DEMAND_TIME_S: Final = 1.0
 # What all routers together may spend in advance: the refill of some seconds,
-# and half of the excess in tokens that the limit tolerates.
-ADVANCE_S: Final = 2.0
-ADVANCE_TOKENS: Final = 55_000.0
+# and a part of the 110,000 tokens that the bound of the limit allows besides.
+ADVANCE_S: Final = 1.7
+ADVANCE_TOKENS: Final = 65_000.0
+# Time from the start of a router over which its advance grows, in seconds: the
+# window in which the limit is measured.
+START_S: Final = 8.0
 # Demand above which an account counts as over its limit, and above which the
 # advance falls, as parts of the limit.  The first is above 1, as the demand of
 # accounts with few requests varies.
 OVER_LIMIT: Final = 1.4
 FAR_OVER_LIMIT: Final = 3.0
-# Part of the limit's part of the demand that is used as probability, and the
-# limit's part of the demand below which it falls further: demand far over the
-# limit has usually just risen, and was admitted until the totals showed it.
-CHANCE_MARGIN: Final = 0.9
-STEEP_PART: Final = 0.6
+# Limit's part of the demand below which requests are admitted with less than
+# that probability: demand far over the limit has usually just risen, and was
+# admitted until the totals showed it.
+STEEP_PART: Final = 0.5
 # What a bucket of an account over its limit holds in addition, in requests of
 # mean cost, so that a router with few requests keeps what it refills between
 # them, and the weight of one request in the mean cost.
-SPARE_REQUESTS: Final = 1.5
+SPARE_REQUESTS: Final = 2.0
 COST_WEIGHT: Final = 0.2
 # Time for which the highest number of routers counts, in seconds.
 ROUTERS_WINDOW_S: Final = 8.0
@@ -141,8 +143,8 @@
     # The share that was reported last, and when, in seconds of the clock.
     reported_share: float
     reported_s: float = float("-inf")
-    # Whether the bucket has been in use since the account was over its limit.
-    is_placed: bool = False
+    # Whether the account was over its limit at the last request.
+    is_over: bool = False
     # Mean cost of a request, and what the bucket holds in addition.
     mean_cost: float = 0.0
     spare: float = 0.0
@@ -258,12 +260,12 @@
             total += cost / DEMAND_TIME_S
         is_over = total > OVER_LIMIT * rate_per_s
         if is_over:
-            if not bucket.is_placed and 0.0 <= bucket.level < cost:
+            if not bucket.is_over and 0.0 <= bucket.level < cost:
                 self.place(bucket, cost, rate_per_s / total)
             bucket.spare = SPARE_REQUESTS * bucket.mean_cost
         else:
             bucket.spare = 0.0
-        bucket.is_placed = is_over
+        bucket.is_over = is_over
         if bucket.level >= 0.0:
             return None
         if not self.are_totals_fresh:
@@ -272,6 +274,9 @@
         advance = advance_of(bucket.limit) * own / max(total, own, 1e-9)
         if is_over:
             advance *= min(1.0, FAR_OVER_LIMIT * rate_per_s / total)
+        # The predecessor of a router may have spent its advance already.
+        age_s = now_s - self.started_s
+        advance *= min(1.0, max(0.0, age_s / START_S))
         if bucket.level - cost >= -advance:
             return None
         return bucket.wait_s(0.0)
@@ -284,7 +289,7 @@
           cost: The request's cost.
           part: The limit's part of the demand.
         """
-        chance = part * min(CHANCE_MARGIN, part / STEEP_PART)
+        chance = part * min(1.0, part / STEEP_PART)
         if self.random.random() >= chance:
             bucket.level -= (1.0 - chance) * self.random.random() * cost
 
