--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -10,7 +10,8 @@
 from sequoiawind.lab import limit_model
 from sequoiawind.lab.limit_model import LimitModel, limited
 from sequoiawind.load import account_limits
-from sequoiawind.load.account_limits import AccountLimits, ShareInputs
+from sequoiawind.load.account_bucket import ShareInputs
+from sequoiawind.load.account_limits import AccountLimits
 from sequoiawind.platform import configuration
 from sequoiawind.verdict import Reason, Verdict, forwarded_status
 
