--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -16,7 +16,7 @@
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.freshness import Freshness
-from sequoiawind.load.account_limits import ShareInputs
+from sequoiawind.load.account_bucket import ShareInputs
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.ports import Clock
 from sequoiawind.prompt_cache import Prompt
