--- a/sequoiawind/forward_placement.py
+++ b/sequoiawind/forward_placement.py
@@ -118,8 +118,12 @@
                 if view.target.name not in forwarding.sent_to
                 and may_continue(forwarding.origin, view.target)
             ]
-            factor = self.load.factor(plan.pool.name, now_s)
-            call = choose_call(ready, self.fleet.members, self.domain, factor)
+            pool = plan.pool.name
+            factor = self.load.factor(pool, now_s)
+            source = self.random if self.load.is_active(pool) else None
+            call = choose_call(
+                ready, self.fleet.members, self.domain, factor, source
+            )
             return [call] if call is not None else []
         return self.chooser(plan, prompt.model, forwarding.origin).ranked(
             prompt,
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -91,7 +91,12 @@
     def __attrs_post_init__(self) -> None:
         """Let the watcher of caches respect what targets have stated."""
         self.caches.is_paused = self.is_paused
-        self.spare = SpareLists(fleet=self.fleet)
+        self.spare = SpareLists(
+            fleet=self.fleet,
+            factor=lambda view: self.load.factor(
+                view.target.pool, self.clock.seconds()
+            )(view),
+        )
         self.waiting = WaitingRequests(
             clock=self.clock,
             order=lambda waiting: self.load.ordered(
