--- a/sequoiawind/lab/limit_model.py
+++ b/sequoiawind/lab/limit_model.py
@@ -327,3 +327,42 @@
     return LimitedAccount(
         name=ACCOUNT, rate_per_s=rate_per_s, burst=rate_per_s, plain_cost=100.0
     )
+
+
+def main() -> None:
+    """Print, by case, the most of the bound and the least and mean served."""
+    for name, part, reached, is_moving in (
+        ("0.9, at 11", 0.9, 11, False),
+        ("2.0, at 11", 2.0, 11, False),
+        ("2.0, at all", 2.0, 300, False),
+        ("2.0, 11 move", 2.0, 11, True),
+        ("2.0, 1 moves", 2.0, 1, True),
+    ):
+        for routers in (4, 30, 300):
+            for rate in (29_000.0, 240_000.0):
+                models = []
+                for seed in (1, 2):
+                    place = anywhere(routers, reached)
+                    if is_moving:
+                        few = min(reached, max(1, routers // 2))
+                        place = moving(routers, few, seed)
+                    model = LimitModel(
+                        routers_count=routers,
+                        account=limited(rate),
+                        seed=seed,
+                        demand=lambda _, demand=part * rate: demand,  # type: ignore[misc]
+                        place=place,
+                    )
+                    model.run(60.0)
+                    models.append(model)
+                most = max(model.excess() for model in models)
+                parts = [model.served(10.0) for model in models]
+                mean = sum(parts) / len(parts)
+                print(
+                    f"| {name} | {routers} | {rate:.0f} | {most:.2f} "
+                    f"| {min(parts):.2f} | {mean:.2f} |"
+                )
+
+
+if __name__ == "__main__":
+    main()
