Take a pool for uneven if two fifths of its targets differ

On pools of five and nine equal engines, three that are in trouble for a moment would have made the pool count as uneven. Where speeds really differ, two thirds of the targets do.

--- a/sequoiawind/load/controller.py
+++ b/sequoiawind/load/controller.py
@@ -42,7 +42,7 @@
 # Part of a pool's targets that must differ from the middle for the pool to
 # count as uneven, and their least number: a few may only be in trouble, or be
 # found behind more work than others.
-UNEVEN_SHARE: Final = 0.25
+UNEVEN_SHARE: Final = 0.4
 UNEVEN_TARGETS: Final = 3
 
 
