Pause the targets of a caller that reads slowly

Cause: what a target sent was written to its caller's connection at once, so the bytes for a caller that reads slowly piled up in the router without a bound, and so did whole answers to pipelined requests.

Change: the connections that answer a caller are not read while more than 32 KiB is unsent towards it, and are read again once all is sent. A pipelined request waits until the answer before it is sent. The kernel's send buffer of a caller's connection is fixed at 64 KiB, and a read from a target takes 32 KiB at most. `ForwardCaller.is_choked` tells that a target is not read.

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -11,6 +11,7 @@
 
 from sequoiawind import defaults, messages, tokens
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.forward_state import (
     ForwardAccount,
     ForwardKind,
@@ -59,6 +60,8 @@
     resumes: str = ""
     # None for calls to plain services.
     prompt: Prompt | None = None
+    # The way of the answer to the caller; None if it holds nothing up.
+    flow: AnswerFlow | None = attrs.field(default=None, eq=False, repr=False)
 
 
 @attrs.frozen(kw_only=True)
--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -150,6 +150,14 @@
 class ForwardCaller(Protocol):
     """The caller's side of a forwarded request."""
 
+    @property
+    def is_choked(self) -> bool:
+        """Whether targets are not read because the caller reads slowly.
+
+        A target whose answer is not read is not silent.
+        """
+        return False
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body length is not known."""
 
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -22,6 +22,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import defaults, messages, sockets
+from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.headers import Headers
 from sequoiawind.options import Address
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
@@ -48,6 +49,8 @@
     # A header that the target echoes in its answer.  An answer with another
     # value belongs to an earlier request and is skipped.
     echo: tuple[bytes, bytes] | None = None
+    # The way of the answer; None if the answer is always read at once.
+    flow: AnswerFlow | None = attrs.field(default=None, eq=False, repr=False)
 
 
 class AnswerSink(Protocol):
@@ -84,10 +87,12 @@
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
         self.is_open = False
+        # Whether nothing is read, as the caller of the answer reads slowly.
+        self.is_paused = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options and mark the connection as open."""
-        sockets.configure(self.transport)
+        sockets.configure_target(self.transport)
         self.is_open = True
 
     def send(self, request: OutgoingRequest, sink: AnswerSink) -> None:
@@ -95,8 +100,31 @@
         self.request = request
         self.sink = sink
         self.received_bytes = 0
+        if request.flow is not None:
+            request.flow.attach(self)
         sockets.write_now(self.transport, self.frame(request))
 
+    def pause(self) -> None:
+        """Read nothing more, as the caller reads slowly."""
+        if self.is_open:
+            self.is_paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.is_paused and self.is_open:
+            self.is_paused = False
+            self.transport.resumeProducing()
+
+    def end_exchange(self) -> AnswerSink | None:
+        """End the exchange; return its sink."""
+        sink, request = self.sink, self.request
+        self.sink = self.request = None
+        if request is not None and request.flow is not None:
+            request.flow.detach(self)
+            self.resume()
+        return sink
+
     def frame(self, request: OutgoingRequest) -> bytes:
         """Return a request's bytes and advance the parser's state."""
         headers = list(request.headers)
@@ -183,7 +211,7 @@
         if self.is_skipping:
             self.skip_answer()
             return
-        sink, self.sink, self.request = self.sink, None, None
+        sink = self.end_exchange()
         extra, _ = self.http.trailing_data
         reusable = not extra and self.http.their_state is h11.DONE
         if reusable and self.is_open:
@@ -211,7 +239,7 @@
 
     def fail(self, reason: Reason, detail: str) -> None:
         """End the exchange without a complete answer."""
-        sink, self.sink, self.request = self.sink, None, None
+        sink = self.end_exchange()
         self.drop()
         if sink is not None:
             sink.failed(may_have_run(reason, detail))
@@ -225,7 +253,7 @@
 
     def cancel(self) -> None:
         """Abort the exchange; the sink receives nothing more."""
-        self.sink = None
+        self.end_exchange()
         self.drop()
 
 
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import defaults, sockets
+from sequoiawind.caller_output import AnswerFlow, CallerOutput
 from sequoiawind.headers import CallerLimits, Headers
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.staged_close import StagedCloser
@@ -37,6 +38,8 @@
     body: bytes
     # Arrival of its first byte, in seconds of the clock.
     arrived_s: float
+    # The way of the answer; None for a request that no connection has brought.
+    flow: AnswerFlow | None = attrs.field(default=None, eq=False, repr=False)
 
     def header(self, name: bytes) -> bytes:
         """Return a header's first value; empty if there is none."""
@@ -67,6 +70,8 @@
         self.collected: list[bytes] | None = None
         # Whether the connection is lost, or is being closed.
         self.is_lost = False
+        # Whether the next request waits until the last answer is sent.
+        self.is_draining = False
         # Called once if the caller disconnects before its answer is complete.
         self.on_disconnect: Callable[[], None] | None = None
 
@@ -79,7 +84,10 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and wait for a request."""
-        sockets.configure(self.transport)
+        sockets.configure_caller(self.transport)
+        self.output = CallerOutput(
+            transport=self.transport, on_drained=self.drained
+        )
         self.site.connections.add(self)
         self.wait_idle()
 
@@ -88,6 +96,7 @@
     ) -> None:
         """Report a disconnect before the end of the answer."""
         self.leave_site()
+        self.output.end()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if self.is_answering:
             self.is_answering = False
@@ -182,6 +191,7 @@
             headers=list(head.headers),
             body=bytes(self.body),
             arrived_s=self.arrived_s,
+            flow=self.output,
         )
         self.head = None
         self.body = bytearray()
@@ -222,6 +232,21 @@
             # The caller's next request may cross the close.
             self.close_in_stages(holds_stop=False)
             return
+        if self.output.is_choked:
+            # Answers to pipelined requests would pile up.
+            self.is_draining = True
+            self.transport.pauseProducing()
+            return
+        self.next_request()
+
+    def drained(self) -> None:
+        """Continue with the next request, which has waited for the answer."""
+        if not self.is_draining or self.is_lost:
+            return
+        self.is_draining = False
+        if self.site.is_closing:
+            self.close_in_stages(holds_stop=False)
+            return
         self.next_request()
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
@@ -237,7 +262,7 @@
         self.is_answering = False
         self.on_disconnect = None
         if not self.is_lost:
-            self.transport.loseConnection()
+            self.lose()
 
     def next_request(self) -> None:
         """Wait for the next request, and parse what has arrived of it."""
@@ -245,7 +270,7 @@
         try:
             self.http.start_next_cycle()
         except h11.LocalProtocolError:
-            self.transport.loseConnection()
+            self.lose()
             return
         self.transport.resumeProducing()
         self.wait_idle()
@@ -302,11 +327,17 @@
           holds_stop: Whether the end of the process waits for it.
         """
         self.leave_site()
+        self.output.end()
         self.site.closer.close(self.transport, holds_stop=holds_stop)
 
     def close(self) -> None:
         """Close the idle connection."""
         self.is_lost = True
+        self.lose()
+
+    def lose(self) -> None:
+        """Close the connection once what was written has been sent."""
+        self.output.end()
         self.transport.loseConnection()
 
     def write(self, data: bytes | None) -> None:
@@ -317,6 +348,7 @@
             self.collected.append(data)
         else:
             sockets.write_now(self.transport, data)
+            self.output.written()
 
     def write_collected(self) -> None:
         """Write the collected bytes, and collect no more."""
@@ -326,8 +358,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return not self.is_answering and self.arrived_s is None
+        """Whether no request is being read or answered, and all is sent."""
+        return (
+            not self.is_answering
+            and self.arrived_s is None
+            and not sockets.has_unsent(self.transport)
+        )
 
 
 class CallerSite(Factory):
--- a/sequoiawind/lab/forward_callers.py
+++ b/sequoiawind/lab/forward_callers.py
@@ -86,6 +86,8 @@
     is_whole: bool = False
     # Whether the router broke the answer off or the caller disconnected.
     is_broken: bool = False
+    # Whether the caller reads slowly.
+    is_choked: bool = False
     # What the caller has of the stream that it resumes.
     prior: bytes = b""
     has_reconnected: bool = False
--- a/sequoiawind/platform/callers.py
+++ b/sequoiawind/platform/callers.py
@@ -34,6 +34,7 @@
         last_event_id=request.header(names.LAST_EVENT_ID).decode("latin-1"),
         resumes=request.header(names.RESUMES).strip().decode("latin-1"),
         prompt=decode_prompt(request),
+        flow=request.flow,
     )
 
 
@@ -96,6 +97,11 @@
 
     connection: CallerConnection
 
+    @property
+    def is_choked(self) -> bool:
+        """Whether targets are not read because the caller reads slowly."""
+        return self.connection.output.is_choked
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Send an answer's head."""
         self.connection.send_head(status, headers)
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -94,6 +94,7 @@
             headers=engine_wire.request_headers(order),
             body=request.body,
             echo=(names.ATTEMPT_ID, request.request_id.encode("latin-1")),
+            flow=request.flow,
         )
         model = request.prompt.model if request.prompt else ""
         decoding = DecodingSink(model=model, sink=sink)
--- a/sequoiawind/sockets.py
+++ b/sequoiawind/sockets.py
@@ -17,6 +17,26 @@
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
+# Bytes that one read from a target takes.  A read may follow after the caller
+# has been found to be slow, so it counts towards what is held for the caller.
+READ_BYTES: Final = 32_768
+# Send buffer of a caller's connection in the kernel, which doubles it.  It
+# would otherwise grow to several megabytes for each slow caller.
+CALLER_SEND_BUFFER_BYTES: Final = 65_536
+
+
+def configure_caller(transport: Any) -> None:
+    """Set the options on the connection of a caller."""
+    configure(transport)
+    transport.getHandle().setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES
+    )
+
+
+def configure_target(transport: Any) -> None:
+    """Set the options on the connection to a target."""
+    configure(transport)
+    transport.bufferSize = READ_BYTES
 
 
 def configure(transport: Any) -> None:
@@ -40,6 +60,13 @@
     return bool(transport.dataBuffer or transport._tempDataLen)
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Return how many bytes written to a transport are held in this process."""
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return 0
+    return len(transport.dataBuffer) + transport._tempDataLen
+
+
 def write_now(transport: Any, data: bytes) -> None:
     """Write to a transport, without waiting for the event loop if possible.
 
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -139,6 +139,8 @@
     failure: Failure | None = None
     is_broken: bool = False
     is_ended: bool = False
+    # Whether the caller reads slowly.
+    is_choked: bool = False
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Record a head."""
