End the connection of a caller that takes nothing for 2 s

Cause: a caller that reads nothing kept its answer in the router until its target cut the answer off.

Change: while a caller has not acknowledged all, the router checks each 0.5 s whether it has taken something, and aborts the connection after 2 s without progress. A callback gets the caller's address and what was held.

Result: tests/test_slow_callers.py; a caller that reads 20 KB/s is kept for 5 s, one that reads nothing is ended between 2 and 4 s and sees no whole answer.

--- a/sequoiawind/caller_output.py
+++ b/sequoiawind/caller_output.py
@@ -2,7 +2,9 @@
 
 A caller that reads more slowly than its target sends makes bytes pile up in
 the router.  So the connections of the targets that answer it are not read
-while too much is unsent towards the caller.
+while too much is unsent towards the caller.  A caller that takes nothing at
+all is ended before its target cuts the answer off, which would look like a
+fault of the target.
 """
 
 from collections.abc import Callable
@@ -13,12 +15,33 @@
 from zope.interface import implementer
 
 from sequoiawind import sockets
+from sequoiawind.ports import Clock, Timer
 
 # Unsent bytes towards a caller from which its targets' connections are paused.
 # One more read of a target, of `sockets.READ_BYTES`, may already be on its way.
 # A target cuts off an answer that stays unread for some seconds, so a small
 # buffer, which drains soon, serves a slow caller better than a large one.
 MAX_UNSENT_BYTES: Final = 32_768
+# Time in which a caller must take something of what is held for it, and the
+# time between two checks; in seconds.
+MAX_STALL_S: Final = 2.0
+STALL_CHECK_S: Final = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class StalledCaller:
+    """A caller whose connection was ended because it took nothing."""
+
+    # Address of the caller, as host:port.
+    peer: str
+    # Bytes that were held for it, in this process and in the kernel.
+    held_bytes: int
+    # For how long it took nothing, in seconds.
+    stalled_s: float
+
+
+def ignore_stalled(caller: StalledCaller) -> None:
+    """Ignore a caller that was ended."""
 
 
 class AnswerSource(Protocol):
@@ -47,6 +70,9 @@
     """What is unsent towards one caller; pauses the sources of its answer."""
 
     transport: Any
+    clock: Clock
+    # Called for a caller that is ended because it took nothing.
+    on_stalled: Callable[[StalledCaller], None]
     # Called when all has been sent to a caller that was choked.
     on_drained: Callable[[], None]
     # Connections of the targets that answer the caller's current request.
@@ -55,18 +81,75 @@
     # Whether more is unsent than the caller may have, so that its sources are
     # paused.
     is_choked: bool = False
-
-    def written(self) -> None:
-        """Pause the sources if too much is unsent after a write."""
-        if self.is_choked:
-            return
-        if sockets.unsent_bytes(self.transport) > MAX_UNSENT_BYTES:
+    # Bytes that were written to the transport.
+    written_bytes: int = 0
+    # Bytes that the caller had taken at the last check, and since when, in
+    # seconds of the clock.
+    taken_bytes: int = 0
+    taken_s: float = 0.0
+    # The timer of the next check; None if all had been taken at the last one.
+    timer: Timer | None = None
+
+    def written(self, size: int) -> None:
+        """Note a write of a size; pause the sources if too much is unsent."""
+        self.written_bytes += size
+        unsent = sockets.unsent_bytes(self.transport)
+        if self.timer is None:
+            # A short answer, which the kernel takes whole, needs no count yet.
+            self.taken_bytes = self.count_taken() if unsent else -1
+            self.taken_s = self.clock.seconds()
+            self.start_timer()
+        if not self.is_choked and unsent > MAX_UNSENT_BYTES:
             self.is_choked = True
             for source in self.sources:
                 source.pause()
             # As a pull producer, this object is told when all is sent.
             self.transport.registerProducer(self, False)
 
+    # Callers that take nothing.
+
+    def count_taken(self) -> int:
+        """Return how many bytes the caller has taken."""
+        return self.written_bytes - sockets.untaken_bytes(self.transport)
+
+    def start_timer(self) -> None:
+        """Start the timer of the next check.
+
+        The checks go on while the connection is being closed, until the caller
+        has taken all.
+        """
+        self.timer = self.clock.callLater(STALL_CHECK_S, self.check_stall)
+
+    def check_stall(self) -> None:
+        """End the connection of a caller that has taken nothing for too long.
+
+        What the kernel holds counts too, as this also ends callers that have
+        lost their power or their link.  The connection is aborted, so that
+        an answer does not look complete.
+        """
+        self.timer = None
+        untaken_bytes = sockets.untaken_bytes(self.transport)
+        if untaken_bytes == 0:
+            return
+        now_s = self.clock.seconds()
+        taken_bytes = self.written_bytes - untaken_bytes
+        if taken_bytes != self.taken_bytes:
+            self.taken_bytes, self.taken_s = taken_bytes, now_s
+        elif now_s - self.taken_s >= MAX_STALL_S:
+            peer = self.transport.getPeer()
+            self.on_stalled(
+                StalledCaller(
+                    peer=f"{peer.host}:{peer.port}",
+                    held_bytes=untaken_bytes,
+                    stalled_s=now_s - self.taken_s,
+                )
+            )
+            self.transport.abortConnection()
+            return
+        self.start_timer()
+
+    # Sources of the answer.
+
     def attach(self, source: AnswerSource) -> None:
         """Pause a source while the caller is choked."""
         self.sources.append(source)
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -15,7 +15,12 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import defaults, sockets
-from sequoiawind.caller_output import AnswerFlow, CallerOutput
+from sequoiawind.caller_output import (
+    AnswerFlow,
+    CallerOutput,
+    StalledCaller,
+    ignore_stalled,
+)
 from sequoiawind.headers import CallerLimits, Headers
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.staged_close import StagedCloser
@@ -86,7 +91,10 @@
         """Register the connection and wait for a request."""
         sockets.configure_caller(self.transport)
         self.output = CallerOutput(
-            transport=self.transport, on_drained=self.drained
+            transport=self.transport,
+            clock=self.site.clock,
+            on_stalled=self.site.on_stalled,
+            on_drained=self.drained,
         )
         self.site.connections.add(self)
         self.wait_idle()
@@ -348,7 +356,7 @@
             self.collected.append(data)
         else:
             sockets.write_now(self.transport, data)
-            self.output.written()
+            self.output.written(len(data))
 
     def write_collected(self) -> None:
         """Write the collected bytes, and collect no more."""
@@ -379,15 +387,19 @@
         limits: Callable[[], CallerLimits],
         on_refusal: Callable[[Reason], None],
         closer: StagedCloser | None = None,
+        on_stalled: Callable[[StalledCaller], None] = ignore_stalled,
     ) -> None:
         """Store the clock, the handler, the limits and the callbacks.
 
-        The site makes a closer of its own if there is none to share.
+        `on_stalled` is called for each caller that is ended because it takes
+        nothing of what is held for it.  The site makes a closer of
+        its own if there is none to share.
         """
         self.clock = clock
         self.on_request = on_request
         self.limits = limits
         self.on_refusal = on_refusal
+        self.on_stalled = on_stalled
         self.closer = closer or StagedCloser(clock=clock)
         self.connections: set[CallerConnection] = set()
         # Whether each connection closes after its current answer.
--- a/sequoiawind/sockets.py
+++ b/sequoiawind/sockets.py
@@ -4,7 +4,10 @@
 only these options and the callers' own time-outs detect it.
 """
 
+import array
+import fcntl
 import socket
+import termios
 from typing import Any, Final
 
 from twisted.internet import tcp
@@ -23,11 +26,15 @@
 # Send buffer of a caller's connection in the kernel, which doubles it.  It
 # would otherwise grow to several megabytes for each slow caller.
 CALLER_SEND_BUFFER_BYTES: Final = 65_536
+# The same as `USER_TIMEOUT_MS` for callers: the kernel's default.  The option
+# also ends connections whose receive window is nearly closed, so callers that
+# read slowly but steadily.  `caller_output` ends those that take nothing.
+CALLER_USER_TIMEOUT_MS: Final = 0
 
 
 def configure_caller(transport: Any) -> None:
     """Set the options on the connection of a caller."""
-    configure(transport)
+    configure(transport, CALLER_USER_TIMEOUT_MS)
     transport.getHandle().setsockopt(
         socket.SOL_SOCKET, socket.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES
     )
@@ -39,7 +46,7 @@
     transport.bufferSize = READ_BYTES
 
 
-def configure(transport: Any) -> None:
+def configure(transport: Any, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
     """Set the options on a connected transport."""
     transport.setTcpNoDelay(True)
     transport.setTcpKeepAlive(True)
@@ -48,7 +55,7 @@
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
     ):
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
@@ -60,6 +67,23 @@
     return bool(transport.dataBuffer or transport._tempDataLen)
 
 
+def untaken_bytes(transport: Any) -> int:
+    """Return how many written bytes the peer's system has not acknowledged.
+
+    The kernel takes more from this process only once a third of its buffer is
+    free, so the bytes held here alone would not show that a peer reads slowly.
+    """
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return 0
+    queued = array.array("i", [0])
+    try:
+        fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, queued)
+    except OSError:
+        return 0
+    unsent = len(transport.dataBuffer) - transport.offset
+    return unsent + transport._tempDataLen + queued[0]
+
+
 def unsent_bytes(transport: Any) -> int:
     """Return how many bytes written to a transport are held in this process."""
     if not isinstance(transport, tcp.Connection) or not transport.connected:
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from sequoiawind import sockets
+from sequoiawind.caller_output import StalledCaller
 from tests import live
 from tests.slow_peers import GET, FloodTarget, Relay, wait_until
 
@@ -21,7 +22,11 @@
         self.target.start()
         self.addCleanup(setattr, self.target, "is_stopped", True)
         host, port = self.target.listener.getsockname()
-        self.relay = Relay(address=f"{host}:{port}")
+        self.stalled: list[StalledCaller] = []
+        self.relay = Relay(
+            address=f"{host}:{port}",
+            options={"on_stalled": self.stalled.append},
+        )
         self.relay.start()
         self.addCleanup(self.relay.stop)
 
@@ -96,3 +101,36 @@
             ):
                 break
         self.assertEqual(3, len(seen))
+
+    def test_caller_that_takes_nothing_is_ended(self) -> None:
+        """Guards against memory held for ever, and an end that looks whole."""
+        self.relay.site.on_request = lambda request, connection: (
+            connection.reply(200, [], b"x" * 2_000_000)
+        )
+        caller = self.relay.connect(receive_bytes=16_384)
+        self.addCleanup(caller.close)
+        began_s = time.monotonic()
+        caller.sendall(GET)
+        self.assertTrue(wait_until(lambda: bool(self.stalled)))
+        self.assertTrue(2.0 <= time.monotonic() - began_s < 4.0)
+        self.assertTrue(wait_until(lambda: not self.relay.site.connections))
+        received = 0
+        try:
+            while data := caller.recv(65_536):
+                received += len(data)
+        except ConnectionResetError:
+            received = min(received, 1_999_999)
+        self.assertTrue(received < 2_000_000, received)
+
+    def test_caller_that_reads_slowly_but_steadily_is_kept(self) -> None:
+        """Guards against ending callers for a slow link."""
+        caller = self.relay.connect(receive_bytes=16_384)
+        self.addCleanup(caller.close)
+        caller.sendall(GET)
+        ends_s = time.monotonic() + 5.0
+        while time.monotonic() < ends_s:
+            self.assertNotEqual(b"", caller.recv(4_096))
+            time.sleep(0.2)
+            self.assertEqual([], self.stalled)
+            self.assertEqual(1, len(self.relay.site.connections))
+        self.assertTrue(live.in_reactor(self.unsent) > 0)
