Count what a router holds, and refuse bodies beyond its budget

Cause: bodies of any number of callers were held whole, and the bound on what is held for one caller does not bound many callers together.

Change: MemoryBudget counts heads, bodies, unsent answers, answers that are held whole and unfinished events. Above half of it, answers are held up as soon as something is unsent. The settings may state the VM's memory, of which a third is the budget.

--- a/sequoiawind/caller_output.py
+++ b/sequoiawind/caller_output.py
@@ -15,6 +15,7 @@
 from zope.interface import implementer
 
 from sequoiawind import sockets
+from sequoiawind.memory_budget import MemoryBudget
 from sequoiawind.ports import Clock, Timer
 
 # Unsent bytes towards a caller from which its targets' connections are paused.
@@ -63,6 +64,12 @@
     def detach(self, source: AnswerSource) -> None:
         """Forget a source from which no more is read for this caller."""
 
+    def hold(self, size: int) -> bool:
+        """Count a part of the answer that is held; return whether it fits."""
+
+    def release(self, size: int) -> None:
+        """Count a part of the answer as held no longer."""
+
 
 @implementer(IPullProducer)
 @attrs.define(kw_only=True, eq=False)
@@ -71,6 +78,7 @@
 
     transport: Any
     clock: Clock
+    budget: MemoryBudget
     # Called for a caller that is ended because it took nothing.
     on_stalled: Callable[[StalledCaller], None]
     # Called when all has been sent to a caller that was choked.
@@ -81,6 +89,11 @@
     # Whether more is unsent than the caller may have, so that its sources are
     # paused.
     is_choked: bool = False
+    # Bytes of the request, and unsent ones, that are counted in the budget.
+    request_bytes: int = 0
+    unsent_bytes: int = 0
+    # Whether the connection is lost.
+    is_closed: bool = False
     # Bytes that were written to the transport.
     written_bytes: int = 0
     # Bytes that the caller had taken at the last check, and since when, in
@@ -93,19 +106,67 @@
     def written(self, size: int) -> None:
         """Note a write of a size; pause the sources if too much is unsent."""
         self.written_bytes += size
-        unsent = sockets.unsent_bytes(self.transport)
+        unsent = self.count_unsent()
         if self.timer is None:
             # A short answer, which the kernel takes whole, needs no count yet.
             self.taken_bytes = self.count_taken() if unsent else -1
             self.taken_s = self.clock.seconds()
             self.start_timer()
-        if not self.is_choked and unsent > MAX_UNSENT_BYTES:
+        max_unsent = 0 if self.budget.is_scarce else MAX_UNSENT_BYTES
+        if not self.is_choked and unsent > max_unsent:
             self.is_choked = True
             for source in self.sources:
                 source.pause()
             # As a pull producer, this object is told when all is sent.
             self.transport.registerProducer(self, False)
 
+    def count_unsent(self) -> int:
+        """Return how much is unsent, and count it in the budget."""
+        unsent = sockets.unsent_bytes(self.transport)
+        if unsent != self.unsent_bytes:
+            self.budget.add(unsent - self.unsent_bytes)
+            self.unsent_bytes = unsent
+        return unsent
+
+    # The memory of the request and its answer.
+
+    def charge(self, size: int) -> None:
+        """Count bytes of the request that have arrived."""
+        self.request_bytes += size
+        self.budget.add(size)
+
+    def reserve(self, size: int) -> bool:
+        """Count bytes of the body before they arrive, if they fit."""
+        if not self.budget.reserve(size):
+            return False
+        self.request_bytes += size
+        return True
+
+    def free_request(self) -> None:
+        """Count the request as held no longer."""
+        self.budget.add(-self.request_bytes)
+        self.request_bytes = 0
+
+    def hold(self, size: int) -> bool:
+        """Count a part of the answer that is held; return whether it fits."""
+        return self.budget.add_answer(size)
+
+    def release(self, size: int) -> None:
+        """Count a part of the answer as held no longer."""
+        self.budget.add(-size)
+
+    def closed(self) -> None:
+        """Free what is held for the caller, as its connection is lost.
+
+        The request is kept while a call that may not be stopped halfway is
+        still being sent to its target.
+        """
+        self.is_closed = True
+        self.end()
+        self.count_unsent()
+        if not self.sources:
+            self.free_request()
+
     # Callers that take nothing.
 
     def count_taken(self) -> int:
@@ -128,6 +189,7 @@
         an answer does not look complete.
         """
         self.timer = None
+        self.count_unsent()
         untaken_bytes = sockets.untaken_bytes(self.transport)
         if untaken_bytes == 0:
             return
@@ -160,13 +222,15 @@
         """Forget a source from which no more is read for this caller."""
         if source in self.sources:
             self.sources.remove(source)
+            if self.is_closed and not self.sources:
+                self.free_request()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resume the sources once all is sent.
 
         The transport also calls this when the producer is registered.
         """
-        if self.is_choked and not sockets.has_unsent(self.transport):
+        if self.is_choked and not self.count_unsent():
             self.end()
             self.on_drained()
 
--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -34,6 +34,8 @@
     answer: AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
+    # Bytes of the answer that are counted in the budget of the process.
+    held_bytes: int = 0
     # Whether the prompt no longer counts as a pending prefill.
     has_begun: bool = False
     # When the first complete event of a stream arrived, in seconds of the
@@ -63,7 +65,9 @@
         self.view.heard_s = self.clock.seconds()
         if not self.is_streaming:
             self.body += data
-            if len(self.body) > defaults.MAX_HELD_BODY_BYTES:
+            if len(self.body) > defaults.MAX_HELD_BODY_BYTES or (
+                not self.may_hold(len(self.body))
+            ):
                 self.abort_oversized()
             return
         self.begin()
@@ -73,9 +77,26 @@
             self.forwarding.take_event(self, event.data, event.id)
         if self.splitter.is_inside_event:
             self.forwarding.silence.event_begun(self)
-        if len(self.splitter.rest) > defaults.MAX_HELD_EVENT_BYTES:
+        rest_bytes = len(self.splitter.rest)
+        if rest_bytes > defaults.MAX_HELD_EVENT_BYTES or (
+            not self.may_hold(rest_bytes)
+        ):
             self.abort_oversized()
 
+    def may_hold(self, size: int) -> bool:
+        """Count what is held of the answer; return whether there is room."""
+        flow = self.forwarding.plan.request.flow
+        if flow is None or size == self.held_bytes:
+            return True
+        added, self.held_bytes = size - self.held_bytes, size
+        if added > 0:
+            if flow.hold(added):
+                return True
+            self.held_bytes -= added
+            return False
+        flow.release(-added)
+        return True
+
     def abort_oversized(self) -> None:
         """Fail the attempt because too much of its answer must be held."""
         if self.call is not None:
@@ -155,6 +176,7 @@
     def release(self) -> None:
         """Remove the attempt from the target's counts."""
         self.view.open_requests -= 1
+        self.may_hold(0)
         self.begin()
 
     def begin(self) -> None:
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -22,9 +22,10 @@
     ignore_stalled,
 )
 from sequoiawind.headers import CallerLimits, Headers
+from sequoiawind.memory_budget import RETRY_AFTER_S, MemoryBudget
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.staged_close import StagedCloser
-from sequoiawind.verdict import HTTP_STATUS, Reason
+from sequoiawind.verdict import DEFAULT_HTTP_STATUS, HTTP_STATUS, Reason
 
 # Pipelined bytes that a caller may send during an answer before the server
 # stops reading.
@@ -65,6 +66,8 @@
         self.http = self.new_parser()
         self.head: h11.Request | None = None
         self.body = bytearray()
+        # Whether the memory for the whole body is counted already.
+        self.is_reserved = False
         # Arrival of the first byte of the request being read, in seconds of the
         # clock; None if no request is being read.
         self.arrived_s: float | None = None
@@ -93,6 +96,7 @@
         self.output = CallerOutput(
             transport=self.transport,
             clock=self.site.clock,
+            budget=self.site.budget,
             on_stalled=self.site.on_stalled,
             on_drained=self.drained,
         )
@@ -104,12 +108,12 @@
     ) -> None:
         """Report a disconnect before the end of the answer."""
         self.leave_site()
-        self.output.end()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if self.is_answering:
             self.is_answering = False
             if on_disconnect is not None:
                 on_disconnect()
+        self.output.closed()
 
     def leave_site(self) -> None:
         """Stop handling the connection."""
@@ -123,10 +127,15 @@
             return
         if self.head is None and not self.is_answering:
             self.begin_head()
+        if self.head is None:
+            self.output.charge(len(data))
         self.http.receive_data(data)
         self.parse()
-        if self.is_answering and len(self.http.trailing_data[0]) > (
-            MAX_PIPELINED_BYTES
+        if not self.is_answering:
+            return
+        pipelined = len(self.http.trailing_data[0])
+        if pipelined > MAX_PIPELINED_BYTES or (
+            pipelined and self.site.budget.is_scarce
         ):
             self.transport.pauseProducing()
 
@@ -177,12 +186,35 @@
             )
         self.head = head
         self.set_timer(defaults.BODY_TIMEOUT_S, self.timed_out)
+        if not self.reserve_body(head):
+            return
         if self.http.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
             self.write(self.http.send(proceed))
 
+    def reserve_body(self, head: h11.Request) -> bool:
+        """Reserve memory for a body of a stated length, before it is read.
+
+        A body over the limit is read up to the limit and then refused.
+
+        Returns:
+          Whether there is enough; if not, the request has been refused.
+        """
+        self.is_reserved = False
+        for name, value in head.headers:
+            if name == b"content-length":
+                self.is_reserved = True
+                length = min(int(value), self.site.limits().body_bytes)
+                if not self.output.reserve(length):
+                    self.refuse(Reason.MEMORY_LIMIT)
+                    return False
+        return True
+
     def handle_body(self, data: bytes) -> None:
         """Append a part of the body; refuse a body over the limit."""
+        if not self.is_reserved and not self.output.reserve(len(data)):
+            self.refuse(Reason.MEMORY_LIMIT)
+            return
         self.body += data
         if len(self.body) > self.site.limits().body_bytes:
             self.refuse(Reason.BODY_TOO_LARGE)
@@ -235,6 +267,7 @@
         self.write(self.http.send(h11.EndOfMessage()))
         self.write_collected()
         self.is_answering = False
+        self.output.free_request()
         self.on_disconnect = None
         if self.site.is_closing or self.http.our_state is not h11.DONE:
             # The caller's next request may cross the close.
@@ -269,12 +302,14 @@
         """Abort the answer so that the caller sees it is incomplete."""
         self.is_answering = False
         self.on_disconnect = None
+        self.output.free_request()
         if not self.is_lost:
             self.lose()
 
     def next_request(self) -> None:
         """Wait for the next request, and parse what has arrived of it."""
         pipelined, _ = self.http.trailing_data
+        self.output.charge(len(pipelined))
         try:
             self.http.start_next_cycle()
         except h11.LocalProtocolError:
@@ -309,20 +344,30 @@
     def refuse(self, reason: Reason) -> None:
         """Refuse a request that was not read to its end, and close."""
         self.site.on_refusal(reason)
-        self.refuse_status(HTTP_STATUS[reason])
+        headers: Headers = []
+        if reason is Reason.MEMORY_LIMIT:
+            headers.append((b"retry-after", b"%.3f" % RETRY_AFTER_S))
+        status = HTTP_STATUS.get(reason, DEFAULT_HTTP_STATUS)
+        self.refuse_status(status, headers)
 
     def refuse_malformed(self, status: int) -> None:
         """Refuse bytes that are not a valid request, and close."""
         self.site.on_refusal(Reason.BAD_REQUEST)
         self.refuse_status(status)
 
-    def refuse_status(self, status: int) -> None:
+    def refuse_status(
+        self, status: int, headers: Headers | None = None
+    ) -> None:
         """Reply with a status and no body, and close."""
         self.stop_timer()
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             response = h11.Response(
                 status_code=status,
-                headers=[(b"content-length", b"0"), (b"connection", b"close")],
+                headers=[
+                    *(headers or []),
+                    (b"content-length", b"0"),
+                    (b"connection", b"close"),
+                ],
             )
             self.write(self.http.send(response))
             self.write(self.http.send(h11.EndOfMessage()))
@@ -335,7 +380,8 @@
           holds_stop: Whether the end of the process waits for it.
         """
         self.leave_site()
-        self.output.end()
+        self.body = bytearray()
+        self.output.closed()
         self.site.closer.close(self.transport, holds_stop=holds_stop)
 
     def close(self) -> None:
@@ -388,18 +434,20 @@
         on_refusal: Callable[[Reason], None],
         closer: StagedCloser | None = None,
         on_stalled: Callable[[StalledCaller], None] = ignore_stalled,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Store the clock, the handler, the limits and the callbacks.
 
         `on_stalled` is called for each caller that is ended because it takes
-        nothing of what is held for it.  The site makes a closer of
-        its own if there is none to share.
+        nothing of what is held for it.  The site makes a closer and
+        a budget of its own if there is none to share.
         """
         self.clock = clock
         self.on_request = on_request
         self.limits = limits
         self.on_refusal = on_refusal
         self.on_stalled = on_stalled
+        self.budget = budget or MemoryBudget()
         self.closer = closer or StagedCloser(clock=clock)
         self.connections: set[CallerConnection] = set()
         # Whether each connection closes after its current answer.
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -130,6 +130,16 @@
     partitions: int = 16
 
 
+@attrs.frozen(kw_only=True)
+class LimitsOptions:
+    """Limits of the VM of a router; 0 where the platform states none."""
+
+    # Memory of the process, in megabytes.
+    memory_mb: float = 0.0
+    # Number of open file descriptors.
+    max_fds: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class NodeOptions:
     """Name, address and ports of one process."""
@@ -157,6 +167,7 @@
     node: NodeOptions
     store: Address
     entry: EntryOptions
+    limits: LimitsOptions = attrs.field(factory=LimitsOptions)
     bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
     lease: LeaseOptions = attrs.field(factory=LeaseOptions)
     closing: ClosingOptions = attrs.field(factory=ClosingOptions)
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -57,6 +57,7 @@
     BLOCKED_PART = "blocked_part"
     BLOCKED_REQUEST = "blocked_request"
     TARGET_LIMIT = "target_limit"
+    MEMORY_LIMIT = "memory_limit"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
--- a/tests/slow_peers.py
+++ b/tests/slow_peers.py
@@ -2,6 +2,8 @@
 
 import selectors
 import socket
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -22,9 +24,9 @@
 
 HOST = "127.0.0.1"
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
-EVENT = b"id: 1\ndata: " + b"x" * 1_000 + b"\n\n"
+EVENT = b"id: 1\ndata: " + b"x" * 16_000 + b"\n\n"
 # The events of one write, as chunks of a body.
-CHUNKS = (b"%x\r\n%s\r\n" % (len(EVENT), EVENT)) * 16
+CHUNKS = (b"%x\r\n%s\r\n" % (len(EVENT), EVENT)) * 4
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 WAIT_TIMEOUT_S = 20.0
 
@@ -40,7 +42,7 @@
     # Bytes that each connection has taken.
     sent: dict[socket.socket, int] = attrs.field(factory=dict)
     # The rest of the last write on each connection.
-    rest: dict[socket.socket, bytes] = attrs.field(factory=dict)
+    rest: dict[socket.socket, memoryview] = attrs.field(factory=dict)
     # Longest stream of one connection, in bytes.
     max_bytes: int = 1 << 30
     is_stopped: bool = False
@@ -72,6 +74,7 @@
         """Accept a connection."""
         connection, _ = self.listener.accept()
         connection.setblocking(False)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
         self.sent[connection] = 0
         self.selector.register(connection, selectors.EVENT_READ)
 
@@ -80,17 +83,38 @@
         if self.sent[connection] == 0:
             if not connection.recv(65_536):
                 raise OSError("closed")
-            self.rest[connection] = HEAD
+            self.rest[connection] = memoryview(HEAD)
             self.selector.modify(connection, selectors.EVENT_WRITE)
         if self.sent[connection] > self.max_bytes:
             self.selector.modify(connection, selectors.EVENT_READ)
             return
-        data = self.rest[connection] or CHUNKS
+        data = self.rest[connection] or memoryview(CHUNKS)
         taken = connection.send(data)
         self.sent[connection] += taken
         self.rest[connection] = data[taken:]
 
 
+def serve_flood() -> None:
+    """Run a target in this process until its input ends."""
+    flood = FloodTarget()
+    flood.start()
+    print(flood.listener.getsockname()[1], flush=True)
+    sys.stdin.read()
+
+
+def start_flood() -> tuple[subprocess.Popen[bytes], str]:
+    """Start a target in a process of its own; return it and its address."""
+    code = "from tests.slow_peers import serve_flood; serve_flood()"
+    process = subprocess.Popen(
+        [sys.executable, "-c", code],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    port = int(process.stdout.readline())
+    return process, f"{HOST}:{port}"
+
+
 @attrs.define(kw_only=True, eq=False)
 class PassingSink:
     """Passes an answer to a caller as it arrives."""
@@ -137,7 +161,8 @@
     def listen(self) -> None:
         """Listen; called in the reactor's thread."""
         reactor = event_loop.reactor
-        self.client = Http1Client(reactor=reactor)
+        # All connect at once, and share the processor with the target.
+        self.client = Http1Client(reactor=reactor, connect_timeout_s=10.0)
         self.site = CallerSite(
             clock=reactor,
             on_request=self.forward,
