Keep a fifth of the descriptors free of callers' connections

Cause: callers' connections could use all descriptors of the process, so that targets could not be reached and readiness checks not be answered.

Change: from 0.8 of the limit on, a new connection takes the place of the longest idle one, and is aborted if no connection is idle. Connections in use are kept, and a site without a limit, as that for readiness checks, goes on.

Result: two tests in tests/test_slow_callers.py, on real sockets.

--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -21,6 +21,7 @@
     StalledCaller,
     ignore_stalled,
 )
+from sequoiawind.descriptor_limit import DescriptorLimit
 from sequoiawind.headers import CallerLimits, Headers
 from sequoiawind.memory_budget import RETRY_AFTER_S, MemoryBudget
 from sequoiawind.ports import Clock, Timer
@@ -78,6 +79,9 @@
         self.collected: list[bytes] | None = None
         # Whether the connection is lost, or is being closed.
         self.is_lost = False
+        # Since when no request is being read or answered, in seconds of the
+        # clock.
+        self.idle_since_s = 0.0
         # Whether the next request waits until the last answer is sent.
         self.is_draining = False
         # Called once if the caller disconnects before its answer is complete.
@@ -100,6 +104,13 @@
             on_stalled=self.site.on_stalled,
             on_drained=self.drained,
         )
+        limit = self.site.descriptors
+        if limit is not None and not limit.keeps(
+            self.transport.fileno(), self.site
+        ):
+            self.is_lost = True
+            self.transport.abortConnection()
+            return
         self.site.connections.add(self)
         self.wait_idle()
 
@@ -324,6 +335,7 @@
 
     def wait_idle(self) -> None:
         """Start the timer that closes an idle connection."""
+        self.idle_since_s = self.site.clock.seconds()
         self.set_timer(self.site.limits().idle_timeout_s, self.close)
 
     def set_timer(self, delay_s: float, act: Callable[[], None]) -> None:
@@ -419,6 +431,11 @@
             and not sockets.has_unsent(self.transport)
         )
 
+    @property
+    def may_be_closed(self) -> bool:
+        """Whether it is idle, and its close has not begun."""
+        return self.is_idle and not self.is_lost
+
 
 class CallerSite(Factory):
     """Accepts callers and passes their requests to one handler."""
@@ -435,18 +452,21 @@
         closer: StagedCloser | None = None,
         on_stalled: Callable[[StalledCaller], None] = ignore_stalled,
         budget: MemoryBudget | None = None,
+        descriptors: DescriptorLimit | None = None,
     ) -> None:
         """Store the clock, the handler, the limits and the callbacks.
 
         `on_stalled` is called for each caller that is ended because it takes
         nothing of what is held for it.  The site makes a closer and
-        a budget of its own if there is none to share.
+        a budget of its own if there is none to share.  It accepts any number
+        of connections if there is no limit of descriptors.
         """
         self.clock = clock
         self.on_request = on_request
         self.limits = limits
         self.on_refusal = on_refusal
         self.on_stalled = on_stalled
+        self.descriptors = descriptors
         self.budget = budget or MemoryBudget()
         self.closer = closer or StagedCloser(clock=clock)
         self.connections: set[CallerConnection] = set()
@@ -457,6 +477,14 @@
         """Return the protocol for a new connection."""
         return CallerConnection(self)
 
+    def close_longest_idle(self) -> bool:
+        """Close the longest idle connection; return whether there was one."""
+        idle = [item for item in self.connections if item.may_be_closed]
+        if not idle:
+            return False
+        min(idle, key=lambda item: item.idle_since_s).close()
+        return True
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -1,11 +1,13 @@
 """Callers that read slowly: what is held for them, and when they are ended."""
 
+import socket
 import time
 
 from testtools import TestCase
 
 from sequoiawind import sockets
 from sequoiawind.caller_output import StalledCaller
+from sequoiawind.descriptor_limit import DescriptorLimit
 from tests import live
 from tests.slow_peers import GET, FloodTarget, Relay, wait_until
 
@@ -134,3 +136,56 @@
             self.assertEqual([], self.stalled)
             self.assertEqual(1, len(self.relay.site.connections))
         self.assertTrue(live.in_reactor(self.unsent) > 0)
+
+
+class DescriptorTest(TestCase):
+    """A server near its limit of descriptors."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        # The next connections' numbers are above the bound.
+        self.limit = DescriptorLimit(max_fds=1)
+        self.relay = Relay(address="", options={"descriptors": self.limit})
+        self.relay.start()
+        self.addCleanup(self.relay.stop)
+        self.relay.site.on_request = lambda request, connection: (
+            self.relay.taken.append(connection)
+        )
+
+    def connect(self, max_fds: int) -> socket.socket:
+        """Connect a caller under a limit of descriptors."""
+        self.limit.max_fds = max_fds
+        caller = self.relay.connect()
+        self.addCleanup(caller.close)
+        return caller
+
+    def test_connections_in_use_are_kept_and_new_ones_are_closed(self) -> None:
+        """Guards against answers cut off, and processes out of descriptors."""
+        busy = self.connect(1_000_000)
+        busy.sendall(GET)
+        self.assertTrue(wait_until(lambda: len(self.relay.taken) == 1))
+        new = self.connect(1)
+        try:
+            self.assertEqual(b"", new.recv(100))
+        except ConnectionResetError:
+            self.assertEqual(1, self.limit.closed_new)
+        live.in_reactor(self.relay.taken[0].reply, 200, [], b"done")
+        self.assertTrue(busy.recv(1_000).endswith(b"done"))
+
+    def test_longest_idle_connection_makes_room(self) -> None:
+        """Guards against idle callers that keep others out."""
+        idle = []
+        for _ in range(2):
+            idle.append(self.connect(1_000_000))
+            idle[-1].sendall(GET)
+            self.assertTrue(
+                wait_until(lambda: len(self.relay.taken) == len(idle))
+            )
+            live.in_reactor(self.relay.taken[-1].reply, 200, [], b"done")
+            self.assertTrue(idle[-1].recv(1_000).endswith(b"done"))
+        new = self.connect(1)
+        new.sendall(GET)
+        self.assertTrue(wait_until(lambda: len(self.relay.taken) == 3))
+        self.assertEqual(b"", idle[0].recv(100))
+        idle[1].sendall(GET)
+        self.assertTrue(wait_until(lambda: len(self.relay.taken) == 4))
