Write large bodies to targets in pieces, as the targets read

Cause: a body of up to 4 MiB was copied whole into the buffer of its target's connection, and stayed there, and in the request kept for foreign answers, for as long as the target read slowly.

Change: a body over 64 KiB is written by a pull producer, a piece each time that the last one is sent, and the connection frees it once written. A connection whose answer ends before its request is not used again.

--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -22,6 +22,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import defaults, messages, sockets
+from sequoiawind.body_writer import PIECE_BYTES, BodyWriter
 from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.headers import Headers
 from sequoiawind.options import Address
@@ -87,6 +88,8 @@
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
         self.is_open = False
+        # Sends a large body; None while none is being sent.
+        self.writer: BodyWriter | None = None
         # Whether nothing is read, as the caller of the answer reads slowly.
         self.is_paused = False
 
@@ -102,7 +105,28 @@
         self.received_bytes = 0
         if request.flow is not None:
             request.flow.attach(self)
-        sockets.write_now(self.transport, self.frame(request))
+        if len(request.body) <= PIECE_BYTES:
+            sockets.write_now(self.transport, self.frame(request))
+            return
+        self.writer = BodyWriter(
+            transport=self.transport,
+            rest=memoryview(request.body),
+            frame=self.frame_piece,
+            on_written=self.body_written,
+        )
+        sockets.write_now(self.transport, self.frame_head(request))
+        self.writer.start()
+
+    def frame_piece(self, piece: bytes) -> bytes:
+        """Return the bytes of a part of the body."""
+        return self.http.send(h11.Data(data=piece)) or b""
+
+    def body_written(self) -> None:
+        """End the request, and free its body."""
+        self.http.send(h11.EndOfMessage())
+        self.writer = None
+        if self.request is not None:
+            self.request = attrs.evolve(self.request, body=b"")
 
     def pause(self) -> None:
         """Read nothing more, as the caller reads slowly."""
@@ -125,25 +149,36 @@
             self.resume()
         return sink
 
-    def frame(self, request: OutgoingRequest) -> bytes:
-        """Return a request's bytes and advance the parser's state."""
+    def frame_head(self, request: OutgoingRequest) -> bytes:
+        """Return a request's head and advance the parser's state."""
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"content-length", b"%d" % len(request.body)))
-        parts = [
-            self.http.send(
-                h11.Request(
-                    method=request.method,
-                    target=request.request_target,
-                    headers=headers,
-                )
+        head = self.http.send(
+            h11.Request(
+                method=request.method,
+                target=request.request_target,
+                headers=headers,
             )
-        ]
+        )
+        return head or b""
+
+    def frame(self, request: OutgoingRequest) -> bytes:
+        """Return a request's bytes and advance the parser's state."""
+        parts = [self.frame_head(request)]
         if request.body:
             parts.append(self.http.send(h11.Data(data=request.body)))
         parts.append(self.http.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
+    def frame_again(self, request: OutgoingRequest) -> None:
+        """Bring a new parser into the state after what has been sent."""
+        if self.writer is None:
+            self.frame(request)
+            return
+        self.frame_head(request)
+        self.frame_piece(request.body[: self.writer.sent_bytes])
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle bytes from the target."""
         if self.sink is None:
@@ -213,7 +248,12 @@
             return
         sink = self.end_exchange()
         extra, _ = self.http.trailing_data
-        reusable = not extra and self.http.their_state is h11.DONE
+        # An early answer may leave a part of the request's body unsent.
+        reusable = (
+            not extra
+            and self.http.their_state is h11.DONE
+            and self.http.our_state is h11.DONE
+        )
         if reusable and self.is_open:
             self.http.start_next_cycle()
             self.client.add_idle(self)
@@ -231,9 +271,7 @@
             self.fail(Reason.TARGET_ERROR, messages.FOREIGN_ANSWER)
             return
         self.http = h11.Connection(h11.CLIENT)
-        # The request has been sent already; framing it again only brings the
-        # new parser into the state in which it expects an answer.
-        self.frame(self.request)
+        self.frame_again(self.request)
         if extra:
             self.http.receive_data(extra)
 
@@ -247,6 +285,7 @@
     def drop(self) -> None:
         """Abort the connection."""
         self.client.remove_idle(self)
+        self.writer = None
         if self.is_open:
             self.is_open = False
             self.transport.abortConnection()
