--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -22,6 +22,8 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import defaults, messages, sockets
+from sequoiawind.body_writer import PIECE_BYTES, BodyWriter
+from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.headers import Headers
 from sequoiawind.options import Address
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
@@ -48,6 +50,8 @@
     # A header that the target echoes in its answer.  An answer with another
     # value belongs to an earlier request and is skipped.
     echo: tuple[bytes, bytes] | None = None
+    # The way of the answer; None if the answer is always read at once.
+    flow: AnswerFlow | None = attrs.field(default=None, eq=False, repr=False)
 
 
 class AnswerSink(Protocol):
@@ -84,10 +88,14 @@
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
         self.is_open = False
+        # Sends a large body; None while none is being sent.
+        self.writer: BodyWriter | None = None
+        # Whether nothing is read, as the caller of the answer reads slowly.
+        self.is_paused = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options and mark the connection as open."""
-        sockets.configure(self.transport)
+        sockets.configure_target(self.transport)
         self.is_open = True
 
     def send(self, request: OutgoingRequest, sink: AnswerSink) -> None:
@@ -95,27 +103,82 @@
         self.request = request
         self.sink = sink
         self.received_bytes = 0
-        sockets.write_now(self.transport, self.frame(request))
-
-    def frame(self, request: OutgoingRequest) -> bytes:
-        """Return a request's bytes and advance the parser's state."""
+        if request.flow is not None:
+            request.flow.attach(self)
+        if len(request.body) <= PIECE_BYTES:
+            sockets.write_now(self.transport, self.frame(request))
+            return
+        self.writer = BodyWriter(
+            transport=self.transport,
+            rest=memoryview(request.body),
+            frame=self.frame_piece,
+            on_written=self.body_written,
+        )
+        sockets.write_now(self.transport, self.frame_head(request))
+        self.writer.start()
+
+    def frame_piece(self, piece: bytes) -> bytes:
+        """Return the bytes of a part of the body."""
+        return self.http.send(h11.Data(data=piece)) or b""
+
+    def body_written(self) -> None:
+        """End the request, and free its body."""
+        self.http.send(h11.EndOfMessage())
+        self.writer = None
+        if self.request is not None:
+            self.request = attrs.evolve(self.request, body=b"")
+
+    def pause(self) -> None:
+        """Read nothing more, as the caller reads slowly."""
+        if self.is_open:
+            self.is_paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.is_paused and self.is_open:
+            self.is_paused = False
+            self.transport.resumeProducing()
+
+    def end_exchange(self) -> AnswerSink | None:
+        """End the exchange; return its sink."""
+        sink, request = self.sink, self.request
+        self.sink = self.request = None
+        if request is not None and request.flow is not None:
+            request.flow.detach(self)
+            self.resume()
+        return sink
+
+    def frame_head(self, request: OutgoingRequest) -> bytes:
+        """Return a request's head and advance the parser's state."""
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"content-length", b"%d" % len(request.body)))
-        parts = [
-            self.http.send(
-                h11.Request(
-                    method=request.method,
-                    target=request.request_target,
-                    headers=headers,
-                )
+        head = self.http.send(
+            h11.Request(
+                method=request.method,
+                target=request.request_target,
+                headers=headers,
             )
-        ]
+        )
+        return head or b""
+
+    def frame(self, request: OutgoingRequest) -> bytes:
+        """Return a request's bytes and advance the parser's state."""
+        parts = [self.frame_head(request)]
         if request.body:
             parts.append(self.http.send(h11.Data(data=request.body)))
         parts.append(self.http.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
+    def frame_again(self, request: OutgoingRequest) -> None:
+        """Bring a new parser into the state after what has been sent."""
+        if self.writer is None:
+            self.frame(request)
+            return
+        self.frame_head(request)
+        self.frame_piece(request.body[: self.writer.sent_bytes])
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle bytes from the target."""
         if self.sink is None:
@@ -183,9 +246,14 @@
         if self.is_skipping:
             self.skip_answer()
             return
-        sink, self.sink, self.request = self.sink, None, None
+        sink = self.end_exchange()
         extra, _ = self.http.trailing_data
-        reusable = not extra and self.http.their_state is h11.DONE
+        # An early answer may leave a part of the request's body unsent.
+        reusable = (
+            not extra
+            and self.http.their_state is h11.DONE
+            and self.http.our_state is h11.DONE
+        )
         if reusable and self.is_open:
             self.http.start_next_cycle()
             self.client.add_idle(self)
@@ -203,15 +271,13 @@
             self.fail(Reason.TARGET_ERROR, messages.FOREIGN_ANSWER)
             return
         self.http = h11.Connection(h11.CLIENT)
-        # The request has been sent already; framing it again only brings the
-        # new parser into the state in which it expects an answer.
-        self.frame(self.request)
+        self.frame_again(self.request)
         if extra:
             self.http.receive_data(extra)
 
     def fail(self, reason: Reason, detail: str) -> None:
         """End the exchange without a complete answer."""
-        sink, self.sink, self.request = self.sink, None, None
+        sink = self.end_exchange()
         self.drop()
         if sink is not None:
             sink.failed(may_have_run(reason, detail))
@@ -219,13 +285,14 @@
     def drop(self) -> None:
         """Abort the connection."""
         self.client.remove_idle(self)
+        self.writer = None
         if self.is_open:
             self.is_open = False
             self.transport.abortConnection()
 
     def cancel(self) -> None:
         """Abort the exchange; the sink receives nothing more."""
-        self.sink = None
+        self.end_exchange()
         self.drop()
 
 
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from sequoiawind.blackboard import Blackboard
+from sequoiawind.caller_output import StalledCaller
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import ForwardRequest
@@ -178,6 +179,16 @@
             waited_s=round(self.clock.seconds() - request.arrived_s, 4),
         )
 
+    def note_stalled(self, caller: StalledCaller) -> None:
+        """Count and log a caller that was ended because it took nothing."""
+        self.metrics.stalled_callers.inc()
+        self.log.warning(
+            "caller stalled",
+            peer=caller.peer,
+            held_bytes=caller.held_bytes,
+            stalled_s=round(caller.stalled_s, 3),
+        )
+
     def note_share(
         self, account: str, share: float, inputs: ShareInputs
     ) -> None:
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -58,6 +58,7 @@
     BLOCKED_REQUEST = "blocked_request"
     TARGET_LIMIT = "target_limit"
     OVERLOADED = "overloaded"
+    MEMORY_LIMIT = "memory_limit"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
