--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -10,6 +10,7 @@
 from sequoiawind.allowed_weights import AllowedWeights
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.crash_registry import CrashRegistry
+from sequoiawind.descriptor_limit import DescriptorLimit
 from sequoiawind.feed_client import FeedClient
 from sequoiawind.feed_cover import FeedCover
 from sequoiawind.feed_reader import FeedReader
@@ -25,6 +26,7 @@
 from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
 from sequoiawind.load.controller import make_controller
 from sequoiawind.load_metrics import LoadCollector
+from sequoiawind.memory_budget import MemoryBudget
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.options import (
     Address,
@@ -89,6 +91,7 @@
     """The components of one router."""
 
     metrics: ForwardMetrics = attrs.field(factory=ForwardMetrics)
+    budget: MemoryBudget = attrs.field(init=False)
     freshness: Freshness = attrs.field(init=False)
     notes: RouterNotes = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
@@ -109,6 +112,7 @@
         super().__attrs_post_init__()
         self.closer = self.make_closer(self.metrics.closes_at_bound)
         bounds = self.options.bounds
+        self.budget = MemoryBudget.of(self.options.limits.memory_mb)
         self.freshness = Freshness(
             revoke_s=bounds.revoke_ms / 1000,
             in_force_s=bounds.in_force_ms / 1000,
@@ -135,6 +139,9 @@
             limits=self.limits,
             on_refusal=self.notes.count_refusal,
             closer=self.closer,
+            on_stalled=self.notes.note_stalled,
+            budget=self.budget,
+            descriptors=DescriptorLimit.of(self.options.limits.max_fds),
         )
         self.metrics.set_gauge_functions(
             age_s=lambda: self.freshness.age_s,
@@ -307,6 +314,7 @@
             limits=self.limits,
             on_refusal=self.notes.count_refusal,
             closer=self.closer,
+            budget=self.budget,
         )
         for address, site in ((entry.callers, self.site), (entry.ready, ready)):
             self.ports.append(
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -15,10 +15,18 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import defaults, sockets
+from sequoiawind.caller_output import (
+    AnswerFlow,
+    CallerOutput,
+    StalledCaller,
+    ignore_stalled,
+)
+from sequoiawind.descriptor_limit import DescriptorLimit
 from sequoiawind.headers import CallerLimits, Headers
+from sequoiawind.memory_budget import RETRY_AFTER_S, MemoryBudget
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.staged_close import StagedCloser
-from sequoiawind.verdict import HTTP_STATUS, Reason
+from sequoiawind.verdict import DEFAULT_HTTP_STATUS, HTTP_STATUS, Reason
 
 # Pipelined bytes that a caller may send during an answer before the server
 # stops reading.
@@ -37,6 +45,8 @@
     body: bytes
     # Arrival of its first byte, in seconds of the clock.
     arrived_s: float
+    # The way of the answer; None for a request that no connection has brought.
+    flow: AnswerFlow | None = attrs.field(default=None, eq=False, repr=False)
 
     def header(self, name: bytes) -> bytes:
         """Return a header's first value; empty if there is none."""
@@ -57,6 +67,8 @@
         self.http = self.new_parser()
         self.head: h11.Request | None = None
         self.body = bytearray()
+        # Whether the memory for the whole body is counted already.
+        self.is_reserved = False
         # Arrival of the first byte of the request being read, in seconds of the
         # clock; None if no request is being read.
         self.arrived_s: float | None = None
@@ -67,6 +79,11 @@
         self.collected: list[bytes] | None = None
         # Whether the connection is lost, or is being closed.
         self.is_lost = False
+        # Since when no request is being read or answered, in seconds of the
+        # clock.
+        self.idle_since_s = 0.0
+        # Whether the next request waits until the last answer is sent.
+        self.is_draining = False
         # Called once if the caller disconnects before its answer is complete.
         self.on_disconnect: Callable[[], None] | None = None
 
@@ -79,7 +96,21 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and wait for a request."""
-        sockets.configure(self.transport)
+        sockets.configure_caller(self.transport)
+        self.output = CallerOutput(
+            transport=self.transport,
+            clock=self.site.clock,
+            budget=self.site.budget,
+            on_stalled=self.site.on_stalled,
+            on_drained=self.drained,
+        )
+        limit = self.site.descriptors
+        if limit is not None and not limit.keeps(
+            self.transport.fileno(), self.site
+        ):
+            self.is_lost = True
+            self.transport.abortConnection()
+            return
         self.site.connections.add(self)
         self.wait_idle()
 
@@ -93,6 +124,7 @@
             self.is_answering = False
             if on_disconnect is not None:
                 on_disconnect()
+        self.output.closed()
 
     def leave_site(self) -> None:
         """Stop handling the connection."""
@@ -106,10 +138,15 @@
             return
         if self.head is None and not self.is_answering:
             self.begin_head()
+        if self.head is None:
+            self.output.charge(len(data))
         self.http.receive_data(data)
         self.parse()
-        if self.is_answering and len(self.http.trailing_data[0]) > (
-            MAX_PIPELINED_BYTES
+        if not self.is_answering:
+            return
+        pipelined = len(self.http.trailing_data[0])
+        if pipelined > MAX_PIPELINED_BYTES or (
+            pipelined and self.site.budget.is_scarce
         ):
             self.transport.pauseProducing()
 
@@ -160,12 +197,35 @@
             )
         self.head = head
         self.set_timer(defaults.BODY_TIMEOUT_S, self.timed_out)
+        if not self.reserve_body(head):
+            return
         if self.http.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
             self.write(self.http.send(proceed))
 
+    def reserve_body(self, head: h11.Request) -> bool:
+        """Reserve memory for a body of a stated length, before it is read.
+
+        A body over the limit is read up to the limit and then refused.
+
+        Returns:
+          Whether there is enough; if not, the request has been refused.
+        """
+        self.is_reserved = False
+        for name, value in head.headers:
+            if name == b"content-length":
+                self.is_reserved = True
+                length = min(int(value), self.site.limits().body_bytes)
+                if not self.output.reserve(length):
+                    self.refuse(Reason.MEMORY_LIMIT)
+                    return False
+        return True
+
     def handle_body(self, data: bytes) -> None:
         """Append a part of the body; refuse a body over the limit."""
+        if not self.is_reserved and not self.output.reserve(len(data)):
+            self.refuse(Reason.MEMORY_LIMIT)
+            return
         self.body += data
         if len(self.body) > self.site.limits().body_bytes:
             self.refuse(Reason.BODY_TOO_LARGE)
@@ -182,6 +242,7 @@
             headers=list(head.headers),
             body=bytes(self.body),
             arrived_s=self.arrived_s,
+            flow=self.output,
         )
         self.head = None
         self.body = bytearray()
@@ -217,11 +278,27 @@
         self.write(self.http.send(h11.EndOfMessage()))
         self.write_collected()
         self.is_answering = False
+        self.output.free_request()
         self.on_disconnect = None
         if self.site.is_closing or self.http.our_state is not h11.DONE:
             # The caller's next request may cross the close.
             self.close_in_stages(holds_stop=False)
             return
+        if self.output.is_choked:
+            # Answers to pipelined requests would pile up.
+            self.is_draining = True
+            self.transport.pauseProducing()
+            return
+        self.next_request()
+
+    def drained(self) -> None:
+        """Continue with the next request, which has waited for the answer."""
+        if not self.is_draining or self.is_lost:
+            return
+        self.is_draining = False
+        if self.site.is_closing:
+            self.close_in_stages(holds_stop=False)
+            return
         self.next_request()
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
@@ -236,16 +313,18 @@
         """Abort the answer so that the caller sees it is incomplete."""
         self.is_answering = False
         self.on_disconnect = None
+        self.output.free_request()
         if not self.is_lost:
-            self.transport.loseConnection()
+            self.lose()
 
     def next_request(self) -> None:
         """Wait for the next request, and parse what has arrived of it."""
         pipelined, _ = self.http.trailing_data
+        self.output.charge(len(pipelined))
         try:
             self.http.start_next_cycle()
         except h11.LocalProtocolError:
-            self.transport.loseConnection()
+            self.lose()
             return
         self.transport.resumeProducing()
         self.wait_idle()
@@ -256,6 +335,7 @@
 
     def wait_idle(self) -> None:
         """Start the timer that closes an idle connection."""
+        self.idle_since_s = self.site.clock.seconds()
         self.set_timer(self.site.limits().idle_timeout_s, self.close)
 
     def set_timer(self, delay_s: float, act: Callable[[], None]) -> None:
@@ -276,20 +356,30 @@
     def refuse(self, reason: Reason) -> None:
         """Refuse a request that was not read to its end, and close."""
         self.site.on_refusal(reason)
-        self.refuse_status(HTTP_STATUS[reason])
+        headers: Headers = []
+        if reason is Reason.MEMORY_LIMIT:
+            headers.append((b"retry-after", b"%.3f" % RETRY_AFTER_S))
+        status = HTTP_STATUS.get(reason, DEFAULT_HTTP_STATUS)
+        self.refuse_status(status, headers)
 
     def refuse_malformed(self, status: int) -> None:
         """Refuse bytes that are not a valid request, and close."""
         self.site.on_refusal(Reason.BAD_REQUEST)
         self.refuse_status(status)
 
-    def refuse_status(self, status: int) -> None:
+    def refuse_status(
+        self, status: int, headers: Headers | None = None
+    ) -> None:
         """Reply with a status and no body, and close."""
         self.stop_timer()
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             response = h11.Response(
                 status_code=status,
-                headers=[(b"content-length", b"0"), (b"connection", b"close")],
+                headers=[
+                    *(headers or []),
+                    (b"content-length", b"0"),
+                    (b"connection", b"close"),
+                ],
             )
             self.write(self.http.send(response))
             self.write(self.http.send(h11.EndOfMessage()))
@@ -302,11 +392,18 @@
           holds_stop: Whether the end of the process waits for it.
         """
         self.leave_site()
+        self.body = bytearray()
+        self.output.closed()
         self.site.closer.close(self.transport, holds_stop=holds_stop)
 
     def close(self) -> None:
         """Close the idle connection."""
         self.is_lost = True
+        self.lose()
+
+    def lose(self) -> None:
+        """Close the connection once what was written has been sent."""
+        self.output.end()
         self.transport.loseConnection()
 
     def write(self, data: bytes | None) -> None:
@@ -317,6 +414,7 @@
             self.collected.append(data)
         else:
             sockets.write_now(self.transport, data)
+            self.output.written(len(data))
 
     def write_collected(self) -> None:
         """Write the collected bytes, and collect no more."""
@@ -326,8 +424,17 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return not self.is_answering and self.arrived_s is None
+        """Whether no request is being read or answered, and all is sent."""
+        return (
+            not self.is_answering
+            and self.arrived_s is None
+            and not sockets.has_unsent(self.transport)
+        )
+
+    @property
+    def may_be_closed(self) -> bool:
+        """Whether it is idle, and its close has not begun."""
+        return self.is_idle and not self.is_lost
 
 
 class CallerSite(Factory):
@@ -343,15 +450,24 @@
         limits: Callable[[], CallerLimits],
         on_refusal: Callable[[Reason], None],
         closer: StagedCloser | None = None,
+        on_stalled: Callable[[StalledCaller], None] = ignore_stalled,
+        budget: MemoryBudget | None = None,
+        descriptors: DescriptorLimit | None = None,
     ) -> None:
         """Store the clock, the handler, the limits and the callbacks.
 
-        The site makes a closer of its own if there is none to share.
+        `on_stalled` is called for each caller that is ended because it takes
+        nothing of what is held for it.  The site makes a closer and
+        a budget of its own if there is none to share.  It accepts any number
+        of connections if there is no limit of descriptors.
         """
         self.clock = clock
         self.on_request = on_request
         self.limits = limits
         self.on_refusal = on_refusal
+        self.on_stalled = on_stalled
+        self.descriptors = descriptors
+        self.budget = budget or MemoryBudget()
         self.closer = closer or StagedCloser(clock=clock)
         self.connections: set[CallerConnection] = set()
         # Whether each connection closes after its current answer.
@@ -361,6 +477,14 @@
         """Return the protocol for a new connection."""
         return CallerConnection(self)
 
+    def close_longest_idle(self) -> bool:
+        """Close the longest idle connection; return whether there was one."""
+        idle = [item for item in self.connections if item.may_be_closed]
+        if not idle:
+            return False
+        min(idle, key=lambda item: item.idle_since_s).close()
+        return True
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -167,6 +167,7 @@
     cut_answers: Counter = attrs.field(init=False)
     silences: Counter = attrs.field(init=False)
     connects: Counter = attrs.field(init=False)
+    stalled_callers: Counter = attrs.field(init=False)
     config_age: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
     open_requests: Gauge = attrs.field(init=False)
@@ -229,6 +230,11 @@
             "Connections opened to targets, agents and the store.",
             registry=registry,
         )
+        self.stalled_callers = Counter(
+            "sequoiawind_stalled_callers",
+            "Callers ended because they took nothing of their answers.",
+            registry=registry,
+        )
         self.config_age = Gauge(
             "sequoiawind_config_age_seconds",
             "Greatest possible age of the configuration.",
--- a/sequoiawind/silent_attempts.py
+++ b/sequoiawind/silent_attempts.py
@@ -83,6 +83,10 @@
             return
         if not forwarding.may_send_elsewhere():
             return
+        if forwarding.caller.is_choked:
+            # Its target is paused until the caller has read more.
+            self.start_timeout(attempt, RECHECK_S)
+            return
         failure = may_have_run(Reason.CHUNK_TIMEOUT, messages.CHUNK_TIMEOUT)
         chosen, outcome = self.find_other(attempt)
         self.report(attempt, outcome)
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -172,6 +172,19 @@
         self.assertEqual(events(1, 2, 3, 4), caller.body, why)
         self.assertEqual([200], caller.statuses, why)
 
+    def test_target_paused_for_a_slow_caller_is_not_silent(self) -> None:
+        # Its events wait for the caller, so another target would be no faster.
+        rig = ForwardRig()
+        rig.add(*(target(f"e{n}", "llm") for n in range(2)))
+        caller = rig.submit("draft")
+        rig.port.sent[0].begin(200, b"id: 1\ndata: x\n\n")
+        caller.is_choked = True
+        rig.advance(2.0)
+        self.assertEqual(1, len(rig.port.sent))
+        caller.is_choked = False
+        rig.advance(2.0)
+        self.assertEqual(2, len(rig.port.sent))
+
     def test_goes_on_where_nothing_else_can_continue_it(self) -> None:
         for obstacle in OBSTACLES:
             rig = rig_with()
