--- a/sequoiawind/load/account_limits.py
+++ b/sequoiawind/load/account_limits.py
@@ -40,7 +40,7 @@
 TOTALS_LIFETIME_S: Final = 2.0
 # What all routers together may spend in advance: the refill of some seconds,
 # and a part of the 110,000 tokens that the bound of the limit allows besides.
-ADVANCE_S: Final = 1.7
+ADVANCE_S: Final = 1.4
 ADVANCE_TOKENS: Final = 60_000.0
 # Time from the start of a router over which its advance grows, in seconds: the
 # window in which the limit is measured.
