Ask targets for their load where prompts have objectives below 0.4 s

What calls for the parts is known from the configuration: an objective shorter than the age of a status cannot be met by what statuses tell.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -291,7 +291,7 @@
         """Adapt to a configuration; become ready if it is the first."""
         state = self.board.state
         if isinstance(state, ForwardState):
-            self.forwarder.load.configured(state.limited_accounts)
+            self.forwarder.load.configured(state)
         self.check_prepared()
 
     def totals_changed(
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -152,6 +152,23 @@
             if isinstance(account, ForwardAccount) and account.limit
         )
 
+    @cached_property
+    def prompt_objectives_s(self) -> dict[str, float]:
+        """Shortest latency objective of streams by pool of engines."""
+        found: dict[str, float] = {}
+        for route in self.routes.values():
+            kind = self.kinds.get(route.kind)
+            if not isinstance(route, ForwardRoute):
+                continue
+            if not isinstance(kind, ForwardKind) or not kind.is_stream:
+                continue
+            names = {route.pool, *(share.pool for share in route.shares)}
+            for name in names:
+                pool = self.pools.get(name)
+                if isinstance(pool, ForwardPool) and pool.models:
+                    found[name] = min(found.get(name, kind.aim_s), kind.aim_s)
+        return found
+
     @cached_property
     def routes_by_host(self) -> dict[str, list[ForwardRoute]]:
         """Routes by host, those with the longest path first."""
--- a/sequoiawind/load/controller.py
+++ b/sequoiawind/load/controller.py
@@ -1,8 +1,9 @@
 """The parts of load control that a router runs, asked at a few points.
 
 Each part is None where the settings switch it off.  One that is on does nothing
-for a pool until its load calls for it: its configuration limits accounts, which
-then compete for it, or its targets are seen to differ in speed.
+for a pool until something calls for it: the configuration limits accounts,
+which then compete for it, or wants its prompts answered sooner than a target's
+status is old, or its targets are seen to differ in speed.
 """
 
 import random
@@ -13,6 +14,7 @@
 
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_plan import ForwardPlan
+from sequoiawind.forward_state import ForwardState
 from sequoiawind.load.account_charge import AccountCharge
 from sequoiawind.load.account_limits import AccountLimits
 from sequoiawind.load.admission import (
@@ -38,6 +40,9 @@
 # Work of generating a token, in prompt tokens to prefill: a step of a busy
 # batch takes about as long as reading several tokens, shared by its runs.
 GENERATED_TOKENS: Final = 8.0
+# Age that a target's last status may have when a router chooses, in seconds:
+# the agent's report, the relay and the threshold of publishing add up to it.
+STATUS_AGE_S: Final = 0.4
 # Part of a pool's targets that must differ from the middle for the pool to
 # count as uneven, and their least number: a few may only be in trouble, or be
 # found behind more work than others.
@@ -55,18 +60,25 @@
     order: FairOrder | None = None
     # Whether the configuration limits any account.
     has_limited_accounts: bool = False
+    # Pools whose prompts are to be answered sooner than a status is old.
+    urgent_pools: frozenset[str] = frozenset()
 
     # What calls for the parts.
 
-    def configured(self, limited_accounts: frozenset[str]) -> None:
-        """Adapt to a configuration, given the accounts that it limits."""
-        self.has_limited_accounts = bool(limited_accounts)
+    def configured(self, state: ForwardState) -> None:
+        """Adapt to a configuration."""
+        self.has_limited_accounts = bool(state.limited_accounts)
+        self.urgent_pools = frozenset(
+            pool
+            for pool, objective_s in state.prompt_objectives_s.items()
+            if objective_s < STATUS_AGE_S
+        )
         if self.limits is not None:
-            self.limits.keep_only(limited_accounts)
+            self.limits.keep_only(state.limited_accounts)
 
     def is_active(self, pool: str) -> bool:
         """Whether the load of a pool calls for more than limits."""
-        if self.has_limited_accounts:
+        if self.has_limited_accounts or pool in self.urgent_pools:
             return True
         return self.paces is not None and self.paces.is_uneven(
             pool, UNEVEN_SHARE, UNEVEN_TARGETS
--- a/tests/test_load_control.py
+++ b/tests/test_load_control.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Sequence
 
+import attrs
 from testtools import TestCase
 
 from sequoiawind.forward_state import ForwardAccount, LimitedAccount
@@ -20,7 +21,7 @@
 from sequoiawind.options import LoadOptions
 from sequoiawind.tokens import token_digest
 from sequoiawind.verdict import Reason, may_have_run, not_run
-from tests.forward_rig import KEY, ForwardRig, state, target
+from tests.forward_rig import KEY, KINDS, ForwardRig, state, target
 
 # Cost of a request of the rig with a prompt: 300 tokens and 10 of the answer.
 COST = 310.0
@@ -49,7 +50,7 @@
     )
     new = state(revision=2, accounts={"a/0": account})
     rig.configure(new)
-    rig.forwarder.load.configured(new.limited_accounts)
+    rig.forwarder.load.configured(new.limited_accounts, new.prompt_objectives_s)
     rig.add(*(target(f"e{n}", "llm") for n in range(2)))
     return rig
 
@@ -105,6 +106,18 @@
             [made.limits, made.paces, made.admission, made.order],
         )
 
+    def test_objective_shorter_than_the_age_of_a_status(self) -> None:
+        # Such prompts are late before a router learns of the work they met.
+        kinds = {
+            name: attrs.evolve(kind, aim_s=0.3) for name, kind in KINDS.items()
+        }
+        load = LoadController()
+        load.configured(state())
+        self.assertFalse(load.is_active("llm"))
+        load.configured(state(kinds=kinds))
+        self.assertTrue(load.is_active("llm"))
+        self.assertFalse(load.is_active("app"))
+
     def test_request_above_the_limit_is_not_sent(self) -> None:
         rig = rig_with_load(rate_per_s=1.0)
         rig.submit("draft")
