--- a/tests/test_load_control.py
+++ b/tests/test_load_control.py
@@ -50,7 +50,7 @@
     )
     new = state(revision=2, accounts={"a/0": account})
     rig.configure(new)
-    rig.forwarder.load.configured(new.limited_accounts, new.prompt_objectives_s)
+    rig.forwarder.load.configured(new)
     rig.add(*(target(f"e{n}", "llm") for n in range(2)))
     return rig
 
