--- a/sequoiawind/load/controller.py
+++ b/sequoiawind/load/controller.py
@@ -232,7 +232,7 @@
         if self.limits is not None:
             stated.update(self.limits.statement(now_s))
         if self.paces is not None:
-            stated.update(self.paces.statement(now_s))
+            stated.update(self.paces.statement(now_s, self.is_active))
         return stated
 
     def take_totals(
--- a/sequoiawind/load/target_pace.py
+++ b/sequoiawind/load/target_pace.py
@@ -11,7 +11,7 @@
 
 import math
 import statistics
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import attrs
@@ -329,10 +329,21 @@
             return 0.0
         return math.exp(-age_s / STATED_TIME_S)
 
-    def statement(self, now_s: float) -> dict[str, float]:
-        """Return this router's seconds by target, for the totals."""
+    def statement(
+        self,
+        now_s: float,
+        is_stated: Callable[[str], bool] = lambda pool: True,
+    ) -> dict[str, float]:
+        """Return this router's seconds by target, for the totals.
+
+        Args:
+          now_s: The time, in seconds of the clock.
+          is_stated: Returns whether a pool's targets are stated.
+        """
         found: list[tuple[float, float, str]] = []
-        for pool in self.pools.values():
+        for pool_name, pool in self.pools.items():
+            if not is_stated(pool_name):
+                continue
             for name, pace in pool.targets.items():
                 expected_s, observed_s = self.stated_seconds(pool, pace, now_s)
                 if expected_s >= LEAST_STATED_S:
--- a/tests/test_load_control.py
+++ b/tests/test_load_control.py
@@ -94,6 +94,7 @@
         load = rig.forwarder.load
         assert load.limits is not None and load.admission is not None
         self.assertFalse(load.is_active("llm"))
+        self.assertEqual({}, load.statement(rig.clock.seconds()))
         self.assertEqual({}, load.limits.buckets)
         self.assertEqual({}, load.admission.pools)
 
