--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -13,7 +13,8 @@
 from sequoiawind.feed_messages import FEED_PATH, FeedReply
 from sequoiawind.feed_statement import Statement
 from sequoiawind.feed_table import Level
-from sequoiawind.http1_client import Http1Client, OutgoingRequest, fetch
+from sequoiawind.http1_client import Http1Client, OutgoingRequest
+from sequoiawind.http1_fetch import fetch
 from sequoiawind.ports import Clock
 from sequoiawind.wire import WireError
 
@@ -28,6 +29,11 @@
 # Pause when no process answers, in seconds, and its jitter as a share.
 RETRY_S: Final = 0.25
 RETRY_JITTER: Final = 0.5
+# Outcomes of a request for the feed.
+WHOLE: Final = "whole"
+CHANGES: Final = "changes"
+FAILED: Final = "failed"
+INVALID: Final = "invalid"
 # Age of the last reply after which the feed counts as lost, in seconds.
 LIVE_S: Final = 1.2
 
@@ -80,6 +86,11 @@
 
     client: Http1Client
     log: Logger
+    # Called after each request with its outcome and the size of the reply in
+    # bytes.
+    on_read: Callable[[str, int], None] = attrs.field(
+        default=lambda outcome, size: None
+    )
 
     async def read(
         self, address: str, query: FeedQuery, timeout_s: float
@@ -93,14 +104,27 @@
         )
         result = await fetch(self.client, address, request, timeout_s)
         if result.is_error() or result.ok.status != 200:
+            self.on_read(FAILED, 0)
+            self.log.warning(
+                "feed read failed",
+                agent=address,
+                after=query.after,
+                detail=result.error.detail
+                if result.is_error()
+                else f"status {result.ok.status}",
+            )
             return None
+        body = result.ok.body
         try:
-            return feed_messages.decode(result.ok.body)
+            reply = feed_messages.decode(body)
         except WireError as error:
+            self.on_read(INVALID, len(body))
             self.log.warning(
                 "cannot decode feed", agent=address, error=str(error)
             )
             return None
+        self.on_read(WHOLE if reply.is_whole else CHANGES, len(body))
+        return reply
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/feed_publisher.py
+++ b/sequoiawind/feed_publisher.py
@@ -100,6 +100,11 @@
     reader: OperatorReader
     topic: Topic = Topic.OPERATOR
 
+    def take(self, reply: FeedReply) -> None:
+        """Apply and publish the records that another process has sent."""
+        with self.reader.reading_from(reply.relay):
+            super().take(reply)
+
     def publish(self, record: KeyedRecord) -> None:
         """Publish a record, stamped with its revision or version.
 
--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -107,12 +107,13 @@
     def take_records(self, reply: FeedReply, sent_s: float) -> None:
         """Apply the store's records."""
         operator = records_of(reply.records, Topic.OPERATOR)
-        if reply.is_whole:
-            # The records may have been written long ago.
-            self.operator.replaced(operator)
-        else:
-            for record in operator:
-                self.operator.changed(record)
+        with self.operator.reading_from(reply.relay):
+            if reply.is_whole:
+                # The records may have been written long ago.
+                self.operator.replaced(operator)
+            else:
+                for record in operator:
+                    self.operator.changed(record)
         targets = records_of(reply.records, Topic.TARGET)
         if reply.is_whole and 0.0 <= reply.targets_age_s < WHOLE_TARGETS_AGE_S:
             as_of_s = sent_s - reply.targets_age_s
--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -47,6 +47,7 @@
     """The components that both programs have."""
 
     options: S
+    metrics: metrics.ForwardMetrics | metrics.ForwardAgentMetrics
     log: Logger = attrs.field(init=False)
     random: "random.Random" = attrs.field(factory=random.Random)
     board: Blackboard = attrs.field(factory=Blackboard)
@@ -120,7 +121,11 @@
         """Return a client for the feed of other processes."""
         return FeedClient(
             reader=self.options.node.name,
-            port=HttpFeedPort(client=self.client, log=self.log),
+            port=HttpFeedPort(
+                client=self.client,
+                log=self.log,
+                on_read=self.metrics.feed.count,
+            ),
             clock=event_loop.reactor,
             age_clock=suspended_clock_s,
             random=self.random,
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -1,6 +1,7 @@
 """Readers that apply the store's records to a process and log each change."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from typing import Any, Final
 
 import attrs
@@ -21,6 +22,8 @@
 # Age of an entry from which a read that lacks it proves that it was removed, in
 # seconds: longer than a read of the store takes.
 VOID_AGE_S: Final = 2.0
+# The source of records that a process has read from the store itself.
+STORE: Final = "store"
 
 
 @attrs.frozen(kw_only=True)
@@ -63,6 +66,17 @@
     read_versions: dict[str, int] = attrs.field(factory=dict)
     # Whether records that were read now may be taken as current.
     may_confirm: Callable[[], bool] = attrs.field(default=lambda: True)
+    # Where the records come from that are applied now: the store, or a relay.
+    source: str = STORE
+
+    @contextmanager
+    def reading_from(self, relay: str) -> Iterator[None]:
+        """Name a relay as the source of the records that are applied inside."""
+        self.source = relay
+        try:
+            yield
+        finally:
+            self.source = STORE
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the newest records."""
@@ -108,7 +122,7 @@
         if state.revision <= self.board.state.revision:
             return
         self.mistaken_revision = -1
-        old = self.board.state.revision
+        old, age_s = self.board.state.revision, self.config_age_s
         self.board.put_config(
             Folded(state=state, next_offset=state.revision + 1)
         )
@@ -118,9 +132,18 @@
             replaced=old,
             routes=len(state.routes),
             keys=len(state.accounts),
+            source=self.source,
+            config_age_s=age_s,
         )
         self.on_config()
 
+    @property
+    def config_age_s(self) -> float:
+        """Maximum age of the configuration, in seconds; negative if unknown."""
+        if self.freshness is None or self.freshness.current_as_of_s is None:
+            return -1.0
+        return round(self.freshness.age_s, 3)
+
     def apply_weights(self, model: str, version: int, is_late: bool) -> None:
         """Log and pass on the weights version that an operator has named."""
         self.log.info(
@@ -140,12 +163,11 @@
 
     def store_lost(self, detail: str) -> None:
         """Log that the store is lost."""
-        age_s = self.freshness.age_s if self.freshness else -1.0
         self.log.warning(
             "store lost",
             topic="operator",
             detail=detail,
-            config_age_s=round(age_s, 3),
+            config_age_s=self.config_age_s,
         )
 
     def store_back(self) -> None:
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -13,7 +13,6 @@
 
 import attrs
 import h11
-from expression import Error, Ok, Result
 from twisted.internet import error
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -21,11 +20,10 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure as TwistedFailure
 
-from sequoiawind import defaults, messages, sockets
+from sequoiawind import messages, sockets
 from sequoiawind.body_writer import PIECE_BYTES, BodyWriter
 from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.headers import Headers
-from sequoiawind.options import Address
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 
 # A handshake inside a region takes milliseconds; the peer's kernel
@@ -395,94 +393,6 @@
             del self.idle[connection.address]
 
 
-@attrs.frozen(kw_only=True)
-class HttpReply:
-    """A whole answer."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-@attrs.define(kw_only=True, eq=False)
-class ReplySink:
-    """Collects a whole answer."""
-
-    when_done: Deferred[Result[HttpReply, Failure]] = attrs.field(
-        factory=Deferred
-    )
-    status: int = 0
-    headers: Headers = attrs.field(factory=list)
-    body: bytearray = attrs.field(factory=bytearray)
-    is_over: bool = False
-
-    def head(self, status: int, headers: Headers) -> None:
-        """Store the status and headers."""
-        self.status = status
-        self.headers = headers
-
-    def data(self, data: bytes) -> None:
-        """Append a part of the body; one that is too large is a failure."""
-        self.body += data
-        if len(self.body) > defaults.MAX_HELD_BODY_BYTES:
-            text = messages.ANSWER_TOO_LARGE
-            self.failed(may_have_run(Reason.TARGET_ERROR, text))
-            self.body.clear()
-
-    def done(self) -> None:
-        """Finish with the whole answer."""
-        self.finish(
-            Ok(
-                HttpReply(
-                    status=self.status,
-                    headers=self.headers,
-                    body=bytes(self.body),
-                )
-            )
-        )
-
-    def failed(self, failure: Failure) -> None:
-        """Finish with the failure."""
-        self.finish(Error(failure))
-
-    def finish(self, result: Result[HttpReply, Failure]) -> None:
-        """Fire the Deferred with the result, at most once."""
-        if not self.is_over:
-            self.is_over = True
-            self.when_done.callback(result)
-
-
-def fetch(
-    client: Http1Client,
-    address: Address | str,
-    request: OutgoingRequest,
-    timeout_s: float,
-) -> Deferred[Result[HttpReply, Failure]]:
-    """Send a request; return its whole answer, or the failure.
-
-    A call that takes longer than `timeout_s` seconds, or whose answer is larger
-    than `defaults.MAX_HELD_BODY_BYTES`, is cancelled and fails.
-    """
-    sink = ReplySink()
-    call = client.call(str(address), request, sink)
-
-    def timed_out() -> None:
-        call.cancel()
-        sink.failed(may_have_run(Reason.START_TIMEOUT, messages.START_TIMEOUT))
-
-    timer = client.reactor.callLater(timeout_s, timed_out)
-
-    def stop(result: Result[HttpReply, Failure] | TwistedFailure) -> Any:
-        if timer.active():
-            timer.cancel()
-        # A caller that cancels the Deferred makes it fail.
-        if isinstance(result, TwistedFailure) or result.is_error():
-            call.cancel()
-        return result
-
-    return sink.when_done.addBoth(stop)
-
-
 def parse_keep_alive(value: bytes) -> float:
     """Return how long to keep an idle connection, in seconds.
 
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -153,6 +153,39 @@
         )
 
 
+@attrs.define(kw_only=True)
+class FeedMetrics:
+    """Metrics of the feeds that a process reads."""
+
+    registry: CollectorRegistry
+    reads: Counter = attrs.field(init=False)
+    received: Counter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the metrics."""
+        self.reads = Counter(
+            "sequoiawind_feed_reads",
+            "Requests for the feed of another process, by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.received = Counter(
+            "sequoiawind_feed_bytes",
+            "Size of the replies to them.",
+            registry=self.registry,
+        )
+
+    def count(self, outcome: str, size: int) -> None:
+        """Count a request.
+
+        Args:
+          outcome: Its outcome.
+          size: Size of the reply, in bytes.
+        """
+        self.reads.labels(outcome).inc()
+        self.received.inc(size)
+
+
 @attrs.define(kw_only=True)
 class ForwardMetrics:
     """Metrics of a router that forwards requests."""
@@ -168,6 +201,7 @@
     silences: Counter = attrs.field(init=False)
     connects: Counter = attrs.field(init=False)
     stalled_callers: Counter = attrs.field(init=False)
+    feed: FeedMetrics = attrs.field(init=False)
     config_age: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
     open_requests: Gauge = attrs.field(init=False)
@@ -235,6 +269,7 @@
             "Callers ended because they took nothing of their answers.",
             registry=registry,
         )
+        self.feed = FeedMetrics(registry=registry)
         self.config_age = Gauge(
             "sequoiawind_config_age_seconds",
             "Greatest possible age of the configuration.",
@@ -270,12 +305,14 @@
 
     registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
     orders: Counter = attrs.field(init=False)
+    feed: FeedMetrics = attrs.field(init=False)
     closes_at_bound: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
         ProcessCollector(registry=self.registry)
         self.closes_at_bound = bound_counter(self.registry)
+        self.feed = FeedMetrics(registry=self.registry)
         self.orders = Counter(
             "sequoiawind_weight_orders",
             "Orders to load weights, by outcome.",
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -16,12 +16,8 @@
     SendOrder,
 )
 from sequoiawind.headers import Headers, framing, passed_headers
-from sequoiawind.http1_client import (
-    Http1Client,
-    HttpCall,
-    OutgoingRequest,
-    fetch,
-)
+from sequoiawind.http1_client import Http1Client, HttpCall, OutgoingRequest
+from sequoiawind.http1_fetch import fetch
 from sequoiawind.platform import engine_wire, names
 from sequoiawind.rollout import LoadOrder, OrderOutcome, TargetReport
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -12,12 +12,8 @@
 from expression import Error, Ok, Result
 
 from sequoiawind import wire
-from sequoiawind.http1_client import (
-    Http1Client,
-    HttpReply,
-    OutgoingRequest,
-    fetch,
-)
+from sequoiawind.http1_client import Http1Client, OutgoingRequest
+from sequoiawind.http1_fetch import HttpReply, fetch
 from sequoiawind.options import Address
 from sequoiawind.platform.store_pages import (
     LENGTH,
--- a/sequoiawind/platform/store_pages.py
+++ b/sequoiawind/platform/store_pages.py
@@ -8,7 +8,7 @@
 
 from sequoiawind import wire
 from sequoiawind.headers import Headers
-from sequoiawind.http1_client import HttpReply
+from sequoiawind.http1_fetch import HttpReply
 from sequoiawind.platform import names
 from sequoiawind.record_ports import KeyedPage, KeyedRecord, RecordsLost
 
--- a/sequoiawind/record_follower.py
+++ b/sequoiawind/record_follower.py
@@ -147,7 +147,9 @@
         if self.is_store_lost:
             self.is_store_lost = False
             self.reader.store_back()
+        self.log.info("store reads paused", topic=self.topic)
         await cover.wait_until_lost()
+        self.log.info("store reads resumed", topic=self.topic)
         await timing.sleep(self.clock, self.random.uniform(0.0, RETRY_PAUSE_S))
 
     def has_new_era(self, era: int) -> bool:
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -12,11 +12,8 @@
 from sequoiawind import supervise, timing, wire
 from sequoiawind.feed_cover import FeedCover
 from sequoiawind.fleet import Fleet
-from sequoiawind.http1_client import (
-    Http1Client,
-    OutgoingRequest,
-    fetch,
-)
+from sequoiawind.http1_client import Http1Client, OutgoingRequest
+from sequoiawind.http1_fetch import fetch
 from sequoiawind.ports import Clock
 from sequoiawind.wire import TargetStatus
 
--- a/sequoiawind/target_ports.py
+++ b/sequoiawind/target_ports.py
@@ -13,13 +13,8 @@
 
 from sequoiawind import messages, openai_format, sse, wire
 from sequoiawind.headers import Headers
-from sequoiawind.http1_client import (
-    Http1Client,
-    HttpCall,
-    HttpReply,
-    OutgoingRequest,
-    fetch,
-)
+from sequoiawind.http1_client import Http1Client, HttpCall, OutgoingRequest
+from sequoiawind.http1_fetch import HttpReply, fetch
 from sequoiawind.http_client import error_of
 from sequoiawind.http_server import (
     IDEMPOTENCY_KEY_HEADER,
--- a/tests/outer_names.py
+++ b/tests/outer_names.py
@@ -203,7 +203,11 @@
     """Yield the metrics with their labels, and the values preset."""
     for label, cls in METRICS.items():
         made = cls()
-        for metric in vars_of(made):
+        found = vars_of(made)
+        for part in found[:]:
+            if isinstance(part, metrics.FeedMetrics):
+                found += vars_of(part)
+        for metric in found:
             if not isinstance(metric, MetricWrapperBase):
                 continue
             yield metric._name, f"metric {label}"
--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -8,7 +8,8 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind.forward_state import ForwardPool
-from sequoiawind.http1_client import Http1Client, OutgoingRequest, fetch
+from sequoiawind.http1_client import Http1Client, OutgoingRequest
+from sequoiawind.http1_fetch import fetch
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.verdict import forwarded_status
 from sequoiawind.wire import TargetStatus
