Tests that fail: late configurations at routers without relays

tests/virtual_fleet.py wires the real router and agent programs on a virtual clock, with links that have a rate.

--- /dev/null
+++ b/tests/test_late_configuration.py
@@ -0,0 +1,103 @@
+"""Changes of the configuration are in force in time at every sound router.
+
+Each test lets routers lose what they usually learn of changes by, while nothing
+happens to the routers themselves or to their ways to the store.
+"""
+
+import random
+
+from testtools import TestCase
+
+from sequoiawind.options import BoundsOptions
+from tests.virtual_fleet import STORE, VirtualFleet, VirtualRouter
+
+IN_FORCE_S = 2.0
+STEP_S = 0.02
+SEEDS = (1, 2, 3)
+# Rate of a link on which all caches together take several seconds.
+THIN_LINK_BYTES_PER_S = 150_000.0
+CACHED_PARTS = 1_000
+
+
+def fleet_of(test: TestCase, seed: int) -> VirtualFleet:
+    """Return a fleet whose changes must be in force within `IN_FORCE_S`."""
+    return VirtualFleet(
+        test=test,
+        bounds=BoundsOptions(
+            in_force_ms=IN_FORCE_S * 1000, drain_ms=IN_FORCE_S * 1000
+        ),
+        random=random.Random(seed),
+    )
+
+
+def longest_lag_s(
+    fleet: VirtualFleet, seconds: float, change_each_s: float = 0.5
+) -> float:
+    """Let time pass with changes; return the longest lag at any router."""
+    revision, longest_s, changed_s = max(fleet.acknowledged_s), 0.0, 0.0
+    for step in range(round(seconds / STEP_S)):
+        if step * STEP_S >= changed_s + change_each_s:
+            revision, changed_s = revision + 1, step * STEP_S
+            fleet.configure(revision)
+        fleet.run(STEP_S, STEP_S)
+        lags_s = [fleet.oldest_missing_s(router) for router in fleet.routers]
+        longest_s = max(longest_s, *lags_s)
+    return longest_s
+
+
+class ThinLinkTest(TestCase):
+    """A router whose link is thin has lost its relays for a while."""
+
+    def prepared(self, seed: int) -> tuple[VirtualFleet, VirtualRouter]:
+        """Return a fleet with one router, which knows what is cached."""
+        fleet = fleet_of(self, seed)
+        fleet.cached_parts = CACHED_PARTS
+        fleet.configure(1)
+        fleet.start(domains=3, agents=4, routers=0)
+        fleet.add_router("10.0.1.1", "d0")
+        fleet.run(6.0, STEP_S)
+        router = fleet.routers[0]
+        fleet.watch_caches(router)
+        fleet.links["10.0.1.1"].bytes_per_s = THIN_LINK_BYTES_PER_S
+        fleet.run(3.0, STEP_S)
+        self.assertTrue(router.feed.is_live)
+        self.assertEqual(1, router.board.state.revision)
+        return fleet, router
+
+    def test_reads_of_caches_do_not_delay_changes(self) -> None:
+        for seed in SEEDS:
+            fleet, _ = self.prepared(seed)
+            fleet.ended_agents.update(fleet.agents)
+            lag_s = longest_lag_s(fleet, 6.0)
+            self.assertTrue(lag_s < IN_FORCE_S, (seed, lag_s))
+
+    def test_relay_is_reached_again_and_tells_of_changes(self) -> None:
+        for seed in SEEDS:
+            fleet, router = self.prepared(seed)
+            fleet.ended_agents.update(fleet.agents)
+            fleet.run(4.0, STEP_S)
+            fleet.ended_agents.clear()
+            fleet.run(6.0, STEP_S)
+            self.assertTrue(router.feed.is_live, seed)
+            # The store turns the router away and serves the relays.
+            fleet.cut("10.0.1.1", STORE)
+            lag_s = longest_lag_s(fleet, 4.0)
+            self.assertTrue(lag_s < IN_FORCE_S, (seed, lag_s))
+
+
+class RelaysWithoutStoreTest(TestCase):
+    """All relays have lost the store; the routers reach both."""
+
+    def test_relays_do_not_keep_routers_on_old_configurations(self) -> None:
+        for seed in SEEDS:
+            fleet = fleet_of(self, seed)
+            fleet.configure(1)
+            fleet.start(domains=3, agents=2, routers=1)
+            # The time since the relays' last reads differs between seeds.
+            fleet.run(8.0 + 0.3 * seed, STEP_S)
+            fleet.configure(2)
+            fleet.run(STEP_S, STEP_S)
+            for host in fleet.agents:
+                fleet.cut(host, STORE)
+            lag_s = longest_lag_s(fleet, 6.0, change_each_s=0.02)
+            self.assertTrue(lag_s < IN_FORCE_S, (seed, lag_s))
