Read at most four caches from their beginning at the same time

Callers saw requests handled by a configuration that had been replaced for longer than config_ms, at routers to which nothing had happened. Cause: a router that loses its relay reads all caches itself, each from its beginning and all in the same moment.

Reads of caches that have been read to the end go on as before. Those that may have many unread changes, after a relay or a cache was lost, take turns, with a short wait so that a cache without changes holds up no other.

--- a/sequoiawind/cache_watcher.py
+++ b/sequoiawind/cache_watcher.py
@@ -12,7 +12,8 @@
 
 import attrs
 import structlog
-from twisted.internet.defer import Deferred
+from expression import Result
+from twisted.internet.defer import Deferred, DeferredSemaphore
 
 from sequoiawind import supervise, timing
 from sequoiawind.feed_cover import FeedCover
@@ -35,6 +36,13 @@
 # in seconds.
 RETRY_S: Final = 0.5
 BUSY_RETRY_S: Final = 5.0
+# Caches that are read from their beginning at the same time, and how long such
+# a request may wait, in seconds.  All caches at once would fill a thin link for
+# seconds, and with it delay what a router must read in time.
+MAX_CATCHING_UP: Final = 4
+CATCH_UP_WAIT_S: Final = 0.2
+# Changes in one response from which a cache is taken to have more.
+BEHIND_CHANGES: Final = 200
 
 
 @attrs.define(kw_only=True)
@@ -53,6 +61,8 @@
     is_alive: bool = False
     # Generation of the parts that a relay tells of; None if none does.
     generation: int | None = None
+    # Whether there may be many changes that have not been read.
+    is_behind: bool = True
 
     def apply(self, update: CacheChanges) -> None:
         """Apply changes; after a restart or a gap, clear the parts first."""
@@ -60,6 +70,7 @@
             self.held.clear()
         self.epoch = update.epoch
         self.next_number = update.next_number
+        self.is_behind = len(update.changes) >= BEHIND_CHANGES
         for change in update.changes:
             self.held.changed(change.salt, change.part, change.tokens)
 
@@ -78,6 +89,9 @@
     index: PartIndex = attrs.field(factory=PartIndex)
     # While it is given, a relay tells of the caches.
     cover: FeedCover | None = None
+    catching_up: DeferredSemaphore = attrs.field(
+        factory=lambda: DeferredSemaphore(MAX_CATCHING_UP)
+    )
     # Whether the target with a name wants no requests now.
     is_paused: Callable[[str], bool] = attrs.field(default=lambda name: False)
 
@@ -150,15 +164,22 @@
         """Poll a cache once, and pause."""
         if self.cover is not None and self.cover.is_given():
             cache.epoch, cache.next_number = None, 0
+            cache.is_behind = True
             await self.cover.wait_until_lost()
             return
         if self.is_paused(name):
             await timing.sleep(self.clock, RETRY_S)
             return
-        cache.generation = None
-        result = await self.port.cache_changes(
-            cache.address, cache.next_number, WAIT_S, WAIT_S + RESPONSE_MARGIN_S
-        )
+        if not cache.is_behind:
+            result = await self.read(cache, WAIT_S)
+        else:
+            await self.catching_up.acquire()
+            try:
+                if self.cover is not None and self.cover.is_given():
+                    return
+                result = await self.read(cache, CATCH_UP_WAIT_S)
+            finally:
+                self.catching_up.release()
         if result.is_ok():
             self.mark_alive(name, cache)
             cache.apply(result.ok)
@@ -168,6 +189,18 @@
         jittered_s = timing.jittered(pause_s, 0.2, self.random)
         await timing.sleep(self.clock, jittered_s)
 
+    async def read(
+        self, cache: WatchedCache, wait_s: float
+    ) -> Result[CacheChanges, Failure]:
+        """Request the next changes of a cache."""
+        cache.generation = None
+        return await self.port.cache_changes(
+            cache.address,
+            cache.next_number,
+            wait_s,
+            wait_s + RESPONSE_MARGIN_S,
+        )
+
     def mark_alive(self, name: str, cache: WatchedCache) -> None:
         """Record that a cache answers."""
         if not cache.is_alive:
@@ -181,6 +214,7 @@
         if failure.reason is Reason.TARGET_BUSY:
             self.mark_alive(name, cache)
             return BUSY_RETRY_S
+        cache.is_behind = True
         if cache.is_alive:
             cache.is_alive = False
             cache.held.clear()
