Bound the replies of the feed, and send changes before cached parts

A reply now has up to 64 KiB of cached parts and records of crashes, the oldest first, and everything else that is new: the operator's records, the targets, their statuses. The next request continues and does not wait. The ages in a reply hold for it, as the records that they are about are all there. Processes of the previous release read such replies; has_more is a new last field.

test_relay_is_reached_again_and_tells_of_changes failed before and passes.

--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -22,7 +22,8 @@
 
 # How long a process may hold a request until something changes, in seconds.
 HOLD_S: Final = 0.5
-# Time allowed for a response, in seconds, in addition to that.
+# Time allowed for a response, in seconds, in addition to that, and between two
+# parts of one.
 RESPONSE_MARGIN_S: Final = 0.35
 # How long a process that did not answer is avoided, in seconds.
 AVOID_S: Final = 3.0
@@ -54,6 +55,9 @@
     demand_per_s: float = 0.0
     # What that router states; None if it cannot be read.
     statement: Statement | None = feed_statement.EMPTY
+    # Whether the last reply was not all there was, so that there is nothing to
+    # wait for.
+    is_continuing: bool = False
 
     def arguments(self) -> dict[str, str | int | float]:
         """Return the arguments of the request; an empty statement has none."""
@@ -66,6 +70,8 @@
             "records": int(self.is_records_only),
             "demand": round(self.demand_per_s, 3),
         }
+        if self.is_continuing:
+            arguments["more"] = 1
         if self.statement is not None and self.statement.units:
             arguments["statement"] = feed_statement.encode(self.statement)
         return arguments
@@ -163,6 +169,7 @@
     address: str = ""
     run_id: int = 0
     after: int = -1
+    has_more: bool = False
     # Time of the last reply, in seconds of the clock.
     replied_s: float = float("-inf")
     # Times until which addresses are avoided, in seconds of the clock.
@@ -204,7 +211,7 @@
             await timing.sleep(self.clock, pause_s)
             return not self.is_stopped
         if address != self.address:
-            self.after = -1
+            self.after, self.has_more = -1, False
         self.stated_demand_per_s = self.demand_per_s()
         self.stamp += 1
         units = feed_statement.limited(self.statement())
@@ -217,6 +224,7 @@
             is_records_only=self.is_records_only,
             demand_per_s=self.stated_demand_per_s,
             statement=Statement(self.stamp, units),
+            is_continuing=self.has_more,
         )
         sent_s = self.age_clock()
         reply = await self.port.read(address, query, HOLD_S + RESPONSE_MARGIN_S)
@@ -243,6 +251,7 @@
             )
         self.address = address
         self.run_id, self.after = reply.run, reply.number
+        self.has_more = reply.has_more
         self.replied_s = self.clock.seconds()
         self.on_reply(reply, sent_s)
 
--- a/sequoiawind/feed_messages.py
+++ b/sequoiawind/feed_messages.py
@@ -86,6 +86,8 @@
     counted: dict[str, int] = {}
     # Sums of what those routers have stated, by key.
     totals: dict[str, float] = {}
+    # Whether the next request will be answered at once with further entries.
+    has_more: bool = False
 
 
 ENCODER: Final = msgspec.msgpack.Encoder()
--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -195,7 +195,8 @@
                 )
         if is_new or now_s - self.adjusted_s >= ADJUST_S:
             self.adjust_clients()
-        if query.run == self.table.run and query.after >= 0:
+        has_read = query.run == self.table.run and query.after >= 0
+        if has_read and not query.is_continuing:
             await self.wait_for_news(query)
         return feed_messages.encode(self.reply(query))
 
@@ -239,6 +240,7 @@
             targets_age_s=self.age_s(self.targets_as_of_s),
             routers=total.routers,
             demand_per_s=total.demand_per_s,
+            has_more=changes.has_more,
         )
         feed_messages.add_entries(reply, changes)
         self.totals.add_to(reply, query, self.clock.seconds())
--- a/sequoiawind/feed_table.py
+++ b/sequoiawind/feed_table.py
@@ -44,6 +44,12 @@
     PART = "part"
 
 
+# Topics with many entries, and how many bytes of them one reply has at most: it
+# must arrive in time over a link of a few megabits a second.
+BULK_TOPICS: Final = frozenset({Topic.CRASH, Topic.PART})
+MAX_BULK_BYTES: Final = 65_536
+# What an entry takes in a reply beside its names and its value, in bytes.
+ENTRY_BYTES: Final = 30
 # Topics whose entries their origins repeat.
 REPEATED_TOPICS: Final = frozenset({Topic.STATUS, Topic.CACHE})
 
@@ -82,8 +88,11 @@
     entries: list[FeedEntry]
     # The number to resume from.
     number: int
-    # The entries are all there are: what is not among them does not exist.
+    # The entries are all there are: what is not among them does not exist.  The
+    # bulk topics may go on in the following replies.
     is_whole: bool
+    # Whether entries of the bulk topics were left out.
+    has_more: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -163,6 +172,9 @@
     ) -> FeedChanges:
         """Return the entries that have changed since a number, oldest first.
 
+        All those of the other topics are returned, and of the bulk topics as
+        many as one reply may have.
+
         Args:
           run: The numbering that the number belongs to.
           after: The last number that the reader has received.
@@ -171,7 +183,8 @@
         """
         is_whole = run != self.run or not self.forgotten <= after <= self.number
         start = -1 if is_whole else after
-        found: list[FeedEntry] = []
+        found: list[StoredEntry] = []
+        bulk: list[StoredEntry] = []
         for stored in reversed(self.entries.values()):
             entry = stored.entry
             if stored.number <= start:
@@ -179,6 +192,28 @@
             if is_whole and entry.value is None:
                 continue
             if entry.level <= level and entry.key[0] in topics:
-                found.append(entry)
-        found.reverse()
-        return FeedChanges(entries=found, number=self.number, is_whole=is_whole)
+                is_bulk = entry.key[0] in BULK_TOPICS
+                (bulk if is_bulk else found).append(stored)
+        bulk.reverse()
+        first = bulk[: count_within(bulk, MAX_BULK_BYTES)]
+        has_more = len(first) < len(bulk)
+        found = sorted(found + first, key=lambda stored: stored.number)
+        return FeedChanges(
+            entries=[stored.entry for stored in found],
+            number=first[-1].number if has_more else self.number,
+            is_whole=is_whole,
+            has_more=has_more,
+        )
+
+
+def count_within(entries: list[StoredEntry], limit: int) -> int:
+    """Return how many entries take up to a number of bytes, at least one."""
+    size = 0
+    for place, stored in enumerate(entries):
+        _, *names = stored.entry.key
+        value = stored.entry.value
+        size += ENTRY_BYTES + sum(len(name) for name in names)
+        size += len(value) if isinstance(value, bytes) else 0
+        if size > limit:
+            return max(1, place)
+    return len(entries)
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -313,6 +313,7 @@
         is_records_only=number("records", 0) == 1,
         demand_per_s=decimal(arguments.get("demand", "")),
         statement=feed_statement.decode(arguments.get("statement", "")),
+        is_continuing=number("more", 0) == 1,
     )
 
 
