Wait on for answers of relays and of the store that keep arriving

Cause: one time-out for the whole answer, whatever its size, and each try begins anew.

Answers that do not begin fail as before.

--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -108,7 +108,9 @@
             request_target=FEED_PATH + b"?" + arguments.encode(),
             headers=[(b"host", address.encode())],
         )
-        result = await fetch(self.client, address, request, timeout_s)
+        result = await fetch(
+            self.client, address, request, timeout_s, RESPONSE_MARGIN_S
+        )
         if result.is_error() or result.ok.status != 200:
             self.on_read(FAILED, 0)
             self.log.warning(
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -33,6 +33,8 @@
 NEWEST: Final = "/api/log-newest"
 READ: Final = "/api/log-read"
 APPEND: Final = "/api/log-append"
+# Time allowed between two parts of an answer, in seconds.
+STALL_S: Final = 0.8
 # The keyed topics have one partition.
 PARTITION: Final = "0"
 # Status of the store if the requested records have been deleted.
@@ -197,7 +199,9 @@
             request_target=f"{path}?{urlencode(query)}".encode(),
             headers=[(b"host", str(self.address).encode())],
         )
-        answered = await fetch(self.client, self.address, request, timeout_s)
+        answered = await fetch(
+            self.client, self.address, request, timeout_s, STALL_S
+        )
         if answered.is_error():
             return Error(answered.error)
         status = answered.ok.status
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -8,7 +8,10 @@
 
 from testtools import TestCase
 
+from sequoiawind import wire
+from sequoiawind.crash_registry import PartBody
 from sequoiawind.options import BoundsOptions
+from sequoiawind.platform import names
 from tests.virtual_fleet import STORE, VirtualFleet, VirtualRouter
 
 IN_FORCE_S = 2.0
@@ -18,6 +21,9 @@
 # several seconds.
 THIN_LINK_BYTES_PER_S = 300_000.0
 CACHED_PARTS = 1_000
+# Records that take two seconds on that link, after Base64.
+LONG_RECORDS = 225
+LONG_RECORD_BYTES = 2_000
 
 
 def fleet_of(test: TestCase, seed: int) -> VirtualFleet:
@@ -49,10 +55,12 @@
 class ThinLinkTest(TestCase):
     """A router whose link is thin has lost its relays for a while."""
 
-    def prepared(self, seed: int) -> tuple[VirtualFleet, VirtualRouter]:
+    def prepared(
+        self, seed: int, cached_parts: int = CACHED_PARTS
+    ) -> tuple[VirtualFleet, VirtualRouter]:
         """Return a fleet with one router, which knows what is cached."""
         fleet = fleet_of(self, seed)
-        fleet.cached_parts = CACHED_PARTS
+        fleet.cached_parts = cached_parts
         fleet.configure(1)
         fleet.start(domains=3, agents=4, routers=0)
         fleet.add_router("10.0.1.1", "d0")
@@ -85,6 +93,18 @@
             lag_s = longest_lag_s(fleet, 4.0)
             self.assertTrue(lag_s < IN_FORCE_S, (seed, lag_s))
 
+    def test_long_list_of_records_is_read_from_the_store(self) -> None:
+        for seed in SEEDS:
+            fleet, router = self.prepared(seed, cached_parts=0)
+            for number in range(LONG_RECORDS):
+                part = f"{number:0{LONG_RECORD_BYTES}}"
+                body = wire.encode(PartBody(at_ms=0, part=part))
+                fleet.store.put(names.CRASHES_TOPIC, f"answer/{number}", body)
+            fleet.ended_agents.update(fleet.agents)
+            fleet.run(8.0, STEP_S)
+            applied = router.forwarder.crashes.applied
+            self.assertEqual(LONG_RECORDS, len(applied), seed)
+
 
 class RelaysWithoutStoreTest(TestCase):
     """All relays have lost the store; the routers reach both."""
