Leave relays whose records are too old for the bound on changes

Callers would be served by a replaced configuration for 2.3 s and more, where 2 s are allowed, if all relays of a router lost the store just before a change: the relays go on answering. Cause: a router went by a relay's records up to an age of half the time in which revoked keys must stop working, 2.5 s, whatever the time in which a change must be in force; the check for that came up to 0.4 s late. The class: a limit derived from one bound where a shorter one holds too.

The limit is now the smaller of that and of what in_force_ms leaves after the takeover, 0.5 s (record_cover), and the check comes when the age is reached.

--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -178,10 +178,15 @@
     avoided_until_s: dict[str, float] = attrs.field(factory=dict)
     is_stopped: bool = False
 
+    @property
+    def live_s(self) -> float:
+        """Time until the feed counts as lost, in seconds."""
+        return self.replied_s + LIVE_S - self.clock.seconds()
+
     @property
     def is_live(self) -> bool:
         """Whether a reply has arrived within the last `LIVE_S`."""
-        return self.clock.seconds() - self.replied_s < LIVE_S
+        return self.live_s > 0.0
 
     @property
     def has_replied(self) -> bool:
--- a/sequoiawind/feed_messages.py
+++ b/sequoiawind/feed_messages.py
@@ -88,6 +88,29 @@
     totals: dict[str, float] = {}
     # Whether the next request will be answered at once with further entries.
     has_more: bool = False
+    # For how long the request was held before the reply was made, in seconds.
+    held_s: float = 0.0
+
+    def operator_as_of_s(self, sent_s: float) -> float:
+        """Return the time as of which the operator's records are known.
+
+        Args:
+          sent_s: When the request for this reply was sent, in seconds of the
+            reader's clock.
+        """
+        return sent_s + self.held_s - self.operator_age_s
+
+    def targets_as_of_s(self, sent_s: float) -> float:
+        """Return the time as of which the targets' entries are known.
+
+        That the request was held counts as age: with the bounds on leaving
+        targets, routers would otherwise change between relay and store all the
+        time.
+
+        Args:
+          sent_s: As for the operator's records.
+        """
+        return sent_s - self.targets_age_s
 
 
 ENCODER: Final = msgspec.msgpack.Encoder()
--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -93,15 +93,12 @@
             self.on_totals(reply.totals, contained, sent_s)
 
     def note_ages(self, reply: FeedReply, sent_s: float) -> None:
-        """Record how old the relay's records are.
-
-        The time since the request was sent is added to the relay's ages.
-        """
+        """Record how old the relay's records are."""
         if reply.operator_age_s >= 0.0:
-            self.operator_as_of_s = sent_s - reply.operator_age_s
+            self.operator_as_of_s = reply.operator_as_of_s(sent_s)
             self.operator.confirmed(self.operator_as_of_s)
         if reply.targets_age_s >= 0.0:
-            self.targets_as_of_s = sent_s - reply.targets_age_s
+            self.targets_as_of_s = reply.targets_as_of_s(sent_s)
             self.targets.confirmed(self.targets_as_of_s)
 
     def take_records(self, reply: FeedReply, sent_s: float) -> None:
@@ -116,7 +113,7 @@
                     self.operator.changed(record)
         targets = records_of(reply.records, Topic.TARGET)
         if reply.is_whole and 0.0 <= reply.targets_age_s < WHOLE_TARGETS_AGE_S:
-            as_of_s = sent_s - reply.targets_age_s
+            as_of_s = reply.targets_as_of_s(sent_s)
             self.targets.replaced_as_of(targets, as_of_s)
         else:
             for record in targets:
--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -181,7 +181,7 @@
 
     async def serve(self, query: FeedQuery) -> bytes:
         """Return the encoded reply to a request, once there is news."""
-        now_s = self.clock.seconds()
+        now_s, arrived_s = self.clock.seconds(), self.age_clock()
         is_new = not self.is_asked_for(query.level)
         if not self.is_asked_for(query.level, SETTLED_GAP_S):
             self.totals.note_begin(query.level, now_s)
@@ -198,7 +198,9 @@
         has_read = query.run == self.table.run and query.after >= 0
         if has_read and not query.is_continuing:
             await self.wait_for_news(query)
-        return feed_messages.encode(self.reply(query))
+        reply = self.reply(query)
+        reply.held_s = self.age_clock() - arrived_s
+        return feed_messages.encode(reply)
 
     async def wait_for_news(self, query: FeedQuery) -> None:
         """Wait for urgent changes, or gather others for a while."""
@@ -372,15 +374,12 @@
             self.put_entry(entry)
 
     def take_records(self, reply: FeedReply, sent_s: float) -> None:
-        """Use the store's records that another process has sent.
-
-        Their age is counted from when the request for them was sent.
-        """
+        """Use the store's records that another process has sent."""
         self.on_records(reply)
         if reply.operator_age_s >= 0.0:
-            self.note_operator(sent_s - reply.operator_age_s)
+            self.note_operator(reply.operator_as_of_s(sent_s))
         if reply.targets_age_s >= 0.0:
-            self.note_targets(sent_s - reply.targets_age_s)
+            self.note_targets(reply.targets_as_of_s(sent_s))
 
     def note_operator(self, as_of_s: float) -> None:
         """Record the time as of which the operator's records are known."""
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -43,6 +43,9 @@
 # the pause after a change, so that one answer carries several.  Relays pass the
 # age of the records on, which the wait adds to.
 RECORDS_WAIT_S: Final = 0.8
+# The same for the operator's records, at most, as a share of the time in which
+# a change must be in force: routers leave relays whose records are too old.
+OPERATOR_WAIT_SHARE: Final = 0.18
 RECORDS_READ_PAUSE_S: Final = 0.25
 # The same wait for records of crashes, which have no bound on their age.
 CRASHES_WAIT_S: Final = 2.5
@@ -143,11 +146,12 @@
         is_relay = self.relay.is_asked_for(Level.DOMAIN)
         return RECORDS_READ_PAUSE_S if is_relay else IDLE_READ_PAUSE_S
 
-    def has_records(self, as_of_s: float | None) -> bool:
-        """Whether a relay provides records, new enough."""
-        if as_of_s is None or not self.feed.is_live:
-            return False
-        return suspended_clock_s() - as_of_s < COVERED_AGE_S
+    def records_left_s(self, as_of_s: float | None) -> float:
+        """Return for how much longer a relay's records are new enough."""
+        if as_of_s is None:
+            return 0.0
+        age_s = suspended_clock_s() - as_of_s
+        return min(self.feed.live_s, COVERED_AGE_S - age_s)
 
     def listen(self) -> None:
         """Open the ports for routers and for metrics."""
@@ -222,26 +226,27 @@
             crashes.take(reply)
 
         self.relay.on_records = take_records
+        in_force_s = self.options.bounds.in_force_ms / 1000
         self.follow_records(
             names.OPERATOR_TOPIC,
             operator,
-            RECORDS_WAIT_S,
+            min(RECORDS_WAIT_S, OPERATOR_WAIT_SHARE * in_force_s),
             self.read_pause_s,
-            lambda: self.has_records(self.relay.operator_as_of_s),
+            lambda: self.records_left_s(self.relay.operator_as_of_s),
         )
         self.follow_records(
             names.TARGETS_TOPIC,
             targets,
             RECORDS_WAIT_S,
             self.read_pause_s,
-            lambda: self.has_records(self.relay.targets_as_of_s),
+            lambda: self.records_left_s(self.relay.targets_as_of_s),
         )
         self.follow_records(
             names.CRASHES_TOPIC,
             crashes,
             CRASHES_WAIT_S,
             lambda: 0.0,
-            lambda: self.has_records(self.relay.operator_as_of_s),
+            lambda: self.records_left_s(self.relay.operator_as_of_s),
         )
         cache = self.make_cache_publisher(
             str(self.options.target), self.target_name, Level.OWN
--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -90,7 +90,7 @@
         reader: RecordReader,
         wait_s: float,
         read_pause_s: Callable[[], float],
-        is_covered: Callable[[], bool] = lambda: False,
+        covered_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Keep a reader up to date with a topic of the store.
 
@@ -101,7 +101,8 @@
             in seconds.
           read_pause_s: Returns the pause after a read that returned records, in
             seconds, so that the next read returns several changes.
-          is_covered: Returns whether another process provides the records.
+          covered_s: Returns for how much longer another process provides the
+            records, in seconds.
         """
         follower = RecordFollower(
             topic=topic,
@@ -112,7 +113,7 @@
             wait_s=wait_s,
             read_pause_s=read_pause_s,
             age_clock=suspended_clock_s,
-            cover=FeedCover(clock=event_loop.reactor, is_given=is_covered),
+            cover=FeedCover(clock=event_loop.reactor, left_s=covered_s),
             log=self.log,
         )
         Deferred.fromCoroutine(follower.run())
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -41,6 +41,7 @@
 from sequoiawind.platform.leases import LeaseClient
 from sequoiawind.platform.origins import OriginLog
 from sequoiawind.platform.targets import decode_target
+from sequoiawind.record_cover import RecordCover
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.router_notes import RouterNotes
 from sequoiawind.status_watcher import (
@@ -58,9 +59,6 @@
 TARGETS_WAIT_SHARE: Final = 0.7
 # For how long the store may wait for a record of a crash, in seconds.
 CRASHES_WAIT_S: Final = 2.5
-# Age of a relay's records, as a share of the revocation bound or of the bound
-# on leaving targets, from which a router reads the store itself.
-COVERED_AGE_SHARE: Final = 0.5
 # Time after its start, in seconds, in which a router trusts the store's records
 # only once a relay has answered too: the store may just have returned from an
 # old copy.
@@ -384,31 +382,36 @@
             ),
         )
         cover = FeedCover(
-            clock=event_loop.reactor, is_given=lambda: self.feed.is_live
+            clock=event_loop.reactor, left_s=lambda: self.feed.live_s
         )
         self.watcher.cover = cover
         self.forwarder.caches.cover = cover
+        records = RecordCover(
+            feed=self.feed,
+            reader=self.feed_reader,
+            bounds=lambda: self.options.bounds,
+        )
         bounds = self.options.bounds
         self.follow_records(
             names.OPERATOR_TOPIC,
             operator,
             CONFIG_WAIT_SHARE * bounds.revoke_ms / 1000,
             lambda: 0.0,
-            self.has_operator_records,
+            records.operator_left_s,
         )
         self.follow_records(
             names.TARGETS_TOPIC,
             targets,
             TARGETS_WAIT_SHARE * bounds.drain_ms / 1000,
             self.targets_read_pause_s,
-            self.has_target_records,
+            records.targets_left_s,
         )
         self.follow_records(
             names.CRASHES_TOPIC,
             self.forwarder.crashes,
             CRASHES_WAIT_S,
             lambda: 0.0,
-            self.has_operator_records,
+            records.operator_left_s,
         )
         self.holder = self.make_holder()
         for controller in (self.feed, self.holder):
@@ -442,16 +445,6 @@
         is_new = self.may_have_agents() and not self.feed.has_replied
         return START_READ_PAUSE_S if is_new else TARGETS_READ_PAUSE_S
 
-    def has_operator_records(self) -> bool:
-        """Whether a relay provides the operator's records, new enough."""
-        limit_s = COVERED_AGE_SHARE * self.options.bounds.revoke_ms / 1000
-        return self.feed.is_live and self.feed_reader.operator_age_s < limit_s
-
-    def has_target_records(self) -> bool:
-        """Whether a relay provides the targets' entries, new enough."""
-        limit_s = COVERED_AGE_SHARE * self.options.bounds.drain_ms / 1000
-        return self.feed.is_live and self.feed_reader.targets_age_s < limit_s
-
     def may_trust_records(self) -> bool:
         """Whether the store's records may be taken as current."""
         age_s = event_loop.reactor.seconds() - self.started_s
--- a/tests/test_feed_sums.py
+++ b/tests/test_feed_sums.py
@@ -491,7 +491,7 @@
         data = feed_messages.encode(reply)
         old = msgspec.msgpack.Decoder(previous).decode(data)
         self.assertEqual(0.0, old.demand_per_s)
-        added = ["has_totals", "counted", "totals", "has_more"]
+        added = ["has_totals", "counted", "totals", "has_more", "held_s"]
         self.assertEqual(added, names[OLD_FIELDS:])
         self.assertFalse(feed_messages.decode(as_old(data)).has_totals)
 
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -12,6 +12,7 @@
 from sequoiawind.crash_registry import PartBody
 from sequoiawind.options import BoundsOptions
 from sequoiawind.platform import names
+from sequoiawind.record_cover import TAKEOVER_S
 from tests.virtual_fleet import STORE, VirtualFleet, VirtualRouter
 
 IN_FORCE_S = 2.0
@@ -122,3 +123,18 @@
                 fleet.cut(host, STORE)
             lag_s = longest_lag_s(fleet, 6.0, change_each_s=0.02)
             self.assertTrue(lag_s < IN_FORCE_S, (seed, lag_s))
+
+    def test_routers_stay_with_relays_that_have_the_store(self) -> None:
+        fleet = fleet_of(self, 1)
+        fleet.configure(1)
+        fleet.start(domains=3, agents=2, routers=1)
+        fleet.run(8.0, STEP_S)
+        oldest_s = 0.0
+        for revision in range(2, 6):
+            fleet.configure(revision)
+            for _ in range(200):
+                fleet.run(STEP_S, STEP_S)
+                for router in fleet.routers:
+                    age_s = router.feed_reader.operator_age_s
+                    oldest_s = max(oldest_s, age_s)
+        self.assertTrue(oldest_s < IN_FORCE_S - TAKEOVER_S, oldest_s)
--- a/tests/test_record_followers.py
+++ b/tests/test_record_followers.py
@@ -182,7 +182,7 @@
             wait_s=1.0,
             age_clock=clock.seconds,
             log=structlog.get_logger(),
-            cover=FeedCover(clock=clock, is_given=lambda: is_given),
+            cover=FeedCover(clock=clock, left_s=lambda: float(is_given)),
         )
         Deferred.fromCoroutine(follower.step())
         is_given = True
