Take entries with odd addresses and too large numbers for unreadable

Tried on routers, agents and relays, from the store and from relays alone, at the start and later, for all topics, and on the folds of the system's own log: deep nesting, numbers of 64 bits and more, ports out of range, digits that int() refuses. Nothing ended or stopped following.

- A cache that tells a number of more than 64 bits stopped the feeds of all relays: they store it and cannot encode it, so that each reply failed, and routers that the store turned away got no changes any more.
Numbers from other writers must now fit into 64 bits (platform/numbers); a record with another is unreadable, as one with a wrong type is.
- An entry with the port '\u00b2' or of 5,000 digits passed as a target.
A request placed there failed with 502 by an exception; its cache was polled with an exception each 0.5 s.
Entries must have an IPv4 address and a port from 1 to 65535, and the client refuses other ports as not run, also in a kv_store_addr.
- On the OpenAI interface such an address of an agent raised where a failure is returned; the call now fails as not run.
Settings had the same check of digits.

--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -24,6 +24,7 @@
 from sequoiawind.body_writer import PIECE_BYTES, BodyWriter
 from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.headers import Headers
+from sequoiawind.options import parse_port
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 
 # A handshake inside a region takes milliseconds; the peer's kernel
@@ -302,6 +303,11 @@
     connecting: Deferred[Any] | None = None
     is_cancelled: bool = False
 
+    def refuse(self, sink: AnswerSink, failure: Failure) -> None:
+        """End a call that has got no connection, unless it is cancelled."""
+        if not self.is_cancelled:
+            sink.failed(failure)
+
     def cancel(self) -> None:
         """Cancel the call; its sink receives nothing more."""
         self.is_cancelled = True
@@ -336,10 +342,15 @@
             call.connection = idle
             idle.send(request, sink)
             return call
+        host, _, text = address.rpartition(":")
+        port = parse_port(text)
+        if port is None:
+            refusal = not_run(Reason.CONNECT_FAILED, messages.BAD_ADDRESS)
+            self.reactor.callLater(0, call.refuse, sink, refusal)
+            return call
         self.on_connect()
-        host, _, port = address.rpartition(":")
         endpoint = TCP4ClientEndpoint(
-            self.reactor, host, int(port), timeout=self.connect_timeout_s
+            self.reactor, host, port, timeout=self.connect_timeout_s
         )
         factory: Any = Factory.forProtocol(
             lambda: TargetConnection(self, address)
@@ -357,9 +368,8 @@
 
         def refused(failure: TwistedFailure) -> None:
             call.connecting = None
-            if not call.is_cancelled:
-                detail = failure.getErrorMessage()
-                sink.failed(not_run(Reason.CONNECT_FAILED, detail))
+            detail = failure.getErrorMessage()
+            call.refuse(sink, not_run(Reason.CONNECT_FAILED, detail))
 
         call.connecting.addCallbacks(connected, refused)
         return call
--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -83,7 +83,11 @@
         """
         data = b"" if body is None else wire.encode(body)
         headers = Headers({SECRET_HEADER: [self.secret]})
-        sent = self.client.request(method, url, data=data, headers=headers)
+        try:
+            sent = self.client.request(method, url, data=data, headers=headers)
+        except ValueError as problem:
+            # The URL is invalid, so nothing was sent.
+            return Error(not_run(Reason.CONNECT_FAILED, str(problem)))
         try:
             response = await timing.with_timeout(sent, self.timeout_s, reactor)
             reading = treq.content(response)
@@ -171,15 +175,19 @@
 
     def start(self) -> None:
         """Send the request."""
-        self.request = self.client.request(
-            "POST",
-            self.url,
-            data=self.body,
-            headers=Headers(
-                {name: [value] for name, value in self.headers.items()}
-            ),
-            unbuffered=True,
-        )
+        headers = {name: [value] for name, value in self.headers.items()}
+        try:
+            self.request = self.client.request(
+                "POST",
+                self.url,
+                data=self.body,
+                headers=Headers(headers),
+                unbuffered=True,
+            )
+        except ValueError as problem:
+            # The URL is invalid, so nothing was sent.
+            self.end(not_run(Reason.CONNECT_FAILED, str(problem)))
+            return
         self.request.addCallbacks(self.answered, self.failed)
 
     def answered(self, response: Any) -> None:
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -4,10 +4,15 @@
 one.  ``settings`` reads and checks the files; no other module reads them.
 """
 
+from typing import Final
+
 import attrs
 
 from sequoiawind import defaults
 
+MAX_PORT: Final = 65_535
+MAX_DIGITS: Final = 5
+
 
 @attrs.frozen(kw_only=True)
 class Address:
@@ -21,6 +26,15 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_port(text: str) -> int | None:
+    """Return a port in decimal digits; None if the text is none."""
+    # `isdigit` alone also accepts digits that `int` refuses.
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+        return None
+    port = int(text)
+    return port if port <= MAX_PORT else None
+
+
 @attrs.frozen(kw_only=True)
 class LogsOptions:
     """Format and level of the daemon's log lines."""
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -18,6 +18,7 @@
 )
 from sequoiawind.headers import CallerLimits
 from sequoiawind.platform import names
+from sequoiawind.platform.numbers import Count
 
 S_PER_MS: Final = 0.001
 # Routes whose decoded form is kept: a new version of a large configuration
@@ -105,7 +106,7 @@
 class ConfigRecord(msgspec.Struct):
     """The whole configuration."""
 
-    version: int
+    version: Count
     routes: list[RouteRecord] = []
     services: list[ServiceRecord] = []
     limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
@@ -116,7 +117,7 @@
     """A model's weights version as the operator writes it."""
 
     model: str
-    version: int
+    version: Count
 
 
 @attrs.frozen(kw_only=True)
--- a/sequoiawind/platform/engine_wire.py
+++ b/sequoiawind/platform/engine_wire.py
@@ -9,6 +9,7 @@
 from sequoiawind.forward_ports import CacheChanges, PartChange, SendOrder
 from sequoiawind.headers import Headers
 from sequoiawind.platform import names
+from sequoiawind.platform.numbers import Count
 from sequoiawind.platform.targets import ModelVersion
 from sequoiawind.rollout import TargetReport
 from sequoiawind.verdict import Failure, Reason, not_run
@@ -26,29 +27,29 @@
     # Whether an order is being carried out.
     busy: bool = False
     # Number of orders accepted since the start.
-    seq: int = 0
-    waiting: int = 0
-    running: int = 0
+    seq: Count = 0
+    waiting: Count = 0
+    running: Count = 0
     # Tokens in memory that cannot be evicted.
-    kv_used: int = 0
+    kv_used: Count = 0
     # Id, tokens in memory, events produced and priority of each run that has
     # produced events; None if the target does not report them.
-    runs: list[tuple[str, int, int, int]] | None = None
+    runs: list[tuple[str, Count, Count, Count]] | None = None
     state: str = names.READY
-    born: int = 0
+    born: Count = 0
 
 
 class EventsRecord(msgspec.Struct):
     """The changes of a cache since a change number."""
 
     # Identifies one run of the cache; changes when it restarts.
-    boot_epoch: int
+    boot_epoch: Count
     # The `since` of the next request.
-    next_token: int
+    next_token: Count
     lost: bool = False
     # Change number, + or -, salt, id of the part, tokens of it that the cache
     # holds now, and model.
-    events: list[tuple[int, str, str, str, int, str]] = []
+    events: list[tuple[Count, str, str, str, Count, str]] = []
 
 
 class OrderRecord(msgspec.Struct):
--- a/sequoiawind/platform/targets.py
+++ b/sequoiawind/platform/targets.py
@@ -1,18 +1,22 @@
 """Decoding of the targets' entries in the store."""
 
+from ipaddress import AddressValueError, IPv4Address
+
 import msgspec
 from expression import Error, Ok, Result
 
 from sequoiawind import wire
 from sequoiawind.forward_state import ForwardTarget
+from sequoiawind.options import parse_port
 from sequoiawind.platform import names
+from sequoiawind.platform.numbers import Count
 
 
 class ModelVersion(msgspec.Struct):
     """A model that a target serves, with the version of its weights."""
 
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 class TargetRecord(msgspec.Struct):
@@ -24,9 +28,9 @@
     zone: str = ""
     # Version of the target's software.
     version: str = ""
-    slots: int = 1
+    slots: Count = 1
     # Start of the target, in milliseconds since the epoch.
-    born: int = 0
+    born: Count = 0
     models: list[ModelVersion] = []
 
 
@@ -38,9 +42,8 @@
         return Error(str(error))
     if record.state not in (names.READY, names.DRAINING):
         return Error(f"unknown state {record.state!r}")
-    host, _, port = record.address.rpartition(":")
-    if not host or not port.isdigit():
-        return Error(f"not an address: {record.address!r}")
+    if not is_address(record.address):
+        return Error(f"not an address: {record.address[:80]!r}")
     return Ok(
         ForwardTarget(
             name=name,
@@ -54,3 +57,13 @@
             versions={model.name: model.version for model in record.models},
         )
     )
+
+
+def is_address(text: str) -> bool:
+    """Whether a text is an IPv4 address with a port to connect to."""
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return bool(parse_port(port))
--- a/sequoiawind/settings.py
+++ b/sequoiawind/settings.py
@@ -14,7 +14,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from sequoiawind.options import Address
+from sequoiawind.options import Address, parse_port
 
 T = TypeVar("T")
 
@@ -165,10 +165,11 @@
     """Return an address written as host:port; None if it is not one."""
     if not isinstance(value, str):
         return None
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
+    host, _, text = value.rpartition(":")
+    port = parse_port(text)
+    if not host or port is None:
         return None
-    return Address(host=host, port=int(port))
+    return Address(host=host, port=port)
 
 
 def describe(hint: Any) -> str:
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -268,6 +268,8 @@
     ended_agents: set[str] = attrs.field(factory=set)
     # Parts that each target's cache holds.
     cached_parts: int = 0
+    # Tokens of each of them.
+    part_tokens: int = 100
     # When each revision was acknowledged, in seconds of the clock.
     acknowledged_s: dict[int, float] = attrs.field(factory=dict)
 
@@ -387,7 +389,14 @@
         if since >= end:
             await timing.sleep(self.clock, CACHE_WAIT_S)
         events = [
-            [number, "+", "salt", f"{number:0{PART_NAME_BYTES}}", 100, "m"]
+            [
+                number,
+                "+",
+                "salt",
+                f"{number:0{PART_NAME_BYTES}}",
+                self.part_tokens,
+                "m",
+            ]
             for number in range(since, end)
         ]
         page = {"boot_epoch": 1, "next_token": end, "events": events}
