Apply the other records if the handling of one fails

If the handling of one record of the store raised an exception, a process that reads the store never got past it: the follower read the same page again each 0.5 s, and the configurations on it were not in force at any time. A reader of a feed skipped the rest of the reply instead, since the reply's number had been noted before it was applied, and took the ages in the next replies as if it had it all. The class: one failure stops, or silently drops, what does not depend on it.

The readers now apply each record by itself (supervise.apply), which logs 'record not applied' with the traceback, and a reply's number is noted once it has been applied; otherwise the next request asks for the whole table.

tests/test_late_configuration.py, FailingRecordTest: two of three tests failed before (revision 1 instead of 2 after 2 s). The third, by a relay, passed before, as the relay sends the two records in two replies, and stays.

--- a/sequoiawind/crash_registry.py
+++ b/sequoiawind/crash_registry.py
@@ -19,7 +19,7 @@
 from expression import Result
 from twisted.internet.defer import Deferred
 
-from sequoiawind import messages, timing, wire
+from sequoiawind import messages, supervise, timing, wire
 from sequoiawind.crash_evidence import (
     Block,
     CrashEvidence,
@@ -304,6 +304,10 @@
 
     def apply(self, record: KeyedRecord) -> int | None:
         """Apply a record; return when it was written, None if unreadable."""
+        return supervise.apply(record, self.decode, self.log)
+
+    def decode(self, record: KeyedRecord) -> int | None:
+        """Decode a record and add it to the evidence; see `apply`."""
         if record.value is None:
             return None
         kind = record.key.partition("/")[0]
--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -256,11 +256,13 @@
                 is_whole=reply.is_whole,
                 operator_age_s=round(reply.operator_age_s, 3),
             )
+        self.replied_s = self.clock.seconds()
+        # If the reply cannot be applied, the next request asks for everything.
+        self.address = ""
+        self.on_reply(reply, sent_s)
         self.address = address
         self.run_id, self.after = reply.run, reply.number
         self.has_more = reply.has_more
-        self.replied_s = self.clock.seconds()
-        self.on_reply(reply, sent_s)
 
     def lose(self, detail: str) -> None:
         """Record that the last request failed."""
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
+from functools import partial
 from typing import Any, Final
 
 import attrs
 import structlog
 from expression import Result
 
+from sequoiawind import supervise
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.config_fold import Folded
 from sequoiawind.fleet import Fleet
@@ -89,6 +91,10 @@
 
     def apply(self, record: KeyedRecord, is_late: bool) -> None:
         """Apply a record; one that cannot be decoded changes nothing."""
+        supervise.apply(record, partial(self.decode, is_late), self.log)
+
+    def decode(self, is_late: bool, record: KeyedRecord) -> None:
+        """Decode a record, and put it in force."""
         if record.value is None:
             return
         try:
@@ -248,6 +254,10 @@
 
         An entry that is older than the last one of its target is ignored.
         """
+        supervise.apply(record, self.decode_entry, self.log)
+
+    def decode_entry(self, record: KeyedRecord) -> None:
+        """Decode an entry, unless it is old, and add or remove its target."""
         if record.stamp < self.stamps.get(record.key, record.stamp):
             return
         self.stamps[record.key] = record.stamp
--- a/sequoiawind/supervise.py
+++ b/sequoiawind/supervise.py
@@ -2,17 +2,19 @@
 
 An exception in one step is logged with its traceback and the next step is run,
 so that one unexpected message does not stop the controller that keeps a
-process's view of the others current.
+process's view of the others current.  The same holds for one of the store's
+records among others.
 """
 
 import traceback
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, TypeVar
 
 import structlog
 
 from sequoiawind import timing
 from sequoiawind.ports import Clock
+from sequoiawind.record_ports import KeyedRecord
 
 Logger = structlog.typing.FilteringBoundLogger
 
@@ -20,6 +22,28 @@
 # the log.
 FAULT_PAUSE_S: Final = 0.5
 
+T = TypeVar("T")
+
+
+def apply(
+    record: KeyedRecord, how: Callable[[KeyedRecord], T], log: Logger
+) -> T | None:
+    """Apply a record of the store; return None if that failed.
+
+    An exception is logged with its traceback, and the records after it are
+    applied all the same.
+    """
+    try:
+        return how(record)
+    except Exception:
+        # Whatever the exception was, other records do not depend on this one.
+        log.error(
+            "record not applied",
+            key=record.key[:200],
+            traceback=traceback.format_exc(limit=-4),
+        )
+        return None
+
 
 async def repeat(
     step: Callable[[], Awaitable[bool]], name: str, clock: Clock, log: Logger
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -10,6 +10,7 @@
 
 from sequoiawind import wire
 from sequoiawind.crash_registry import PartBody
+from sequoiawind.feed_messages import FeedReply
 from sequoiawind.options import BoundsOptions
 from sequoiawind.platform import names
 from sequoiawind.record_cover import TAKEOVER_S
@@ -138,3 +139,60 @@
                     age_s = router.feed_reader.operator_age_s
                     oldest_s = max(oldest_s, age_s)
         self.assertTrue(oldest_s < IN_FORCE_S - TAKEOVER_S, oldest_s)
+
+
+class FailingRecordTest(TestCase):
+    """A record whose handling fails holds up none of those beside it."""
+
+    def prepared(self) -> tuple[VirtualFleet, VirtualRouter]:
+        """Return a fleet with a router that fails to apply new weights."""
+        fleet = fleet_of(self, 1)
+        fleet.configure(1)
+        fleet.start(domains=1, agents=1, routers=1)
+        fleet.run(6.0, STEP_S)
+        router = fleet.routers[0]
+        self.patch(router.feed_reader.operator, "on_weights", fail)
+        return fleet, router
+
+    def check(self, fleet: VirtualFleet) -> None:
+        """Name weights, and change the configuration at the same time."""
+        weights = b'{"model": "m", "version": 2}'
+        key = names.VERSION_KEY_PREFIX + "m"
+        fleet.store.put(names.OPERATOR_TOPIC, key, weights)
+        fleet.configure(2)
+        fleet.run(IN_FORCE_S, STEP_S)
+        self.assertEqual(2, fleet.routers[0].board.state.revision)
+
+    def test_change_from_a_relay(self) -> None:
+        fleet, router = self.prepared()
+        fleet.cut(router.options.node.ip, STORE)
+        self.check(fleet)
+
+    def test_change_from_the_store(self) -> None:
+        fleet, _ = self.prepared()
+        fleet.ended_agents.update(fleet.agents)
+        fleet.run(4.0, STEP_S)
+        self.check(fleet)
+
+    def test_reply_that_was_not_applied_is_asked_for_again(self) -> None:
+        fleet, router = self.prepared()
+        fleet.cut(router.options.node.ip, STORE)
+        take = router.feed.on_reply
+        failures = [1]
+
+        def fail_once(reply: FeedReply, sent_s: float) -> None:
+            if reply.records and failures:
+                failures.pop()
+                raise ValueError("failed")
+            take(reply, sent_s)
+
+        router.feed.on_reply = fail_once
+        fleet.configure(2)
+        fleet.run(IN_FORCE_S, STEP_S)
+        self.assertEqual([], failures)
+        self.assertEqual(2, router.board.state.revision)
+
+
+def fail(*args: object) -> None:
+    """Raise what nobody expects."""
+    raise ValueError("failed")
