Do not take an answer without an id for one to the current request

A copy without an id was taken as the answer to the current request: callers would have been told 'not run' of work that had run or was running, and it would have run at a second engine.

A connection on which an answer has named its request takes no later answer that names none: the request fails as one that may have run, and the connection is closed. Targets that never name requests are served as before, as plain services behind the OpenAI interface may do.

--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -83,6 +83,8 @@
         self.sink: AnswerSink | None = None
         # Whether the answer being read belongs to an earlier request.
         self.is_skipping = False
+        # Whether an answer has named the request that it belongs to.
+        self.has_echoed = False
         self.received_bytes = 0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
@@ -230,6 +232,12 @@
         self.update_keep_alive(headers)
         echo = self.request.echo if self.request is not None else None
         found = [value for name, value in headers if echo and name == echo[0]]
+        if echo and self.has_echoed and not found:
+            # It may be another copy of an earlier answer, so it proves nothing
+            # about this request, not even that it was refused.
+            self.fail(Reason.TARGET_ERROR, messages.FOREIGN_ANSWER)
+            return
+        self.has_echoed = self.has_echoed or bool(found)
         self.is_skipping = bool(echo and found and found[0] != echo[1])
         if not self.is_skipping and self.sink is not None:
             self.sink.head(response.status_code, headers)
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -24,6 +24,9 @@
     echo=ECHO,
 )
 FOREIGN = b"HTTP/1.1 200 OK\r\nx-id: q0\r\ncontent-length: 3\r\n\r\nold"
+REFUSAL = (
+    b"HTTP/1.1 503 Full\r\nx-id: q0\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+)
 MATCHING = b"HTTP/1.1 200 OK\r\nx-id: q1\r\ncontent-length: 3\r\n\r\nnew"
 OPEN_ENDED = b"HTTP/1.1 200 OK\r\nx-id: q1\r\n\r\nne"
 
@@ -97,6 +100,39 @@
             self.assertEqual(b"new", sink.body)
             self.assertTrue(sink.is_done)
 
+    def answer_to_second_request(self, *answers: bytes) -> RecordingSink:
+        """Return what a request on a kept connection gets."""
+        peer, _ = self.call()
+        peer.protocol.dataReceived(MATCHING)
+        sink = RecordingSink()
+        self.client.call("10.0.0.1:80", REQUEST, sink)
+        self.assertEqual(1, len(self.reactor.tcpClients))
+        for answer in answers:
+            peer.protocol.dataReceived(answer)
+        return sink
+
+    def test_repeated_refusal_of_an_earlier_request_is_skipped(self) -> None:
+        for repeated in (REFUSAL, REFUSAL * 2):
+            sink = self.answer_to_second_request(repeated)
+            self.assertEqual(0, sink.status)
+            self.assertIsNone(sink.failure)
+            sink = self.answer_to_second_request(repeated, MATCHING)
+            self.assertEqual(200, sink.status)
+            self.assertTrue(sink.is_done)
+
+    def test_repeated_refusal_without_its_id_proves_nothing(self) -> None:
+        anonymous = REFUSAL.replace(b"x-id: q0\r\n", b"")
+        sink = self.answer_to_second_request(anonymous)
+        self.assertEqual(0, sink.status)
+        assert sink.failure is not None
+        self.assertEqual(Verdict.MAY_HAVE_RUN, sink.failure.verdict)
+
+    def test_refusal_without_an_id_counts_where_targets_name_none(self) -> None:
+        anonymous = REFUSAL.replace(b"x-id: q0\r\n", b"")
+        peer, sink = self.call()
+        peer.protocol.dataReceived(anonymous)
+        self.assertEqual(503, sink.status)
+
     def test_bytes_after_an_answer_close_the_connection(self) -> None:
         peer, sink = self.call()
         peer.protocol.dataReceived(MATCHING + b"more")
