Continue a begun stream only with events that have ids

An error with status 200 was: its text, its head if it wrote one, or an event of its own, went to the caller in the middle of the stream, which then ended as complete. On the OpenAI interface chunks without the attempt's id are refused already.

An attempt that follows events of another must be an event stream, by its content type if it states one, and its events must have ids as those before them had. Otherwise it counts as failed by its target, so that a further one may be asked. What a first target writes is passed on as it is.

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -4,7 +4,7 @@
 answer may look complete by its framing and be broken off all the same.
 """
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 
@@ -23,6 +23,10 @@
 if TYPE_CHECKING:
     from sequoiawind.forwarding import Forwarding
 
+CONTENT_TYPE: Final = b"content-type"
+# Content type of a stream of events, which parameters may follow.
+EVENTS: Final = b"text/event-stream"
+
 
 @attrs.define(kw_only=True, eq=False)
 class ForwardAttempt(OpenAttempt):
@@ -32,6 +36,8 @@
     chosen: Chosen
     # The pool of the request's plan when the attempt began.
     pool: ForwardPool
+    # Whether the caller has events of another attempt, which this one's follow.
+    is_continuation: bool = False
     answer: AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -63,6 +69,10 @@
             self.view.heard_s = self.clock.seconds()
             self.answer = head
             self.forwarding.forwarder.head_received(self.view, head)
+            if self.is_streaming and self.is_continuation:
+                content_type = dict(head.headers).get(CONTENT_TYPE, EVENTS)
+                if not content_type.startswith(EVENTS):
+                    self.abort(messages.NOT_A_STREAM)
 
     def data(self, data: bytes) -> None:
         """Receive a part of the body; stream events are passed on directly."""
@@ -78,6 +88,10 @@
             return
         self.begin()
         for event in self.splitter.take(data):
+            if event.id is None and self.is_continuation:
+                # The stream so far had ids, so this is no part of it.
+                self.abort(messages.NOT_A_STREAM)
+                return
             if not self.has_event:
                 self.first_event_s = self.clock.seconds()
                 self.answer_began()
@@ -106,10 +120,13 @@
 
     def abort_oversized(self) -> None:
         """Fail the attempt because too much of its answer must be held."""
+        self.abort(messages.ANSWER_TOO_LARGE)
+
+    def abort(self, detail: str) -> None:
+        """Fail the attempt because its answer cannot be used."""
         if self.call is not None:
             self.call.cancel()
-        text = messages.ANSWER_TOO_LARGE
-        self.failed(may_have_run(Reason.TARGET_ERROR, text))
+        self.failed(may_have_run(Reason.TARGET_ERROR, detail))
 
     def done(self) -> None:
         """Handle the end of the answer; a stream may still be broken off."""
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -279,6 +279,7 @@
             forwarding=self,
             chosen=chosen,
             pool=self.plan.pool,
+            is_continuation=self.last_event is not None,
         )
         self.current = attempt
         attempt.expect(sample)
