Continue resumed streams only in pools that have a share of the route

A pool without a share now continues no stream; the request goes to the pools that have one, as any new request does.

--- a/sequoiawind/stream_reconnect.py
+++ b/sequoiawind/stream_reconnect.py
@@ -55,11 +55,14 @@
 def with_pool_of_origin(
     plan: ForwardPlan, origin: StreamOrigin | None, state: State
 ) -> ForwardPlan:
-    """Return a plan with the pool that began the stream, if it may be."""
+    """Return a plan with the pool that began the stream, if it may be.
+
+    It may not if the route no longer gives that pool a part of its requests.
+    """
     if origin is None:
         return plan
     pool = state.pools.get(origin.pool)
-    shares = {share.pool for share in plan.route.shares}
+    shares = {share.pool for share in plan.route.shares if share.weight > 0.0}
     if origin.pool not in shares or not isinstance(pool, ForwardPool):
         return plan
     return attrs.evolve(plan, pool=pool)
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -6,14 +6,19 @@
 
 import random
 
+import attrs
 from testtools import TestCase
 
 from sequoiawind import wire
 from sequoiawind.crash_registry import PartBody
 from sequoiawind.feed_messages import FeedReply
+from sequoiawind.forward_state import ForwardPool, ForwardRoute, PoolShare
 from sequoiawind.options import BoundsOptions
 from sequoiawind.platform import names
 from sequoiawind.record_cover import TAKEOVER_S
+from sequoiawind.stream_origins import StreamOrigin
+from sequoiawind.stream_reconnect import with_pool_of_origin
+from tests.forward_rig import ForwardRig, state
 from tests.virtual_fleet import STORE, VirtualFleet, VirtualRouter
 
 IN_FORCE_S = 2.0
@@ -196,3 +201,31 @@
 def fail(*args: object) -> None:
     """Raise what nobody expects."""
     raise ValueError("failed")
+
+
+class ResumedStreamTest(TestCase):
+    """A stream that its caller resumes goes where the new version allows."""
+
+    def test_pool_without_a_share_of_the_route_continues_no_stream(
+        self,
+    ) -> None:
+        for weight, expected in ((1.0, "old"), (0.0, "new")):
+            rig = ForwardRig()
+            route = ForwardRoute(
+                name="draft",
+                host="h",
+                path="/draft/",
+                kind="draft",
+                pool="new",
+                shares=(
+                    PoolShare(pool="old", weight=weight),
+                    PoolShare(pool="new", weight=1.0),
+                ),
+            )
+            pools = {name: ForwardPool(name=name) for name in ("old", "new")}
+            rig.configure(state(2, routes={"draft": route}, pools=pools))
+            planned = rig.forwarder.planner.plan(rig.request("draft"))
+            plan = attrs.evolve(planned.ok, pool=pools["new"])
+            origin = StreamOrigin(pool="old", software="v1")
+            found = with_pool_of_origin(plan, origin, rig.board.state)
+            self.assertEqual(expected, found.pool.name)
