Continue a reader of the feed without a search of the whole table

At hundreds of targets a newcomer would have held its relay for seconds.

The table keeps the changes of the bulk topics in the order of their numbers, and finds the next by bisection; changes that were replaced are dropped once they are most of them.

test_replaced_changes_are_not_kept_for_good is new; the others are unchanged.

--- a/sequoiawind/feed_table.py
+++ b/sequoiawind/feed_table.py
@@ -7,7 +7,9 @@
 """
 
 import enum
+from bisect import bisect_right
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -48,6 +50,8 @@
 # must arrive in time over a link of a few megabits a second.
 BULK_TOPICS: Final = frozenset({Topic.CRASH, Topic.PART})
 MAX_BULK_BYTES: Final = 65_536
+# Replaced changes that are kept at least before the others are copied.
+MIN_REPLACED: Final = 1_000
 # What an entry takes in a reply beside its names and its value, in bytes.
 ENTRY_BYTES: Final = 30
 # Topics whose entries their origins repeat.
@@ -103,8 +107,13 @@
     run: int
     clock: Clock
     number: int = 0
-    # Entries, the last changed one last.
-    entries: OrderedDict[Key, StoredEntry] = attrs.field(factory=OrderedDict)
+    entries: dict[Key, StoredEntry] = attrs.field(factory=dict)
+    # Those of the other topics, the last changed one last.
+    small: OrderedDict[Key, StoredEntry] = attrs.field(factory=OrderedDict)
+    # Numbers and keys of the bulk topics' changes, with those that later ones
+    # have replaced, so that a reader continues without a search.
+    bulk_numbers: list[int] = attrs.field(factory=list)
+    bulk_keys: list[Key] = attrs.field(factory=list)
     # Numbers of the last change and of the last urgent one, by level.
     newest: list[int] = attrs.field(factory=lambda: [0] * len(Level))
     newest_urgent: list[int] = attrs.field(factory=lambda: [0] * len(Level))
@@ -119,10 +128,16 @@
         if known is not None and not self.replaces(entry, known):
             return False
         self.number += 1
-        self.entries[entry.key] = StoredEntry(
+        stored = self.entries[entry.key] = StoredEntry(
             number=self.number, entry=entry, changed_s=self.clock.seconds()
         )
-        self.entries.move_to_end(entry.key)
+        if entry.key[0] in BULK_TOPICS:
+            self.bulk_numbers.append(self.number)
+            self.bulk_keys.append(entry.key)
+            self.compact_bulk()
+        else:
+            self.small[entry.key] = stored
+            self.small.move_to_end(entry.key)
         self.newest[entry.level] = self.number
         if entry.is_urgent:
             self.newest_urgent[entry.level] = self.number
@@ -147,13 +162,34 @@
         while len(self.removed) > MAX_REMOVED:
             number, key = self.removed.popleft()
             if key in self.entries and self.entries[key].number == number:
-                del self.entries[key]
+                self.discard([key])
                 self.forgotten = number
 
+    def compact_bulk(self) -> None:
+        """Drop changes that were replaced, once most have been."""
+        live = len(self.entries) - len(self.small)
+        if len(self.bulk_keys) < 2 * live + MIN_REPLACED:
+            return
+        kept = [
+            (number, key)
+            for number, key in zip(
+                self.bulk_numbers, self.bulk_keys, strict=True
+            )
+            if self.is_newest(key, number)
+        ]
+        self.bulk_numbers = [number for number, _ in kept]
+        self.bulk_keys = [key for _, key in kept]
+
+    def is_newest(self, key: Key, number: int) -> bool:
+        """Whether the change with a number is the last one of its key."""
+        stored = self.entries.get(key)
+        return stored is not None and stored.number == number
+
     def discard(self, keys: list[Key]) -> None:
         """Drop entries that no reader needs to be told of."""
         for key in keys:
             self.entries.pop(key, None)
+            self.small.pop(key, None)
 
     def has_news(self, after: int, level: Level) -> bool:
         """Whether entries of a level or below have changed since."""
@@ -183,37 +219,55 @@
         """
         is_whole = run != self.run or not self.forgotten <= after <= self.number
         start = -1 if is_whole else after
+
+        def is_wanted(entry: FeedEntry) -> bool:
+            if is_whole and entry.value is None:
+                return False
+            return entry.level <= level and entry.key[0] in topics
+
         found: list[StoredEntry] = []
-        bulk: list[StoredEntry] = []
-        for stored in reversed(self.entries.values()):
-            entry = stored.entry
+        for stored in reversed(self.small.values()):
             if stored.number <= start:
                 break
-            if is_whole and entry.value is None:
-                continue
-            if entry.level <= level and entry.key[0] in topics:
-                is_bulk = entry.key[0] in BULK_TOPICS
-                (bulk if is_bulk else found).append(stored)
-        bulk.reverse()
-        first = bulk[: count_within(bulk, MAX_BULK_BYTES)]
-        has_more = len(first) < len(bulk)
-        found = sorted(found + first, key=lambda stored: stored.number)
+            if is_wanted(stored.entry):
+                found.append(stored)
+        bulk, has_more = self.bulk_since(start, is_wanted)
+        found = sorted(found + bulk, key=lambda stored: stored.number)
         return FeedChanges(
             entries=[stored.entry for stored in found],
-            number=first[-1].number if has_more else self.number,
+            number=bulk[-1].number if has_more else self.number,
             is_whole=is_whole,
             has_more=has_more,
         )
 
+    def bulk_since(
+        self, start: int, is_wanted: Callable[[FeedEntry], bool]
+    ) -> tuple[list[StoredEntry], bool]:
+        """Return the next entries of the bulk topics after a number.
 
-def count_within(entries: list[StoredEntry], limit: int) -> int:
-    """Return how many entries take up to a number of bytes, at least one."""
-    size = 0
-    for place, stored in enumerate(entries):
-        _, *names = stored.entry.key
-        value = stored.entry.value
-        size += ENTRY_BYTES + sum(len(name) for name in names)
-        size += len(value) if isinstance(value, bytes) else 0
-        if size > limit:
-            return max(1, place)
-    return len(entries)
+        Returns:
+          Up to `MAX_BULK_BYTES` of them, one at least, the oldest first; and
+          whether there are more.
+        """
+        found: list[StoredEntry] = []
+        size = 0
+        first = bisect_right(self.bulk_numbers, start)
+        for place in range(first, len(self.bulk_numbers)):
+            key = self.bulk_keys[place]
+            if not self.is_newest(key, self.bulk_numbers[place]):
+                continue
+            stored = self.entries[key]
+            if not is_wanted(stored.entry):
+                continue
+            size += size_of(stored.entry)
+            if size > MAX_BULK_BYTES and found:
+                return found, True
+            found.append(stored)
+        return found, False
+
+
+def size_of(entry: FeedEntry) -> int:
+    """Return about how many bytes an entry takes in a reply."""
+    _, *names = entry.key
+    size = ENTRY_BYTES + sum(len(name) for name in names)
+    return size + (len(entry.value) if isinstance(entry.value, bytes) else 0)
--- a/tests/test_feed_pages.py
+++ b/tests/test_feed_pages.py
@@ -6,6 +6,7 @@
 from sequoiawind import feed_messages
 from sequoiawind.feed_table import (
     MAX_BULK_BYTES,
+    MIN_REPLACED,
     FeedChanges,
     FeedEntry,
     FeedTable,
@@ -73,6 +74,19 @@
         self.assertTrue(changes.has_more)
         self.assertEqual(["config"], names_of(changes, Topic.OPERATOR))
 
+    def test_replaced_changes_are_not_kept_for_good(self) -> None:
+        table = table_with(100)
+        for number in range(100, 20_000):
+            key = (Topic.PART, "e1", "salt", PART_NAME.format(number % 100))
+            put(table, key, number)
+        self.assertTrue(len(table.bulk_keys) <= 200 + MIN_REPLACED)
+        found = names_of(table.since(0, -1, Level.ALL), Topic.PART)
+        expected = [PART_NAME.format(number) for number in range(100)]
+        self.assertEqual(expected, found)
+        table.discard([("none",), (Topic.OPERATOR, "config")])
+        changes = table.since(0, -1, Level.ALL)
+        self.assertEqual([], names_of(changes, Topic.OPERATOR))
+
     def test_reply_has_one_entry_at_least(self) -> None:
         table = FeedTable(run=1, clock=Clock())
         for number in range(2):
