--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -412,10 +412,6 @@
         """Let nothing pass between two hosts, without a reset."""
         self.cuts.add(frozenset((one, other)))
 
-    def heal(self, one: str, other: str) -> None:
-        """Let calls between two hosts pass again."""
-        self.cuts.discard(frozenset((one, other)))
-
     def configure(self, revision: int) -> None:
         """Write a configuration to the store, which acknowledges it."""
         record = {"version": revision, "services": [{"name": "llm"}]}
