Name the isolated accounts in the shared salt of cached parts

Nothing showed it but the targets' own use of their caches.

Cause: the salt of a part named the model, the weights and, for an isolated account, that account; for all others the constant "shared". A target finds parts by salt and does not know whose request made them. So the isolated account left the shared salt, and its earlier parts stayed there.

Change: the scope that a salt names is a function of the configuration in force (`cache_scope`): that of the accounts that share is named after the isolated ones. A part under a scope was made, and is used, by accounts that the scope does not name, so no history and no messages are needed: routers that start late or restart agree, and when accounts change back, earlier parts are found again. The set is taken from the accounts, not from their keys, as an account that loses its last key would else change it. Without isolated accounts the scope is "shared" as before, so processes of the previous release share with those of this one.

Related paths: - A scope was kept in a request's plan.

Ruled out: parts of the account's own requests under an old salt at the targets are not dropped by anybody (no call does that), so the shared scope must move; the index of parts (`PartIndex`) is keyed by salt and followed the salt.

The configuration's log line tells how many accounts are isolated.

--- a/sequoiawind/forward_placement.py
+++ b/sequoiawind/forward_placement.py
@@ -14,13 +14,14 @@
 from sequoiawind.cache_watcher import CacheWatcher
 from sequoiawind.call_choice import choose_call
 from sequoiawind.fleet import Fleet
-from sequoiawind.forward_plan import ForwardPlan
+from sequoiawind.forward_plan import ForwardPlan, Planner
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.home_order import HomeOrder
 from sequoiawind.load.admission import Decision
 from sequoiawind.load.controller import LoadController
 from sequoiawind.load.probing import to_probe
 from sequoiawind.ports import Clock
+from sequoiawind.prompt_cache import cache_salt
 from sequoiawind.spare_targets import SPARE_CANDIDATES, SpareLists
 from sequoiawind.stream_origins import StreamOrigin, may_continue
 from sequoiawind.target_choice import (
@@ -49,6 +50,7 @@
     random: random.Random
     # This router's failure domain.
     domain: str
+    planner: Planner
     weights: AllowedWeights
     caches: CacheWatcher
     load: LoadController = attrs.field(factory=LoadController)
@@ -127,8 +129,7 @@
             return [call] if call is not None else []
         return self.chooser(plan, prompt.model, forwarding.origin).ranked(
             prompt,
-            plan.account.name,
-            plan.account.is_isolated,
+            self.planner.cache_scope(plan),
             self.weights.oldest(prompt.model),
             self.weights.oldest(prompt.model, is_queued=True),
             is_long,
@@ -177,7 +178,8 @@
         """Return a target with the same weights to continue a run at.
 
         Returns:
-          The ready target with the least backlog; None if there is none.
+          The ready target with the least backlog, without a salt; None if there
+          is none.
         """
         plan, prompt = forwarding.plan, forwarding.plan.request.prompt
         if prompt is None or chosen.version is None:
@@ -197,9 +199,17 @@
         return Chosen(
             view=min(able, key=lambda view: (backlog(view), view.target.name)),
             version=chosen.version,
-            salt=chosen.salt,
         )
 
+    def salted(self, plan: ForwardPlan, chosen: Chosen) -> Chosen:
+        """Return a choice with the salt that the configuration asks for now."""
+        prompt = plan.request.prompt
+        if prompt is None or chosen.version is None:
+            return chosen
+        scope = self.planner.cache_scope(plan)
+        salt = cache_salt(scope, prompt.model, chosen.version)
+        return attrs.evolve(chosen, salt=salt)
+
     def cache_stores(self) -> list[CacheStore]:
         """Return the cache stores that can be reached."""
         found = []
--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -9,7 +9,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from sequoiawind import defaults, messages, tokens
+from sequoiawind import cache_scope, defaults, messages, tokens
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.forward_state import (
@@ -135,10 +135,11 @@
         """
         planned = self.plan(plan.request)
         if planned.is_error():
-            if not self.has_good_key(plan):
+            account = self.known_account(plan)
+            if account is None:
                 return planned
             revision = self.board.state.revision
-            return Ok(attrs.evolve(plan, revision=revision))
+            return Ok(attrs.evolve(plan, revision=revision, account=account))
         new = planned.ok
         kind = plan.kind
         if not new.kind.may_repeat:
@@ -146,14 +147,38 @@
         pool = plan.pool if has_begun else new.pool
         return Ok(attrs.evolve(new, kind=kind, pool=pool))
 
-    def has_good_key(self, plan: ForwardPlan) -> bool:
-        """Whether the key of a request, if it needed one, is still good."""
+    def known_account(self, plan: ForwardPlan) -> ForwardAccount | None:
+        """Return the account of an accepted request, as it is configured now.
+
+        Returns:
+          The account; None if the request needs a key, and its key is no longer
+          good.
+        """
         if not plan.account.name:
-            return True
+            return plan.account
         known = tokens.holder_of(
             plan.request.key, self.board.accounts_by_digest
         )
-        return known is not None and self.trusts_keys
+        if isinstance(known, ForwardAccount) and self.trusts_keys:
+            return known
+        return None
+
+    def cache_scope(self, plan: ForwardPlan) -> str:
+        """Return the scope in which a request may use and cache parts now.
+
+        It follows from the configuration in force and not from the plan, which
+        may be older.
+        """
+        state, name = self.board.state, plan.account.name
+        if not isinstance(state, ForwardState):
+            return cache_scope.key_scope(plan.request.key)
+        if name:
+            return state.cache_scope_of(name)
+        if self.trusts_keys and not (plan.request.key and state.accounts):
+            return state.shared_scope
+        # The key may be that of an isolated account, or the configuration may
+        # not know yet which accounts are.
+        return cache_scope.key_scope(plan.request.key)
 
     def planned(
         self,
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -138,6 +138,7 @@
             replaced=old,
             routes=len(state.routes),
             keys=len(state.accounts),
+            isolated=len(state.isolated_accounts),
             source=self.source,
             config_age_s=age_s,
         )
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from sequoiawind import cache_scope
 from sequoiawind.headers import CallerLimits
 from sequoiawind.state import Account, Kind, Pool, Route, State, Target
 
@@ -43,8 +44,6 @@
 class ForwardAccount(Account):
     """A client account under one of its keys."""
 
-    # Shares no cached prompt with other accounts.
-    is_isolated: bool = False
     # 0 is the most urgent; None to use the priority of the route's kind.
     priority: int | None = None
     # None if its rate is not limited.
@@ -142,6 +141,20 @@
     """The configuration from one version of the operator's file."""
 
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    # Names of the client accounts that share no cached prompts, with keys or
+    # without.
+    isolated_accounts: frozenset[str] = frozenset()
+
+    @cached_property
+    def shared_scope(self) -> str:
+        """Scope of the cached prompts of accounts that are not isolated."""
+        return cache_scope.shared_scope(self.isolated_accounts)
+
+    def cache_scope_of(self, account: str) -> str:
+        """Return the scope of an account's cached prompts."""
+        if account in self.isolated_accounts:
+            return cache_scope.account_scope(account)
+        return self.shared_scope
 
     @cached_property
     def limited_accounts(self) -> frozenset[str]:
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -17,7 +17,7 @@
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_placement import ForwardPlacement
-from sequoiawind.forward_plan import ForwardRequest, Planner
+from sequoiawind.forward_plan import ForwardRequest
 from sequoiawind.forward_ports import AnswerHead, ForwardCaller, ForwardPort
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.origin_registry import OriginRegistry
@@ -44,7 +44,6 @@
 class Forwarder(ForwardPlacement):
     """Starts forwarded requests, and keeps what they share."""
 
-    planner: Planner
     port: ForwardPort
     window: RepeatWindow
     origins: OriginRegistry
--- a/sequoiawind/lab/choice_slope.py
+++ b/sequoiawind/lab/choice_slope.py
@@ -56,7 +56,7 @@
     """Return a chooser for a pool that holds the shared parts."""
     source = random.Random(1)
     index = PartIndex()
-    salt = cache_salt("a", MODEL, 1, False)
+    salt = cache_salt("a", MODEL, 1)
     pool = {
         f"e{number}": TargetView(
             target=ForwardTarget(
@@ -130,6 +130,6 @@
     for _ in range(REPEATS):
         began = time.perf_counter()
         for prompt in placed:
-            choose(prompt, "a", False)
+            choose(prompt, "a")
         times.append(time.perf_counter() - began)
     return min(times) / PROMPTS * 1e6
--- a/sequoiawind/lab/forward_config.py
+++ b/sequoiawind/lab/forward_config.py
@@ -41,6 +41,7 @@
     "move_route",
     "change_kind",
     "add_key",
+    "change_isolation",
 )
 
 
@@ -63,7 +64,8 @@
     states: list[ForwardState] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
-        """Set up the routes and publish the first configuration."""
+        """Publish the first configuration, with one isolated account."""
+        self.world.isolated_s[ISOLATED] = float("-inf")
         self.kept_key = self.rng.choice(sorted(KEYS))
         self.pools = {
             name: pools_of(name)[0]
@@ -79,7 +81,6 @@
             key: ForwardAccount(
                 name=self.accounts[key],
                 token_digest=token_digest(key),
-                is_isolated=self.accounts[key] == ISOLATED,
             )
             for key in sorted(self.valid_keys)
         }
@@ -109,6 +110,7 @@
         state = ForwardState(
             revision=self.revision,
             accounts=accounts,
+            isolated_accounts=frozenset(self.world.isolated_s),
             kinds=dict(self.kinds),
             routes=routes,
             pools={pool.name: pool for pool in (*plain, *engines, kept)},
@@ -130,7 +132,7 @@
     # Changes.
 
     def change(self) -> None:
-        """Change a route, the limits of a kind, or the keys of an account."""
+        """Change a route, a kind, or an account's keys or isolation."""
         change = self.rng.choice(CHANGES)
         self.world.counts[f"config {change}"] += 1
         getattr(self, change)()
@@ -169,6 +171,14 @@
         self.valid_keys.add(key)
         self.publish()
 
+    def change_isolation(self) -> None:
+        """Isolate an account, or end its isolation."""
+        account = self.rng.choice(sorted(set(KEYS.values())))
+        isolated_s = self.world.isolated_s
+        if isolated_s.pop(account, None) is None:
+            isolated_s[account] = self.world.clock.seconds()
+        self.publish()
+
     def revoke_key(self) -> None:
         """Revoke a random key, but not the one that is kept."""
         keys = sorted(self.valid_keys - {self.kept_key})
--- a/sequoiawind/lab/forward_mutants.py
+++ b/sequoiawind/lab/forward_mutants.py
@@ -1,8 +1,16 @@
 """Mutants of the forwarding: one mechanism broken at a time."""
 
+from collections.abc import Collection
 from typing import Any, Final
 
-from sequoiawind import forwarder, prompt_cache, retries, rollout, target_choice
+from sequoiawind import (
+    cache_scope,
+    forwarder,
+    prompt_cache,
+    retries,
+    rollout,
+    target_choice,
+)
 from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_attempt import ForwardAttempt
@@ -19,18 +27,19 @@
 from sequoiawind.verdict import Failure, Reason, may_have_run
 
 
-def salt_without_account(
-    account: str, model: str, version: int, is_isolated: bool
-) -> str:
+def salt_without_scope(scope: str, model: str, version: int) -> str:
     """Share cached parts among all accounts."""
-    return prompt_cache.cache_salt("", model, version, False)
+    return prompt_cache.cache_salt("", model, version)
 
 
-def salt_without_version(
-    account: str, model: str, version: int, is_isolated: bool
-) -> str:
+def salt_without_version(scope: str, model: str, version: int) -> str:
     """Share cached parts among weights versions."""
-    return prompt_cache.cache_salt(account, model, 0, is_isolated)
+    return prompt_cache.cache_salt(scope, model, 0)
+
+
+def scope_without_isolated(isolated: Collection[str]) -> str:
+    """Share parts in one scope, whichever accounts are isolated."""
+    return cache_scope.SHARED
 
 
 def last_verdict_only(self: RequestExecution, failure: Failure) -> Failure:
@@ -107,7 +116,13 @@
             "salts have no account",
             target_choice,
             "cache_salt",
-            salt_without_account,
+            salt_without_scope,
+        ),
+        (
+            "the shared scope does not name the isolated accounts",
+            cache_scope,
+            "shared_scope",
+            scope_without_isolated,
         ),
         (
             "salts have no version",
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -17,7 +17,6 @@
 from sequoiawind.forward_state import ForwardKind, ForwardTarget
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.lab.forward_callers import (
-    ISOLATED,
     KINDS,
     ForwardSoakCaller,
 )
@@ -94,7 +93,6 @@
             clock=self.clock,
             random=self.rng,
             revoke_s=REVOKE_S,
-            isolated=frozenset({ISOLATED}),
         )
         self.processes = Processes(world=self.world, rng=self.rng)
         self.faults = ForwardFaults(soak=self)
--- a/sequoiawind/lab/forward_world.py
+++ b/sequoiawind/lab/forward_world.py
@@ -68,7 +68,8 @@
     clock: VirtualClock
     random: random.Random
     revoke_s: float
-    isolated: frozenset[str]
+    # Since when each isolated account is that, in seconds of the clock.
+    isolated_s: dict[str, float] = attrs.field(factory=dict)
     fault_rates: FaultRates = attrs.field(factory=FaultRates)
     targets: dict[str, "SimulatedTarget"] = attrs.field(factory=dict)
     # Records by topic, and the names of the nodes that the store refuses.
@@ -153,9 +154,12 @@
             "cache-version",
             f"part of version {origin.version} used with version {version}",
         )
-        is_isolated = {origin.account, account} & self.isolated
-        invariants.check(
-            origin.account == account or not is_isolated,
-            "cache-account",
-            f"part of account {origin.account} used for account {account}",
-        )
+        now_s = self.clock.seconds()
+        for name in {origin.account, account}:
+            late_s = now_s - self.isolated_s.get(name, float("inf"))
+            invariants.check(
+                origin.account == account or late_s <= self.revoke_s,
+                "cache-account",
+                f"part of account {origin.account} used for account {account} "
+                f"{late_s:.2f} s after {name} was isolated",
+            )
--- a/sequoiawind/lab/pace_model.py
+++ b/sequoiawind/lab/pace_model.py
@@ -148,9 +148,7 @@
             average_prefill_tokens=average,
             factor=self.factor,
         )
-        return chooser.choose(
-            arrival.prompt, ACCOUNT, False, excluded=arrival.tried
-        )
+        return chooser.choose(arrival.prompt, ACCOUNT, excluded=arrival.tried)
 
     def restart(self) -> None:
         """Lose what was learned; the statuses come again at once."""
@@ -345,7 +343,7 @@
         if is_broken:
             self.at(self.now_s + ERROR_S, lambda: self.failed(arrival))
             return
-        salt = cache_salt(ACCOUNT, MODEL, 1, False)
+        salt = cache_salt(ACCOUNT, MODEL, 1)
         self.caches[name].sent(salt, arrival.prompt.parts)
         engine = self.engines[name]
         engine.queue.append(arrival)
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -144,6 +144,9 @@
             idle_timeout_s=record.limits.idle_timeout_ms * S_PER_MS,
         ),
         accounts=accounts(record.tenants),
+        isolated_accounts=frozenset(
+            tenant.name for tenant in record.tenants if tenant.isolated
+        ),
         kinds={item.name: kind(item) for item in record.routes},
         routes={item.name: route(item) for item in record.routes},
         pools={item.name: pool(item) for item in record.services},
@@ -167,7 +170,6 @@
         f"{tenant.name}/{number}": ForwardAccount(
             name=tenant.name,
             token_digest=tokens.token_digest(key),
-            is_isolated=tenant.isolated,
             priority=tenant.priority,
             limit=limits[tenant.name],
         )
--- a/sequoiawind/prompt_cache.py
+++ b/sequoiawind/prompt_cache.py
@@ -135,13 +135,15 @@
         return self.parts.get((salt, part.id), 0) >= part.tokens
 
 
-def cache_salt(
-    account: str, model: str, version: int, is_isolated: bool
-) -> str:
+def cache_salt(scope: str, model: str, version: int) -> str:
     """Return the salt under which a prompt's parts are cached.
 
-    Accounts that are not isolated share their parts.  Parts are never shared
-    between models or between versions of the weights.
+    Parts are never shared between scopes, between models or between versions
+    of the weights.
+
+    Args:
+      scope: Names the accounts that share parts; see `cache_scope`.
+      model: The prompt's model.
+      version: Version of the model's weights.
     """
-    owner = f"a:{account}" if is_isolated else "shared"
-    return xxh3_64_hexdigest(f"{model}\n{version}\n{owner}".encode())
+    return xxh3_64_hexdigest(f"{model}\n{version}\n{scope}".encode())
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -132,7 +132,10 @@
             self.timer.cancel()
         self.attempt.move = None
         self.forwarding.forwarder.on_move(self)
-        self.forwarding.continue_at(self.destination, self)
+        forwarding = self.forwarding
+        forwarding.continue_at(
+            forwarding.forwarder.salted(forwarding.plan, self.destination), self
+        )
 
     def stop_waiting(self) -> None:
         """Stop waiting; the destination generates the last events again."""
--- a/sequoiawind/target_choice.py
+++ b/sequoiawind/target_choice.py
@@ -204,8 +204,7 @@
     def choose(
         self,
         prompt: Prompt,
-        account: str,
-        is_isolated: bool,
+        scope: str,
         oldest_version: int = 0,
         oldest_queued: int = 0,
         is_long: bool = False,
@@ -217,8 +216,7 @@
         """
         options = self.ranked(
             prompt,
-            account,
-            is_isolated,
+            scope,
             oldest_version,
             oldest_queued,
             is_long,
@@ -229,8 +227,7 @@
     def ranked(
         self,
         prompt: Prompt,
-        account: str,
-        is_isolated: bool,
+        scope: str,
         oldest_version: int = 0,
         oldest_queued: int = 0,
         is_long: bool = False,
@@ -240,8 +237,8 @@
 
         Args:
           prompt: The prompt.
-          account: Name of its client account.
-          is_isolated: Whether the account shares no cached parts.
+          scope: The accounts with which it shares cached parts; see
+            `cache_scope`.
           oldest_version: Oldest weights version that the request may use.
           oldest_queued: The same at targets where requests wait.
           is_long: Whether the answer may be long: targets that wind down to
@@ -264,7 +261,7 @@
 
         def holders_for(view: TargetView) -> Holders:
             version = view.version(prompt.model)
-            salt = cache_salt(account, prompt.model, version, is_isolated)
+            salt = cache_salt(scope, prompt.model, version)
             if salt not in known:
                 known[salt] = self.holders(salt, prompt)
             return known[salt]
--- a/tests/test_forward_ends.py
+++ b/tests/test_forward_ends.py
@@ -61,7 +61,6 @@
             clock=self.clock,
             random=random.Random(1),
             revoke_s=5.0,
-            isolated=frozenset(),
         )
         self.pauses: list[tuple[str, float, float]] = []
         self.ends = Ends(world=self.world, was_paused=self.was_paused)
--- a/tests/test_forward_world.py
+++ b/tests/test_forward_world.py
@@ -66,7 +66,6 @@
         clock=VirtualClock(),
         random=random.Random(1),
         revoke_s=5.0,
-        isolated=frozenset(),
     )
 
 
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -7,6 +7,7 @@
 
 from sequoiawind.call_choice import choose_call
 from sequoiawind.fleet import TargetView
+from sequoiawind.forward_state import ForwardState
 from sequoiawind.home_order import HomeOrder
 from sequoiawind.members import Members
 from sequoiawind.prompt_cache import (
@@ -76,7 +77,7 @@
         oldest: int = 0,
     ) -> str | None:
         chooser = chooser_of(views, held)
-        chosen = chooser.choose(PROMPT, "a", False, oldest)
+        chosen = chooser.choose(PROMPT, "a", oldest)
         return chosen.view.target.name if chosen else None
 
     def test_home_does_not_depend_on_the_order_of_targets(self) -> None:
@@ -122,7 +123,7 @@
     def test_newer_weights_are_preferred(self) -> None:
         views = self.views(1, 2, 1)
         chooser = chooser_of(views, {}, newest_version=2)
-        chosen = chooser.choose(PROMPT, "a", False)
+        chosen = chooser.choose(PROMPT, "a")
         assert chosen is not None
         self.assertEqual("e1", chosen.view.target.name)
 
@@ -133,17 +134,17 @@
 
     def test_fetches_from_the_target_that_holds_the_parts(self) -> None:
         views = self.views(1, 1)
-        salt = cache_salt("a", "m", 1, False)
+        salt = cache_salt("a", "m", 1)
         held = HeldParts(capacity_tokens=10_000)
         held.sent(salt, PROMPT.parts[:2])
         chooser = chooser_of(views, {"e0": held})
-        chosen = chooser.choose(PROMPT, "a", False, excluded=["e0"])
+        chosen = chooser.choose(PROMPT, "a", excluded=["e0"])
         assert chosen is not None
         self.assertEqual("e0:80", chosen.source)
         self.assertTrue(chosen.prefill_tokens < PROMPT.tokens)
 
     def test_fetches_inside_the_failure_domain(self) -> None:
-        salt = cache_salt("a", "m", 1, False)
+        salt = cache_salt("a", "m", 1)
         held = HeldParts(capacity_tokens=10_000)
         held.sent(salt, PROMPT.parts[:2])
         far, near, here = (
@@ -152,9 +153,7 @@
         )
         views = [far, near, here]
         chooser = chooser_of(views, {"e0": held, "e1": held})
-        chosen = chooser.choose(
-            PROMPT, "a", False, excluded=others_of(views, here)
-        )
+        chosen = chooser.choose(PROMPT, "a", excluded=others_of(views, here))
         assert chosen is not None
         self.assertEqual("e1:80", chosen.source)
 
@@ -171,14 +170,14 @@
 
         self.patch(PromptChooser, "option", option)
         views = self.views(*[1] * 300)
-        salt = cache_salt("a", "m", 1, False)
+        salt = cache_salt("a", "m", 1)
         held = HeldParts(capacity_tokens=10_000)
         held.sent(salt, PROMPT.parts[:2])
         names = [view.target.name for view in views[100:200]]
         chooser = chooser_of(
             views, dict.fromkeys(names, held), spare=["e7", "e8"]
         )
-        chosen = chooser.choose(PROMPT, "a", False)
+        chosen = chooser.choose(PROMPT, "a")
         assert chosen is not None
         self.assertTrue(len(compared) <= 10, compared)
         self.assertTrue({"e7", "e8"} < set(compared))
@@ -203,7 +202,7 @@
 
     def test_cache_store_completes_what_the_target_holds(self) -> None:
         # The cache store has evicted the first part, which the target holds.
-        salt = cache_salt("a", "m", 1, False)
+        salt = cache_salt("a", "m", 1)
         local = HeldParts(capacity_tokens=10_000)
         local.sent(salt, PROMPT.parts[:1])
         stored = HeldParts(capacity_tokens=10_000)
@@ -214,14 +213,14 @@
             {"e0": local, "kept": stored},
             cache_stores=[CacheStore(name="kept", address="cache-store:1")],
         )
-        chosen = chooser.choose(PROMPT, "a", False)
+        chosen = chooser.choose(PROMPT, "a")
         assert chosen is not None
         self.assertEqual("cache-store:1", chosen.source)
         # Fetched parts need not be stored at the cache store again.
         self.assertEqual("", chosen.cache_store)
 
     def test_cache_store_gets_the_shared_parts_that_are_prefilled(self) -> None:
-        salt = cache_salt("a", "m", 1, False)
+        salt = cache_salt("a", "m", 1)
         views = self.views(1)
         # How many parts the target holds, and how many the cache store.
         for held_count, stored_count, expected in (
@@ -240,7 +239,7 @@
                 {"e0": local, "kept": stored},
                 cache_stores=[CacheStore(name="kept", address="cache-store:1")],
             )
-            chosen = chooser.choose(PROMPT, "a", False)
+            chosen = chooser.choose(PROMPT, "a")
             assert chosen is not None
             self.assertEqual(
                 expected, chosen.cache_store, (held_count, stored_count)
@@ -264,7 +263,7 @@
             )
             for given in (stores, stores[::-1]):
                 chooser = chooser_of(self.views(1), {}, cache_stores=given)
-                chosen = chooser.choose(prompt, "a", False)
+                chosen = chooser.choose(prompt, "a")
                 assert chosen is not None
                 kept.setdefault(prompt.placement_key, set()).add(
                     chosen.cache_store
@@ -275,7 +274,7 @@
         )
 
     def test_fetches_from_any_cache_store_that_holds_the_parts(self) -> None:
-        salt = cache_salt("a", "m", 1, False)
+        salt = cache_salt("a", "m", 1)
         stored = HeldParts(capacity_tokens=10_000)
         stored.sent(salt, PROMPT.parts[:2])
         stores = [
@@ -285,17 +284,21 @@
             chooser = chooser_of(
                 self.views(1), {name: stored}, cache_stores=stores
             )
-            chosen = chooser.choose(PROMPT, "a", False)
+            chosen = chooser.choose(PROMPT, "a")
             assert chosen is not None
             self.assertEqual(f"{name}:1", chosen.source)
 
     def test_salts_are_shared_only_among_accounts_not_isolated(self) -> None:
+        states = [
+            ForwardState(isolated_accounts=frozenset(names))
+            for names in ((), ("a", "b"))
+        ]
         salts = {
-            cache_salt(account, model, version, isolated)
+            cache_salt(state.cache_scope_of(account), model, version)
             for account in ("a", "b")
             for model in ("m", "n")
             for version in (1, 2)
-            for isolated in (False, True)
+            for state in states
         }
         # 4 salts shared by accounts that are not isolated, and 8 of isolated
         # accounts.
--- a/tests/test_target_pace.py
+++ b/tests/test_target_pace.py
@@ -176,7 +176,7 @@
         paces = TargetPaces()
         learn(paces, {})
         rng = random.Random(5)
-        salt = cache_salt("a", "m", 1, False)
+        salt = cache_salt("a", "m", 1)
         for _ in range(500):
             views = [self.view(rng, name) for name in NAMES]
             held = HeldParts(capacity_tokens=10_000)
@@ -192,8 +192,8 @@
                 **fields,
                 factor=lambda view: paces.factor(POOL, view.target.name, 30.0),
             )
-            expected = plain.choose(PROMPT, "a", False)
-            self.assertEqual(expected, paced.choose(PROMPT, "a", False))
+            expected = plain.choose(PROMPT, "a")
+            self.assertEqual(expected, paced.choose(PROMPT, "a"))
             assert expected is not None
             homes = plain.homes.order(PROMPT.placement_key)[:2]
             self.assertEqual(
@@ -276,7 +276,7 @@
             TargetView(target=target(name, POOL, versions={"m": 1}))
             for name in NAMES
         ]
-        home = chooser_of(views, {}).choose(PROMPT, "a", False)
+        home = chooser_of(views, {}).choose(PROMPT, "a")
         assert home is not None
         paced = chooser_of(
             views,
@@ -284,7 +284,7 @@
             average_prefill_tokens=20_000.0,
             factor=lambda view: 4.0 if view is home.view else 1.0,
         )
-        chosen = paced.choose(PROMPT, "a", False)
+        chosen = paced.choose(PROMPT, "a")
         assert chosen is not None
         self.assertNotEqual(home.view, chosen.view)
 
