Hold callers to the limits in force, also on kept connections

Cause: h11 takes its limit when its parser is made, and a connection has one parser for all requests. The class is a limit that is read when something begins and held against what comes later; the same on related paths, each found by reading and shown by a test: - time for a head, and time for which a connection may be idle: read when the timer starts, so a raised one closed connections that callers may still use; - the limit on bodies was read for each piece, so a lowered one refused a body that had begun under the older one; memory was counted up to the older one; - h11 held only heads that arrive in pieces to the limit: one that came in one piece passed, whatever its size; - a router whose configuration may be out of date answered 431 and 413 for good, where it answers an unknown route with 503.

Change: `LimitsInForce` has the least strict limits of the configurations that may be in force: the newest one, and each that it replaced within the time in which it must be in force everywhere. A request is held to those since its first byte (`RequestLimits`); `CallerParser` applies the limit on heads itself, to each head however it arrives. Timers look at the limit again when they end, and idle connections when limits have ended, so lowered limits bound too. Refusals by limits are `config_stale` with Retry-After while the configuration may be out of date. Refusals by the limit on heads are counted as `head_too_large`, a new value of the refusal counter's reason; before it was `bad_request` (`test_head_too_long` asks for the new one).

Not affected: the product's own interface, agents and metrics pages, whose limits are constants.

--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -31,6 +31,9 @@
 MAX_ATTEMPTS: Final = 8
 MAX_REORDERED_CHUNKS: Final = 64
 MIN_RETRY_AFTER_S: Final = 1.0
+# The same for a missing or stale configuration, in seconds: the usual time
+# between two confirmations by the store.
+CONFIG_RETRY_AFTER_S: Final = 0.5
 MAX_RETRY_AFTER_S: Final = 60.0
 START_TIMEOUT_S: Final = 2.0
 CHUNK_TIMEOUT_S: Final = 10.0
--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -24,9 +24,6 @@
 from sequoiawind.prompt_cache import Prompt
 from sequoiawind.verdict import Failure, Reason, not_run
 
-# Retry-after of a refusal for a missing or stale configuration, in seconds:
-# the usual time between two confirmations by the store.
-CONFIG_RETRY_AFTER_S: Final = 0.5
 ANONYMOUS: Final = ForwardAccount(name="")
 
 
@@ -108,7 +105,7 @@
                 not_run(
                     Reason.NO_CONFIGURATION,
                     messages.NO_CONFIGURATION,
-                    CONFIG_RETRY_AFTER_S,
+                    defaults.CONFIG_RETRY_AFTER_S,
                 )
             )
         route = state.match(request.host, request.path)
@@ -261,7 +258,9 @@
 def stale_configuration() -> Failure:
     """Return the refusal of a request because the configuration is too old."""
     return not_run(
-        Reason.CONFIG_STALE, messages.CONFIG_STALE, CONFIG_RETRY_AFTER_S
+        Reason.CONFIG_STALE,
+        messages.CONFIG_STALE,
+        defaults.CONFIG_RETRY_AFTER_S,
     )
 
 
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -9,6 +9,8 @@
 from sequoiawind import event_loop
 from sequoiawind.allowed_weights import AllowedWeights
 from sequoiawind.cache_watcher import CacheWatcher
+from sequoiawind.caller_limits import LimitsInForce
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.descriptor_limit import DescriptorLimit
 from sequoiawind.feed_client import FeedClient
@@ -21,9 +23,8 @@
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness, suspended_clock_s
-from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_client import Http1Client
-from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
+from sequoiawind.http1_server import CallerConnection, HttpRequest
 from sequoiawind.load.controller import make_controller
 from sequoiawind.load_metrics import LoadCollector
 from sequoiawind.memory_budget import MemoryBudget
@@ -94,6 +95,7 @@
     notes: RouterNotes = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     watcher: StatusWatcher = attrs.field(init=False)
+    limits: LimitsInForce = attrs.field(init=False)
     site: CallerSite = attrs.field(init=False)
     feed: FeedClient = attrs.field(init=False)
     feed_reader: FeedReader = attrs.field(init=False)
@@ -131,11 +133,17 @@
             LoadCollector(load=load, now=event_loop.reactor.seconds)
         )
         self.watcher = self.make_watcher()
+        self.limits = LimitsInForce(
+            clock=event_loop.reactor,
+            in_force_s=lambda: self.freshness.in_force_s,
+            on_end=lambda: self.site.limits_changed(),
+        )
         self.site = CallerSite(
             clock=event_loop.reactor,
             on_request=self.take_request,
-            limits=self.limits,
+            limits=self.limits.current,
             on_refusal=self.notes.count_refusal,
+            may_deny=lambda: self.freshness.may_deny,
             closer=self.closer,
             on_stalled=self.notes.note_stalled,
             budget=self.budget,
@@ -245,13 +253,6 @@
             on_change=self.forwarder.status_changed,
         )
 
-    def limits(self) -> CallerLimits:
-        """Return the limits on callers' requests."""
-        state = self.board.state
-        if isinstance(state, ForwardState):
-            return state.limits
-        return CallerLimits()
-
     # Requests.
 
     def take_request(
@@ -289,6 +290,7 @@
         """Adapt to a configuration; become ready if it is the first."""
         state = self.board.state
         if isinstance(state, ForwardState):
+            self.limits.put(state.limits)
             self.forwarder.load.configured(state)
         self.check_prepared()
 
@@ -312,7 +314,7 @@
         ready = CallerSite(
             clock=event_loop.reactor,
             on_request=self.answer_ready,
-            limits=self.limits,
+            limits=self.limits.current,
             on_refusal=self.notes.count_refusal,
             closer=self.closer,
             budget=self.budget,
--- a/sequoiawind/headers.py
+++ b/sequoiawind/headers.py
@@ -25,6 +25,17 @@
     header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
     idle_timeout_s: float = defaults.IDLE_TIMEOUT_S
 
+    def relaxed(self, other: "CallerLimits") -> "CallerLimits":
+        """Return the least strict of these and of other limits, each."""
+        if self == other:
+            return self
+        return CallerLimits(
+            header_bytes=max(self.header_bytes, other.header_bytes),
+            body_bytes=max(self.body_bytes, other.body_bytes),
+            header_timeout_s=max(self.header_timeout_s, other.header_timeout_s),
+            idle_timeout_s=max(self.idle_timeout_s, other.idle_timeout_s),
+        )
+
 
 class Framing(enum.Enum):
     """What marks the end of an answer's body."""
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -7,27 +7,36 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import h11
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 
-from sequoiawind import defaults, sockets
+from sequoiawind import defaults, memory_budget, sockets
+from sequoiawind.caller_limits import RequestLimits
 from sequoiawind.caller_output import (
     AnswerFlow,
     CallerOutput,
-    StalledCaller,
-    ignore_stalled,
 )
-from sequoiawind.descriptor_limit import DescriptorLimit
-from sequoiawind.headers import CallerLimits, Headers
-from sequoiawind.memory_budget import RETRY_AFTER_S, MemoryBudget
-from sequoiawind.ports import Clock, Timer
-from sequoiawind.staged_close import StagedCloser
+from sequoiawind.caller_parser import CallerParser, HeadTooLarge
+from sequoiawind.headers import Headers
+from sequoiawind.ports import Timer
 from sequoiawind.verdict import DEFAULT_HTTP_STATUS, HTTP_STATUS, Reason
 
+if TYPE_CHECKING:
+    from sequoiawind.caller_site import CallerSite
+
+# Reasons that depend on the limits in the configuration.
+CONFIGURED_LIMITS: Final = frozenset(
+    {Reason.HEAD_TOO_LARGE, Reason.BODY_TOO_LARGE}
+)
+# Retry-After of refusals of requests that were not read to their end.
+RETRY_AFTER_S: Final = {
+    Reason.MEMORY_LIMIT: memory_budget.RETRY_AFTER_S,
+    Reason.CONFIG_STALE: defaults.CONFIG_RETRY_AFTER_S,
+}
 # Pipelined bytes that a caller may send during an answer before the server
 # stops reading.
 MAX_PIPELINED_BYTES: Final = 65_536
@@ -64,11 +73,12 @@
     def __init__(self, site: "CallerSite") -> None:
         """Set up the parser."""
         self.site = site
-        self.http = self.new_parser()
+        self.limits = RequestLimits(in_force=site.limits)
+        self.http = CallerParser(lambda: self.limits.current().header_bytes)
         self.head: h11.Request | None = None
         self.body = bytearray()
-        # Whether the memory for the whole body is counted already.
-        self.is_reserved = False
+        # Bytes of the body for which memory is counted.
+        self.reserved_bytes = 0
         # Arrival of the first byte of the request being read, in seconds of the
         # clock; None if no request is being read.
         self.arrived_s: float | None = None
@@ -87,13 +97,6 @@
         # Called once if the caller disconnects before its answer is complete.
         self.on_disconnect: Callable[[], None] | None = None
 
-    def new_parser(self) -> h11.Connection:
-        """Return a parser with the limits in force."""
-        limits = self.site.limits()
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
-
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and wait for a request."""
         sockets.configure_caller(self.transport)
@@ -154,6 +157,8 @@
         """Handle the parser's events; refuse malformed requests."""
         try:
             self.read_events()
+        except HeadTooLarge:
+            self.refuse(Reason.HEAD_TOO_LARGE)
         except h11.RemoteProtocolError as error:
             self.refuse_malformed(error.error_status_hint)
 
@@ -168,7 +173,17 @@
         if self.arrived_s is not None:
             return
         self.arrived_s = self.site.clock.seconds()
-        self.set_timer(self.site.limits().header_timeout_s, self.timed_out)
+        self.limits.begin()
+        self.http.begin_request()
+        self.await_head()
+
+    def await_head(self) -> None:
+        """Refuse a head that takes too long, by the limit on it now."""
+        if self.arrived_s is not None:
+            limit_s = self.limits.current().header_timeout_s
+            self.at_limit(
+                self.arrived_s + limit_s, self.await_head, self.timed_out
+            )
 
     def read_events(self) -> None:
         """Handle the parser's events up to the end of a request."""
@@ -211,24 +226,33 @@
         Returns:
           Whether there is enough; if not, the request has been refused.
         """
-        self.is_reserved = False
+        self.reserved_bytes = 0
         for name, value in head.headers:
             if name == b"content-length":
-                self.is_reserved = True
-                length = min(int(value), self.site.limits().body_bytes)
-                if not self.output.reserve(length):
-                    self.refuse(Reason.MEMORY_LIMIT)
-                    return False
+                limit = self.limits.current().body_bytes
+                return self.reserve_up_to(min(int(value), limit))
+        return True
+
+    def reserve_up_to(self, size: int) -> bool:
+        """Reserve memory for a body of a size.
+
+        Returns:
+          Whether there is enough; if not, the request has been refused.
+        """
+        if size <= self.reserved_bytes:
+            return True
+        if not self.output.reserve(size - self.reserved_bytes):
+            self.refuse(Reason.MEMORY_LIMIT)
+            return False
+        self.reserved_bytes = size
         return True
 
     def handle_body(self, data: bytes) -> None:
         """Append a part of the body; refuse a body over the limit."""
-        if not self.is_reserved and not self.output.reserve(len(data)):
-            self.refuse(Reason.MEMORY_LIMIT)
-            return
-        self.body += data
-        if len(self.body) > self.site.limits().body_bytes:
+        if len(self.body) + len(data) > self.limits.current().body_bytes:
             self.refuse(Reason.BODY_TOO_LARGE)
+        elif self.reserve_up_to(len(self.body) + len(data)):
+            self.body += data
 
     def dispatch_request(self) -> None:
         """Pass a complete request to the site's handler."""
@@ -334,9 +358,32 @@
     # Time-outs and refusals.
 
     def wait_idle(self) -> None:
-        """Start the timer that closes an idle connection."""
+        """Start the time for which the connection may stay idle."""
         self.idle_since_s = self.site.clock.seconds()
-        self.set_timer(self.site.limits().idle_timeout_s, self.close)
+        self.await_request()
+
+    def await_request(self) -> None:
+        """Close a connection that is idle too long, by the limit now."""
+        limit_s = self.site.limits().idle_timeout_s
+        self.at_limit(
+            self.idle_since_s + limit_s, self.await_request, self.close
+        )
+
+    def at_limit(
+        self, due_s: float, again: Callable[[], None], act: Callable[[], None]
+    ) -> None:
+        """Act at a time; ask for it again then, as it may have changed.
+
+        Args:
+          due_s: The time, in seconds of the clock.
+          again: Called at the time.
+          act: Called instead if that time has come.
+        """
+        left_s = due_s - self.site.clock.seconds()
+        if left_s > 0.0:
+            self.set_timer(left_s, again)
+        else:
+            act()
 
     def set_timer(self, delay_s: float, act: Callable[[], None]) -> None:
         """Start the connection's only timer, in place of a running one."""
@@ -354,11 +401,18 @@
         self.refuse(Reason.BODY_TIMEOUT)
 
     def refuse(self, reason: Reason) -> None:
-        """Refuse a request that was not read to its end, and close."""
+        """Refuse a request that was not read to its end, and close.
+
+        If the configuration may be out of date, a limit may have been raised
+        since, so the refusal says that the configuration is stale.
+        """
+        if reason in CONFIGURED_LIMITS and not self.site.may_deny():
+            reason = Reason.CONFIG_STALE
         self.site.on_refusal(reason)
         headers: Headers = []
-        if reason is Reason.MEMORY_LIMIT:
-            headers.append((b"retry-after", b"%.3f" % RETRY_AFTER_S))
+        retry_after_s = RETRY_AFTER_S.get(reason)
+        if retry_after_s is not None:
+            headers.append((b"retry-after", b"%.3f" % retry_after_s))
         status = HTTP_STATUS.get(reason, DEFAULT_HTTP_STATUS)
         self.refuse_status(status, headers)
 
@@ -435,58 +489,3 @@
     def may_be_closed(self) -> bool:
         """Whether it is idle, and its close has not begun."""
         return self.is_idle and not self.is_lost
-
-
-class CallerSite(Factory):
-    """Accepts callers and passes their requests to one handler."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        on_request: Callable[[HttpRequest, CallerConnection], None],
-        limits: Callable[[], CallerLimits],
-        on_refusal: Callable[[Reason], None],
-        closer: StagedCloser | None = None,
-        on_stalled: Callable[[StalledCaller], None] = ignore_stalled,
-        budget: MemoryBudget | None = None,
-        descriptors: DescriptorLimit | None = None,
-    ) -> None:
-        """Store the clock, the handler, the limits and the callbacks.
-
-        `on_stalled` is called for each caller that is ended because it takes
-        nothing of what is held for it.  The site makes a closer and
-        a budget of its own if there is none to share.  It accepts any number
-        of connections if there is no limit of descriptors.
-        """
-        self.clock = clock
-        self.on_request = on_request
-        self.limits = limits
-        self.on_refusal = on_refusal
-        self.on_stalled = on_stalled
-        self.descriptors = descriptors
-        self.budget = budget or MemoryBudget()
-        self.closer = closer or StagedCloser(clock=clock)
-        self.connections: set[CallerConnection] = set()
-        # Whether each connection closes after its current answer.
-        self.is_closing = False
-
-    def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
-        """Return the protocol for a new connection."""
-        return CallerConnection(self)
-
-    def close_longest_idle(self) -> bool:
-        """Close the longest idle connection; return whether there was one."""
-        idle = [item for item in self.connections if item.may_be_closed]
-        if not idle:
-            return False
-        min(idle, key=lambda item: item.idle_since_s).close()
-        return True
-
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
-        for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
--- a/sequoiawind/pages.py
+++ b/sequoiawind/pages.py
@@ -14,8 +14,9 @@
 from twisted.internet.defer import Deferred
 
 from sequoiawind import event_loop, metrics
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.headers import CallerLimits
-from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
+from sequoiawind.http1_server import CallerConnection, HttpRequest
 from sequoiawind.options import Address
 from sequoiawind.staged_close import StagedCloser
 from sequoiawind.verdict import Reason
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -27,6 +27,7 @@
 
     # Faults of the caller's request.
     BAD_REQUEST = "bad_request"
+    HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     BODY_TIMEOUT = "body_timeout"
     UNAUTHENTICATED = "unauthenticated"
@@ -81,6 +82,7 @@
 # HTTP status returned for each reason; `DEFAULT_HTTP_STATUS` where absent.
 HTTP_STATUS: Final[dict[Reason, int]] = {
     Reason.BAD_REQUEST: 400,
+    Reason.HEAD_TOO_LARGE: 431,
     Reason.BODY_TOO_LARGE: 413,
     Reason.BODY_TIMEOUT: 408,
     Reason.UNAUTHENTICATED: 401,
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -6,6 +6,7 @@
 import http.client
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -206,6 +207,45 @@
         self.wait_until(lambda: bool(self.engine.orders))
         self.assertEqual(401, self.submit("/read/x")[0])
 
+    def test_limit_on_heads_is_raised_for_kept_connections(self) -> None:
+        # Guards against heads within the limit in force being refused by the
+        # one at the connection's beginning.
+        limits = {"max_header_bytes": 2_000}
+        self.store.put(
+            "keyed.op", "config", {**configuration(5), "limits": limits}
+        )
+        large = {"X-Trace": "t" * 3_000}
+        self.wait_until(lambda: self.ask_on(self.connect(), **large) == 431)
+        kept = self.connect()
+        self.assertEqual(200, self.ask_on(kept))
+        self.store.put("keyed.op", "config", configuration(7))
+        self.wait_until(lambda: self.ask_on(self.connect(), **large) == 200)
+        self.assertEqual(200, self.ask_on(kept, **large))
+
+    def connect(self) -> socket.socket:
+        """Return a caller's connection."""
+        kept = socket.create_connection(("127.0.0.1", self.callers))
+        self.addCleanup(kept.close)
+        kept.settimeout(WAIT_TIMEOUT_S)
+        return kept
+
+    def ask_on(self, kept: socket.socket, **headers: str) -> int:
+        """Send a request in pieces; return the status of its answer."""
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        text = "\r\n".join(
+            ["GET /open/x HTTP/1.1", "Host: h.example", *lines, "", ""]
+        )
+        for start in range(0, len(text), 1_000):
+            kept.sendall(text[start : start + 1_000].encode())
+            time.sleep(0.02)
+        answer = b""
+        while not answer.endswith((b"done", b"close\r\n\r\n")):
+            part = kept.recv(65_536)
+            if not part:
+                break
+            answer += part
+        return int(answer[9:12])
+
     def test_only_public_routes_work_without_the_store(self) -> None:
         self.store.is_unavailable = True
         with self.store.changed:
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -3,8 +3,9 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.headers import CallerLimits
-from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
+from sequoiawind.http1_server import CallerConnection, HttpRequest
 from sequoiawind.verdict import Reason
 from tests.stand_ins import FakeTransport
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -6,6 +6,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.crash_evidence import Suspect
 from sequoiawind.forward_ports import AnswerHead, ForwardSink, SendOrder
 from sequoiawind.forward_state import (
@@ -14,7 +15,6 @@
     ForwardRoute,
 )
 from sequoiawind.headers import CallerLimits, Framing
-from sequoiawind.http1_server import CallerSite
 from sequoiawind.platform import callers
 from sequoiawind.staged_close import StagedCloser
 from sequoiawind.stream_move import move_away
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -9,8 +9,8 @@
 from twisted.internet.task import Clock
 
 from sequoiawind import defaults, sockets
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.headers import CallerLimits
-from sequoiawind.http1_server import CallerSite
 from sequoiawind.memory_budget import DEFAULT_BUDGET_BYTES, MemoryBudget
 from tests import live
 from tests.slow_peers import GET, Relay, start_flood, wait_until
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,8 +8,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.headers import CallerLimits
-from sequoiawind.http1_server import CallerSite, HttpRequest
+from sequoiawind.http1_server import HttpRequest
 from sequoiawind.pages import METRICS_PATH, Page, Pages, metrics_page
 from sequoiawind.verdict import Reason
 from tests.stand_ins import FakeTransport
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -10,8 +10,9 @@
 from twisted.web import server
 
 from sequoiawind import defaults, event_loop, http_server
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.headers import CallerLimits
-from sequoiawind.http1_server import CallerConnection, CallerSite, HttpRequest
+from sequoiawind.http1_server import CallerConnection, HttpRequest
 from sequoiawind.options import Address, ClosingOptions
 from sequoiawind.staged_close import Bound, StagedCloser
 from sequoiawind.verdict import Reason
@@ -112,7 +113,7 @@
         self.check_refused(b"413", Reason.BODY_TOO_LARGE, head, PART)
 
     def test_head_too_long(self) -> None:
-        self.check_refused(b"431", Reason.BAD_REQUEST, HEAD + b"A: ", PART)
+        self.check_refused(b"431", Reason.HEAD_TOO_LARGE, HEAD + b"A: ", PART)
 
     def test_malformed_request(self) -> None:
         head = b"\x00 malformed\r\n\r\n"
--- a/tests/test_staged_close.py
+++ b/tests/test_staged_close.py
@@ -3,8 +3,8 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
+from sequoiawind.caller_site import CallerSite
 from sequoiawind.headers import CallerLimits
-from sequoiawind.http1_server import CallerSite
 from sequoiawind.options import ClosingOptions
 from sequoiawind.staged_close import Bound, StagedCloser
 from tests.stand_ins import FakeTransport
