Read pipelined requests that follow an answer given at once

Callers: of requests sent at once on one connection, where the first was answered before `dispatch_request` returned (404, 401, a refusal by load), the second got 408 three seconds later and those after it no answer.

Cause: `read_events` went on in its loop, as the connection was not answering any more, and read the next request without `begin_head`; without an arrival it was not dispatched. It would also have been held to the limits of the request before it. Found while the limit on heads was applied to each request.

Change: the loop ends with a request; `parse_pipelined` reads the next one, as after answers that come later.

--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -195,6 +195,8 @@
                 self.handle_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.dispatch_request()
+                # Its answer may be complete: `parse_pipelined` reads on.
+                return
             else:
                 return
 
--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -4,6 +4,7 @@
 and against limits that a connection or a request escapes.
 """
 
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -248,3 +249,23 @@
             # Nothing that a configuration changes makes these valid.
             self.assertEqual(400, self.connect().status(b"hello\r\n\r\n"))
             self.refused.clear()
+
+    def test_pipelined_heads_have_a_limit_each(self) -> None:
+        self.put(LOW)
+        for sizes, expected in (
+            ((400, 400, 400), (200, 200, 200)),
+            ((400, 600), (200, 431)),
+        ):
+            caller = self.connect()
+            found = self.statuses(caller, [head(size) for size in sizes])
+            self.assertEqual(expected, found)
+
+    def statuses(
+        self, caller: Connected, requests: Sequence[bytes]
+    ) -> tuple[int, ...]:
+        """Send requests at once; return the statuses of the answers."""
+        caller.status(b"".join(requests))
+        for _ in requests:
+            self.clock.advance(0.0)
+        parts = caller.transport.value().split(b"HTTP/1.1 ")[1:]
+        return tuple(int(part[:3]) for part in parts)
