Answer requests that come late in a planned stop, or last beyond it

Callers: of requests that reach a router after it has stopped taking connections (half sent at SIGTERM, or pipelined), those that cannot end before SIGKILL were passed on to targets and cut without an answer, once-only ones among them; so were all that were open at SIGKILL. Reported by operators of a similar system; here shown by a test with processes: a stream that was half sent at SIGTERM and completed in the middle of the grace was begun (200), where 503 is due.

Cause: nothing ended a shutdown but idleness. The time that the platform grants was known (`grace_s`) and used only to share it out between leaving and closing. A second cause: a connection closed after its answer, though a pipelined request behind it had been read already.

Change: `ForwardShutdown` owns the shutdown. From the moment when no more connections are accepted, a request is taken only if its own time ends before all must have ended; others are refused as not run (`shutting_down`, 503, Retry-After 0.05 s, as other routers serve on). Half a second before SIGKILL each open request gets its final answer: 503 if no target has got it, 502 if it may have run, a break that shows if it was begun, 503 if it is half read. A request that has been read behind an answer is answered before the close. The times are counted on a clock that counts suspensions, so a router that freezes in its grace ends in time; the time from the signal's sending to its arrival at a frozen process is not known to it.

Ruled out: refusing all requests from SIGTERM on (the balancer still sends for two seconds); refusing long ones while leaving (their routes allow up to 12 s, nearly all end in one; what is open at the end now gets an answer).

--- a/sequoiawind/caller_site.py
+++ b/sequoiawind/caller_site.py
@@ -72,6 +72,12 @@
             if connection.may_be_closed:
                 connection.await_request()
 
+    def refuse_unread(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+        for connection in list(self.connections):
+            if connection.arrived_s is not None:
+                connection.refuse(Reason.SHUTTING_DOWN)
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sequoiawind import event_loop
+from sequoiawind.freshness import suspended_clock_s
 from sequoiawind.lifecycle import Phase, make_lifecycle
 
 IDLE_CHECK_S: Final = 0.05
@@ -27,6 +28,16 @@
     on_reload: Callable[[], None] = attrs.field(default=lambda: None)
     # Time between the signal and draining, in seconds.
     balancer_wait_s: float = 0.0
+    # Returns the time between the signal and the end of all work, in seconds.
+    work_s: Callable[[], float] = attrs.field(default=lambda: float("inf"))
+    # Called once that time has passed, if work is in flight then.
+    on_ending: Callable[[], None] = attrs.field(default=lambda: None)
+    # Clock of these times, in seconds.  It counts suspended time, as the time
+    # after which the process is killed does.
+    age_clock: Callable[[], float] = suspended_clock_s
+    # When the signal arrived, by that clock.
+    left_at_s: float = 0.0
+    has_ended_work: bool = False
     lifecycle: Any = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -65,9 +76,30 @@
         """Start the shutdown: report not ready, later drain and stop."""
         if self.phase.name in ("leaving", "draining", "stopped"):
             return
+        self.left_at_s = self.age_clock()
         self.lifecycle.shut_down()
         self.on_leaving()
-        event_loop.reactor.callLater(self.balancer_wait_s, self.drain)
+        self.drain_when_due()
+
+    @property
+    def leaving_s(self) -> float:
+        """Time since the signal, in seconds."""
+        return self.age_clock() - self.left_at_s
+
+    @property
+    def left_s(self) -> float:
+        """Time left until all work must have ended, in seconds."""
+        return self.work_s() - self.leaving_s
+
+    def drain_when_due(self) -> None:
+        """Drain as soon as the balancer has noticed."""
+        left_s = self.balancer_wait_s - self.leaving_s
+        if left_s > 0.0:
+            # The clock of the timer does not count suspended time.
+            delay_s = min(left_s, IDLE_CHECK_S)
+            event_loop.reactor.callLater(delay_s, self.drain_when_due)
+        else:
+            event_loop.reactor.callLater(0, self.drain)
 
     def drain(self) -> None:
         """Stop accepting work, and stop the daemon when it is idle."""
@@ -76,11 +108,14 @@
         self.stop_when_idle()
 
     def stop_when_idle(self) -> None:
-        """Stop the daemon as soon as no work is in flight."""
+        """Stop the daemon as soon as no work is in flight; end it in time."""
         if self.is_idle():
             # The last answers must still be written to their sockets.
             event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_if_idle)
             return
+        if not self.has_ended_work and self.left_s <= 0.0:
+            self.has_ended_work = True
+            self.on_ending()
         event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_when_idle)
 
     def stop_if_idle(self) -> None:
--- a/sequoiawind/defaults.py
+++ b/sequoiawind/defaults.py
@@ -34,6 +34,8 @@
 # The same for a missing or stale configuration, in seconds: the usual time
 # between two confirmations by the store.
 CONFIG_RETRY_AFTER_S: Final = 0.5
+# The same from a process that is shutting down, in seconds: others serve on.
+ELSEWHERE_RETRY_AFTER_S: Final = 0.05
 MAX_RETRY_AFTER_S: Final = 60.0
 START_TIMEOUT_S: Final = 2.0
 CHUNK_TIMEOUT_S: Final = 10.0
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -23,12 +23,15 @@
     """Run a router until it has stopped."""
     logs.configure(options.logs)
     program = ForwardRouterProgram(options=options)
+    shutdown = program.shutdown
     daemon = Daemon(
         phase=program.board.phase,
-        is_idle=program.is_idle,
-        on_leaving=program.leave,
-        on_draining=program.drain,
-        balancer_wait_s=program.leave_s,
+        is_idle=shutdown.is_idle,
+        on_leaving=shutdown.leave,
+        on_draining=lambda: shutdown.drain(daemon.left_s),
+        balancer_wait_s=shutdown.leave_s,
+        work_s=lambda: shutdown.work_s,
+        on_ending=shutdown.end_requests,
     )
     follower = program.settings_follower(file)
     daemon.on_reload = follower.reload
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -1,7 +1,7 @@
 """The components of a forwarding router, and how they are connected."""
 
 from collections.abc import Callable, Mapping
-from typing import Any, Final
+from typing import Final
 
 import attrs
 from twisted.internet.defer import Deferred
@@ -20,6 +20,7 @@
 from sequoiawind.forward_plan import Planner
 from sequoiawind.forward_program import ForwardProgram
 from sequoiawind.forward_readers import OperatorReader, TargetReader
+from sequoiawind.forward_shutdown import ForwardShutdown
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.freshness import Freshness, suspended_clock_s
@@ -76,13 +77,6 @@
 # Time allowed for an agent's answer, in seconds, beyond the time for which the
 # agent may wait for a change.
 STATUS_ANSWER_S: Final = 0.5
-# Time after SIGTERM, in seconds, in which callers may still begin requests on
-# their connections; the balancer stops using the router within two of its
-# readiness checks.
-LEAVE_S: Final = 3.0
-# The same as a share of the time between SIGTERM and SIGKILL, where that is
-# short; the rest is left for answers in progress.
-LEAVE_SHARE: Final = 0.4
 
 
 @attrs.define(kw_only=True)
@@ -102,8 +96,7 @@
     holder: WeightsHolder = attrs.field(init=False)
     # When the controllers were started, in seconds of the clock.
     started_s: float = 0.0
-    # The listening ports; empty before `listen`.
-    ports: list[Any] = attrs.field(factory=list)
+    shutdown: ForwardShutdown = attrs.field(init=False)
     # Called once a request can be served; None afterwards.
     on_prepared: Callable[[], None] | None = None
 
@@ -149,6 +142,13 @@
             budget=self.budget,
             descriptors=DescriptorLimit.of(self.options.limits.max_fds),
         )
+        self.shutdown = ForwardShutdown(
+            grace_s=lambda: self.options.bounds.grace_s,
+            forwarder=self.forwarder,
+            site=self.site,
+            closer=self.closer,
+            log=self.log,
+        )
         self.metrics.set_gauge_functions(
             age_s=lambda: self.freshness.age_s,
             revision=lambda: self.board.state.revision,
@@ -320,7 +320,7 @@
             budget=self.budget,
         )
         for address, site in ((entry.callers, self.site), (entry.ready, ready)):
-            self.ports.append(
+            self.shutdown.ports.append(
                 event_loop.reactor.listenTCP(
                     address.port, site, event_loop.LISTEN_BACKLOG, address.host
                 )
@@ -470,26 +470,3 @@
         window.ratio = bounds.repeat_ratio
         window.allowance = bounds.repeat_allowance
         window.window_s = bounds.repeat_window_s
-
-    # Shutdown.
-
-    @property
-    def leave_s(self) -> float:
-        """For how long requests are accepted after SIGTERM, in seconds."""
-        return min(LEAVE_S, LEAVE_SHARE * self.options.bounds.grace_s)
-
-    def leave(self) -> None:
-        """Close each caller's connection after its next answer."""
-        self.site.is_closing = True
-
-    def drain(self) -> None:
-        """Accept no more connections and close the idle ones."""
-        for port in self.ports:
-            port.stopListening()
-        self.site.close_idle()
-
-    def is_idle(self) -> bool:
-        """Whether no request is in progress, and no close after one."""
-        if self.forwarder.open_requests or not self.closer.is_idle:
-            return False
-        return all(item.is_idle for item in self.site.connections)
--- /dev/null
+++ b/sequoiawind/forward_shutdown.py
@@ -0,0 +1,87 @@
+"""The shutdown of a forwarding router, from SIGTERM to its end.
+
+For a while after SIGTERM the router serves on, until the balancer has turned
+away.  Then it accepts no more connections.  Requests that arrive later, on
+connections on which one was being read or answered, are taken only if they end
+in time.  Before SIGKILL all that have not ended get their final answer.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import structlog
+
+from sequoiawind import event_loop
+from sequoiawind.caller_site import CallerSite
+from sequoiawind.forwarder import Forwarder
+from sequoiawind.staged_close import StagedCloser
+
+Logger = structlog.typing.FilteringBoundLogger
+
+# Time after SIGTERM, in seconds, in which callers may still begin requests on
+# their connections; the balancer stops using the router within two of its
+# readiness checks.
+LEAVE_S: Final = 3.0
+# The same as a share of the time between SIGTERM and SIGKILL, where that is
+# short; the rest is left for answers in progress.
+LEAVE_SHARE: Final = 0.4
+# Time before SIGKILL at which requests that have not ended get their final
+# answers, in seconds, and at most as a share of the time between the signals.
+END_MARGIN_S: Final = 0.5
+END_MARGIN_SHARE: Final = 0.1
+
+
+@attrs.define(kw_only=True)
+class ForwardShutdown:
+    """Ends the work of one router."""
+
+    # Returns the time between SIGTERM and SIGKILL, in seconds.
+    grace_s: Callable[[], float]
+    forwarder: Forwarder
+    site: CallerSite
+    closer: StagedCloser
+    log: Logger
+    # The listening ports.
+    ports: list[Any] = attrs.field(factory=list)
+
+    @property
+    def leave_s(self) -> float:
+        """For how long requests are accepted after SIGTERM, in seconds."""
+        return min(LEAVE_S, LEAVE_SHARE * self.grace_s())
+
+    @property
+    def work_s(self) -> float:
+        """Time after SIGTERM at which all requests are ended, in seconds."""
+        grace_s = self.grace_s()
+        return grace_s - min(END_MARGIN_S, END_MARGIN_SHARE * grace_s)
+
+    def leave(self) -> None:
+        """Close each caller's connection after its next answer."""
+        self.site.is_closing = True
+
+    def drain(self, left_s: float) -> None:
+        """Accept no more connections and close the idle ones.
+
+        Args:
+          left_s: Time left until all requests are ended, in seconds.
+        """
+        self.forwarder.ends_s = event_loop.reactor.seconds() + left_s
+        for port in self.ports:
+            port.stopListening()
+        self.site.close_idle()
+
+    def end_requests(self) -> None:
+        """Give all requests that have not ended their final answers."""
+        self.log.warning(
+            "requests ended by the shutdown",
+            open_requests=self.forwarder.open_requests,
+        )
+        self.forwarder.end_all()
+        self.site.refuse_unread()
+
+    def is_idle(self) -> bool:
+        """Whether no request is in progress, and no close after one."""
+        if self.forwarder.open_requests or not self.closer.is_idle:
+            return False
+        return all(item.is_idle for item in self.site.connections)
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -12,6 +12,7 @@
 import structlog
 from expression import Result
 
+from sequoiawind import defaults, messages
 from sequoiawind.blackboard import RequestNote
 from sequoiawind.crash_registry import CrashRegistry
 from sequoiawind.fleet import TargetView
@@ -30,7 +31,13 @@
     Chosen,
 )
 from sequoiawind.target_limit import DemandMeter, TargetLimit
-from sequoiawind.verdict import Failure, Reason, Verdict, may_have_run
+from sequoiawind.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 from sequoiawind.waiting_requests import WaitingRequests
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -53,6 +60,9 @@
     # soak repeats.
     open: dict[Forwarding, None] = attrs.field(factory=dict)
     demand: DemandMeter = attrs.field(factory=DemandMeter)
+    # When the process ends all work, in seconds of the clock: none is taken
+    # that may last longer.
+    ends_s: float = float("inf")
     # Called when a move of a stream has succeeded or failed.
     on_move: Callable[[StreamMove], None] = attrs.field(
         default=lambda move: None
@@ -117,15 +127,21 @@
         """Start a request; return None if it was refused immediately."""
         planned = self.planner.plan(request)
         if planned.is_error():
-            self.on_refusal(request, planned.error)
-            caller.refuse(planned.error)
+            self.refuse(request, caller, planned.error)
             return None
         plan = planned.ok
         now_s = self.clock.seconds()
+        if plan.ends_s > self.ends_s:
+            failure = not_run(
+                Reason.SHUTTING_DOWN,
+                messages.SHUTTING_DOWN,
+                defaults.ELSEWHERE_RETRY_AFTER_S,
+            )
+            self.refuse(request, caller, failure)
+            return None
         charge = self.load.charge(plan, now_s)
         if isinstance(charge, Failure):
-            self.on_refusal(request, charge)
-            caller.refuse(charge)
+            self.refuse(request, caller, charge)
             return None
         self.demand.add(now_s)
         forwarding = Forwarding(
@@ -152,6 +168,18 @@
             forwarding.give_up(may_have_run(Reason.INTERNAL_ERROR))
         return forwarding
 
+    def refuse(
+        self, request: ForwardRequest, caller: ForwardCaller, failure: Failure
+    ) -> None:
+        """Refuse a request that was not started."""
+        self.on_refusal(request, failure)
+        caller.refuse(failure)
+
+    def end_all(self) -> None:
+        """End all requests, as the process ends."""
+        for forwarding in list(self.open):
+            forwarding.end(Reason.SHUTTING_DOWN, messages.SHUTTING_DOWN)
+
     @property
     def open_requests(self) -> int:
         """Number of requests that have not ended."""
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 
-from sequoiawind import defaults, memory_budget, sockets
+from sequoiawind import defaults, sockets, unread_requests
 from sequoiawind.caller_limits import RequestLimits
 from sequoiawind.caller_output import (
     AnswerFlow,
@@ -23,20 +23,11 @@
 from sequoiawind.caller_parser import CallerParser, HeadTooLarge
 from sequoiawind.headers import Headers
 from sequoiawind.ports import Timer
-from sequoiawind.verdict import DEFAULT_HTTP_STATUS, HTTP_STATUS, Reason
+from sequoiawind.verdict import Reason
 
 if TYPE_CHECKING:
     from sequoiawind.caller_site import CallerSite
 
-# Reasons that depend on the limits in the configuration.
-CONFIGURED_LIMITS: Final = frozenset(
-    {Reason.HEAD_TOO_LARGE, Reason.BODY_TOO_LARGE}
-)
-# Retry-After of refusals of requests that were not read to their end.
-RETRY_AFTER_S: Final = {
-    Reason.MEMORY_LIMIT: memory_budget.RETRY_AFTER_S,
-    Reason.CONFIG_STALE: defaults.CONFIG_RETRY_AFTER_S,
-}
 # Pipelined bytes that a caller may send during an answer before the server
 # stops reading.
 MAX_PIPELINED_BYTES: Final = 65_536
@@ -287,7 +278,7 @@
         if self.is_lost:
             return
         out = list(headers)
-        if self.site.is_closing:
+        if self.site.is_closing and not self.http.unparsed_bytes:
             out.append((b"connection", b"close"))
         response = h11.Response(status_code=status, headers=out)
         self.write(self.http.send(response))
@@ -306,7 +297,7 @@
         self.is_answering = False
         self.output.free_request()
         self.on_disconnect = None
-        if self.site.is_closing or self.http.our_state is not h11.DONE:
+        if self.must_close:
             # The caller's next request may cross the close.
             self.close_in_stages(holds_stop=False)
             return
@@ -322,11 +313,22 @@
         if not self.is_draining or self.is_lost:
             return
         self.is_draining = False
-        if self.site.is_closing:
+        if self.must_close:
             self.close_in_stages(holds_stop=False)
             return
         self.next_request()
 
+    @property
+    def must_close(self) -> bool:
+        """Whether the connection closes after the answer that has ended.
+
+        While the site is closing, a request that has been read already is
+        still answered, unless the answer has announced the close.
+        """
+        if self.http.our_state is not h11.DONE:
+            return True
+        return self.site.is_closing and not self.http.unparsed_bytes
+
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer, in one write."""
         length = (b"content-length", b"%d" % len(body))
@@ -403,20 +405,10 @@
         self.refuse(Reason.BODY_TIMEOUT)
 
     def refuse(self, reason: Reason) -> None:
-        """Refuse a request that was not read to its end, and close.
-
-        If the configuration may be out of date, a limit may have been raised
-        since, so the refusal says that the configuration is stale.
-        """
-        if reason in CONFIGURED_LIMITS and not self.site.may_deny():
-            reason = Reason.CONFIG_STALE
+        """Refuse a request that was not read to its end, and close."""
+        reason = unread_requests.provable(reason, self.site.may_deny())
         self.site.on_refusal(reason)
-        headers: Headers = []
-        retry_after_s = RETRY_AFTER_S.get(reason)
-        if retry_after_s is not None:
-            headers.append((b"retry-after", b"%.3f" % retry_after_s))
-        status = HTTP_STATUS.get(reason, DEFAULT_HTTP_STATUS)
-        self.refuse_status(status, headers)
+        self.refuse_status(*unread_requests.status_and_headers(reason))
 
     def refuse_malformed(self, status: int) -> None:
         """Refuse bytes that are not a valid request, and close."""
@@ -484,6 +476,7 @@
         return (
             not self.is_answering
             and self.arrived_s is None
+            and not self.http.unparsed_bytes
             and not sockets.has_unsent(self.transport)
         )
 
--- a/sequoiawind/request_execution.py
+++ b/sequoiawind/request_execution.py
@@ -105,7 +105,11 @@
         self.deadline = self.clock.callLater(left_s, self.deadline_passed)
 
     def deadline_passed(self) -> None:
-        """End the request with `Reason.DEADLINE`.
+        """End the request with `Reason.DEADLINE`."""
+        self.end(Reason.DEADLINE, messages.DEADLINE)
+
+    def end(self, reason: Reason, detail: str) -> None:
+        """End the request for a reason that does not lie with its target.
 
         If an attempt is open, the request may have run at its target.
         """
@@ -114,7 +118,7 @@
         was_open = self.current is not None and not self.current.is_over
         self.cancel_current()
         verdict = may_have_run if was_open else not_run
-        self.give_up(verdict(Reason.DEADLINE, messages.DEADLINE))
+        self.give_up(verdict(reason, detail))
 
     def give_up(self, failure: Failure) -> None:
         """End the request with a failure."""
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -34,10 +34,13 @@
 callers = "127.0.0.1:{callers}"
 ready = "127.0.0.1:{ready}"
 """
-BOUNDS = """
+# SIGKILL follows SIGTERM after this time, in seconds.
+GRACE_S = 4.0
+BOUNDS = f"""
 [bounds]
 revoke_ms = 1500
 in_force_ms = 1500
+grace_s = {GRACE_S}
 """
 PROMPT = {
     "Sequoiawind-Model": "m",
@@ -328,6 +331,37 @@
         """Return what the routers have recorded in the store."""
         return self.store.logs.get("stream-origins", b"")
 
+    def test_request_that_comes_late_in_a_stop_is_answered(self) -> None:
+        # Guards against requests being passed on that are cut by SIGKILL.
+        self.engine.pause_s = 2.0
+        lines = [
+            "POST /brief/x HTTP/1.1",
+            "Host: h.example",
+            "Authorization: Token k1",
+            "Sequoiawind-Attempt-Id: q1",
+            *(f"{name}: {value}" for name, value in PROMPT.items()),
+            "Content-Length: 4",
+        ]
+        data = "\r\n".join([*lines, "", "body"]).encode()
+        early, late = self.connect(), self.connect()
+        early.sendall(data)
+        late.sendall(data[:20])
+        self.wait_until(lambda: len(self.engine.ran) == 1)
+        self.router.send_signal(signal.SIGTERM)
+        time.sleep(GRACE_S / 2)
+        late.sendall(data[20:])
+        answer = late.recv(65_536)
+        self.assertEqual(b"503", answer[9:12])
+        self.assertIn(b"retry-after", answer.lower())
+        # The first stream, of ten seconds, is broken off so that it shows.
+        received = b""
+        while part := early.recv(65_536):
+            received += part
+        self.assertIn(b"id: 1\n", received)
+        self.assertNotIn(b"0\r\n\r\n", received)
+        self.wait_until(lambda: self.router.poll() is not None)
+        self.assertEqual((1, 0), (len(self.engine.ran), self.router.returncode))
+
     def test_sigterm_interrupts_no_stream(self) -> None:
         self.engine.pause_s = 0.2
         connection = http.client.HTTPConnection(
