End requests behind the OpenAI interface before the platform kills the router

Callers: requests that last longer than the platform lets a stopping router go on were cut without an answer, behind the OpenAI interface too; it refused late requests already (`shutting_down`), and waited for the others without a bound.

Change: where `router.grace_s` states the time between SIGTERM and SIGKILL, open requests are ended half a second before. One that is being placed, or whose claim is not won yet, is said not to have run, and neither starts: a claim that is won after that is released. One that an agent has got may have run, and its claim records that. 0, as before, waits for all.

--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -11,6 +11,21 @@
 from sequoiawind.lifecycle import Phase, make_lifecycle
 
 IDLE_CHECK_S: Final = 0.05
+# Time before SIGKILL at which requests that have not ended get their final
+# answers, in seconds, and at most as a share of the time between the signals.
+END_MARGIN_S: Final = 0.5
+END_MARGIN_SHARE: Final = 0.1
+
+
+def work_time_s(grace_s: float) -> float:
+    """Return how long a process may work after SIGTERM, in seconds.
+
+    Args:
+      grace_s: Time between SIGTERM and SIGKILL, in seconds; 0 if unknown.
+    """
+    if grace_s <= 0.0:
+        return float("inf")
+    return grace_s - min(END_MARGIN_S, END_MARGIN_SHARE * grace_s)
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/forward_shutdown.py
+++ b/sequoiawind/forward_shutdown.py
@@ -14,6 +14,7 @@
 
 from sequoiawind import event_loop
 from sequoiawind.caller_site import CallerSite
+from sequoiawind.daemon import work_time_s
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.staged_close import StagedCloser
 
@@ -26,10 +27,6 @@
 # The same as a share of the time between SIGTERM and SIGKILL, where that is
 # short; the rest is left for answers in progress.
 LEAVE_SHARE: Final = 0.4
-# Time before SIGKILL at which requests that have not ended get their final
-# answers, in seconds, and at most as a share of the time between the signals.
-END_MARGIN_S: Final = 0.5
-END_MARGIN_SHARE: Final = 0.1
 
 
 @attrs.define(kw_only=True)
@@ -53,8 +50,7 @@
     @property
     def work_s(self) -> float:
         """Time after SIGTERM at which all requests are ended, in seconds."""
-        grace_s = self.grace_s()
-        return grace_s - min(END_MARGIN_S, END_MARGIN_SHARE * grace_s)
+        return work_time_s(self.grace_s())
 
     def leave(self) -> None:
         """Close each caller's connection after its next answer."""
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -91,6 +91,9 @@
     failure_domain: str = ""
     # How long to answer "not ready" before the listener closes, in seconds.
     balancer_wait_s: float = defaults.BALANCER_WAIT_S
+    # Time between SIGTERM and SIGKILL, in seconds; 0 if the platform sends no
+    # SIGKILL.
+    grace_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/sequoiawind/router.py
+++ b/sequoiawind/router.py
@@ -44,7 +44,7 @@
 LOGGER: Final = Logger()
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class ActiveRequest:
     """A request in progress; receives the output of its exchange."""
 
@@ -55,6 +55,8 @@
     claim: Claim | None = None
     exchange: Exchange | None = None
     is_cancelled: bool = False
+    # Whether it has been ended as the process ends.
+    is_shut_down: bool = False
     is_ended: bool = False
 
     def chunk(self, data: bytes) -> None:
@@ -94,6 +96,22 @@
             # A failure of the accounting must not withhold the answer.
             self.caller.ended(ended)
 
+    def shut_down(self) -> None:
+        """End the request, as the process ends."""
+        self.is_shut_down = True
+        if self.exchange is not None:
+            self.exchange.end(Reason.SHUTTING_DOWN, messages.SHUTTING_DOWN)
+            return
+        self.ended(
+            Ended(
+                failure=not_run(
+                    Reason.SHUTTING_DOWN,
+                    messages.SHUTTING_DOWN,
+                    defaults.MIN_RETRY_AFTER_S,
+                )
+            )
+        )
+
     def cancel(self) -> None:
         """Cancel the request of a caller that has disconnected.
 
@@ -117,7 +135,8 @@
     # Returns the time since the epoch in seconds.
     wall: Callable[[], float]
     key_limits: KeyLimits = attrs.field(factory=KeyLimits)
-    open_requests: int = 0
+    # Requests that have not ended, in the order of arrival.
+    open: "dict[ActiveRequest, None]" = attrs.field(factory=dict)
     # Called with the note and end of each request, for metrics and logs.
     on_end: Callable[[RequestNote, Ended], None] = attrs.field(
         default=lambda note, ended: None
@@ -157,7 +176,7 @@
                 began_s=now_s,
             ),
         )
-        self.open_requests += 1
+        self.open[active_request] = None
         self.board.note_request(active_request.note)
         if plan.is_idempotent:
             self.start(active_request)
@@ -231,6 +250,16 @@
             return None
         return max(matching, key=lambda item: (len(item.path), item.name))
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that have not ended."""
+        return len(self.open)
+
+    def end_all(self) -> None:
+        """End all requests, as the process ends."""
+        for active_request in list(self.open):
+            active_request.shut_down()
+
     async def claim_and_start(self, active_request: ActiveRequest) -> None:
         """Claim a request's key; start the request if the claim wins."""
         request = active_request.plan.request
@@ -253,6 +282,10 @@
             active_request.note.state = "repeated"
             active_request.finish(Ended(reply=won.ok))
             return
+        if active_request.is_ended:
+            # The process is shutting down, and has said that nothing was run.
+            await self.claimant.release(claim)
+            return
         active_request.claim = claim
         self.start(active_request)
 
@@ -266,6 +299,8 @@
         self, placed: Placed, active_request: ActiveRequest
     ) -> None:
         """Start the exchange of a request that has been placed."""
+        if active_request.is_shut_down:
+            return
         active_request.note.depth_blocks = placed.depth
         active_request.note.holders = placed.holders
         if active_request.is_cancelled and active_request.plan.is_idempotent:
@@ -338,7 +373,7 @@
 
     def record_end(self, active_request: ActiveRequest, ended: Ended) -> None:
         """Release a request's limits and record how it ended."""
-        self.open_requests -= 1
+        self.open.pop(active_request, None)
         self.board.limits.release(active_request.plan.account.name)
         note = active_request.note
         note.ended_s = self.exchange_context.clock.seconds()
--- a/sequoiawind/router_main.py
+++ b/sequoiawind/router_main.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from sequoiawind import command_line, logs
-from sequoiawind.daemon import Daemon
+from sequoiawind.daemon import Daemon, work_time_s
 from sequoiawind.options import RouterSettings
 from sequoiawind.router_program import RouterProgram
 
@@ -29,6 +29,8 @@
         is_idle=program.is_idle,
         on_draining=program.stop_listening,
         balancer_wait_s=options.router.balancer_wait_s,
+        work_s=lambda: work_time_s(options.router.grace_s),
+        on_ending=program.end_requests,
     )
     with daemon:
         program.listen()
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -229,6 +229,14 @@
         """Accept no more connections."""
         self.port.stopListening()
 
+    def end_requests(self) -> None:
+        """Give all requests that have not ended their final answers."""
+        self.log.warning(
+            "requests ended by the shutdown",
+            open_requests=self.router.open_requests,
+        )
+        self.router.end_all()
+
     def count_claim_step(self, step: str) -> None:
         """Count a step of a claim."""
         self.metrics.claims.labels(step).inc()
