Count connections that are being closed until their callers have the answer

Related to the requests that are cut at the end of a planned stop.

Cause: `StagedClose.time_over` forgot a connection whose answer was not sent yet, so nobody counted it and the process took itself for idle.

Change: the time to linger begins again while the caller takes something of the answer, from this process or from the kernel; a process is idle once all has been taken. A caller that takes nothing is ended as before.

--- a/sequoiawind/staged_close.py
+++ b/sequoiawind/staged_close.py
@@ -16,6 +16,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 from zope.interface import implementer
 
+from sequoiawind import sockets
 from sequoiawind.options import ClosingOptions
 from sequoiawind.ports import Clock, Timer
 
@@ -39,7 +40,8 @@
     options: ClosingOptions = attrs.field(factory=ClosingOptions)
     # Called for each connection that is ended at a bound.
     on_bound: Callable[[Bound], None] = attrs.field(default=ignore)
-    # The connections that are being closed; each stays for `linger_s` at most.
+    # The connections that are being closed; each stays for `linger_s` at most
+    # after its peer has taken something of the answer.
     connections: "set[StagedClose]" = attrs.field(factory=set)
 
     @property
@@ -49,7 +51,7 @@
         All answers must have been sent, or have been waited for.
         """
         return not any(
-            item.holds_stop or not item.is_sent for item in self.connections
+            item.holds_stop or not item.is_taken for item in self.connections
         )
 
     def close(self, transport: Any, *, holds_stop: bool = True) -> None:
@@ -79,18 +81,30 @@
         self.discarded_bytes = 0
         # Whether all data has been sent.
         self.is_sent = False
+        # Bytes that the peer had not taken when the timer was started.
+        self.untaken_bytes = 0
         self.timer: Timer | None = None
 
+    @property
+    def is_taken(self) -> bool:
+        """Whether the peer's system has taken all data."""
+        return self.is_sent and not sockets.untaken_bytes(self.transport)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Close the sending side and start the timer."""
+        self.closer.connections.add(self)
+        self.start_timer()
+        # Reading may have been paused.
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
+    def start_timer(self) -> None:
+        """Start the timer, and note how much the peer has yet to take."""
         closer = self.closer
-        closer.connections.add(self)
+        self.untaken_bytes = sockets.untaken_bytes(self.transport)
         self.timer = closer.clock.callLater(
             closer.options.linger_s, self.time_over
         )
-        # Reading may have been paused.
-        self.transport.resumeProducing()
-        self.transport.loseWriteConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Discard data; end the connection if it is too much."""
@@ -113,11 +127,14 @@
         self.forget()
 
     def time_over(self) -> None:
-        """End the connection, unless an answer is still being sent."""
+        """End the connection, unless its peer is still taking an answer."""
+        if sockets.untaken_bytes(self.transport) < self.untaken_bytes:
+            self.start_timer()
+            return
         if self.is_sent:
             self.end(Bound.TIME)
             return
-        # The peer reads a long answer slowly.
+        # The peer has stopped to read.
         self.forget()
         self.transport.loseConnection()
 
--- a/tests/test_staged_close.py
+++ b/tests/test_staged_close.py
@@ -1,8 +1,11 @@
 """The bounds on closing connections in stages, on a virtual clock."""
 
+from unittest import mock
+
 from testtools import TestCase
 from twisted.internet.task import Clock
 
+from sequoiawind import sockets
 from sequoiawind.caller_site import CallerSite
 from sequoiawind.headers import CallerLimits
 from sequoiawind.options import ClosingOptions
@@ -104,6 +107,31 @@
         self.assertEqual([], self.bounds)
         self.assertEqual(set(), self.closer.connections)
 
+    def test_answer_that_is_read_slowly_holds_the_end_of_the_process(
+        self,
+    ) -> None:
+        # Guards against the tail of an answer being lost with the process.
+        untaken = [600, 400, 200]
+        with mock.patch.object(
+            sockets, "untaken_bytes", side_effect=lambda _: untaken[0]
+        ):
+            transport = self.refuse(is_stalled=True)
+            while len(untaken) > 1:
+                del untaken[0]
+                self.clock.advance(LINGER_S)
+                self.assertFalse(self.closer.is_idle)
+                self.assertFalse(transport.disconnecting)
+            # The kernel has the rest, and the peer has not.
+            transport.protocol.writeConnectionLost()
+            transport.protocol.holds_stop = False
+            self.assertFalse(self.closer.is_idle)
+            untaken[0] = 0
+            self.assertTrue(self.closer.is_idle)
+            self.clock.advance(LINGER_S)
+            self.assertFalse(transport.is_aborted)
+            self.clock.advance(LINGER_S)
+        self.assertTrue(transport.is_aborted)
+
     def test_site_lets_go_of_the_connection_at_once(self) -> None:
         connection = self.site.buildProtocol(None)
         transport = FakeTransport()
