Close behind an answer unless a whole request has been read

`test_request_that_crosses_the_close_of_a_stop` failed on: a caller that had sent the first bytes of a further request got no `Connection: close`, and its endless body was read and refused with 413 in place of being left unread. Cause: any byte behind an answer counted as a request that has been read. Now only a whole one does (`CallerParser.has_whole_request`), which is what the promise is about; `test_pipelined_requests` still holds.

--- a/sequoiawind/caller_parser.py
+++ b/sequoiawind/caller_parser.py
@@ -38,6 +38,21 @@
         """Number of bytes that were received and not parsed yet."""
         return len(self.trailing_data[0])
 
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether the bytes that were not parsed yet hold a whole request."""
+        ahead = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_EVENT_BYTES
+        )
+        ahead.receive_data(self.trailing_data[0])
+        try:
+            event = ahead.next_event()
+            while isinstance(event, (h11.Request, h11.Data)):
+                event = ahead.next_event()
+        except h11.RemoteProtocolError:
+            return False
+        return isinstance(event, h11.EndOfMessage)
+
     def begin_request(self) -> None:
         """Count the bytes of a request, of which some may be there already."""
         self.request_bytes = self.unparsed_bytes
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -278,7 +278,7 @@
         if self.is_lost:
             return
         out = list(headers)
-        if self.site.is_closing and not self.http.unparsed_bytes:
+        if self.site.is_closing and not self.http.has_whole_request:
             out.append((b"connection", b"close"))
         response = h11.Response(status_code=status, headers=out)
         self.write(self.http.send(response))
@@ -322,12 +322,12 @@
     def must_close(self) -> bool:
         """Whether the connection closes after the answer that has ended.
 
-        While the site is closing, a request that has been read already is
+        While the site is closing, a request that has arrived completely is
         still answered, unless the answer has announced the close.
         """
         if self.http.our_state is not h11.DONE:
             return True
-        return self.site.is_closing and not self.http.unparsed_bytes
+        return self.site.is_closing and not self.http.has_whole_request
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer, in one write."""
