--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -51,7 +51,7 @@
     # after which the process is killed does.
     age_clock: Callable[[], float] = suspended_clock_s
     # When the signal arrived, by that clock.
-    left_at_s: float = 0.0
+    signalled_s: float = 0.0
     has_ended_work: bool = False
     lifecycle: Any = attrs.field(init=False)
 
@@ -91,24 +91,24 @@
         """Start the shutdown: report not ready, later drain and stop."""
         if self.phase.name in ("leaving", "draining", "stopped"):
             return
-        self.left_at_s = self.age_clock()
+        self.signalled_s = self.age_clock()
         self.lifecycle.shut_down()
         self.on_leaving()
         self.drain_when_due()
 
     @property
-    def leaving_s(self) -> float:
+    def since_signal_s(self) -> float:
         """Time since the signal, in seconds."""
-        return self.age_clock() - self.left_at_s
+        return self.age_clock() - self.signalled_s
 
     @property
-    def left_s(self) -> float:
+    def work_left_s(self) -> float:
         """Time left until all work must have ended, in seconds."""
-        return self.work_s() - self.leaving_s
+        return self.work_s() - self.since_signal_s
 
     def drain_when_due(self) -> None:
         """Drain as soon as the balancer has noticed."""
-        left_s = self.balancer_wait_s - self.leaving_s
+        left_s = self.balancer_wait_s - self.since_signal_s
         if left_s > 0.0:
             # The clock of the timer does not count suspended time.
             delay_s = min(left_s, IDLE_CHECK_S)
@@ -128,7 +128,7 @@
             # The last answers must still be written to their sockets.
             event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_if_idle)
             return
-        if not self.has_ended_work and self.left_s <= 0.0:
+        if not self.has_ended_work and self.work_left_s <= 0.0:
             self.has_ended_work = True
             self.on_ending()
         event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_when_idle)
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -28,7 +28,7 @@
         phase=program.board.phase,
         is_idle=shutdown.is_idle,
         on_leaving=shutdown.leave,
-        on_draining=lambda: shutdown.drain(daemon.left_s),
+        on_draining=lambda: shutdown.drain(daemon.work_left_s),
         balancer_wait_s=shutdown.leave_s,
         work_s=lambda: shutdown.work_s,
         on_ending=shutdown.end_requests,
--- a/tests/test_late_in_shutdown.py
+++ b/tests/test_late_in_shutdown.py
@@ -82,7 +82,7 @@
             phase=self.phase,
             is_idle=self.shutdown.is_idle,
             on_leaving=self.shutdown.leave,
-            on_draining=lambda: self.shutdown.drain(self.daemon.left_s),
+            on_draining=lambda: self.shutdown.drain(self.daemon.work_left_s),
             balancer_wait_s=self.shutdown.leave_s,
             work_s=lambda: self.shutdown.work_s,
             on_ending=self.shutdown.end_requests,
