Report ready only once the configuration is confirmed

Callers: a router that had just reported ready refused requests with keys for up to a second (503, `config_stale`).

Cause: a new router waits for a relay, or 1 s, before it trusts the store's records; ready did not wait for that.

Change: ready waits until keys may be checked, 2 s after the start at most, as public routes need no keys. It is asked again when the configuration is confirmed.

Test: `test_router_that_is_ready_has_a_confirmed_configuration`, 503 for 200 before.

--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -56,6 +56,8 @@
     )
     # Called after a newer configuration has been put in force.
     on_config: Callable[[], None] = attrs.field(default=lambda: None)
+    # Called when the configuration has been confirmed to be current.
+    on_confirmed: Callable[[], None] = attrs.field(default=lambda: None)
     # Whether the store has an older configuration than this process, as it has
     # returned from a copy: its records prove nothing about what is current.
     is_store_behind: bool = False
@@ -167,6 +169,7 @@
             return
         if self.may_confirm():
             self.freshness.confirmed(request_time_s)
+            self.on_confirmed()
 
     def store_lost(self, detail: str) -> None:
         """Log that the store is lost."""
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -65,6 +65,9 @@
 # only once a relay has answered too: the store may just have returned from an
 # old copy.
 START_CHECK_S: Final = 1.0
+# Time after its start, in seconds, from which a router is ready though nobody
+# has confirmed its configuration.
+UNCONFIRMED_READY_S: Final = 2.0
 # Time after its start, in seconds, from which a router to which no agent has
 # answered takes part in ordering weights.
 AGENTLESS_S: Final = 5.0
@@ -279,9 +282,18 @@
         return self.board.phase.is_ready
 
     def check_prepared(self) -> None:
-        """Become ready once a configuration and a target are known."""
-        has_config = isinstance(self.board.state, ForwardState)
-        if has_config and self.fleet.views and self.on_prepared is not None:
+        """Become ready once requests can be served.
+
+        That takes a configuration that keys may be checked by, and a target.
+        Public routes need no keys, so a router without the store becomes ready
+        too, after a while.
+        """
+        if self.on_prepared is None or not self.fleet.views:
+            return
+        if not isinstance(self.board.state, ForwardState):
+            return
+        age_s = event_loop.reactor.seconds() - self.started_s
+        if self.freshness.may_trust_keys or age_s >= UNCONFIRMED_READY_S:
             self.on_prepared()
             self.on_prepared = None
             self.log.info("ready", revision=self.board.state.revision)
@@ -341,6 +353,7 @@
         """
         self.on_prepared = on_prepared
         self.started_s = event_loop.reactor.seconds()
+        event_loop.reactor.callLater(UNCONFIRMED_READY_S, self.check_prepared)
         operator = OperatorReader(
             board=self.board,
             codec=codec.OPERATOR,
@@ -349,6 +362,7 @@
             may_confirm=self.may_trust_records,
             on_weights=self.forwarder.weights.version_named,
             on_config=self.config_changed,
+            on_confirmed=self.check_prepared,
         )
         targets = TargetReader(
             fleet=self.fleet,
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -98,6 +98,8 @@
     changed: threading.Condition = attrs.field(factory=threading.Condition)
     # Whether all calls are refused with status 503.
     is_unavailable: bool = False
+    # Time before the newest records of a topic are sent, in seconds.
+    pauses_s: dict[str, float] = attrs.field(factory=dict)
 
     def put(self, topic: str, key: str, value: object) -> None:
         """Append a record; the value None deletes its key."""
@@ -141,6 +143,7 @@
 
     def newest(self, topic: str) -> bytes:
         """Return the newest record of each key."""
+        time.sleep(self.pauses_s.get(topic, 0.0))
         with self.changed:
             records = list(self.topics.get(topic, ()))
         newest = {key: value for key, value in records if value}
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -299,6 +299,19 @@
         self.assertEqual((200, 4), (status, body.count(b"\n\n")))
         self.assertEqual(name, other.ran[-1].get("resumes"))
 
+    def test_router_that_is_ready_has_a_confirmed_configuration(self) -> None:
+        # Guards against callers being sent to a router that refuses them.
+        self.store.pauses_s["keyed.op"] = 0.7
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        # No agent answers there, though the targets' entries name some.
+        self.agent_port, self.callers, self.ready, metrics = free_ports(4)
+        entry = ENTRY.format(callers=self.callers, ready=self.ready)
+        self.start("router", metrics, "", entry)
+        self.wait_until(lambda: self.ready_status() == 200)
+        self.assertEqual(200, self.submit("/read/x")[0])
+
     prompts = 0
 
     def next_prompt(self) -> dict[str, str]:
