Hold a pipelined request to the limits under which it arrived

Callers: a head within the limit in force when it was sent, behind another request on its connection, got 431 if the limit was lowered before the answer to that request ended.

Cause: `RequestLimits` noted the limits when a request began to be read, and a pipelined one is read when the answer before it ends. Now they are noted as bytes arrive.

Tests: `test_request_that_is_read_long_after_it_was_sent`, 431 for 200 before.

--- a/sequoiawind/caller_limits.py
+++ b/sequoiawind/caller_limits.py
@@ -6,6 +6,7 @@
 least strict of them hold.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 import attrs
@@ -65,15 +66,38 @@
 class RequestLimits:
     """The limits on the request that a connection reads.
 
-    A request may be sent slowly and keeps to the limits at its beginning.
+    A request may be sent slowly, or long before it is read, behind another one;
+    it keeps to the limits when its first byte arrived.
     """
 
     in_force: Callable[[], CallerLimits]
     at_begin: CallerLimits | None = None
-
-    def begin(self) -> None:
-        """Note the limits at a request's first byte."""
-        self.at_begin = self.in_force()
+    # Bytes that have arrived on the connection.
+    received_bytes: int = 0
+    # Limits when bytes arrived, and the number of bytes up to the last of them,
+    # the oldest first.
+    arrivals: deque[tuple[int, CallerLimits]] = attrs.field(factory=deque)
+
+    def received(self, size: int) -> None:
+        """Note the limits as bytes arrive."""
+        self.received_bytes += size
+        limits = self.in_force()
+        if self.arrivals and self.arrivals[-1][1] == limits:
+            self.arrivals.pop()
+        self.arrivals.append((self.received_bytes, limits))
+
+    def begin(self, unread_bytes: int) -> None:
+        """Note the limits when a request's first byte arrived.
+
+        Args:
+          unread_bytes: Bytes of it, and of those behind it, that have arrived.
+        """
+        first = self.received_bytes - unread_bytes
+        while self.arrivals and self.arrivals[0][0] <= first:
+            self.arrivals.popleft()
+        self.at_begin = (
+            self.arrivals[0][1] if self.arrivals else self.in_force()
+        )
 
     def current(self) -> CallerLimits:
         """Return the limits on the request: the least strict so far."""
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -134,6 +134,7 @@
             self.begin_head()
         if self.head is None:
             self.output.charge(len(data))
+        self.limits.received(len(data))
         self.http.receive_data(data)
         self.parse()
         if not self.is_answering:
@@ -164,7 +165,7 @@
         if self.arrived_s is not None:
             return
         self.arrived_s = self.site.clock.seconds()
-        self.limits.begin()
+        self.limits.begin(self.http.unparsed_bytes)
         self.http.begin_request()
         self.await_head()
 
--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -250,6 +250,26 @@
             self.assertEqual(400, self.connect().status(b"hello\r\n\r\n"))
             self.refused.clear()
 
+    def test_request_that_is_read_long_after_it_was_sent(self) -> None:
+        for lowered_first, expected in ((False, 200), (True, 431)):
+            self.put(HIGH)
+            caller = self.connect()
+            answering: list[CallerConnection] = []
+            self.site.on_request = lambda _, connection, to=answering: (
+                to.append(connection)  # type: ignore[misc]
+            )
+            caller.status(SMALL)
+            if lowered_first:
+                self.put(LOW)
+            caller.transport_protocol.dataReceived(head(900))
+            self.put(LOW)
+            self.site.on_request = self.answer
+            caller.transport.clear()
+            answering[0].reply(200, [], b"")
+            self.clock.advance(0.0)
+            last = caller.transport.value().split(b"HTTP/1.1 ")[-1]
+            self.assertEqual(expected, int(last[:3]), lowered_first)
+
     def test_pipelined_heads_have_a_limit_each(self) -> None:
         self.put(LOW)
         for sizes, expected in (
