Withdraw requests that wait at targets under an outdated cache scope

Callers: nothing, and that is the fault: a request that was sent before an account became isolated, and waits in its target's queue, would use the account's parts when it begins, however late. Judged is by the configurations that may be in force when a part is used. Found by going through each value that is taken from a configuration and kept; no case shows it.

Change: 0.9 of the time within which a change must be in force after one of the isolated accounts, attempts that carry another salt than they would get now and have not begun to answer are cancelled. What may repeat is sent again within its budget; once-only streams end with 502 (`scope_changed`, a new value of reason), as they may have run. Nothing happens on other changes.

Tests: `WaitingRequestTest`: repeatable, once-only and begun requests, and a change of something else.

--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -46,6 +46,7 @@
 from sequoiawind.record_cover import RecordCover
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.router_notes import RouterNotes
+from sequoiawind.scope_changes import ScopeChanges
 from sequoiawind.status_watcher import (
     STATUS_WAIT_S,
     AgentClient,
@@ -92,6 +93,7 @@
     notes: RouterNotes = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
     watcher: StatusWatcher = attrs.field(init=False)
+    scopes: ScopeChanges = attrs.field(init=False)
     limits: LimitsInForce = attrs.field(init=False)
     site: CallerSite = attrs.field(init=False)
     feed: FeedClient = attrs.field(init=False)
@@ -122,6 +124,11 @@
         )
         self.fleet.on_restart = self.notes.note_restart
         self.forwarder = self.make_forwarder()
+        self.scopes = ScopeChanges(
+            forwarder=self.forwarder,
+            clock=event_loop.reactor,
+            in_force_s=lambda: self.freshness.in_force_s,
+        )
         load = self.forwarder.load
         if load.limits is not None:
             load.limits.on_share_change = self.notes.note_share
@@ -303,6 +310,7 @@
         state = self.board.state
         if isinstance(state, ForwardState):
             self.limits.put(state.limits)
+            self.scopes.configured(state)
             self.forwarder.load.configured(state)
         self.check_prepared()
 
--- a/sequoiawind/messages.py
+++ b/sequoiawind/messages.py
@@ -30,6 +30,9 @@
     "it is not known which software version began the stream"
 )
 ORIGIN_GONE: Final = "no target may continue the stream that began elsewhere"
+SCOPE_CHANGED: Final = (
+    "the accounts that share cached prompts have changed since it was sent"
+)
 DRAINING: Final = "the target is draining"
 SHUTTING_DOWN: Final = "the daemon is shutting down"
 WRONG_WEIGHTS: Final = "the target serves a different version of the weights"
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -48,6 +48,7 @@
     # State of the system.
     NO_CONFIGURATION = "no_configuration"
     CONFIG_STALE = "config_stale"
+    SCOPE_CHANGED = "scope_changed"
     NO_TARGET = "no_target"
     NO_TARGET_IN_TIME = "no_target_in_time"
     TARGET_BUSY = "target_busy"
--- a/tests/test_isolated_accounts.py
+++ b/tests/test_isolated_accounts.py
@@ -11,9 +11,11 @@
 from expression import Ok
 from testtools import TestCase
 
+from sequoiawind.forward_state import ForwardState
 from sequoiawind.platform.configuration import decode_configuration
 from sequoiawind.prompt_cache import Prompt, PromptPart
-from sequoiawind.verdict import Reason, may_have_run
+from sequoiawind.scope_changes import ScopeChanges
+from sequoiawind.verdict import Reason, Verdict, may_have_run
 from sequoiawind.wire import TargetStatus
 from tests.forward_rig import FakeCaller, ForwardRig, Sent, target
 
@@ -240,3 +242,56 @@
         self.assertEqual(NO_ONE, self.router.ask("b"))
         self.assertEqual(NO_ONE, self.router.ask(""))
         self.assertEqual({""}, self.router.ask("a"))
+
+
+class WaitingRequestTest(TestCase):
+    """Requests that wait at targets while the isolated accounts change."""
+
+    def begin(self, kind: str, isolated: str = "a") -> tuple[Router, Sent]:
+        """Send a request of b; isolate an account, and let time pass."""
+        router = Router(caches=Caches())
+        scopes = ScopeChanges(
+            forwarder=router.rig.forwarder,
+            clock=router.rig.clock,
+            in_force_s=lambda: 2.0,
+        )
+        route = json.loads(record(1))["routes"][0]
+        routes = [route | {"resumable": kind == "draft"}]
+        for version, accounts in ((7, ""), (9, isolated)):
+            if version == 9:
+                router.ask("a")
+                self.caller = router.submit("b")
+                sent = router.rig.port.sent[-1]
+                if kind == "begun":
+                    sent.begin(200, b"id: 1\ndata: x\n\n")
+            router.configure(version, accounts, routes=routes)
+            state = router.rig.board.state
+            assert isinstance(state, ForwardState)
+            scopes.configured(state)
+        router.rig.advance(1.75)
+        self.assertFalse(sent.call.is_cancelled)
+        router.rig.advance(0.1)
+        return router, sent
+
+    def test_request_that_may_be_repeated_is_sent_again(self) -> None:
+        router, sent = self.begin("draft")
+        self.assertTrue(sent.call.is_cancelled)
+        again = router.rig.port.sent[-1]
+        self.assertIsNot(sent, again)
+        self.assertNotEqual(sent.order.salt, again.order.salt)
+        again.answer(200, b"id: 1\ndata: x\n\n")
+        self.assertTrue(self.caller.is_ended)
+
+    def test_request_that_may_run_once_only_is_ended(self) -> None:
+        router, sent = self.begin("brief")
+        self.assertTrue(sent.call.is_cancelled)
+        self.assertIs(sent, router.rig.port.sent[-1])
+        assert self.caller.failure is not None
+        self.assertEqual(Reason.SCOPE_CHANGED, self.caller.failure.reason)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, self.caller.failure.verdict)
+
+    def test_answers_that_have_begun_go_on(self) -> None:
+        for kind, isolated in (("begun", "a"), ("brief", ""), ("draft", "")):
+            router, sent = self.begin(kind, isolated)
+            self.assertFalse(sent.call.is_cancelled)
+            self.assertIs(sent, router.rig.port.sent[-1])
