--- a/tests/soak_of_stops.py
+++ b/tests/soak_of_stops.py
@@ -29,6 +29,8 @@
 # busy machine is no fault.
 GRACE_S = 4.0
 KILL_S = 30.0
+# Time in which a router must be ready, for the same reason.
+START_S = 30.0
 IN_FORCE_S = 1.5
 # Until when an account's former neighbours may still be served beside it: the
 # bound on revoked keys, and the time that a request may take to arrive.
@@ -72,6 +74,7 @@
     counts: Counter[str] = attrs.field(factory=Counter)
     ends_s: float = 0.0
     requests: int = 0
+    processes: list[asyncio.subprocess.Process] = attrs.field(factory=list)
     # Ports of the routers that run, by number.
     ports: dict[int, int] = attrs.field(factory=dict)
 
@@ -278,6 +281,21 @@
         return True
 
 
+async def is_ready(port: int) -> bool:
+    """Wait until a router reports that it is ready; return whether it does."""
+    ends_s = time.monotonic() + START_S
+    while time.monotonic() < ends_s:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            if head[9:12] == b"200":
+                return True
+        await asyncio.sleep(0.1)
+    return False
+
+
 async def serve(soak: Soak, number: int, folder: Path) -> None:
     """Run a router, stop it, and start it again until the end."""
     choice = random.Random(f"router-{soak.seed}-{number}")
@@ -302,7 +320,9 @@
             str(file),
             stdout=asyncio.subprocess.DEVNULL,
         )
-        await asyncio.sleep(choice.uniform(1.5, 2.5))
+        soak.processes.append(process)
+        # A signal before the program handles it would end the process.
+        soak.check(await is_ready(ready), f"router {number} is not ready")
         soak.ports[number] = callers
         for _ in range(choice.randrange(4)):
             await asyncio.sleep(choice.uniform(0.2, 1.0))
@@ -337,11 +357,16 @@
         Caller(soak=soak, random=random.Random(f"{soak.seed}-{number}"))
         for number in range(CALLERS)
     ]
-    await asyncio.gather(
-        *(serve(soak, number, folder) for number in range(ROUTERS)),
-        *(caller.run() for caller in callers),
-        operate(),
-    )
+    try:
+        await asyncio.gather(
+            *(serve(soak, number, folder) for number in range(ROUTERS)),
+            *(caller.run() for caller in callers),
+            operate(),
+        )
+    finally:
+        for process in soak.processes:
+            if process.returncode is None:
+                process.kill()
 
 
 def run_seed(seed: int, seconds: float) -> Soak:
