Log signals, the drain and the end of a process with what is open

No line tells when a signal arrived or which requests were open then, and requests that die with their process are named nowhere.

Cause: the daemons write nothing between the signal and "stopped" but "requests ended by the shutdown".

Change, in lines only: "signal received" (SIGTERM, SIGINT, SIGHUP), "drain began" and "stopped" carry what is open, the phase of the process and the seconds since the signal; "requests open" names up to a hundred open requests at SIGTERM and again when the drain begins. "stopped" tells what was open when the event loop was stopped, not after it has ended the connections. These lines of the life cycle are not left out for the rate of lines, and the end of a process waits up to 0.2 s for a reader that has fallen behind; before, what the pipe had no room for was lost.

--- a/sequoiawind/agent_main.py
+++ b/sequoiawind/agent_main.py
@@ -6,6 +6,7 @@
 from sequoiawind.agent_program import AgentProgram
 from sequoiawind.daemon import Daemon
 from sequoiawind.options import AgentSettings
+from sequoiawind.stop_notes import OpenRequest, OpenWork, StopNotes
 
 PURPOSE: Final = "Admit, queue and pass on the requests for one target."
 
@@ -24,10 +25,22 @@
     """Run an agent until it has stopped."""
     logs.configure(options.logs)
     program = AgentProgram(options=options)
+    notes = StopNotes(
+        log=program.log,
+        phase=program.board.phase,
+        open_work=lambda: OpenWork(
+            requests=[
+                OpenRequest(request_id=attempt_id)
+                for attempt_id, relay in program.agent.relays.items()
+                if relay.end is None
+            ]
+        ),
+    )
     daemon = Daemon(
         phase=program.board.phase,
         is_idle=program.is_idle,
         on_leaving=program.agent.stop_admitting,
+        on_step=notes.note,
     )
     with daemon:
         program.listen()
@@ -35,4 +48,4 @@
         daemon.ready()
         program.start()
         daemon.run()
-    program.log.info("stopped")
+    notes.stopped()
--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -9,6 +9,7 @@
 from sequoiawind import event_loop
 from sequoiawind.freshness import suspended_clock_s
 from sequoiawind.lifecycle import Phase, make_lifecycle
+from sequoiawind.stop_notes import Step
 
 IDLE_CHECK_S: Final = 0.05
 # Time before SIGKILL at which requests that have not ended get their final
@@ -41,6 +42,8 @@
     on_draining: Callable[[], None] = attrs.field(default=lambda: None)
     # Called on SIGHUP: the settings file may have changed.
     on_reload: Callable[[], None] = attrs.field(default=lambda: None)
+    # Called at each signal, when the drain begins, and at the end.
+    on_step: Callable[[Step], None] = attrs.field(default=lambda step: None)
     # Time between the signal and draining, in seconds.
     balancer_wait_s: float = 0.0
     # Returns the time between the signal and the end of all work, in seconds.
@@ -62,15 +65,17 @@
     def __enter__(self) -> "Daemon":
         """Install the signal handlers."""
         reactor = event_loop.reactor
-        self.phase.on_stopped = reactor.stop
+        self.phase.on_stopped = self.stop_reactor
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(
                 number,
-                lambda *_: reactor.callFromThread(self.leave),
+                lambda number, _: reactor.callFromThread(
+                    self.leave, Step(signal.Signals(number).name)
+                ),
             )
         signal.signal(
             signal.SIGHUP,
-            lambda *_: reactor.callFromThread(self.on_reload),
+            lambda *_: reactor.callFromThread(self.reload),
         )
         return self
 
@@ -87,11 +92,23 @@
         """Enter the serving phase."""
         self.lifecycle.ready()
 
-    def leave(self) -> None:
+    def reload(self) -> None:
+        """Read the settings file again, as SIGHUP asks."""
+        self.on_step(Step.SIGHUP)
+        self.on_reload()
+
+    def stop_reactor(self) -> None:
+        """Stop the event loop; `run` returns."""
+        self.on_step(Step.END)
+        event_loop.reactor.stop()
+
+    def leave(self, step: Step = Step.SIGTERM) -> None:
         """Start the shutdown: report not ready, later drain and stop."""
         if self.phase.name in ("leaving", "draining", "stopped"):
             return
         self.signalled_s = self.age_clock()
+        self.phase.since_signal_s = lambda: self.since_signal_s
+        self.on_step(step)
         self.lifecycle.shut_down()
         self.on_leaving()
         self.drain_when_due()
@@ -119,6 +136,7 @@
     def drain(self) -> None:
         """Stop accepting work, and stop the daemon when it is idle."""
         self.lifecycle.balancer_noticed()
+        self.on_step(Step.DRAIN)
         self.on_draining()
         self.stop_when_idle()
 
@@ -129,7 +147,7 @@
             event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_if_idle)
             return
         if not self.has_ended_work and self.work_left_s <= 0.0:
-            self.has_ended_work = True
+            self.has_ended_work = self.phase.has_ended_work = True
             self.on_ending()
         event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_when_idle)
 
--- a/sequoiawind/forward_agent_main.py
+++ b/sequoiawind/forward_agent_main.py
@@ -8,6 +8,7 @@
 from sequoiawind.daemon import Daemon
 from sequoiawind.forward_agent_program import ForwardAgentProgram
 from sequoiawind.options import ForwardAgentSettings
+from sequoiawind.stop_notes import StopNotes
 
 PURPOSE: Final = "Watch one target and order it to load weights."
 
@@ -23,9 +24,11 @@
     """Run an agent until it has stopped."""
     logs.configure(options.logs)
     program = ForwardAgentProgram(options=options)
+    notes = StopNotes(log=program.log, phase=program.board.phase)
     daemon = Daemon(
         phase=program.board.phase,
         is_idle=lambda: True,
+        on_step=notes.note,
     )
     follower = program.settings_follower(file)
     daemon.on_reload = follower.reload
@@ -35,7 +38,7 @@
         daemon.ready()
         Deferred.fromCoroutine(follower.run())
         daemon.run()
-    program.log.info("stopped")
+    notes.stopped()
 
 
 if __name__ == "__main__":
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -4,10 +4,11 @@
 
 from twisted.internet.defer import Deferred
 
-from sequoiawind import command_line, logs
+from sequoiawind import command_line, logs, open_work
 from sequoiawind.daemon import Daemon
 from sequoiawind.forward_router_program import ForwardRouterProgram
 from sequoiawind.options import ForwardRouterSettings
+from sequoiawind.stop_notes import StopNotes
 
 PURPOSE: Final = "Forward callers' requests to targets on the platform."
 
@@ -24,6 +25,13 @@
     logs.configure(options.logs)
     program = ForwardRouterProgram(options=options)
     shutdown = program.shutdown
+    notes = StopNotes(
+        log=program.log,
+        phase=program.board.phase,
+        open_work=lambda: open_work.of_router(
+            program.forwarder, program.site, program.closer
+        ),
+    )
     daemon = Daemon(
         phase=program.board.phase,
         is_idle=shutdown.is_idle,
@@ -32,6 +40,7 @@
         balancer_wait_s=shutdown.leave_s,
         work_s=lambda: shutdown.work_s,
         on_ending=shutdown.end_requests,
+        on_step=notes.note,
     )
     follower = program.settings_follower(file)
     daemon.on_reload = follower.reload
@@ -40,7 +49,7 @@
         program.start(on_prepared=daemon.ready)
         Deferred.fromCoroutine(follower.run())
         daemon.run()
-    program.log.info("stopped")
+    notes.stopped()
 
 
 if __name__ == "__main__":
--- a/sequoiawind/lifecycle.py
+++ b/sequoiawind/lifecycle.py
@@ -36,12 +36,22 @@
     name: str = "starting"
     # Called when the daemon has stopped.
     on_stopped: Callable[[], None] = attrs.field(default=lambda: None)
+    # Returns the time since the signal to stop, in seconds; -1 without one.
+    since_signal_s: Callable[[], float] = attrs.field(default=lambda: -1.0)
+    # Whether the requests that had not ended have been ended.
+    has_ended_work: bool = False
 
     @property
     def is_ready(self) -> bool:
         """Whether the daemon is ready for new work."""
         return self.name == "serving"
 
+    @property
+    def stage(self) -> str:
+        """The phase for a log; "ending" once open requests were ended."""
+        is_ending = self.has_ended_work and self.name == "draining"
+        return "ending" if is_ending else self.name
+
     @property
     def is_closed(self) -> bool:
         """Whether new work is refused."""
--- a/sequoiawind/log_pipe.py
+++ b/sequoiawind/log_pipe.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import select
 import time
 from collections.abc import Callable, MutableMapping
 from typing import Any, Final
@@ -21,6 +22,11 @@
 RESERVED_SHARE: Final = 0.5
 # Unwritten bytes above which further lines are dropped.
 MAX_UNWRITTEN_BYTES: Final = 65_536
+# Time for which the end of a process waits for the reader, in seconds.
+END_FLUSH_S: Final = 0.2
+# The lines of a process' life cycle, of which there are few.  They are never
+# left out, as a missing one tells that the process was killed.
+KEPT_EVENTS: Final = frozenset({"signal received", "drain began", "stopped"})
 
 
 @attrs.define(kw_only=True)
@@ -48,10 +54,11 @@
         self.updated_s = now_s
         is_common = method in ("debug", "info")
         required = BURST_LINES * RESERVED_SHARE if is_common else 1.0
-        if self.available < required:
+        is_kept = event.get("event") in KEPT_EVENTS
+        if self.available < required and not is_kept:
             self.left_out += 1
             raise structlog.DropEvent
-        self.available -= 1.0
+        self.available = max(0.0, self.available - 1.0)
         if self.left_out:
             event["lines_left_out"] = self.left_out
             self.left_out = 0
@@ -96,6 +103,14 @@
             self.lost += 1
             self.unwritten = b""
 
+    def flush_at_end(self) -> None:
+        """Write the unwritten bytes, waiting a little for a slow reader."""
+        ends_s = time.monotonic() + END_FLUSH_S
+        self.flush()
+        while self.unwritten and (left_s := ends_s - time.monotonic()) > 0.0:
+            select.select([], [self.descriptor], [], left_s)
+            self.flush()
+
 
 def standard_output() -> LogPipe:
     """Make standard output non-blocking and return a pipe to it."""
--- a/sequoiawind/logs.py
+++ b/sequoiawind/logs.py
@@ -1,5 +1,6 @@
 """Structured logging of the daemons."""
 
+import atexit
 import logging
 from typing import Any
 
@@ -15,6 +16,7 @@
     level = logging.getLevelNamesMapping()[options.level.upper()]
     # `structlog` expects a text file, but only uses `write` and `flush`.
     pipe: Any = log_pipe.standard_output()
+    atexit.register(pipe.flush_at_end)
     renderer: structlog.typing.Processor
     if options.format == "json":
         renderer = structlog.processors.JSONRenderer()
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -20,6 +20,7 @@
     keys,
     logs,
     metrics,
+    sockets,
 )
 from sequoiawind.admin import Admin
 from sequoiawind.blackboard import Blackboard, RequestNote
@@ -41,6 +42,7 @@
 from sequoiawind.router import Router
 from sequoiawind.router_http import RouterHttp
 from sequoiawind.staged_close import StagedCloser
+from sequoiawind.stop_notes import OpenRequest, OpenWork
 from sequoiawind.unsent_answers import UnsentAnswers
 from sequoiawind.verdict import Failure, Reason
 from sequoiawind.wire import Ended
@@ -225,6 +227,25 @@
             and self.http.unsent.is_empty
         )
 
+    def open_work(self) -> OpenWork:
+        """Return what is open, for the log of a shutdown."""
+        closing = [item.transport for item in self.closer.connections]
+        unsent = [item.transport for item in self.http.unsent.entries]
+        return OpenWork(
+            requests=[
+                OpenRequest(
+                    request_id=note.request_id,
+                    target=note.targets_tried[-1] if note.targets_tried else "",
+                    phase="answering"
+                    if note.first_chunk_s >= 0.0
+                    else "waiting",
+                )
+                for note in (item.note for item in self.router.open)
+            ],
+            closing=len(closing),
+            untaken_bytes=sum(map(sockets.untaken_bytes, closing + unsent)),
+        )
+
     def stop_listening(self) -> None:
         """Accept no more connections."""
         self.port.stopListening()
