Log each end of a caller's connection that carries a request, with its cause

Cause: the server of callers' connections closes them in some twelve ways and reports two of them, refusals and stalled callers.

Change, in lines and one counter only: "connection ended" for each end of a connection that carries a request or has read a part of one, once, with cause, request id, targets, phase of the request and of the process, bytes read, written and untaken, revision and age of the configuration, and the seconds since the signal; once more if the close in stages loses something. sequoiawind_connection_ends counts all ends by cause and phase of the request; idle ones are only counted. "request" has sent_s, phase, since_signal_s and in_force_for_s. Fields are only added.

tests/outer_names.py also collects the fields of lines whose level depends on the outcome, which it missed: the list gains those of "request".

--- a/sequoiawind/caller_site.py
+++ b/sequoiawind/caller_site.py
@@ -5,6 +5,7 @@
 from twisted.internet.protocol import Factory
 
 from sequoiawind.caller_output import StalledCaller, ignore_stalled
+from sequoiawind.connection_ends import Cause, ConnectionEnd, ignore_end
 from sequoiawind.descriptor_limit import DescriptorLimit
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_server import CallerConnection, HttpRequest
@@ -31,13 +32,15 @@
         on_stalled: Callable[[StalledCaller], None] = ignore_stalled,
         budget: MemoryBudget | None = None,
         descriptors: DescriptorLimit | None = None,
+        on_end: Callable[[ConnectionEnd], None] = ignore_end,
     ) -> None:
         """Store the clock, the handler, the limits and the callbacks.
 
         `may_deny` returns whether the limits are current enough to refuse a
         request by them for good.
         `on_stalled` is called for each caller that is ended because it takes
-        nothing of what is held for it.  The site makes a closer and
+        nothing of what is held for it, `on_end` when a connection ends and
+        for what its close has lost.  The site makes a closer and
         a budget of its own if there is none to share.  It accepts any number
         of connections if there is no limit of descriptors.
         """
@@ -48,6 +51,7 @@
         self.may_deny = may_deny
         self.on_stalled = on_stalled
         self.descriptors = descriptors
+        self.on_end = on_end
         self.budget = budget or MemoryBudget()
         self.closer = closer or StagedCloser(clock=clock)
         self.connections: set[CallerConnection] = set()
@@ -63,7 +67,8 @@
         idle = [item for item in self.connections if item.may_be_closed]
         if not idle:
             return False
-        min(idle, key=lambda item: item.idle_since_s).close()
+        longest = min(idle, key=lambda item: item.idle_since_s)
+        longest.close(Cause.DESCRIPTORS)
         return True
 
     def limits_changed(self) -> None:
@@ -82,4 +87,4 @@
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.close()
+                connection.close(Cause.DRAIN)
--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -43,6 +43,8 @@
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     # Bytes of the answer that are counted in the budget of the process.
     held_bytes: int = 0
+    # When it was sent, in seconds of the clock; negative before.
+    sent_s: float = -1.0
     # Whether the prompt no longer counts as a pending prefill.
     has_begun: bool = False
     # When the first complete event of a stream arrived, in seconds of the
@@ -201,8 +203,8 @@
 
     def occupy(self) -> None:
         """Add the attempt to the target's counts."""
-        view = self.view
-        view.count_request(self.clock.seconds())
+        view, self.sent_s = self.view, self.clock.seconds()
+        view.count_request(self.sent_s)
         view.open_requests += 1
         view.pending_prefills += 1
         view.pending_prefill_tokens += self.chosen.prefill_tokens
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -121,6 +121,7 @@
             board=self.board,
             freshness=self.freshness,
             clock=event_loop.reactor,
+            request_id=callers.request_id,
         )
         self.fleet.on_restart = self.notes.note_restart
         self.forwarder = self.make_forwarder()
@@ -151,6 +152,7 @@
             on_stalled=self.notes.note_stalled,
             budget=self.budget,
             descriptors=DescriptorLimit.of(self.options.limits.max_fds),
+            on_end=self.notes.ends.note,
         )
         self.shutdown = ForwardShutdown(
             grace_s=lambda: self.options.bounds.grace_s,
@@ -308,6 +310,7 @@
     def config_changed(self) -> None:
         """Adapt to a configuration; become ready if it is the first."""
         state = self.board.state
+        self.notes.ends.configured()
         if isinstance(state, ForwardState):
             self.limits.put(state.limits)
             self.scopes.configured(state)
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -21,6 +21,7 @@
     CallerOutput,
 )
 from sequoiawind.caller_parser import CallerParser, HeadTooLarge
+from sequoiawind.connection_ends import Cause, ConnectionLife
 from sequoiawind.headers import Headers
 from sequoiawind.ports import Timer
 from sequoiawind.verdict import Reason
@@ -87,6 +88,7 @@
         self.is_draining = False
         # Called once if the caller disconnects before its answer is complete.
         self.on_disconnect: Callable[[], None] | None = None
+        self.life = ConnectionLife(connection=self)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and wait for a request."""
@@ -95,7 +97,7 @@
             transport=self.transport,
             clock=self.site.clock,
             budget=self.site.budget,
-            on_stalled=self.site.on_stalled,
+            on_stalled=self.life.stalled,
             on_drained=self.drained,
         )
         limit = self.site.descriptors
@@ -103,6 +105,7 @@
             self.transport.fileno(), self.site
         ):
             self.is_lost = True
+            self.life.ended(Cause.DESCRIPTORS, "new")
             self.transport.abortConnection()
             return
         self.site.connections.add(self)
@@ -112,6 +115,7 @@
         self, reason: TwistedFailure = connectionDone
     ) -> None:
         """Report a disconnect before the end of the answer."""
+        self.life.lost(reason)
         self.leave_site()
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if self.is_answering:
@@ -262,6 +266,7 @@
             arrived_s=self.arrived_s,
             flow=self.output,
         )
+        self.life.begin(request)
         self.head = None
         self.body = bytearray()
         self.arrived_s = None
@@ -300,6 +305,7 @@
         self.on_disconnect = None
         if self.must_close:
             # The caller's next request may cross the close.
+            self.life.answered()
             self.close_in_stages(holds_stop=False)
             return
         if self.output.is_choked:
@@ -315,6 +321,7 @@
             return
         self.is_draining = False
         if self.must_close:
+            self.life.answered()
             self.close_in_stages(holds_stop=False)
             return
         self.next_request()
@@ -340,6 +347,7 @@
 
     def abort_answer(self) -> None:
         """Abort the answer so that the caller sees it is incomplete."""
+        self.life.ended(Cause.BROKEN_OFF)
         self.is_answering = False
         self.on_disconnect = None
         self.output.free_request()
@@ -352,7 +360,8 @@
         self.output.charge(len(pipelined))
         try:
             self.http.start_next_cycle()
-        except h11.LocalProtocolError:
+        except h11.LocalProtocolError as error:
+            self.life.ended(Cause.NOT_REUSABLE, str(error))
             self.lose()
             return
         self.transport.resumeProducing()
@@ -408,12 +417,12 @@
     def refuse(self, reason: Reason) -> None:
         """Refuse a request that was not read to its end, and close."""
         reason = unread_requests.provable(reason, self.site.may_deny())
-        self.site.on_refusal(reason)
+        self.life.refused(reason)
         self.refuse_status(*unread_requests.status_and_headers(reason))
 
     def refuse_malformed(self, status: int) -> None:
         """Refuse bytes that are not a valid request, and close."""
-        self.site.on_refusal(Reason.BAD_REQUEST)
+        self.life.refused(Reason.BAD_REQUEST)
         self.refuse_status(status)
 
     def refuse_status(
@@ -422,14 +431,7 @@
         """Reply with a status and no body, and close."""
         self.stop_timer()
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            response = h11.Response(
-                status_code=status,
-                headers=[
-                    *(headers or []),
-                    (b"content-length", b"0"),
-                    (b"connection", b"close"),
-                ],
-            )
+            response = unread_requests.response(status, headers or [])
             self.write(self.http.send(response))
             self.write(self.http.send(h11.EndOfMessage()))
         self.close_in_stages(holds_stop=True)
@@ -443,10 +445,13 @@
         self.leave_site()
         self.body = bytearray()
         self.output.closed()
-        self.site.closer.close(self.transport, holds_stop=holds_stop)
+        self.site.closer.close(
+            self.transport, holds_stop=holds_stop, on_end=self.life.closed
+        )
 
-    def close(self) -> None:
+    def close(self, cause: Cause = Cause.IDLE) -> None:
         """Close the idle connection."""
+        self.life.ended(cause)
         self.is_lost = True
         self.lose()
 
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -201,6 +201,7 @@
     silences: Counter = attrs.field(init=False)
     connects: Counter = attrs.field(init=False)
     stalled_callers: Counter = attrs.field(init=False)
+    connection_ends: Counter = attrs.field(init=False)
     feed: FeedMetrics = attrs.field(init=False)
     config_age: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
@@ -269,6 +270,13 @@
             "Callers ended because they took nothing of their answers.",
             registry=registry,
         )
+        self.connection_ends = Counter(
+            "sequoiawind_connection_ends",
+            "Ends of callers' connections, by cause and what was being done"
+            " with their request.",
+            ["cause", "request_phase"],
+            registry=registry,
+        )
         self.feed = FeedMetrics(registry=registry)
         self.config_age = Gauge(
             "sequoiawind_config_age_seconds",
--- a/sequoiawind/platform/callers.py
+++ b/sequoiawind/platform/callers.py
@@ -38,6 +38,14 @@
     )
 
 
+def request_id(headers: Headers) -> str:
+    """Return the request id in a request's headers; empty if it has none."""
+    for name, value in headers:
+        if name == names.ATTEMPT_ID:
+            return value.decode("latin-1")
+    return ""
+
+
 def key(authorization: bytes) -> str:
     """Return the API key in an Authorization header; empty if it has none."""
     scheme, _, value = authorization.partition(b" ")
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -2,6 +2,7 @@
 
 import math
 import traceback
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -10,6 +11,7 @@
 
 from sequoiawind.blackboard import Blackboard
 from sequoiawind.caller_output import StalledCaller
+from sequoiawind.end_notes import EndNotes
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_plan import ForwardRequest
@@ -17,6 +19,7 @@
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.freshness import Freshness
+from sequoiawind.headers import Headers
 from sequoiawind.load.account_bucket import ShareInputs
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.ports import Clock
@@ -40,6 +43,19 @@
     board: Blackboard
     freshness: Freshness
     clock: Clock
+    # Returns the request id in a request's headers; empty if there is none.
+    request_id: Callable[[Headers], str]
+    ends: EndNotes = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the notes of the ends of connections."""
+        self.ends = EndNotes(
+            counter=self.metrics.connection_ends,
+            log=self.log,
+            board=self.board,
+            clock=self.clock,
+            request_id=self.request_id,
+        )
 
     def count_retry(self, reason: Reason) -> None:
         """Count a retry by its reason."""
@@ -246,7 +262,11 @@
             first_s=round(note.first_chunk_s - note.began_s, 4)
             if note.first_chunk_s >= 0.0
             else -1.0,
+            sent_s=round(attempt.sent_s - note.began_s, 4) if attempt else -1.0,
             seconds=round(note.ended_s - note.began_s, 4),
+            phase=self.board.phase.stage,
+            since_signal_s=self.ends.since_signal_s,
+            in_force_for_s=self.ends.in_force_for_s,
             time_s=round(plan.ends_s - note.began_s, 3),
         )
 
--- a/sequoiawind/sockets.py
+++ b/sequoiawind/sockets.py
@@ -84,6 +84,14 @@
     return unsent + transport._tempDataLen + queued[0]
 
 
+def left_bytes(transport: Any) -> int:
+    """Return how many written bytes a lost transport has not passed on."""
+    if not isinstance(transport, tcp.Connection):
+        return 0
+    unsent = len(transport.dataBuffer) - transport.offset
+    return unsent + transport._tempDataLen
+
+
 def unsent_bytes(transport: Any) -> int:
     """Return how many bytes written to a transport are held in this process."""
     if not isinstance(transport, tcp.Connection) or not transport.connected:
--- a/sequoiawind/staged_close.py
+++ b/sequoiawind/staged_close.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import attrs
+from twisted.internet import error
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
@@ -28,10 +29,39 @@
     TIME = "time"
 
 
+class CloseOutcome(enum.Enum):
+    """How a close in stages has ended."""
+
+    # The peer has closed too, after it could take all.
+    PEER = "peer"
+    # The peer has reset the connection, or is unreachable.
+    RESET = "reset"
+    # The connection was ended at a bound.
+    BYTES = Bound.BYTES.value
+    TIME = Bound.TIME.value
+    # The peer has stopped to take what was written.
+    UNTAKEN = "untaken"
+
+
+@attrs.frozen(kw_only=True)
+class CloseEnd:
+    """The end of a close in stages."""
+
+    outcome: CloseOutcome
+    # Bytes that arrived meanwhile.
+    discarded_bytes: int
+    # Written bytes that the peer's system has not taken, as far as known.
+    untaken_bytes: int
+
+
 def ignore(bound: Bound) -> None:
     """Ignore a connection that ended at a bound."""
 
 
+def ignore_end(end: CloseEnd) -> None:
+    """Ignore the end of a close."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class StagedCloser:
     """Closes connections in stages and owns them meanwhile."""
@@ -54,7 +84,13 @@
             item.holds_stop or not item.is_taken for item in self.connections
         )
 
-    def close(self, transport: Any, *, holds_stop: bool = True) -> None:
+    def close(
+        self,
+        transport: Any,
+        *,
+        holds_stop: bool = True,
+        on_end: Callable[[CloseEnd], None] = ignore_end,
+    ) -> None:
         """Close a connection once what was written to it has been sent.
 
         Its protocol receives nothing more, not even `connectionLost`.
@@ -62,8 +98,9 @@
         Args:
           transport: The connection's transport.
           holds_stop: Whether the end of the process waits for the close.
+          on_end: Called once with how the close has ended.
         """
-        connection: Any = StagedClose(self, holds_stop)
+        connection: Any = StagedClose(self, holds_stop, on_end)
         transport.protocol = connection
         connection.makeConnection(transport)
 
@@ -74,10 +111,16 @@
 
     transport: Any
 
-    def __init__(self, closer: StagedCloser, holds_stop: bool) -> None:
+    def __init__(
+        self,
+        closer: StagedCloser,
+        holds_stop: bool,
+        on_end: Callable[[CloseEnd], None],
+    ) -> None:
         """Store the owner, and whether the end of the process waits."""
         self.closer = closer
         self.holds_stop = holds_stop
+        self.on_end: Callable[[CloseEnd], None] | None = on_end
         self.discarded_bytes = 0
         # Whether all data has been sent.
         self.is_sent = False
@@ -124,6 +167,9 @@
         self, reason: TwistedFailure = connectionDone
     ) -> None:
         """Forget the connection."""
+        is_clean = reason.check(error.ConnectionDone) is not None
+        outcome = CloseOutcome.PEER if is_clean else CloseOutcome.RESET
+        self.report(outcome, sockets.left_bytes(self.transport))
         self.forget()
 
     def time_over(self) -> None:
@@ -135,6 +181,8 @@
             self.end(Bound.TIME)
             return
         # The peer has stopped to read.
+        untaken_bytes = sockets.untaken_bytes(self.transport)
+        self.report(CloseOutcome.UNTAKEN, untaken_bytes)
         self.forget()
         self.transport.loseConnection()
 
@@ -142,10 +190,24 @@
         """End the connection at a bound."""
         if self not in self.closer.connections:
             return
+        untaken_bytes = sockets.untaken_bytes(self.transport)
+        self.report(CloseOutcome(bound.value), untaken_bytes)
         self.forget()
         self.closer.on_bound(bound)
         self.transport.abortConnection()
 
+    def report(self, outcome: CloseOutcome, untaken_bytes: int) -> None:
+        """Report how the close has ended, once."""
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(
+                CloseEnd(
+                    outcome=outcome,
+                    discarded_bytes=self.discarded_bytes,
+                    untaken_bytes=untaken_bytes,
+                )
+            )
+
     def forget(self) -> None:
         """Stop the timer and leave the owner's connections."""
         self.closer.connections.discard(self)
--- a/sequoiawind/unread_requests.py
+++ b/sequoiawind/unread_requests.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+import h11
+
 from sequoiawind import defaults, memory_budget
 from sequoiawind.headers import Headers
 from sequoiawind.verdict import DEFAULT_HTTP_STATUS, HTTP_STATUS, Reason
@@ -31,6 +33,18 @@
     return reason
 
 
+def response(status: int, headers: Headers) -> h11.Response:
+    """Return the head of an answer without a body that ends a connection."""
+    return h11.Response(
+        status_code=status,
+        headers=[
+            *headers,
+            (b"content-length", b"0"),
+            (b"connection", b"close"),
+        ],
+    )
+
+
 def status_and_headers(reason: Reason) -> tuple[int, Headers]:
     """Return the status and headers of a refusal for a reason."""
     headers: Headers = []
--- a/tests/outer_names.py
+++ b/tests/outer_names.py
@@ -294,8 +294,20 @@
         if node.func.attr in LOG_METHODS and (
             "log" in owner and "logging" not in owner
         ):
-            for keyword in node.keywords:
-                yield keyword.arg or "", "log field"
+            yield from log_fields(node)
+    elif (
+        isinstance(node, ast.Call)
+        and isinstance(node.func, ast.Name)
+        and node.func.id == "write"
+    ):
+        # The log's method, where the level depends on the outcome.
+        yield from log_fields(node)
+
+
+def log_fields(call: ast.Call) -> Found:
+    """Yield the fields of a line that a call writes to the log."""
+    for keyword in call.keywords:
+        yield keyword.arg or "", "log field"
 
 
 def text_of(node: ast.AST | None) -> str:
--- a/tests/test_stop_notes.py
+++ b/tests/test_stop_notes.py
@@ -6,6 +6,7 @@
 
 import http.client
 import json
+import logging
 import os
 import signal
 import subprocess
@@ -45,7 +46,13 @@
 def capture() -> tuple[Any, list[Any]]:
     """Return a logger and the list that its lines are added to."""
     lines = structlog.testing.LogCapture()
-    return structlog.wrap_logger(None, processors=[lines]), lines.entries
+    log = structlog.wrap_logger(
+        None,
+        processors=[lines],
+        # Other tests set a level for the whole process.
+        wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG),
+    )
+    return log, lines.entries
 
 
 def named(lines: list[Any], at: str) -> list[str]:
