Log the ends of connections at the OpenAI interface too

What operators saw: the same as at the forwarding router; a connection that ended with a request read in part, or with an answer begun, left no line.

Change, in lines and one counter only: the server of the OpenAI interface reports each end with its cause, the router logs and counts it as the forwarding router does, and its "request" lines have phase, since_signal_s and in_force_for_s. Agents serve routers, which log what they lose; their servers do not report.

--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -12,9 +12,12 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure as TwistedFailure
 from twisted.web import http, server
 
 from sequoiawind import defaults
+from sequoiawind.channel_ends import ChannelLife
+from sequoiawind.connection_ends import Cause, ConnectionEnd, ignore_end
 from sequoiawind.event_loop import LISTEN_BACKLOG, reactor
 from sequoiawind.options import Address
 from sequoiawind.staged_close import StagedCloser
@@ -46,9 +49,13 @@
     body_timer: Any = None
     body_bytes: int = 0
     is_refused: bool = False
+    # Whether the head, and whether all of the request, has arrived.
+    has_head: bool = False
+    is_whole: bool = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body whose announced length is too large."""
+        self.has_head = True
         if length is not None and length > defaults.MAX_BODY_BYTES:
             self.refuse_body(Reason.BODY_TOO_LARGE)
             return
@@ -82,6 +89,7 @@
         self.stop_body_timer()
         if self.is_refused:
             return
+        self.is_whole = True
         server.Request.requestReceived(self, command, path, version)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -104,6 +112,7 @@
         # The channel would send status 100 after the refusal.
         self.requestHeaders.removeHeader(b"Expect")
         channel.site.on_refusal(reason)
+        channel.life.ended(Cause.REFUSED, reason.value)
         channel.transport.write(refusal(HTTP_STATUS[reason]))
         channel.loseConnection()
 
@@ -117,6 +126,25 @@
     is_closing: bool = False
     # Whether no request was read or answered for too long.
     is_timed_out: bool = False
+    # Id of the request that was passed on last; empty for none.
+    last_request_id: str = ""
+
+    def __init__(self) -> None:
+        """Set up the channel."""
+        http.HTTPChannel.__init__(self)
+        self.life = ChannelLife(channel=self)
+
+    def connectionLost(  # noqa: N802
+        self, reason: TwistedFailure = connectionDone
+    ) -> None:
+        """Report a connection that was not closed here."""
+        self.life.lost(reason)
+        http.HTTPChannel.connectionLost(self, reason)
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        """Refuse bytes that are not a valid request."""
+        self.life.ended(Cause.REFUSED, Reason.BAD_REQUEST.value)
+        http.HTTPChannel._respondToBadRequestAndDisconnect(self)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Parse a line of a request's head."""
@@ -132,12 +160,14 @@
         """Refuse a head with a line that is too long."""
         if not self.is_closing:
             self.site.on_refusal(Reason.BAD_REQUEST)
+            self.life.ended(Cause.REFUSED, Reason.BAD_REQUEST.value)
             self.transport.write(refusal(HEADER_FIELDS_TOO_LARGE))
             self.loseConnection()
 
     def timeoutConnection(self) -> None:  # noqa: N802
         """Close a connection on which nothing has arrived for too long."""
         self.is_timed_out = True
+        self.life.ended(Cause.IDLE)
         http.HTTPChannel.timeoutConnection(self)
 
     def loseConnection(self) -> None:  # noqa: N802
@@ -146,6 +176,7 @@
             http.HTTPChannel.loseConnection(self)
         elif not self.is_closing:
             self.is_closing = True
+            self.life.ended(Cause.ANSWERED)
             self.transport.unregisterProducer()
             # Ends the requests and the timers of this class.
             http.HTTPChannel.connectionLost(self, connectionDone)
@@ -162,12 +193,14 @@
         *args: Any,
         on_refusal: Callable[[Reason], None],
         closer: StagedCloser,
+        on_end: Callable[[ConnectionEnd], None] = ignore_end,
         **kwargs: Any,
     ) -> None:
-        """Store the callback for refused bodies, and the closer."""
+        """Store the callbacks for refused bodies and ends, and the closer."""
         server.Site.__init__(self, *args, **kwargs)
         self.on_refusal = on_refusal
         self.closer = closer
+        self.on_end = on_end
 
 
 def ignore(reason: Reason) -> None:
@@ -179,6 +212,7 @@
     address: Address,
     on_refusal: Callable[[Reason], None] = ignore,
     closer: StagedCloser | None = None,
+    on_end: Callable[[ConnectionEnd], None] = ignore_end,
 ) -> IListeningPort:
     """Serve an application at an address; port 0 selects a free one.
 
@@ -190,6 +224,7 @@
         timeout=defaults.IDLE_TIMEOUT_S,
         on_refusal=on_refusal,
         closer=closer or StagedCloser(clock=reactor),
+        on_end=on_end,
     )
     site.displayTracebacks = False
     port: IListeningPort = reactor.listenTCP(
--- a/sequoiawind/metrics.py
+++ b/sequoiawind/metrics.py
@@ -46,12 +46,14 @@
     open_requests: Gauge = attrs.field(init=False)
     revision: Gauge = attrs.field(init=False)
     closes_at_bound: Counter = attrs.field(init=False)
+    connection_ends: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics, with every reason's counter at zero."""
         registry = self.registry
         ProcessCollector(registry=registry)
         self.closes_at_bound = bound_counter(registry)
+        self.connection_ends = end_counter(registry)
         self.requests = Counter(
             "sequoiawind_requests",
             "Requests ended, by kind and verdict.",
@@ -270,13 +272,7 @@
             "Callers ended because they took nothing of their answers.",
             registry=registry,
         )
-        self.connection_ends = Counter(
-            "sequoiawind_connection_ends",
-            "Ends of callers' connections, by cause and what was being done"
-            " with their request.",
-            ["cause", "request_phase"],
-            registry=registry,
-        )
+        self.connection_ends = end_counter(registry)
         self.feed = FeedMetrics(registry=registry)
         self.config_age = Gauge(
             "sequoiawind_config_age_seconds",
@@ -352,6 +348,17 @@
     return counter
 
 
+def end_counter(registry: CollectorRegistry) -> Counter:
+    """Return a counter of the ends of callers' connections."""
+    return Counter(
+        "sequoiawind_connection_ends",
+        "Ends of callers' connections, by cause and what was being done with"
+        " their request.",
+        ["cause", "request_phase"],
+        registry=registry,
+    )
+
+
 def count_bound(counter: Counter) -> Callable[[Bound], None]:
     """Return a function that counts a close at a bound."""
     return lambda bound: counter.labels(bound.value).inc()
--- a/sequoiawind/router_http.py
+++ b/sequoiawind/router_http.py
@@ -244,6 +244,8 @@
     ) -> Deferred[None] | bytes:
         """Submit a request to the router and write its answer."""
         self.unsent.track(request)
+        channel: Any = request.channel
+        channel.last_request_id = caller_request.request_id
         caller = Caller(
             request=request,
             request_id=caller_request.request_id,
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred
 
 from sequoiawind import (
+    channel_ends,
     event_loop,
     http_client,
     http_ports,
@@ -26,6 +27,7 @@
 from sequoiawind.blackboard import Blackboard, RequestNote
 from sequoiawind.claimant import Claimant
 from sequoiawind.config_follower import ConfigFollower
+from sequoiawind.end_notes import EndNotes
 from sequoiawind.exchange import ExchangeContext
 from sequoiawind.http_client import JsonClient
 from sequoiawind.http_ports import AgentPort, LogHttpPort
@@ -68,6 +70,7 @@
     # Closes the callers' connections.
     closer: StagedCloser = attrs.field(init=False)
     http: RouterHttp = attrs.field(init=False)
+    ends: EndNotes = attrs.field(init=False)
     # The listening port; None before `listen`.
     port: Any = None
 
@@ -85,6 +88,13 @@
                 client=self.client, secret=self.options.peers.secret
             )
         )
+        self.ends = EndNotes(
+            counter=self.metrics.connection_ends,
+            log=self.log,
+            board=self.board,
+            clock=event_loop.reactor,
+            request_id=channel_ends.request_id,
+        )
         self.claimant = self.make_claimant()
         self.router = self.make_router()
         self.follower = self.make_follower()
@@ -140,6 +150,7 @@
             random=self.random,
             wall=time.time,
             retention_s=self.options.platform.log_retention_s,
+            on_change=self.ends.configured,
         )
 
     def make_http(self) -> RouterHttp:
@@ -172,6 +183,7 @@
             self.options.router.listen,
             on_refusal=self.count_refused_body,
             closer=self.closer,
+            on_end=self.ends.note,
         )
         self.log.info("listening", port=self.port.getHost().port)
 
@@ -296,4 +308,7 @@
             verdict=note.verdict,
             reason=note.reason,
             seconds=round(note.ended_s - note.began_s, 4),
+            phase=self.board.phase.stage,
+            since_signal_s=self.ends.since_signal_s,
+            in_force_for_s=self.ends.in_force_for_s,
         )
