Tell faults of ours and losses of the OpenAI interface's closes apart

What operators saw: a connection that is dropped because its handler failed looked like one whose caller has left; and what the close in stages of the OpenAI interface lost (an answer not taken, a bound) left no line.

Change, in lines only: cause "fault" for ends that are no ends of a connection; the closes of both interfaces report by the same function.

Evidence: tests/test_connection_ends.py test_connection_whose_handler_fails gave caller_left before. A test of the new fields of "request" is added, and one of SIGHUP to the test with a real process. test_channel_ends, test_connection_ends, test_stop_notes, test_outer_names and test_layout pass.

--- a/sequoiawind/channel_ends.py
+++ b/sequoiawind/channel_ends.py
@@ -3,12 +3,18 @@
 from typing import Any, Final
 
 import attrs
-from twisted.internet import error
 from twisted.python.failure import Failure as TwistedFailure
 
 from sequoiawind import sockets
-from sequoiawind.connection_ends import Cause, ConnectionEnd, RequestPhase
+from sequoiawind.connection_ends import (
+    Cause,
+    ConnectionEnd,
+    RequestPhase,
+    cause_of_loss,
+    end_of_close,
+)
 from sequoiawind.headers import Headers
+from sequoiawind.staged_close import CloseEnd
 
 # Name under which the id that the router uses is passed on with an end.
 REQUEST_ID: Final = b"x-request-id"
@@ -20,19 +26,23 @@
 
     # The `http_server.BoundedChannel`.
     channel: Any
-    is_reported: bool = False
+    end: ConnectionEnd | None = None
 
     def lost(self, failure: TwistedFailure) -> None:
-        """Report a connection that the caller has ended."""
-        is_clean = failure.check(error.ConnectionDone) is not None
-        detail = "closed" if is_clean else failure.getErrorMessage()[:100]
-        self.ended(Cause.CALLER_LEFT, detail)
+        """Report a connection that was not closed here."""
+        self.ended(*cause_of_loss(failure))
+
+    def closed(self, close: CloseEnd) -> None:
+        """Report what a close in stages has lost, if anything."""
+        end = end_of_close(self.end, close)
+        if end is not None:
+            self.end = end
+            self.channel.site.on_end(end)
 
     def ended(self, cause: Cause, detail: str = "") -> None:
         """Report the end, unless it was reported."""
-        if self.is_reported:
+        if self.end is not None:
             return
-        self.is_reported = True
         channel = self.channel
         requests = channel.requests
         request = requests[-1] if requests else None
@@ -44,18 +54,17 @@
             phase = RequestPhase.ANSWERED
         request_id = channel.last_request_id.encode("latin-1", "replace")
         peer = channel.transport.getPeer()
-        channel.site.on_end(
-            ConnectionEnd(
-                cause=cause,
-                detail=detail,
-                peer=f"{peer.host}:{peer.port}",
-                request_phase=phase,
-                headers=[(REQUEST_ID, request_id)] if request_id else [],
-                read_bytes=request.body_bytes if request is not None else 0,
-                written_bytes=request.sentLength if request is not None else 0,
-                untaken_bytes=untaken_bytes,
-            )
+        self.end = ConnectionEnd(
+            cause=cause,
+            detail=detail,
+            peer=f"{peer.host}:{peer.port}",
+            request_phase=phase,
+            headers=[(REQUEST_ID, request_id)] if request_id else [],
+            read_bytes=request.body_bytes if request is not None else 0,
+            written_bytes=request.sentLength if request is not None else 0,
+            untaken_bytes=untaken_bytes,
         )
+        channel.site.on_end(self.end)
 
 
 def phase_of(request: Any) -> RequestPhase:
--- a/sequoiawind/connection_ends.py
+++ b/sequoiawind/connection_ends.py
@@ -38,6 +38,8 @@
     STALLED = "stalled"
     # The caller closed or reset it, or was found to be unreachable.
     CALLER_LEFT = "caller_left"
+    # A fault of ours in its handler.
+    FAULT = "fault"
     # The event loop ended it, as the process ends.
     PROCESS_END = "process_end"
     # While it was being closed: bytes arrived, as of a further request; it was
@@ -62,6 +64,8 @@
     ANSWERED = "answered"
 
 
+# Longest text of an error in an end.
+MAX_DETAIL_CHARACTERS: Final = 100
 # Causes that follow another end of the same connection.
 CLOSE_CAUSES: Final = {
     CloseOutcome.BYTES: Cause.AT_BOUND,
@@ -133,14 +137,10 @@
         self.connection.site.on_stalled(caller)
 
     def lost(self, failure: TwistedFailure) -> None:
-        """Report a connection that the caller has ended."""
-        is_clean = failure.check(error.ConnectionDone) is not None
-        transport = self.connection.transport
-        self.ended(
-            Cause.CALLER_LEFT,
-            "closed" if is_clean else failure.getErrorMessage()[:100],
-            untaken_bytes=sockets.left_bytes(transport),
-        )
+        """Report a connection that was not closed here."""
+        cause, detail = cause_of_loss(failure)
+        untaken_bytes = sockets.left_bytes(self.connection.transport)
+        self.ended(cause, detail, untaken_bytes)
 
     def ended(
         self,
@@ -199,28 +199,53 @@
 
     def closed(self, close: CloseEnd) -> None:
         """Report what a close in stages has lost, if anything."""
-        before = self.end
-        if before is None or before.cause is Cause.STALLED:
-            return
-        cause = CLOSE_CAUSES.get(close.outcome)
-        if cause is Cause.RESET and not close.untaken_bytes:
-            cause = None
-        is_after_answer = before.cause is not Cause.REFUSED
-        if cause is None and close.discarded_bytes and is_after_answer:
-            cause = Cause.DISCARDED
-        if cause is None:
-            return
-        phase = before.request_phase
-        if close.untaken_bytes:
-            phase = RequestPhase.ANSWERED
-        elif phase is RequestPhase.ANSWERED:
-            phase = RequestPhase.NONE
-        self.end = attrs.evolve(
-            before,
-            cause=cause,
-            detail=f"{close.outcome.value} after {before.cause.value}",
-            request_phase=phase,
-            untaken_bytes=close.untaken_bytes,
-            discarded_bytes=close.discarded_bytes,
-        )
-        self.connection.site.on_end(self.end)
+        end = end_of_close(self.end, close)
+        if end is not None:
+            self.end = end
+            self.connection.site.on_end(end)
+
+
+def cause_of_loss(failure: TwistedFailure) -> tuple[Cause, str]:
+    """Return why a connection that was not closed here was lost, and more.
+
+    The event loop also ends a connection whose handler fails.
+    """
+    if failure.check(error.ConnectionDone) is not None:
+        return Cause.CALLER_LEFT, "closed"
+    is_closed = failure.check(error.ConnectionClosed) is not None
+    detail = failure.getErrorMessage()[:MAX_DETAIL_CHARACTERS]
+    return Cause.CALLER_LEFT if is_closed else Cause.FAULT, detail
+
+
+def end_of_close(
+    before: ConnectionEnd | None, close: CloseEnd
+) -> ConnectionEnd | None:
+    """Return what a close in stages has lost; None if nothing.
+
+    Args:
+      before: What was reported when the close began.
+      close: How it has ended.
+    """
+    if before is None or before.cause is Cause.STALLED:
+        return None
+    cause = CLOSE_CAUSES.get(close.outcome)
+    if cause is Cause.RESET and not close.untaken_bytes:
+        cause = None
+    is_after_answer = before.cause is not Cause.REFUSED
+    if cause is None and close.discarded_bytes and is_after_answer:
+        cause = Cause.DISCARDED
+    if cause is None:
+        return None
+    phase = before.request_phase
+    if close.untaken_bytes:
+        phase = RequestPhase.ANSWERED
+    elif phase is RequestPhase.ANSWERED:
+        phase = RequestPhase.NONE
+    return attrs.evolve(
+        before,
+        cause=cause,
+        detail=f"{close.outcome.value} after {before.cause.value}",
+        request_phase=phase,
+        untaken_bytes=close.untaken_bytes,
+        discarded_bytes=close.discarded_bytes,
+    )
--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -180,7 +180,7 @@
             self.transport.unregisterProducer()
             # Ends the requests and the timers of this class.
             http.HTTPChannel.connectionLost(self, connectionDone)
-            self.site.closer.close(self.transport)
+            self.site.closer.close(self.transport, on_end=self.life.closed)
 
 
 class BoundedSite(server.Site):
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -16,6 +16,7 @@
 from sequoiawind.end_notes import EndNotes
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.platform import callers
+from sequoiawind.router_notes import RouterNotes
 from tests.stand_ins import FakeTransport
 from tests.test_late_in_shutdown import END_S, LEAVE_S, Stopping, request
 from tests.test_stop_notes import capture
@@ -209,6 +210,42 @@
         self.assertEqual("stalled", line["cause"])
         self.assertEqual(70, line["untaken_bytes"])
 
+    def test_connection_whose_handler_fails(self) -> None:
+        caller = self.send(request("book"))
+        caller.protocol.connectionLost(TwistedFailure(KeyError("x")))
+        self.assertEqual("fault", self.only()["cause"])
+        self.assertEqual("warning", self.only()["log_level"])
+
+    def test_line_of_a_request_tells_when_it_was_sent(self) -> None:
+        rig = self.router.rig
+        notes = RouterNotes(
+            metrics=ForwardMetrics(),
+            log=self.notes.log,
+            board=rig.board,
+            freshness=rig.freshness,
+            clock=rig.clock,
+            request_id=callers.request_id,
+        )
+        rig.forwarder.on_end = notes.note_end
+        rig.fleet.shed("p1", rig.clock.seconds() + 0.5)
+        self.send(request("book", 20_000))
+        self.router.daemon.leave()
+        self.router.advance_to(1.0)
+        rig.forwarder.waiting.serve()
+        self.router.advance_to(2.0)
+        self.sent[-1].answer(200, b"done")
+        line = next(x for x in self.lines if x["event"] == "request")
+        self.assertTrue(0.5 <= line["sent_s"] <= 1.1, line)
+        self.assertTrue(1.9 <= line["since_signal_s"] <= 2.1, line)
+        self.assertEqual("leaving", line["phase"])
+        self.assertEqual(-1.0, line["in_force_for_s"])
+        notes.ends.configured()
+        self.router.advance_to(2.5)
+        self.send(request("book", 20_000))
+        self.sent[-1].answer(200, b"done")
+        line = [x for x in self.lines if x["event"] == "request"][-1]
+        self.assertTrue(0.5 <= line["in_force_for_s"] < 0.6, line)
+
     def test_connections_that_end_with_their_process(self) -> None:
         self.router.connect()
         caller = self.send(request("book")[:30])
--- a/tests/test_stop_notes.py
+++ b/tests/test_stop_notes.py
@@ -310,6 +310,11 @@
         router = LoggedRouter(test=self)
         router.engine.events, router.engine.pause_s = 20, 0.05
         stream = router.open_stream("short-one")
+        router.process.send_signal(signal.SIGHUP)
+        (line,) = router.lines_until("signal received")[-1:]
+        self.assertEqual("SIGHUP", line["signal"])
+        self.assertEqual(1, line["open_requests"])
+        self.assertEqual(-1.0, line["since_signal_s"])
         router.process.send_signal(signal.SIGTERM)
         self.assertIn(b"id: 20\n", stream.read())
         lines = router.lines_until()
