--- a/tests/test_stop_notes.py
+++ b/tests/test_stop_notes.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -36,6 +37,8 @@
 from tests.test_forward_processes import WAIT_TIMEOUT_S, free_ports
 from tests.test_late_in_shutdown import END_S, LEAVE_S, Stopping, request
 
+# Longest life of a process, in seconds.
+LIFE_S = 120.0
 # Bounds with so long a grace that a slow machine reaches no end in it.
 BOUNDS = """
 [bounds]
@@ -251,6 +254,10 @@
             env=dict(os.environ),
         )
         self.test.addCleanup(self.end)
+        # A line that does not come must not hold the test up for ever.
+        watchdog = threading.Timer(LIFE_S, self.process.kill)
+        watchdog.start()
+        self.test.addCleanup(watchdog.cancel)
         self.lines_until("ready")
 
     def end(self) -> None:
