Plan a begun stream again as accepted, even if no target counts as tried

What callers would see: a stream that has begun is cut with 404's reason beside a configuration that drops or moves its route.

Cause: a router moves a run by stopping it; the destination then takes the place of the source among the targets that count as tried. If the destination cannot be connected to, it is taken out of them too, and none is left. `update_plan` took a request with no tried target for one that no target has got, and matched it with the newest configuration as if it had just arrived: without its route it was given up (no_route), and with the route at another pool it went on there.

Why it works: a request whose caller has a part of the answer has been accepted, whatever became of its attempts, so it is renewed and keeps its kind, route and pool. Its key is still checked.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -201,7 +201,7 @@
         if is_current and is_trusted:
             return None
         planner = self.forwarder.planner
-        if self.sent_to:
+        if self.sent_to or self.has_head:
             planned = planner.renew(self.plan, has_begun=self.has_head)
         else:
             planned = planner.plan(self.plan.request)
