Do not cut a stream whose run a router has stopped to move it

What callers saw: a begun stream that may be resumed (two targets at most) is broken off though no target has broken it off. It happens beside loads of weights, and so beside configurations that come with them.

Cause: to move a run, the router has its target stop it; the destination takes the source's place among the targets that count. If the destination refuses the run (it loads too by now, has other weights, or is full), that refusal uses up one target, a refusal by the next one the last, and the stream is cut (`max_targets`), after some milliseconds. After a move that fails with the run stopped, one refusal is enough. A repeat that the window does not allow cuts it too (`retry_budget`).

The tests fail on the code before: "True is not false" for the caller's stream being broken off, after the second refusal, and where no repeat is allowed.

Change: `TriedTargets` holds what counts. While a stream is without the run that our own move has stopped, a target that proves not to have run it does not count, and the stream waits for a target or a repeat until its deadline. The source counts as the place where it ran, and may be asked again once it has loaded. So a request still runs at no more targets than its route allows, each send still takes a repeat from the window, and streams that a target has broken off are treated as before.

tests/test_close_delimited_answers.py only names the list by its new place.

--- a/sequoiawind/forward_placement.py
+++ b/sequoiawind/forward_placement.py
@@ -117,7 +117,7 @@
             ready = [
                 view
                 for view in self.fleet.ready(plan.pool.name, now_s, is_long)
-                if view.target.name not in forwarding.sent_to
+                if view.target.name not in forwarding.tried.excluded
                 and may_continue(forwarding.origin, view.target)
             ]
             pool = plan.pool.name
@@ -133,7 +133,7 @@
             self.weights.oldest(prompt.model),
             self.weights.oldest(prompt.model, is_queued=True),
             is_long,
-            forwarding.sent_to,
+            forwarding.tried.excluded,
         )
 
     def chooser(
@@ -244,6 +244,6 @@
             return bool(usable)
         return any(
             may_continue(origin, view.target)
-            and view.target.name not in forwarding.sent_to
+            and view.target.name not in forwarding.tried.excluded
             for view in usable.values()
         )
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -217,8 +217,9 @@
         now_s, pool = self.clock.seconds(), forwarding.plan.pool.name
         limits: list[TargetLimit] = []
         for view in self.fleet.pool(pool, now_s).usable.values():
-            if view.target.name in forwarding.sent_to or not may_continue(
-                forwarding.origin, view.target
+            if (
+                view.target.name in forwarding.tried.excluded
+                or not may_continue(forwarding.origin, view.target)
             ):
                 continue
             if view.notice.limit is None:
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -30,6 +30,7 @@
 from sequoiawind.stream_move import StreamMove
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.target_choice import Chosen
+from sequoiawind.tried_targets import TriedTargets
 from sequoiawind.verdict import (
     Failure,
     Reason,
@@ -61,8 +62,7 @@
     # Whether admission control has let it in.
     is_admitted: bool = False
     current: ForwardAttempt | None = None
-    # Names of the targets to which the request was sent.
-    sent_to: list[str] = attrs.field(factory=list)
+    tried: TriedTargets = attrs.field(factory=TriedTargets)
     # Names of the targets that were asked for their load before a choice.
     probed: tuple[str, ...] = ()
     # Number of targets that were asked so far.
@@ -131,10 +131,10 @@
         if self.left_s <= 0.0:
             self.stop(not_run(Reason.DEADLINE, messages.DEADLINE))
             return
-        if len(self.sent_to) >= max(1, kind.max_targets):
+        if self.tried.count >= max(1, kind.max_targets):
             self.stop(not_run(Reason.MAX_TARGETS, messages.MAX_TARGETS))
             return
-        if not (self.sent_to or self.probed) and self.forwarder.probe(self):
+        if not (self.tried or self.probed) and self.forwarder.probe(self):
             return
         options = self.forwarder.options(self)
         self.asked += len(self.probed)
@@ -144,14 +144,16 @@
                 self.wait()
             return
         self.waiting_since_s = None
-        if not self.reserve_attempt():
+        if self.reserve_attempt():
+            self.send(options[0])
+        elif self.tried.stopped:
+            self.wait()
+        else:
             self.stop(not_run(Reason.RETRY_BUDGET, messages.RETRY_BUDGET))
-            return
-        self.send(options[0])
 
     def is_let_in(self, options: list[Chosen]) -> bool:
         """Whether the request is sent now; end it if it is refused."""
-        if self.is_admitted or self.sent_to or self.origin is not None:
+        if self.is_admitted or self.tried or self.origin is not None:
             return True
         decision = self.forwarder.decide(self, options)
         self.is_admitted = decision.action is not Action.WAIT
@@ -201,7 +203,7 @@
         if is_current and is_trusted:
             return None
         planner = self.forwarder.planner
-        if self.sent_to or self.has_head:
+        if self.tried or self.has_head:
             planned = planner.renew(self.plan, has_begun=self.has_head)
         else:
             planned = planner.plan(self.plan.request)
@@ -251,7 +253,7 @@
 
     def send(self, chosen: Chosen) -> None:
         """Send the request to a target."""
-        if self.sent_to:
+        if self.tried:
             reason = (
                 self.last_failure.reason
                 if self.last_failure
@@ -272,7 +274,7 @@
     ) -> None:
         """Start an attempt, or continue a run that was moved."""
         target = chosen.view.target
-        self.sent_to.append(target.name)
+        self.tried.sent(target.name)
         self.note.targets_tried.append(target.name)
         attempt = ForwardAttempt(
             clock=self.clock,
@@ -305,13 +307,13 @@
     def continue_at(self, destination: Chosen, move: StreamMove) -> None:
         """Continue the run at the target that now has its memory."""
         # It is the same run, so it replaces the previous attempt.
-        self.sent_to.remove(move.attempt.view.target.name)
+        self.tried.moved(move.attempt.view.target.name)
         self.open_attempt(destination, move.moved_from)
 
     def may_send_elsewhere(self) -> bool:
         """Whether the request may still be sent to another target."""
         kind = self.plan.kind
-        return kind.may_repeat and len(self.sent_to) < kind.max_targets
+        return kind.may_repeat and self.tried.count < kind.max_targets
 
     # Answers.
 
@@ -322,6 +324,7 @@
         if self.is_finished or attempt.answer is None:
             return
         self.silence.heard(attempt)
+        self.tried.went_on()
         if attempt.move is None:
             self.silence.expect_event(attempt)
             if not attempt.may_be_stopped:
@@ -357,14 +360,13 @@
         answer = attempt.answer
         if answer is None or self.is_finished:
             return
-        name = attempt.view.target.name
         self.forwarder.versions_seen(attempt.view, answer.versions)
         if answer.refusal is not None:
             self.attempt_failed(attempt, answer.refusal)
             return
         is_fault = answer.status >= 500
         signature = self.signature if attempt.has_written else None
-        self.forwarder.outcome(name, is_fault, signature)
+        self.forwarder.outcome(attempt.view.target.name, is_fault, signature)
         is_unfit = is_fault or (self.has_head and not attempt.has_event)
         if is_unfit and self.silence.lost(attempt):
             return
@@ -390,8 +392,7 @@
         """Try another target after an error status from a target.
 
         Returns:
-          Whether the request was sent to another target; if not, the caller
-          gets the error answer unchanged.
+          Whether it was sent; if not, the caller gets the answer unchanged.
         """
         self.attempts.use()
         if self.update_plan() is not None or not self.may_send_elsewhere():
@@ -432,10 +433,10 @@
         self.record_verdict(failure)
         if self.charge is not None and failure.verdict is Verdict.NOT_RUN:
             self.charge.not_run()
-        if failure.reason is Reason.CONNECT_FAILED:
-            # Nothing was sent, so the target does not count as tried.
-            self.sent_to.remove(attempt.view.target.name)
-        else:
+        self.tried.failed(
+            attempt.view.target.name, failure, attempt.may_be_stopped
+        )
+        if failure.reason is not Reason.CONNECT_FAILED:
             self.attempts.use()
         if self.silence.lost(attempt):
             return
@@ -452,10 +453,9 @@
     # Ends.
 
     def give_up(self, failure: Failure) -> None:
-        """End the request with a failure.
+        """End the request with a failure, by the verdict over all attempts.
 
-        The caller gets the verdict over all attempts; an answer that has
-        begun is aborted instead.
+        An answer that has begun is aborted instead.
         """
         if self.is_finished:
             return
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -99,12 +99,12 @@
             self.complete_move()
             return
         self.attempt.move = None
+        self.attempt.may_be_stopped = not self.is_run_untouched
         self.forwarding.forwarder.on_move(self)
         failure = self.source_failure
         if failure is not None:
             self.forwarding.attempt_failed(self.attempt, failure)
         elif not self.has_ended:
-            self.attempt.may_be_stopped = not self.is_run_untouched
             self.forwarding.silence.expect_event(self.attempt)
         elif self.is_run_untouched:
             self.forwarding.answered(self.attempt)
--- a/sequoiawind/waiting_requests.py
+++ b/sequoiawind/waiting_requests.py
@@ -68,4 +68,4 @@
     model = prompt.model if prompt is not None else ""
     is_long = prompt is not None and is_long_run(prompt)
     origin = forwarding.origin
-    return (plan.pool.name, model, is_long, origin, *forwarding.sent_to)
+    return (plan.pool.name, model, is_long, origin, *forwarding.tried.excluded)
--- a/tests/test_close_delimited_answers.py
+++ b/tests/test_close_delimited_answers.py
@@ -168,7 +168,7 @@
           ends_first: Whether the stream ends before the move is answered.
         """
         source, caller = self.begin("draft", HEAD + events(1, 2))
-        name = next(iter(self.rig.forwarder.open)).sent_to[0]
+        name = next(iter(self.rig.forwarder.open)).tried.names[0]
         loading = TargetStatus(target=name, is_loading=True)
         self.rig.fleet.record_status(name, loading, self.rig.clock.seconds())
         self.rig.forwarder.status_changed(name)
--- a/tests/test_lost_by_move.py
+++ b/tests/test_lost_by_move.py
@@ -1,16 +1,18 @@
 """A stream whose run a router has stopped to move it is not cut for that."""
 
-from expression import Ok
+from expression import Error, Ok
 from testtools import TestCase
 
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
-from sequoiawind.stream_move import move_away
 from sequoiawind.verdict import Reason, may_have_run, not_run
+from sequoiawind.wire import TargetStatus
 from tests.forward_rig import FakeCaller, ForwardRig, state, target
 from tests.test_accepted_requests import CHANGES, event
 
+BUSY = not_run(Reason.TARGET_BUSY, "busy")
 LOST = may_have_run(Reason.CONNECTION_LOST, "lost")
+NOT_MOVED = may_have_run(Reason.TARGET_ERROR, "status 503")
 UNREACHABLE = not_run(Reason.CONNECT_FAILED, "refused")
 
 
@@ -28,26 +30,89 @@
         caller = self.router.submit("draft")
         self.sent = self.router.port.sent
         self.sent[0].begin(200, event(1))
-        move_away(self.forwarding)
+        self.report(is_loading=True)
         return caller
 
+    def report(self, is_loading: bool) -> None:
+        """Let the agent beside the first target report its status."""
+        name = self.sent[0].order.target.name
+        status = TargetStatus(is_loading=is_loading, versions={"m": 1})
+        now_s = self.router.clock.seconds()
+        self.router.fleet.record_status(name, status, now_s)
+        self.router.forwarder.status_changed(name)
+
     @property
     def forwarding(self) -> Forwarding:
         """The only open request."""
         (found,) = self.router.forwarder.open
         return found
 
-    def stop_run(self) -> None:
+    def stop_run(self, is_moved: bool = True) -> None:
         """End the run, and answer the move request."""
-        self.router.port.move_answers[-1].callback(Ok("ip:1/h"))
+        answer = Ok("ip:1/h") if is_moved else Error(NOT_MOVED)
+        self.router.port.move_answers[-1].callback(answer)
         self.sent[0].sink.failed(LOST)
 
+    def allow_no_repeats(self) -> None:
+        """Let the window of repeats be full from now on."""
+        self.router.forwarder.window.allowance = 0.0
+        self.router.forwarder.window.ratio = 0.0
+
     def check_whole(self, caller: FakeCaller) -> None:
         """Answer the last attempt; check that the caller gets all events."""
         self.sent[-1].answer(200, event(2))
         self.assertEqual(event(1) + event(2), caller.body)
         self.assertTrue(caller.is_ended)
 
+    def test_refusals_use_up_no_targets(self) -> None:
+        for is_moved in (True, False):
+            caller = self.moving(engines=6)
+            self.stop_run(is_moved)
+            for attempt in range(1, 5):
+                self.sent[attempt].answer(503, refusal=BUSY)
+                self.assertFalse(caller.is_broken, (is_moved, attempt))
+            self.assertEqual(6, len(self.sent))
+            self.check_whole(caller)
+
+    def test_stream_waits_while_all_targets_refuse(self) -> None:
+        caller = self.moving(engines=3)
+        self.stop_run()
+        self.sent[1].answer(503, refusal=BUSY)
+        self.sent[2].answer(503, refusal=BUSY)
+        self.assertFalse(caller.is_broken)
+        self.assertEqual(3, len(self.sent))
+        self.router.advance(1.0)
+        self.assertEqual(4, len(self.sent))
+        self.check_whole(caller)
+
+    def test_stream_waits_for_a_repeat(self) -> None:
+        caller = self.moving(engines=4)
+        window = self.router.forwarder.window
+        allowance = window.allowance
+        self.allow_no_repeats()
+        self.stop_run()
+        self.sent[1].answer(503, refusal=BUSY)
+        self.sent[2].answer(503, refusal=BUSY)
+        self.assertFalse(caller.is_broken)
+        self.assertEqual(3, len(self.sent))
+        window.allowance = allowance
+        self.router.advance(0.2)
+        self.check_whole(caller)
+
+    def test_source_may_go_on_once_it_has_loaded(self) -> None:
+        caller = self.moving(engines=2)
+        self.stop_run()
+        self.sent[1].answer(503, refusal=BUSY)
+        leaving = self.sent[1].order.target.name
+        self.router.add(target(leaving, "llm", is_draining=True))
+        self.router.advance(0.1)
+        self.assertFalse(caller.is_broken)
+        self.assertEqual(2, len(self.sent))
+        self.report(is_loading=False)
+        self.assertEqual(3, len(self.sent))
+        self.assertEqual(self.sent[0].order.target, self.sent[2].order.target)
+        self.check_whole(caller)
+
     def test_unreachable_destination_beside_a_configuration(self) -> None:
         for change in CHANGES:
             name = change.__name__
@@ -60,3 +125,21 @@
             self.assertEqual(3, len(self.sent), name)
             self.assertEqual("llm", self.sent[2].order.target.pool, name)
             self.check_whole(caller)
+
+    def test_runs_of_a_stream_stay_bounded(self) -> None:
+        # The source has run it, and so has the target that breaks off.
+        caller = self.moving(engines=5)
+        self.stop_run()
+        self.sent[1].answer(503, refusal=BUSY)
+        self.sent[2].begin(200, event(2))
+        self.sent[2].sink.failed(LOST)
+        self.assertTrue(caller.is_broken)
+        self.assertEqual(3, len(self.sent))
+
+    def test_targets_that_break_off_are_not_repeated_without_end(self) -> None:
+        caller = self.moving(engines=5)
+        self.sent[0].sink.failed(LOST)
+        self.router.port.move_answers[-1].callback(Error(not_run(BUSY.reason)))
+        self.sent[1].answer(503, refusal=BUSY)
+        self.assertTrue(caller.is_broken)
+        self.assertEqual(2, len(self.sent))
