Do not cut a begun stream because a change of isolation withdraws it

Cause: requests that wait at targets are withdrawn then, as they bear the salt of the scope before (since, so has no such cut). A stream that waits there to be resumed, after its first run was broken off or a move has stopped it, has used up two targets with that, all that its route allows.

Evidence: the test fails on the code before, "True is not false" for the stream being broken off, with and without a move, and where the window allows no repeat at that moment.

Why it works: the router alone has ended that attempt, as it does with a run that it moves. So `TriedTargets` takes it the same way: until another attempt brings an event or is broken off by its target, the target of the stopped attempt does not count and may be asked again, and the stream waits for a target or a repeat until its deadline. A request without a begun answer is answered as before, in time.

--- a/sequoiawind/scope_changes.py
+++ b/sequoiawind/scope_changes.py
@@ -67,6 +67,8 @@
     forwarding.last_failure = failure
     forwarding.record_verdict(failure)
     forwarding.attempts.use()
+    if forwarding.has_head:
+        forwarding.tried.withdrawn(current.view.target.name)
     if not forwarding.silence.lost(current):
         # Ends the request if it may not be repeated.
         forwarding.next_target()
--- a/sequoiawind/tried_targets.py
+++ b/sequoiawind/tried_targets.py
@@ -3,10 +3,11 @@
 A route bounds the number of targets at which a request may run.  A run that is
 moved goes on as the same run, so it counts at its present target alone.
 
-A router stops a run to move it, and then the destination may refuse it.
-Nothing but the router has ended that run, so its stream is not ended for want
-of further targets: what proves not to have run it does not count, and the
-target of the stopped run may be asked again.
+A router stops a run to move it, and then the destination may refuse it; or it
+withdraws a begun stream that waits at a further target.  Nothing but the router
+has ended that attempt, so the stream is not ended for want of further targets:
+what proves not to have run it does not count, nor does the target of the
+stopped attempt, until another one goes on or breaks off.
 """
 
 import attrs
@@ -18,10 +19,10 @@
 class TriedTargets:
     """The targets of one request."""
 
-    # Names of those that count, in the order in which they were tried.
+    # Names of those at which it may have run, in the order of the attempts.
     names: list[str] = attrs.field(factory=list)
-    # The target whose run was stopped for a move, until another attempt brings
-    # an event; empty if there is none.
+    # The target whose attempt this router has stopped; empty if there is none,
+    # or once another attempt has brought an event or was broken off.
     stopped: str = ""
 
     def __bool__(self) -> bool:
@@ -30,8 +31,8 @@
 
     @property
     def count(self) -> int:
-        """Number of targets at which the request may have run."""
-        return len(self.names)
+        """Number of targets that count against the bound of the route."""
+        return len(set(self.excluded))
 
     @property
     def excluded(self) -> list[str]:
@@ -47,6 +48,10 @@
         self.names.remove(source)
         self.stopped = source
 
+    def withdrawn(self, name: str) -> None:
+        """Note that a begun stream was withdrawn while it waited somewhere."""
+        self.stopped = name
+
     def went_on(self) -> None:
         """Note that an attempt has brought an event."""
         self.stopped = ""
@@ -61,13 +66,10 @@
         """
         if may_be_stopped:
             self.stopped = name
-        # Nothing was sent to a target that could not be connected to.
-        is_untried = failure.reason is Reason.CONNECT_FAILED
-        if not is_untried and not (
-            self.stopped and failure.verdict is Verdict.NOT_RUN
-        ):
-            return
-        self.names.remove(name)
-        if self.stopped and self.stopped not in self.names:
-            # The run went on nowhere else, so it counts where it was stopped.
-            self.names.append(self.stopped)
+        elif failure.verdict is not Verdict.NOT_RUN:
+            self.stopped = ""
+        elif self.stopped or failure.reason is Reason.CONNECT_FAILED:
+            self.names.remove(name)
+            if self.stopped and self.stopped not in self.names:
+                # The run went on nowhere else.
+                self.names.append(self.stopped)
