Let the deadline follow the plan of a request that waits for a target

What callers saw: streams are cut 2.5 s after their arrival though the configuration in force when they were sent to a target gives them 12 s; their targets were told 12 s.

Cause: a request that no target has got is planned again under a newer configuration, with its time limit. The timer that ends the request was set once, at its arrival, by the configuration before. So after a longer time the begun answer is cut at the old one, and after a shorter time a request that had waited lasts longer than its route allows.

Evidence: a play with processes (weights named, then a configuration with a shorter time, and 4.2 s later the former one again; busy machine): 5 begun streams, sent up to 1.4 s before the last configuration, end after 2.50 s with reason `deadline` and time_s=12.0 in their lines. They had waited while targets loaded. The test fails on the code before: "True is not false : 8.0", the stream is cut at 5 s; with 3.0 alone it fails as the stream is not ended.

Why it works: a new plan restarts the deadline. A request that a target has got keeps the time under which it was accepted, as its plan keeps its kind.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -91,11 +91,10 @@
 
     def start(self) -> None:
         """Start the deadline and make the first attempt."""
-        left_s = self.left_s
-        if left_s <= 0.0:
+        if self.left_s <= 0.0:
             self.give_up(not_run(Reason.DEADLINE, messages.DEADLINE))
             return
-        self.start_deadline(left_s)
+        self.start_deadline(self.left_s)
         if self.plan.kind.is_stream and self.plan.request.last_event_id:
             stream_reconnect.start(self)
         else:
@@ -212,6 +211,7 @@
         self.plan = stream_reconnect.with_pool_of_origin(
             planned.ok, self.origin, self.forwarder.board.state
         )
+        self.start_deadline(max(0.0, self.left_s))
         return None
 
     def wait(self) -> None:
--- a/sequoiawind/request_execution.py
+++ b/sequoiawind/request_execution.py
@@ -101,7 +101,9 @@
     is_finished: bool = False
 
     def start_deadline(self, left_s: float) -> None:
-        """Start the request's deadline, `left_s` seconds from now."""
+        """Start or restart the deadline, `left_s` seconds from now."""
+        if self.deadline is not None and self.deadline.active():
+            self.deadline.cancel()
         self.deadline = self.clock.callLater(left_s, self.deadline_passed)
 
     def deadline_passed(self) -> None:
--- a/tests/test_accepted_requests.py
+++ b/tests/test_accepted_requests.py
@@ -60,14 +60,20 @@
     found.configure(state(revision=2, kinds=kinds))
 
 
-def shorten_time(found: ForwardRig) -> None:
-    """Apply a configuration with a time limit that has passed."""
+def change_time(found: ForwardRig, timeout_s: float) -> None:
+    """Apply a configuration with another time limit."""
     kinds = {
-        name: attrs.evolve(kind, timeout_s=0.5) for name, kind in KINDS.items()
+        name: attrs.evolve(kind, timeout_s=timeout_s)
+        for name, kind in KINDS.items()
     }
     found.configure(state(revision=2, kinds=kinds))
 
 
+def shorten_time(found: ForwardRig) -> None:
+    """Apply a configuration with a time limit that has passed."""
+    change_time(found, 0.5)
+
+
 CHANGES = [
     remove_routes,
     remove_pools,
@@ -152,6 +158,26 @@
         assert caller.failure is not None
         self.assertEqual(Verdict.NOT_RUN, caller.failure.verdict)
 
+    def test_cut_at_the_time_of_a_replaced_configuration(self) -> None:
+        for timeout_s in (8.0, 3.0):
+            router = ForwardRig()
+            router.add(target("e1", "llm"))
+            now_s = router.clock.seconds()
+            view = router.fleet.views["e1"]
+            router.fleet.record_notice(view, False, 0.7, now_s)
+            caller = router.submit("draft", deadline_s=20.0)
+            router.advance(0.6)
+            change_time(router, timeout_s)
+            router.advance(0.3)
+            (sent,) = router.port.sent
+            sent.begin(200, event(1))
+            self.assertTrue(abs(sent.order.deadline_s + 0.75 - timeout_s) < 0.2)
+            router.advance(timeout_s - 1.0)
+            self.assertFalse(caller.is_broken, timeout_s)
+            router.advance(0.2)
+            self.assertTrue(caller.is_broken, timeout_s)
+            self.assertEqual(0, router.forwarder.open_requests)
+
 
 class BegunAnswerTest(TestCase):
     """A stream that has begun waits for what it needs until its deadline."""
