Let a stream whose run a router has stopped wait while no target is usable

What callers saw: a begun stream is cut (`no_target`) 0.9 s after its run was moved, with 6.7 s of its time left.

Cause: a begun stream waits for a target until its deadline, unless its pool has none that is usable. That is true for moments too: the destination could not be connected to and is ejected, and the source loads or is ejected as well.

Evidence: a play with processes on (weights named three times beside a configuration, busy machine): a run moved from e6 to e5, the two engines of its pool; connect_failed at e5, cut 0.26 s later. The test, with both targets unusable for half a second, fails on the code before: "True is not false".

Why it works: such a stream now waits in this state too, until a target is usable again or its time is up. Streams that a target has broken off, and requests without a begun answer, are treated as before.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -226,7 +226,8 @@
                 has_answer_begun=self.has_head,
                 is_resumed_stream=self.origin is not None,
                 room_in_s=self.forwarder.room_in_s(self),
-                has_targets=self.forwarder.has_targets(self),
+                has_targets=bool(self.tried.stopped)
+                or self.forwarder.has_targets(self),
             )
         )
         if refused is not None:
@@ -241,9 +242,8 @@
 
     def hold_repeat(self) -> bool:
         """Count a repeat in advance; return whether it is allowed."""
-        now_s = self.now_s
-        routers = self.forwarder.fleet.routers(now_s)
-        return self.attempts.hold(self.plan.pool.name, now_s, routers)
+        routers = self.forwarder.fleet.routers(self.now_s)
+        return self.attempts.hold(self.plan.pool.name, self.now_s, routers)
 
     def reserve_attempt(self) -> bool:
         """Count an attempt; return whether it is allowed."""
--- a/tests/test_lost_by_move.py
+++ b/tests/test_lost_by_move.py
@@ -113,6 +113,22 @@
         self.assertEqual(self.sent[0].order.target, self.sent[2].order.target)
         self.check_whole(caller)
 
+    def test_stream_waits_while_no_target_is_usable(self) -> None:
+        caller = self.moving(engines=2)
+        self.stop_run()
+        self.sent[1].answer(503, refusal=BUSY)
+        names = [sent.order.target.name for sent in self.sent]
+        for name in names:
+            self.router.add(target(name, "llm", is_draining=True))
+        self.router.advance(0.5)
+        self.assertFalse(caller.is_broken)
+        for name in names:
+            self.router.add(target(name, "llm"))
+        self.report(is_loading=False)
+        self.router.advance(0.1)
+        self.assertEqual(3, len(self.sent))
+        self.check_whole(caller)
+
     def test_unreachable_destination_beside_a_configuration(self) -> None:
         for change in CHANGES:
             name = change.__name__
