--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -91,11 +91,10 @@
 
     def start(self) -> None:
         """Start the deadline and make the first attempt."""
-        left_s = self.left_s
-        if left_s <= 0.0:
+        if self.left_s <= 0.0:
             self.give_up(not_run(Reason.DEADLINE, messages.DEADLINE))
             return
-        self.start_deadline(left_s)
+        self.start_deadline(self.left_s)
         if self.plan.kind.is_stream and self.plan.request.last_event_id:
             stream_reconnect.start(self)
         else:
@@ -212,6 +211,7 @@
         self.plan = stream_reconnect.with_pool_of_origin(
             planned.ok, self.origin, self.forwarder.board.state
         )
+        self.start_deadline(max(0.0, self.left_s))
         return None
 
     def wait(self) -> None:
@@ -226,7 +226,8 @@
                 has_answer_begun=self.has_head,
                 is_resumed_stream=self.origin is not None,
                 room_in_s=self.forwarder.room_in_s(self),
-                has_targets=self.forwarder.has_targets(self),
+                has_targets=bool(self.tried.stopped)
+                or self.forwarder.has_targets(self),
             )
         )
         if refused is not None:
@@ -241,9 +242,8 @@
 
     def hold_repeat(self) -> bool:
         """Count a repeat in advance; return whether it is allowed."""
-        now_s = self.now_s
-        routers = self.forwarder.fleet.routers(now_s)
-        return self.attempts.hold(self.plan.pool.name, now_s, routers)
+        routers = self.forwarder.fleet.routers(self.now_s)
+        return self.attempts.hold(self.plan.pool.name, self.now_s, routers)
 
     def reserve_attempt(self) -> bool:
         """Count an attempt; return whether it is allowed."""
