Take late requests in a shutdown only if they end in time, from 2.5 s on

Callers saw: a stream whose request was sent a few milliseconds later than 3 s after a router's SIGTERM was begun (200) and broken off at 7.5 s. The platform excuses a stream that is open at the end only if its request was sent within 3 s; any other must be answered whole, or with 503 (rule LOST).

Cause: the router took every request, whatever its time, until it drained. It drained 3.0 s after it had *handled* the signal, so later than 3.0 s after the signal was sent, and more so the busier its event loop. The limit was computed once, at the drain.

Fix: from 2.5 s after the signal on, a request is taken only if its time ends before all work is ended, else it gets 503 and does not run. The half second covers the way of the signal and of the request. Connections are accepted until 3.0 s as before. The limit is computed for each request, so that it follows the clock that counts suspensions, and a `grace_s` that changes.

The new test fails without it: the request is sent on (1 instead of 0 sent).

Two tests send their requests earlier (2.0 and 2.4 s instead of 2.5 and 2.9 s), as requests of 20 s are now refused at the old times, before what they check comes into play; the one that waits for a target also checks now that nothing is answered before the end.

--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -28,11 +28,12 @@
         phase=program.board.phase,
         is_idle=shutdown.is_idle,
         on_leaving=shutdown.leave,
-        on_draining=lambda: shutdown.drain(daemon.work_left_s),
+        on_draining=shutdown.drain,
         balancer_wait_s=shutdown.leave_s,
         work_s=lambda: shutdown.work_s,
         on_ending=shutdown.end_requests,
     )
+    shutdown.since_signal_s = lambda: daemon.since_signal_s
     follower = program.settings_follower(file)
     daemon.on_reload = follower.reload
     with daemon:
--- a/sequoiawind/forward_shutdown.py
+++ b/sequoiawind/forward_shutdown.py
@@ -1,9 +1,9 @@
 """The shutdown of a forwarding router, from SIGTERM to its end.
 
 For a while after SIGTERM the router serves on, until the balancer has turned
-away.  Then it accepts no more connections.  Requests that arrive later, on
-connections on which one was being read or answered, are taken only if they end
-in time.  Before SIGKILL all that have not ended get their final answer.
+away.  Then it accepts no more connections.  Requests that arrive late are taken
+only if they end in time.  Before SIGKILL all that have not ended get their
+final answer.
 """
 
 from collections.abc import Callable
@@ -24,7 +24,11 @@
 # their connections; the balancer stops using the router within two of its
 # readiness checks.
 LEAVE_S: Final = 3.0
-# The same as a share of the time between SIGTERM and SIGKILL, where that is
+# Time after SIGTERM, in seconds, in which requests are taken even if they may
+# last longer than the process.  The platform expects a whole answer to those
+# sent later than 3 s; the signal is handled some time after it was sent.
+ANY_TIME_S: Final = 2.5
+# `LEAVE_S` as a share of the time between SIGTERM and SIGKILL, where that is
 # short; the rest is left for answers in progress.
 LEAVE_SHARE: Final = 0.4
 
@@ -39,6 +43,8 @@
     site: CallerSite
     closer: StagedCloser
     log: Logger
+    # Returns the time since SIGTERM, in seconds.
+    since_signal_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     # The listening ports.
     ports: list[Any] = attrs.field(factory=list)
 
@@ -55,14 +61,18 @@
     def leave(self) -> None:
         """Close each caller's connection after its next answer."""
         self.site.is_closing = True
-
-    def drain(self, left_s: float) -> None:
-        """Accept no more connections and close the idle ones.
-
-        Args:
-          left_s: Time left until all requests are ended, in seconds.
-        """
-        self.forwarder.ends_s = event_loop.reactor.seconds() + left_s
+        self.forwarder.latest_end_s = self.latest_end_s
+
+    def latest_end_s(self) -> float:
+        """Return when work that is taken now ends, in seconds of the clock."""
+        since_signal_s = self.since_signal_s()
+        if since_signal_s < min(ANY_TIME_S, self.leave_s):
+            return float("inf")
+        now_s: float = event_loop.reactor.seconds()
+        return now_s + self.work_s - since_signal_s
+
+    def drain(self) -> None:
+        """Accept no more connections and close the idle ones."""
         for port in self.ports:
             port.stopListening()
         self.site.close_idle()
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -60,9 +60,11 @@
     # soak repeats.
     open: dict[Forwarding, None] = attrs.field(factory=dict)
     demand: DemandMeter = attrs.field(factory=DemandMeter)
-    # When the process ends all work, in seconds of the clock: none is taken
-    # that may last longer.
-    ends_s: float = float("inf")
+    # Returns when the process ends work that begins now, in seconds of the
+    # clock: none is taken that may last longer.
+    latest_end_s: Callable[[], float] = attrs.field(
+        default=lambda: float("inf")
+    )
     # Called when a move of a stream has succeeded or failed.
     on_move: Callable[[StreamMove], None] = attrs.field(
         default=lambda move: None
@@ -131,7 +133,7 @@
             return None
         plan = planned.ok
         now_s = self.clock.seconds()
-        if plan.ends_s > self.ends_s:
+        if plan.ends_s > self.latest_end_s():
             failure = not_run(
                 Reason.SHUTTING_DOWN,
                 messages.SHUTTING_DOWN,
--- a/tests/test_late_in_shutdown.py
+++ b/tests/test_late_in_shutdown.py
@@ -13,7 +13,7 @@
 from sequoiawind import event_loop
 from sequoiawind.caller_site import CallerSite
 from sequoiawind.daemon import IDLE_CHECK_S, Daemon
-from sequoiawind.forward_shutdown import LEAVE_S, ForwardShutdown
+from sequoiawind.forward_shutdown import ANY_TIME_S, LEAVE_S, ForwardShutdown
 from sequoiawind.headers import CallerLimits
 from sequoiawind.http1_server import CallerConnection, HttpRequest
 from sequoiawind.lifecycle import Phase
@@ -25,6 +25,8 @@
 GRACE_S = 8.0
 # When requests that have not ended get their answers.
 END_S = 7.5
+# Time between the sending of SIGTERM and its handling.
+SIGNAL_DELAY_S = 0.2
 
 
 def request(route: str, deadline_ms: int = 5_000) -> bytes:
@@ -82,12 +84,13 @@
             phase=self.phase,
             is_idle=self.shutdown.is_idle,
             on_leaving=self.shutdown.leave,
-            on_draining=lambda: self.shutdown.drain(self.daemon.work_left_s),
+            on_draining=self.shutdown.drain,
             balancer_wait_s=self.shutdown.leave_s,
             work_s=lambda: self.shutdown.work_s,
             on_ending=self.shutdown.end_requests,
             age_clock=lambda: clock.seconds() + self.suspended_s,
         )
+        self.shutdown.since_signal_s = lambda: self.daemon.since_signal_s
         self.daemon.lifecycle.ready()
 
     def take(self, found: HttpRequest, connection: CallerConnection) -> None:
@@ -157,6 +160,23 @@
             self.router.advance_to(LEAVE_S + 1.5)
             self.assertTrue(self.router.stopped_s > 0.0)
 
+    def test_request_sent_at_the_time_limit_of_the_platform(self) -> None:
+        # The platform allows for the end of work that was sent within 3 s.
+        data = request("brief", 12_000)
+        for cut in (0, 30, len(data) - 1):
+            self.begin()
+            caller = self.router.connect()
+            if cut:
+                caller.protocol.dataReceived(data[:cut])
+            # The signal is sent at 0 s.
+            self.router.advance_to(SIGNAL_DELAY_S)
+            self.router.daemon.leave()
+            self.router.advance_to(3.0 + IDLE_CHECK_S)
+            self.assertEqual("leaving", self.router.phase.name)
+            caller.protocol.dataReceived(data[cut:])
+            self.assertEqual(0, len(self.sent), cut)
+            self.assertEqual([503], statuses(caller), cut)
+
     def test_half_sent_request_that_ends_in_time(self) -> None:
         data = request("book", 7_000)
         caller = self.send_half(data)
@@ -171,7 +191,7 @@
     def test_requests_that_are_open_at_the_end(self) -> None:
         found = {}
         self.router.daemon.leave()
-        self.router.advance_to(LEAVE_S - 0.5)
+        self.router.advance_to(ANY_TIME_S - 0.5)
         for route in ("book", "read", "brief"):
             found[route] = self.router.connect()
             data = request(route, 20_000).replace(b"q1", route.encode())
@@ -192,9 +212,11 @@
         fleet = self.router.rig.fleet
         fleet.shed("p1", self.router.rig.clock.seconds() + 100.0)
         self.router.daemon.leave()
-        self.router.advance_to(LEAVE_S - 0.1)
+        self.router.advance_to(ANY_TIME_S - 0.1)
         caller = self.router.connect()
         caller.protocol.dataReceived(request("book", 20_000))
+        self.router.advance_to(END_S - 0.1)
+        self.assertEqual([], statuses(caller))
         self.router.advance_to(END_S + 0.2)
         self.assertEqual([], self.sent)
         self.assertEqual([503], statuses(caller))
