Test: connections that fall silent for good, on real sockets

A relay lets its open connections fall silent: a socket filter of the system drops what arrives, so nothing is acknowledged and nothing is reset, while new connections work. It needs no privilege.

- The client's detection holds: a request on a silent connection, and an answer that stops, fail by the options of sockets.py.
- A router with all its connections silent takes a configuration, and a stop ends.
- A resumable stream is cut.
Its first engine is silent for 1.2 s; the other one is then asked over a kept connection that is silent too, which is lost 1.5 s later.
Both targets that the route allows are used up, and the caller loses a stream with 16 s left.

The stand-ins can state for how long they keep idle connections, as engines do; by default they state nothing, as before.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -35,6 +35,13 @@
         owner: Any = self.server
         owner.stand_in.answer(self, body)
 
+    def end_headers(self) -> None:
+        """End a head, with the idle time for which connections are kept."""
+        owner: Any = self.server
+        if owner.stand_in.keep_s:
+            self.send_header("Keep-Alive", f"timeout={owner.stand_in.keep_s}")
+        super().end_headers()
+
     do_GET = handle_any  # noqa: N815
     do_POST = handle_any  # noqa: N815
 
@@ -53,6 +60,8 @@
     """A server on a free port; a context manager that starts and stops it."""
 
     server: ThreadingHTTPServer = attrs.field(init=False)
+    # Idle time for which it says to keep connections, in seconds; 0 for none.
+    keep_s: int = 0
 
     def __enter__(self) -> "StandIn":
         """Start serving."""
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,277 @@
+"""Connections that fall silent for good, without a reset, while new ones work.
+
+Guards against answers that wait on such a connection, and against streams that
+are cut because each of their targets is asked over one.
+"""
+
+import http.client
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+from testtools import TestCase
+
+from sequoiawind import event_loop
+from sequoiawind.headers import Headers
+from sequoiawind.http1_client import Http1Client, OutgoingRequest
+from sequoiawind.verdict import Failure, Reason
+from tests import live
+from tests.platform_standin import Handler, Store, Target, configuration
+from tests.silent_relay import SilentRelay
+from tests.test_forward_path import ENTRY, NODE, PROMPT
+from tests.test_forward_processes import WAIT_TIMEOUT_S, free_ports
+
+EVENTS = 30
+EVENT_PAUSE_S = 0.1
+WHOLE = b"".join(b"id: %d\ndata: x\n\n" % (n + 1) for n in range(EVENTS))
+# What a caller has before the connections fall silent.
+BEGINNING = b"id: 1\ndata: x\n\n"
+# Idle time for which the stand-ins say to keep connections, in seconds.
+KEEP_S = 30
+# Time of a request that waits for its whole deadline, in ms; longer than any
+# wait of a test.
+LONG_DEADLINE_MS = 60_000
+# Neither the age of a configuration, nor the bound on repeats, nor the end of a
+# stop keeps a stream from going on elsewhere.
+BOUNDS = """
+[bounds]
+revoke_ms = 5000
+in_force_ms = 1500
+repeat_ratio = 10.0
+grace_s = 30.0
+"""
+
+
+@attrs.define(kw_only=True, eq=False)
+class WaitingSink:
+    """A sink that lets other threads wait for the answer."""
+
+    began: threading.Event = attrs.field(factory=threading.Event)
+    ended: threading.Event = attrs.field(factory=threading.Event)
+    failure: Failure | None = None
+
+    def head(self, status: int, headers: Headers) -> None:
+        """Ignore the head."""
+
+    def data(self, data: bytes) -> None:
+        """Note that the body has begun."""
+        self.began.set()
+
+    def done(self) -> None:
+        """Note the end."""
+        self.ended.set()
+
+    def failed(self, failure: Failure) -> None:
+        """Record the failure."""
+        self.failure = failure
+        self.ended.set()
+
+
+@attrs.define(kw_only=True, eq=False)
+class Engine(Target):
+    """An engine whose streams pause between events if their path says so."""
+
+    keep_s: int = KEEP_S
+    events: int = EVENTS
+
+    def run(self, call: Handler, body: bytes) -> None:
+        """Run a request."""
+        self.pause_s = EVENT_PAUSE_S if call.path.endswith("/slow") else 0.0
+        super().run(call, body)
+
+
+class DetectionTest(TestCase):
+    """The client notices connections that have fallen silent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        live.start_reactor_thread()
+        self.client = Http1Client(reactor=event_loop.reactor)
+        self.engine = Engine(id="e1")
+        self.engine.__enter__()
+        self.addCleanup(self.engine.__exit__)
+        self.relay = SilentRelay(port=self.engine.port)
+        self.relay.__enter__()
+        self.addCleanup(self.relay.__exit__)
+
+    def call(self, path: bytes) -> WaitingSink:
+        """Send a request to the engine."""
+        request = OutgoingRequest(
+            method=b"GET",
+            request_target=path,
+            headers=[
+                (b"host", b"h"),
+                (b"sequoiawind-expect-instance", b"e1"),
+                (b"sequoiawind-model", b"m"),
+            ],
+        )
+        sink = WaitingSink()
+        address = self.relay.address
+        live.in_reactor(self.client.call, address, request, sink)
+        return sink
+
+    def check_lost(self, sink: WaitingSink) -> None:
+        """Check that a call fails as its connection is lost."""
+        self.assertTrue(sink.ended.wait(WAIT_TIMEOUT_S))
+        assert sink.failure is not None
+        self.assertIs(Reason.CONNECTION_LOST, sink.failure.reason)
+
+    def check_whole(self, sink: WaitingSink) -> None:
+        """Check that a call ends with a whole answer."""
+        self.assertTrue(sink.ended.wait(WAIT_TIMEOUT_S))
+        self.assertIsNone(sink.failure)
+
+    def test_request_written_on_a_silent_connection_fails(self) -> None:
+        self.check_whole(self.call(b"/x"))
+        self.relay.fall_silent()
+        lost = self.call(b"/x")
+        self.check_whole(self.call(b"/x"))
+        self.check_lost(lost)
+        self.assertEqual(2, len(self.engine.ran))
+
+    def test_answer_that_stops_without_a_reset_fails(self) -> None:
+        sink = self.call(b"/slow")
+        self.assertTrue(sink.began.wait(WAIT_TIMEOUT_S))
+        self.relay.fall_silent()
+        self.check_lost(sink)
+
+
+class SilentFleetTest(TestCase):
+    """A router whose connections inside the fleet all fall silent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = Store(keep_s=KEEP_S)
+        self.app = Target(id="a1", keep_s=KEEP_S)
+        self.engines = [Engine(id="e1"), Engine(id="e2")]
+        self.relays: dict[str, SilentRelay] = {}
+        for name, stand_in in (
+            ("store", self.store),
+            ("a1", self.app),
+            ("e1", self.engines[0]),
+            ("e2", self.engines[1]),
+        ):
+            stand_in.__enter__()
+            self.addCleanup(stand_in.__exit__)
+            self.relays[name] = SilentRelay(port=stand_in.port)
+            self.relays[name].__enter__()
+            self.addCleanup(self.relays[name].__exit__)
+        self.store.put("keyed.op", "config", configuration(3))
+        for target in self.engines:
+            entry = target.entry("llm", address=self.relays[target.id].address)
+            self.store.put("keyed.servers", target.id, entry)
+        address = self.relays["a1"].address
+        entry = self.app.entry("app", models=[], address=address)
+        self.store.put("keyed.servers", "a1", entry)
+        self.prompts = 0
+        self.start()
+
+    def start(self) -> None:
+        """Start the router, and use a connection to each target."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        agent, metrics, self.callers, self.ready = free_ports(4)
+        file = Path(folder.name) / "router.toml"
+        node = NODE.format(
+            store=self.relays["store"].address,
+            target="",
+            name="r1",
+            agent=agent,
+            metrics=metrics,
+        )
+        entry = ENTRY.format(callers=self.callers, ready=self.ready)
+        file.write_text(node + entry + BOUNDS, encoding="utf-8")
+        self.router = subprocess.Popen(
+            [sys.executable, "-m", "sequoiawind.forward_router_main", file],
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(self.router.wait)
+        self.addCleanup(self.router.kill)
+        self.wait_until(lambda: self.status("/read/x") == 200)
+        self.wait_until(self.has_used_all_engines)
+
+    def has_used_all_engines(self) -> bool:
+        """Send a stream; return whether each engine has run one."""
+        self.assertEqual((200, WHOLE), self.whole_answer("/draft/x"))
+        return all(engine.ran for engine in self.engines)
+
+    def wait_until(self, condition_holds: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        ends_s = time.monotonic() + WAIT_TIMEOUT_S
+        while not condition_holds():
+            if time.monotonic() > ends_s:
+                raise AssertionError("the condition was not met in time")
+            time.sleep(0.02)
+
+    def fall_silent(self) -> None:
+        """Let all connections of the router inside the fleet fall silent."""
+        for relay in self.relays.values():
+            relay.fall_silent()
+
+    def begin(self, target: str, key: str = "k1") -> http.client.HTTPResponse:
+        """Send a request; return its answer once its head is there."""
+        self.prompts += 1
+        parts = f"{self.prompts:x}:80,b{self.prompts:x}:20"
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.callers, timeout=WAIT_TIMEOUT_S
+        )
+        self.addCleanup(connection.close)
+        headers = {
+            "Host": "h.example",
+            "Authorization": f"Token {key}",
+            "Sequoiawind-Attempt-Id": f"q{self.prompts}",
+            "Sequoiawind-Deadline-Ms": str(LONG_DEADLINE_MS),
+            **PROMPT,
+            "Sequoiawind-Prompt-Prefix": parts,
+        }
+        if not target.startswith(("/draft", "/brief")):
+            headers = {
+                name: value
+                for name, value in headers.items()
+                if name not in (*PROMPT, "Sequoiawind-Prompt-Prefix")
+            }
+        connection.request("POST", target, "body", headers)
+        return connection.getresponse()
+
+    def whole_answer(self, target: str) -> tuple[int, bytes]:
+        """Send a request; return the status and body of its answer."""
+        response = self.begin(target)
+        return response.status, response.read()
+
+    def status(self, target: str, key: str = "k1") -> int:
+        """Send a request; return the status of its answer, 0 without one."""
+        try:
+            response = self.begin(target, key)
+            response.read()
+        except (OSError, http.client.HTTPException):
+            return 0
+        return response.status
+
+    def test_stream_goes_on_at_the_other_engine(self) -> None:
+        stream = self.begin("/draft/slow")
+        self.assertEqual(BEGINNING, stream.read(len(BEGINNING)))
+        self.fall_silent()
+        self.assertEqual(WHOLE, BEGINNING + stream.read())
+
+    def test_configuration_and_stop_wait_on_no_silent_connection(self) -> None:
+        self.fall_silent()
+        self.store.put("keyed.op", "config", configuration(9, key="k9"))
+        self.wait_until(lambda: self.status("/read/x", "k9") == 200)
+        self.assertEqual(401, self.status("/read/x"))
+        self.store.put("keyed.op", "config", configuration(11))
+        self.wait_until(lambda: self.status("/read/x") == 200)
+        for engine in self.engines:
+            engine.ran.clear()
+        self.wait_until(self.has_used_all_engines)
+        stream = self.begin("/draft/slow")
+        self.assertEqual(BEGINNING, stream.read(len(BEGINNING)))
+        self.fall_silent()
+        self.router.send_signal(signal.SIGTERM)
+        self.assertEqual(WHOLE, BEGINNING + stream.read())
+        self.assertEqual(0, self.router.wait(timeout=WAIT_TIMEOUT_S))
