Ask further targets over new connections once one has fallen silent

Cause: where connections die without a reset, they seldom die alone. A further target was asked over a kept connection, which was as dead as the first one; it was lost 1.5 s later, and the first one by then too, so both targets that the route allows were used up.

An attempt that follows a silence or a lost connection now opens a connection. That proves within 0.5 s that the target can be reached; failing to connect proves that nothing ran and does not use the target up. Attempts after a refusal keep to kept connections, as the target's answer has proved nothing wrong with them.

Ruled out: closing all kept connections at a silence, as a sound target may pause. Not changed: the first attempt of a request may still meet a dead connection.

New tests hold which attempts need a new connection, and that such a request gets one.

--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -41,6 +41,8 @@
     # Location of the memory of a moved run to continue, as returned by
     # `ForwardPort.move`; empty for a new run.
     moved_from: str = ""
+    # Whether to open a connection for it, as kept ones may be dead.
+    needs_new_connection: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -252,12 +252,8 @@
     def send(self, chosen: Chosen) -> None:
         """Send the request to a target."""
         if self.sent_to:
-            reason = (
-                self.last_failure.reason
-                if self.last_failure
-                else Reason.TARGET_LOST
-            )
-            self.forwarder.on_retry(reason)
+            failure = self.last_failure or may_have_run(Reason.TARGET_LOST)
+            self.forwarder.on_retry(failure.reason)
         self.forwarder.sent(self, chosen)
         if self.charge is not None:
             self.charge.sent(self.now_s)
@@ -296,6 +292,7 @@
             cache_store=chosen.cache_store,
             after_event=self.last_event,
             moved_from=moved_from,
+            needs_new_connection=self.silence.are_kept_doubtful,
         )
         self.silence.expect_first(attempt)
         attempt.call = self.forwarder.port.send(order, attempt)
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -49,6 +49,8 @@
     # A header that the target echoes in its answer.  An answer with another
     # value belongs to an earlier request and is skipped.
     echo: tuple[bytes, bytes] | None = None
+    # Whether a connection is opened for it although an idle one may be there.
+    needs_new_connection: bool = False
     # The way of the answer; None if the answer is always read at once.
     flow: AnswerFlow | None = attrs.field(default=None, eq=False, repr=False)
 
@@ -343,9 +345,11 @@
     def call(
         self, address: str, request: OutgoingRequest, sink: AnswerSink
     ) -> HttpCall:
-        """Send a request, over an idle connection if there is one."""
+        """Send a request, over an idle connection if there may be one."""
         call = HttpCall()
-        idle = self.pop_idle(address)
+        idle = None
+        if not request.needs_new_connection:
+            idle = self.pop_idle(address)
         if idle is not None:
             call.connection = idle
             idle.send(request, sink)
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -90,6 +90,7 @@
             headers=engine_wire.request_headers(order),
             body=request.body,
             echo=(names.ATTEMPT_ID, request.request_id.encode("latin-1")),
+            needs_new_connection=order.needs_new_connection,
             flow=request.flow,
         )
         model = request.prompt.model if request.prompt else ""
--- a/sequoiawind/silent_attempts.py
+++ b/sequoiawind/silent_attempts.py
@@ -4,6 +4,9 @@
 attempt.  Another target is asked as well, if one can take the request, and the
 silent attempt is kept until some target is heard from: that one goes on, and
 the other attempts are cancelled.
+
+It may also be the connection that has died, without a reset, and kept ones to
+other targets with it.  So further attempts open new connections.
 """
 
 from functools import partial
@@ -50,6 +53,9 @@
     begun: "ForwardAttempt | None" = None
     # The attempt whose silence counts against its target.
     counted: "ForwardAttempt | None" = None
+    # Whether a connection of the request has fallen silent or was lost, so that
+    # kept connections to other targets may be dead as well.
+    are_kept_doubtful: bool = False
 
     def expect_first(self, attempt: "ForwardAttempt") -> None:
         """Start the timeout for the first event or answer, if repeatable."""
@@ -87,6 +93,7 @@
             # Its target is paused until the caller has read more.
             self.start_timeout(attempt, RECHECK_S)
             return
+        self.are_kept_doubtful = True
         failure = may_have_run(Reason.CHUNK_TIMEOUT, messages.CHUNK_TIMEOUT)
         chosen, outcome = self.find_other(attempt)
         self.report(attempt, outcome)
@@ -175,6 +182,9 @@
         Returns:
           Whether another attempt is open.
         """
+        failure = self.forwarding.last_failure
+        if failure is not None and failure.reason is Reason.CONNECTION_LOST:
+            self.are_kept_doubtful = True
         if not self.kept:
             return False
         if attempt in self.kept:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -18,10 +18,12 @@
 from testtools import TestCase
 
 from sequoiawind import event_loop
+from sequoiawind.forward_state import ForwardKind
 from sequoiawind.headers import Headers
 from sequoiawind.http1_client import Http1Client, OutgoingRequest
-from sequoiawind.verdict import Failure, Reason
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from tests import live
+from tests.forward_rig import KINDS, ForwardRig, state, target
 from tests.platform_standin import Handler, Store, Target, configuration
 from tests.silent_relay import SilentRelay
 from tests.test_forward_path import ENTRY, NODE, PROMPT
@@ -32,6 +34,8 @@
 WHOLE = b"".join(b"id: %d\ndata: x\n\n" % (n + 1) for n in range(EVENTS))
 # What a caller has before the connections fall silent.
 BEGINNING = b"id: 1\ndata: x\n\n"
+# Longer than the silence after which another target is asked.
+SILENCE_S = 1.5
 # Idle time for which the stand-ins say to keep connections, in seconds.
 KEEP_S = 30
 # Time of a request that waits for its whole deadline, in ms; longer than any
@@ -86,6 +90,11 @@
         super().run(call, body)
 
 
+def kind_with_targets(number: int) -> ForwardKind:
+    """Return the kind of resumable streams with a number of targets."""
+    return attrs.evolve(KINDS["draft"], max_targets=number)
+
+
 class DetectionTest(TestCase):
     """The client notices connections that have fallen silent."""
 
@@ -100,7 +109,9 @@
         self.relay.__enter__()
         self.addCleanup(self.relay.__exit__)
 
-    def call(self, path: bytes) -> WaitingSink:
+    def call(
+        self, path: bytes, needs_new_connection: bool = False
+    ) -> WaitingSink:
         """Send a request to the engine."""
         request = OutgoingRequest(
             method=b"GET",
@@ -110,6 +121,7 @@
                 (b"sequoiawind-expect-instance", b"e1"),
                 (b"sequoiawind-model", b"m"),
             ],
+            needs_new_connection=needs_new_connection,
         )
         sink = WaitingSink()
         address = self.relay.address
@@ -135,6 +147,11 @@
         self.check_lost(lost)
         self.assertEqual(2, len(self.engine.ran))
 
+    def test_request_that_needs_a_new_connection_gets_one(self) -> None:
+        self.check_whole(self.call(b"/x"))
+        self.relay.fall_silent()
+        self.check_whole(self.call(b"/x", needs_new_connection=True))
+
     def test_answer_that_stops_without_a_reset_fails(self) -> None:
         sink = self.call(b"/slow")
         self.assertTrue(sink.began.wait(WAIT_TIMEOUT_S))
@@ -142,6 +159,43 @@
         self.check_lost(sink)
 
 
+class FurtherAttemptTest(TestCase):
+    """Attempts after one whose connection may have died."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = ForwardRig()
+        self.rig.add(*(target(f"e{number}", "llm") for number in range(3)))
+        self.rig.configure(
+            state(2, kinds={**KINDS, "draft": kind_with_targets(3)})
+        )
+        self.caller = self.rig.submit("draft")
+        self.sent = self.rig.port.sent
+
+    def uses_kept(self) -> list[bool]:
+        """Return whether each attempt may go over a kept connection."""
+        return [not sent.order.needs_new_connection for sent in self.sent]
+
+    def test_after_a_silence(self) -> None:
+        self.sent[0].begin(200, BEGINNING)
+        self.rig.advance(SILENCE_S)
+        self.assertEqual([True, False], self.uses_kept())
+        # Failing to connect does not make kept connections any better.
+        unreached = not_run(Reason.CONNECT_FAILED)
+        self.sent[1].sink.failed(unreached)
+        self.rig.advance(SILENCE_S)
+        self.assertEqual([True, False, False], self.uses_kept())
+
+    def test_after_a_lost_connection(self) -> None:
+        self.sent[0].sink.failed(may_have_run(Reason.CONNECTION_LOST))
+        self.assertEqual([True, False], self.uses_kept())
+
+    def test_after_a_refusal(self) -> None:
+        busy = not_run(Reason.TARGET_BUSY)
+        self.sent[0].answer(503, refusal=busy)
+        self.assertEqual([True, True], self.uses_kept())
+
+
 class SilentFleetTest(TestCase):
     """A router whose connections inside the fleet all fall silent."""
 
@@ -163,9 +217,10 @@
             self.relays[name].__enter__()
             self.addCleanup(self.relays[name].__exit__)
         self.store.put("keyed.op", "config", configuration(3))
-        for target in self.engines:
-            entry = target.entry("llm", address=self.relays[target.id].address)
-            self.store.put("keyed.servers", target.id, entry)
+        for engine in self.engines:
+            address = self.relays[engine.id].address
+            entry = engine.entry("llm", address=address)
+            self.store.put("keyed.servers", engine.id, entry)
         address = self.relays["a1"].address
         entry = self.app.entry("app", models=[], address=address)
         self.store.put("keyed.servers", "a1", entry)
