Close kept connections that were idle while another one died

What callers saw: for 3 s after connections had died without a reset, requests went on being sent over kept ones that were dead too.

Cause: each connection was judged by its own time-out alone, up to 3 s after its last use. The first one to time out says something of the others.

A connection that is lost while nothing has been heard from it for nearly the time-out now closes those that have been idle all that time. Those that were heard from meanwhile stay, as do all after a close or an early reset.

Two of the five new tests failed before, as the kept connection was used; the other three hold what must stay. A reset by a target that has worked for longer than the time-out cannot be told from it here; it costs new connections to targets that were idle as long.

--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -35,6 +35,10 @@
 # Subtracted from the idle time that a peer states, so that no request is sent
 # on a connection that the peer is about to close.
 KEEP_ALIVE_MARGIN_S: Final = 0.4
+# Time without a sign of the peer after which a lost connection is taken to have
+# timed out, in seconds: just below the time-out that `sockets` sets.  A reset
+# cannot be told from it.
+TIMED_OUT_S: Final = 0.9 * sockets.USER_TIMEOUT_MS / 1000
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 
 
@@ -90,6 +94,8 @@
         self.received_bytes = 0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
+        # When a request was sent or a part of its answer arrived last.
+        self.active_s = 0.0
         self.is_open = False
         # Sends a large body; None while none is being sent.
         self.writer: BodyWriter | None = None
@@ -106,6 +112,7 @@
         self.request = request
         self.sink = sink
         self.received_bytes = 0
+        self.active_s = self.client.reactor.seconds()
         if request.flow is not None:
             request.flow.attach(self)
         if len(request.body) <= PIECE_BYTES:
@@ -188,6 +195,7 @@
             # No request is waiting for an answer.
             self.drop()
             return
+        self.active_s = self.client.reactor.seconds()
         self.feed(data)
 
     def connectionLost(  # noqa: N802
@@ -200,6 +208,8 @@
             return
         if reason.check(error.ConnectionDone) is not None:
             self.feed(b"")
+        elif self.client.reactor.seconds() - self.active_s >= TIMED_OUT_S:
+            self.client.close_idle_since(self.active_s)
         self.fail(Reason.CONNECTION_LOST, messages.CONNECTION_LOST)
 
     def feed(self, data: bytes) -> None:
@@ -401,6 +411,20 @@
             connection.drop()
         return None
 
+    def close_idle_since(self, time_s: float) -> None:
+        """Close the connections that have been idle since a time.
+
+        A connection has died without a reset in that time, as when a VM or a
+        device between loses its state; the idle ones may have died with it.
+
+        Args:
+          time_s: The time, in seconds of the reactor.
+        """
+        for connections in list(self.idle.values()):
+            for connection in list(connections):
+                if connection.idle_since_s <= time_s:
+                    connection.drop()
+
     def add_idle(self, connection: TargetConnection) -> None:
         """Add a connection to the idle ones, for use by another call."""
         connection.idle_since_s = self.reactor.seconds()
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -13,11 +13,16 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import attrs
 from testtools import TestCase
+from twisted.internet import error
+from twisted.internet.protocol import connectionDone
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure as TwistedFailure
 
-from sequoiawind import event_loop
+from sequoiawind import event_loop, sockets
 from sequoiawind.forward_state import ForwardKind
 from sequoiawind.headers import Headers
 from sequoiawind.http1_client import Http1Client, OutgoingRequest
@@ -26,18 +31,26 @@
 from tests.forward_rig import KINDS, ForwardRig, state, target
 from tests.platform_standin import Handler, Store, Target, configuration
 from tests.silent_relay import SilentRelay
+from tests.stand_ins import Peer, accept
 from tests.test_forward_path import ENTRY, NODE, PROMPT
 from tests.test_forward_processes import WAIT_TIMEOUT_S, free_ports
+from tests.test_http1_client import REQUEST, RecordingSink
 
 EVENTS = 30
 EVENT_PAUSE_S = 0.1
 WHOLE = b"".join(b"id: %d\ndata: x\n\n" % (n + 1) for n in range(EVENTS))
 # What a caller has before the connections fall silent.
 BEGINNING = b"id: 1\ndata: x\n\n"
-# Longer than the silence after which another target is asked.
-SILENCE_S = 1.5
 # Idle time for which the stand-ins say to keep connections, in seconds.
 KEEP_S = 30
+# A whole answer of a target that keeps idle connections for long.
+KEPT = (
+    b"HTTP/1.1 200 OK\r\nx-id: q1\r\nkeep-alive: timeout=%d\r\n"
+    b"content-length: 1\r\n\r\nx" % KEEP_S
+)
+USER_TIMEOUT_S = sockets.USER_TIMEOUT_MS / 1000
+# Longer than the silence after which another target is asked.
+SILENCE_S = 1.5
 # Time of a request that waits for its whole deadline, in ms; longer than any
 # wait of a test.
 LONG_DEADLINE_MS = 60_000
@@ -159,6 +172,76 @@
         self.check_lost(sink)
 
 
+class KeptConnectionTest(TestCase):
+    """Kept connections beside one that has died without a reset."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.reactor = MemoryReactorClock()
+        self.client = Http1Client(reactor=self.reactor)
+        self.kept = [self.open(port) for port in (81, 82)]
+
+    def call(self, port: int, **fields: Any) -> RecordingSink:
+        """Send a request to a target."""
+        sink = RecordingSink()
+        request = attrs.evolve(REQUEST, **fields)
+        self.client.call(f"10.0.0.1:{port}", request, sink)
+        return sink
+
+    def open(self, port: int) -> Peer:
+        """Return the far end of a new connection, which is kept."""
+        self.call(port, needs_new_connection=True)
+        peer = accept(self.reactor)
+        peer.protocol.dataReceived(KEPT)
+        return peer
+
+    def lose(self, peer: Peer, after_s: float) -> None:
+        """Let a connection be lost some time after a request was written."""
+        self.call(81)
+        self.reactor.advance(after_s)
+        peer.protocol.connectionLost(TwistedFailure(error.ConnectionLost()))
+
+    def uses_kept(self) -> bool:
+        """Return whether a request to the other target takes the kept one."""
+        connects = len(self.reactor.tcpClients)
+        self.call(82)
+        return len(self.reactor.tcpClients) == connects
+
+    def test_timeout_of_one_closes_those_that_were_idle_meanwhile(self) -> None:
+        self.lose(self.kept[0], USER_TIMEOUT_S)
+        self.assertFalse(self.uses_kept())
+        self.assertTrue(self.kept[1].transport.is_aborted)
+
+    def test_timeout_after_a_part_of_the_answer(self) -> None:
+        self.call(81)
+        self.reactor.advance(0.5)
+        self.kept[0].protocol.dataReceived(KEPT[:-1])
+        self.reactor.advance(USER_TIMEOUT_S)
+        lost = TwistedFailure(error.ConnectionLost())
+        self.kept[0].protocol.connectionLost(lost)
+        self.assertFalse(self.uses_kept())
+
+    def test_connection_that_was_heard_from_meanwhile_is_kept(self) -> None:
+        self.call(82)
+        self.call(81)
+        self.reactor.advance(USER_TIMEOUT_S / 2)
+        self.kept[1].protocol.dataReceived(KEPT)
+        self.reactor.advance(USER_TIMEOUT_S / 2)
+        lost = TwistedFailure(error.ConnectionLost())
+        self.kept[0].protocol.connectionLost(lost)
+        self.assertTrue(self.uses_kept())
+
+    def test_reset_of_one_leaves_the_others(self) -> None:
+        self.lose(self.kept[0], 0.1)
+        self.assertTrue(self.uses_kept())
+
+    def test_close_of_one_leaves_the_others(self) -> None:
+        self.call(81)
+        self.reactor.advance(USER_TIMEOUT_S)
+        self.kept[0].protocol.connectionLost(connectionDone)
+        self.assertTrue(self.uses_kept())
+
+
 class FurtherAttemptTest(TestCase):
     """Attempts after one whose connection may have died."""
 
