Notice dead connections between the daemons of the OpenAI interface

What callers would see: an answer whose connection to its agent has died without a reset waits for the time between two parts of it, 10 s, before another agent is asked; a call that may run once waits until its deadline. Requests go on being sent over kept connections that are dead, for up to the 20 s for which they are kept.

Cause: only the forwarding client set the options of sockets.py. The client between routers, agents and the log set none, so the system noticed a dead connection after a quarter of an hour.

Its connections get the same options, through the endpoints that it connects to.

As for targets, a peer that takes nothing of a large body for the time-out is now lost; its calls count as ones that may have run.

--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -13,13 +13,20 @@
 from treq.client import HTTPClient
 from twisted.internet import defer, error
 from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.interfaces import (
+    IProtocolFactory,
+    IStreamClientEndpoint,
+)
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.client import URI, HTTPConnectionPool
 from twisted.web.client import Agent as WebAgent
-from twisted.web.client import HTTPConnectionPool
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
-from sequoiawind import defaults, messages, sse, timing, wire
+from sequoiawind import defaults, messages, sockets, sse, timing, wire
 from sequoiawind.event_loop import reactor
 from sequoiawind.http_server import SECRET_HEADER
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
@@ -52,12 +59,43 @@
     pool.maxPersistentPerHost = POOL_SIZE
     pool.retryAutomatically = False
     pool.cachedConnectionTimeout = KEEP_IDLE_S
-    web_agent: Any = WebAgent(
-        reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool
+    web_agent: Any = WebAgent.usingEndpointFactory(
+        reactor, PeerEndpoints(), pool=pool
     )
     return HTTPClient(web_agent)
 
 
+@implementer(IAgentEndpointFactory)
+class PeerEndpoints:
+    """Makes the endpoints of a client."""
+
+    def endpointForURI(self, uri: URI) -> "PeerEndpoint":  # noqa: N802
+        """Return the endpoint of the host and port in a URL."""
+        return PeerEndpoint(
+            inner=HostnameEndpoint(
+                reactor, uri.host, uri.port, timeout=CONNECT_TIMEOUT_S
+            )
+        )
+
+
+@implementer(IStreamClientEndpoint)
+@attrs.frozen(kw_only=True)
+class PeerEndpoint:
+    """Connects to another daemon; a dead connection is noticed and ends."""
+
+    inner: HostnameEndpoint
+
+    def connect(self, factory: IProtocolFactory) -> Deferred[Any]:
+        """Connect, and set the options of the connection's socket."""
+        return self.inner.connect(factory).addCallback(configured)
+
+
+def configured(protocol: Any) -> Any:
+    """Set the options of a protocol's socket; return the protocol."""
+    sockets.configure(protocol.transport)
+    return protocol
+
+
 @attrs.define(kw_only=True)
 class JsonClient:
     """Makes calls between processes, with JSON bodies."""
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -22,7 +22,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure as TwistedFailure
 
-from sequoiawind import event_loop, sockets
+from sequoiawind import event_loop, http_client, sockets
 from sequoiawind.forward_state import ForwardKind
 from sequoiawind.headers import Headers
 from sequoiawind.http1_client import Http1Client, OutgoingRequest
@@ -172,6 +172,53 @@
         self.check_lost(sink)
 
 
+class EventCallTest(TestCase):
+    """Streams between routers and agents over a connection that has died."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        live.start_reactor_thread()
+        self.client = live.in_reactor(http_client.make_client)
+        self.engine = Engine(id="e1")
+        self.engine.__enter__()
+        self.addCleanup(self.engine.__exit__)
+        self.relay = SilentRelay(port=self.engine.port)
+        self.relay.__enter__()
+        self.addCleanup(self.relay.__exit__)
+        self.began, self.ended = threading.Event(), threading.Event()
+
+    def start(self, path: str) -> None:
+        """Start a stream."""
+        self.began.clear()
+        self.ended.clear()
+        call = http_client.EventCall(
+            client=self.client,
+            url=f"http://{self.relay.address}{path}",
+            body=b"{}",
+            headers={
+                "Sequoiawind-Expect-Instance": "e1",
+                "Sequoiawind-Model": "m",
+            },
+            on_event=lambda event: self.began.set(),
+            on_refused=lambda failure: self.ended.set(),
+            on_lost=self.ended.set,
+        )
+        live.in_reactor(call.start)
+
+    def test_stream_that_stops_without_a_reset_ends(self) -> None:
+        self.start("/slow")
+        self.assertTrue(self.began.wait(WAIT_TIMEOUT_S))
+        self.relay.fall_silent()
+        self.assertTrue(self.ended.wait(WAIT_TIMEOUT_S))
+
+    def test_request_on_a_dead_kept_connection_ends(self) -> None:
+        self.start("/x")
+        self.assertTrue(self.ended.wait(WAIT_TIMEOUT_S))
+        self.relay.fall_silent()
+        self.start("/x")
+        self.assertTrue(self.ended.wait(WAIT_TIMEOUT_S))
+
+
 class KeptConnectionTest(TestCase):
     """Kept connections beside one that has died without a reset."""
 
