Remember an earlier move that may have stopped a run

What callers saw: a begun stream is cut (`max_targets`) after two moves of its run, the first without an answer in time and the second refused with 404.

Cause: a target that answers 404 has no such run, so the move was taken to have stopped nothing, and the end of the stream for its target's. But the first move, whose answer did not come in 0.4 s, had stopped the run: that is why there was none. So the next refusal used up the last target.

The test fails on the code before, "True is not false".

Why it works: what a move may have done to a run is not taken back by the answer to a later one.

--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -115,9 +115,16 @@
 
     @property
     def is_run_untouched(self) -> bool:
-        """Whether a failed move is known not to have stopped the run."""
+        """Whether it is known that no move has stopped the run.
+
+        That a target has no such run proves nothing after an earlier move.
+        """
         failure = self.failure
-        return failure is not None and failure.verdict is Verdict.NOT_RUN
+        return (
+            failure is not None
+            and failure.verdict is Verdict.NOT_RUN
+            and not self.attempt.may_be_stopped
+        )
 
     def complete_move(self) -> None:
         """Continue the run at the destination after the source's last event.
--- a/tests/test_lost_by_move.py
+++ b/tests/test_lost_by_move.py
@@ -13,6 +13,8 @@
 BUSY = not_run(Reason.TARGET_BUSY, "busy")
 LOST = may_have_run(Reason.CONNECTION_LOST, "lost")
 NOT_MOVED = may_have_run(Reason.TARGET_ERROR, "status 503")
+TIMED_OUT = may_have_run(Reason.CHUNK_TIMEOUT, "no answer")
+NO_SUCH_RUN = not_run(Reason.TARGET_ERROR, "status 404")
 UNREACHABLE = not_run(Reason.CONNECT_FAILED, "refused")
 
 
@@ -74,6 +76,17 @@
             self.assertEqual(6, len(self.sent))
             self.check_whole(caller)
 
+    def test_run_that_an_earlier_move_has_stopped(self) -> None:
+        caller = self.moving(engines=4)
+        answers = self.router.port.move_answers
+        answers[0].callback(Error(TIMED_OUT))
+        self.report(is_loading=True)
+        answers[1].callback(Error(NO_SUCH_RUN))
+        self.sent[0].sink.failed(LOST)
+        self.sent[1].answer(503, refusal=BUSY)
+        self.assertFalse(caller.is_broken)
+        self.check_whole(caller)
+
     def test_stream_waits_while_all_targets_refuse(self) -> None:
         caller = self.moving(engines=3)
         self.stop_run()
