Soak of stops: judge streams that are broken off, and let them last

The soak let every begun stream be broken off ("is_whole or stream"), so it could not see a stream that a stop cuts. Now one may be broken off only where the rule allows it: at the caller's time limit, or where the target was still at work in the last sixth of the grace on a request that was sent within 3 s of SIGTERM. No check is less strict than before.

So that this is met: streams of up to 17 s; time limits of 20 s; bodies in chunks, and bodies that pause in the middle, half of them until 3.00 to 3.05 s after SIGTERM; grace_s of 4 and 8 s; all routers stopped at once or in series; 16 callers. A process is killed 4 s after its grace instead of 30 s after SIGTERM, so that what a router leaves open at its end is cut. A router that another program deprives of its port is started again, and counted (seen once: "Address already in use", beside two other soaks).

--- a/tests/soak_of_stops.py
+++ b/tests/soak_of_stops.py
@@ -1,10 +1,10 @@
 """A soak of routers as processes: stops and changes beside kept connections.
 
 Callers use their connections until the process is gone, send some requests in
-halves and some pipelined.  Meanwhile routers get SIGTERM and SIGHUP, one after
-the other and both at once, are started again, and the operator raises and
-lowers limits and isolates accounts.  By hand: `python -m tests.soak_of_stops
-FIRST_SEED COUNT SECONDS`.
+halves, some in chunks and some pipelined.  Some streams last longer than a stop
+may.  Meanwhile routers get SIGTERM and SIGHUP, one after the other and all at
+once, are started again, and the operator raises and lowers limits and isolates
+accounts.  By hand: `python -m tests.soak_of_stops FIRST_SEED COUNT SECONDS`.
 """
 
 import asyncio
@@ -19,24 +19,41 @@
 
 import attrs
 
-from tests.platform_standin import SEAL, Handler, Store, Target, configuration
+from tests.platform_standin import SEAL
+from tests.stops_state import (
+    ACCOUNTS,
+    HIGH,
+    SENT_S,
+    NotingTarget,
+    Sent,
+    Soak,
+)
 from tests.test_forward_processes import free_ports
 
 ROUTERS = 2
-CALLERS = 10
-ACCOUNTS = ("acme", "bolt", "crab")
-# What the settings state; the soak kills a process only much later, so that a
-# busy machine is no fault.
-GRACE_S = 4.0
-KILL_S = 30.0
-# Time in which a router must be ready, for the same reason.
+CALLERS = 16
+# What the settings of a router may state, and how much later the soak kills it,
+# so that a busy machine is no fault.
+GRACES_S = (4.0, 8.0)
+KILL_MARGIN_S = 4.0
+# Events of the streams of each engine, and the pauses before them, in seconds.
+STREAMS = {"e1": (12, 0.25), "e2": (24, 0.5), "e3": (24, 0.5)}
+# Longest time, in seconds, by which callers send the rest of a request later
+# than `SENT_S` after SIGTERM, if they wait for that.
+LATE_S = 0.05
+# Time for which a caller pauses within a head, and within a body, in seconds.
+HEAD_PAUSE_S = 2.5
+BODY_PAUSE_S = 4.0
+# After which time a request may have been refused as too slow, in seconds, if
+# it was held up within its head, or within its body.
+HEAD_LIMIT_S = 2.9
+LIMIT_S = 9.0
+# Time in which a router must be ready; long, as a busy machine is no fault.
 START_S = 30.0
+# What a program that cannot open a port prints.
+PORT_TAKEN = "CannotListenError"
 IN_FORCE_S = 1.5
-# Until when an account's former neighbours may still be served beside it: the
-# bound on revoked keys, and the time that a request may take to arrive.
-ISOLATED_S = 4.0
 SMALL_HEAD, LARGE_HEAD = 600, 6_000
-LOW, HIGH = 2_000, 8_000
 SETTINGS = """
 store = "{store}"
 [node]
@@ -54,107 +71,6 @@
 """
 
 
-@attrs.define(kw_only=True, eq=False)
-class Soak:
-    """What the processes and the operator have done, and what is wrong."""
-
-    seed: int
-    random: "random.Random" = attrs.field(init=False)
-    store: Store = attrs.field(factory=Store)
-    targets: list[Target] = attrs.field(factory=list)
-    revision: int = 1
-    limit: int = HIGH
-    # Since when the limit on heads is what it is, and accounts are isolated.
-    limit_s: float = 0.0
-    isolated_s: dict[str, float] = attrs.field(factory=dict)
-    # Account by salt and part of what engines have cached.
-    parts: dict[tuple[str, str, str], str] = attrs.field(factory=dict)
-    ran: Counter[str] = attrs.field(factory=Counter)
-    violations: list[str] = attrs.field(factory=list)
-    counts: Counter[str] = attrs.field(factory=Counter)
-    ends_s: float = 0.0
-    requests: int = 0
-    processes: list[asyncio.subprocess.Process] = attrs.field(factory=list)
-    # Ports of the routers that run, by number.
-    ports: dict[int, int] = attrs.field(factory=dict)
-
-    def __attrs_post_init__(self) -> None:
-        """Seed the choices."""
-        self.random = random.Random(f"stops-{self.seed}")
-
-    def configure(self) -> None:
-        """Write a configuration with the limits and accounts as they are."""
-        self.revision += 1
-        tenants = [
-            {
-                "name": name,
-                "api_keys": [f"key-{name}"],
-                "isolated": name in self.isolated_s,
-            }
-            for name in ACCOUNTS
-        ]
-        self.store.put(
-            "keyed.op",
-            "config",
-            {
-                **configuration(self.revision),
-                "tenants": tenants,
-                "limits": {"max_header_bytes": self.limit},
-            },
-        )
-
-    def change(self) -> None:
-        """Change the limit on heads, or the isolation of an account."""
-        now_s = time.monotonic()
-        if self.random.random() < 0.5:
-            self.limit = LOW if self.limit == HIGH else HIGH
-            self.limit_s = now_s
-            self.counts["limits changed"] += 1
-        else:
-            name = self.random.choice(ACCOUNTS)
-            if self.isolated_s.pop(name, None) is None:
-                self.isolated_s[name] = now_s
-            self.counts["isolation changed"] += 1
-        self.configure()
-
-    def run_at(self, target: Target, call: Handler) -> None:
-        """Take note of a request that runs at a target."""
-        found = {name.lower(): value for name, value in call.headers.items()}
-        self.ran[found["sequoiawind-attempt-id"]] += 1
-        if "sequoiawind-prompt-prefix" not in found:
-            return
-        account = found["sequoiawind-tenant"]
-        part = found["sequoiawind-prompt-prefix"].partition(":")[0]
-        key = (target.id, found["sequoiawind-cache-salt"], part)
-        maker = self.parts.setdefault(key, account)
-        now_s = time.monotonic()
-        for name in (maker, account) if maker != account else ():
-            late_s = now_s - self.isolated_s.get(name, float("inf"))
-            self.check(late_s <= ISOLATED_S, f"WALL {maker} for {account}")
-        self.counts["parts of others used"] += maker != account
-
-    def check(self, holds: bool, text: str) -> None:
-        """Note a violation unless a condition holds."""
-        if not holds:
-            self.violations.append(text)
-
-
-@attrs.define(kw_only=True, eq=False)
-class NotingTarget(Target):
-    """A target that takes its time, and tells the soak what it runs."""
-
-    soak: Soak
-    random: "random.Random" = attrs.field(factory=lambda: random.Random(1))
-
-    def run(self, call: Handler, body: bytes) -> None:
-        """Run a request if it is meant for this target."""
-        if call.headers.get("Sequoiawind-Expect-Instance") == self.id:
-            self.soak.run_at(self, call)
-        time.sleep(self.random.choice((0.0, 0.0, 0.1, 0.5, 2.0, 5.0)))
-        with suppress(ConnectionError):
-            Target.run(self, call, body)
-
-
 @attrs.define(kw_only=True, eq=False)
 class Caller:
     """One caller, with a connection that it keeps."""
@@ -162,8 +78,8 @@
     soak: Soak
     random: "random.Random"
 
-    def request(self, is_late: bool) -> tuple[str, str, bytes]:
-        """Return a request: its id, its route, and its bytes.
+    def request(self, is_late: bool) -> Sent:
+        """Return a request.
 
         Args:
           is_late: Whether it is sent later, maybe under a lower limit.
@@ -175,14 +91,17 @@
         since_s = time.monotonic() - soak.limit_s
         is_raised = soak.limit == HIGH and since_s > IN_FORCE_S + 0.5
         is_large = is_raised and not is_late
+        is_chunked = self.random.random() < 0.3
+        body = "4\r\nbody\r\n0\r\n\r\n" if is_chunked else "body"
+        deadline_s = self.random.choice((1.5, 6.0, 20.0, 20.0))
         lines = [
             f"POST /{route}/x HTTP/1.1",
             "Host: h.example",
             f"Authorization: Token key-{self.random.choice(ACCOUNTS)}",
             f"Sequoiawind-Attempt-Id: {name}",
-            f"Sequoiawind-Deadline-Ms: {self.random.choice((1500, 6000))}",
+            f"Sequoiawind-Deadline-Ms: {int(deadline_s * 1000)}",
             f"X-Trace: {'t' * (LARGE_HEAD if is_large else SMALL_HEAD)}",
-            "Content-Length: 4",
+            "Transfer-Encoding: chunked" if is_chunked else "Content-Length: 4",
         ]
         if route in ("brief", "draft"):
             lines += [
@@ -190,7 +109,14 @@
                 "Sequoiawind-Token-Count: 100,10",
                 f"Sequoiawind-Prompt-Prefix: aa:80,{soak.requests:x}:20",
             ]
-        return name, route, "\r\n".join([*lines, "", "body"]).encode()
+        head = "\r\n".join([*lines, "", ""])
+        return Sent(
+            name=name,
+            route=route,
+            data=(head + body).encode(),
+            head_bytes=len(head),
+            deadline_s=deadline_s,
+        )
 
     async def run(self) -> None:
         """Send requests until the end, on new connections as need be."""
@@ -202,46 +128,67 @@
             except OSError:
                 await asyncio.sleep(0.1)
                 continue
-            while time.monotonic() < soak.ends_s and await self.use(*pair):
+            while time.monotonic() < soak.ends_s and await self.use(
+                *pair, port
+            ):
                 await asyncio.sleep(self.random.choice((0.0, 0.2, 1.0)))
             pair[1].close()
 
     async def use(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        port: int,
     ) -> bool:
         """Send one request or two; return whether the connection is kept."""
-        cut = self.random.choice((0, 0, 30, 300, 700))
         sent = [self.request(is_late=False)]
+        in_body = sent[0].head_bytes + 1
+        cut = self.random.choice(
+            (0, 0, 30, 300, 700, in_body, in_body, in_body)
+        )
         if self.random.random() < 0.2:
             sent.append(self.request(is_late=cut > 0))
-        data = b"".join(item[2] for item in sent)
+        data = b"".join(item.data for item in sent)
         started = time.monotonic()
+        pause_s = BODY_PAUSE_S if cut == in_body else HEAD_PAUSE_S
         try:
             if cut:
                 writer.write(data[:cut])
                 await writer.drain()
-                await asyncio.sleep(self.random.uniform(0.0, 2.5))
+                await asyncio.sleep(self.random.uniform(0.0, pause_s))
+                if cut == in_body and self.random.random() < 0.5:
+                    await self.until_late(port)
             writer.write(data[cut:])
             await writer.drain()
         except ConnectionError:
             return False
-        if time.monotonic() - started > 2.9:
-            # It may have met the time allowed for a head.
+        ended = time.monotonic()
+        if ended - started > (LIMIT_S if cut == in_body else HEAD_LIMIT_S):
+            # It may have met the time allowed for a head, or for a body.
             return False
-        for number, (name, route, _) in enumerate(sent):
+        for item in sent:
+            item.began_s, item.ended_s = started, ended
+        for number, item in enumerate(sent):
             place = f"place {number}, cut {cut}, {len(data)} bytes"
-            is_kept = await self.answered(reader, name, route, place)
+            is_kept = await self.answered(reader, item, port, place)
             if not is_kept:
-                for later, _, _ in sent[number + 1 :]:
-                    self.soak.check(not self.soak.ran[later], f"LOST {later}")
+                for later in sent[number + 1 :]:
+                    name = later.name
+                    self.soak.check(not self.soak.ran[name], f"LOST {name}")
                 return False
         return True
 
+    async def until_late(self, port: int) -> None:
+        """Wait until a stop no longer excuses a cut, if it soon does not."""
+        late_s = SENT_S + self.random.uniform(0.0, LATE_S)
+        left_s = self.soak.stopped_s.get(port, 0.0) + late_s - time.monotonic()
+        await asyncio.sleep(max(0.0, left_s))
+
     async def answered(
-        self, reader: asyncio.StreamReader, name: str, route: str, place: str
+        self, reader: asyncio.StreamReader, sent: Sent, port: int, place: str
     ) -> bool:
         """Read an answer, and check it; return whether another may follow."""
-        soak = self.soak
+        soak, name, route = self.soak, sent.name, sent.route
         try:
             raw = await reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -256,7 +203,11 @@
         if status == 200:
             soak.check(SEAL.lower() in head, f"MIXED {name}")
             stream = route in ("brief", "draft")
-            soak.check(is_whole or stream, f"LOST {route} {name}: cut")
+            may_break_off = stream and soak.may_break_off(sent, port)
+            soak.check(
+                is_whole or may_break_off,
+                f"LOST {route} {name}: cut, {place}, {self.times(sent, port)}",
+            )
         soak.check(status in (200, 502, 503, 504), f"DENIED {status}: {place}")
         if status == 503:
             repeats = route in ("read", "draft")
@@ -266,6 +217,20 @@
         )
         return is_whole and "connection: close" not in head
 
+    def times(self, sent: Sent, port: int) -> str:
+        """Return when a request was sent, worked on and cut, in seconds.
+
+        The times are since its router got SIGTERM.
+        """
+        soak = self.soak
+        stopped_s = soak.stopped_s.get(port, float("nan"))
+        times_s = (
+            sent.ended_s,
+            soak.worked_s.get(sent.name, float("nan")),
+            time.monotonic(),
+        )
+        return "/".join(f"{item - stopped_s:.2f}" for item in times_s)
+
     async def read_body(self, reader: asyncio.StreamReader, head: str) -> bool:
         """Read a body; return whether it is whole."""
         try:
@@ -281,10 +246,10 @@
         return True
 
 
-async def is_ready(port: int) -> bool:
+async def is_ready(port: int, process: asyncio.subprocess.Process) -> bool:
     """Wait until a router reports that it is ready; return whether it does."""
     ends_s = time.monotonic() + START_S
-    while time.monotonic() < ends_s:
+    while time.monotonic() < ends_s and process.returncode is None:
         with suppress(OSError, asyncio.IncompleteReadError):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -301,6 +266,8 @@
     choice = random.Random(f"router-{soak.seed}-{number}")
     while time.monotonic() < soak.ends_s:
         callers, ready, agent, metrics = free_ports(4)
+        grace_s = soak.graces_s[callers] = choice.choice(GRACES_S)
+        soak.stopped_s.pop(callers, None)
         file = folder / f"router{number}.toml"
         file.write_text(
             SETTINGS.format(
@@ -308,35 +275,54 @@
                 name=f"r{number}",
                 agent=agent,
                 metrics=metrics,
-                grace=GRACE_S,
+                grace=grace_s,
                 callers=callers,
                 ready=ready,
             )
         )
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "sequoiawind.forward_router_main",
-            str(file),
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        errors = file.with_suffix(".err")
+        with errors.open("wb") as stderr:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "sequoiawind.forward_router_main",
+                str(file),
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=stderr,
+            )
         soak.processes.append(process)
         # A signal before the program handles it would end the process.
-        soak.check(await is_ready(ready), f"router {number} is not ready")
+        has_started = await is_ready(ready, process)
+        if process.returncode is not None and PORT_TAKEN in errors.read_text():
+            # Another program has got the port meanwhile.
+            soak.counts["ports taken"] += 1
+            continue
+        soak.check(has_started, f"router {number} is not ready")
+        if process.returncode is not None:
+            return
         soak.ports[number] = callers
         for _ in range(choice.randrange(4)):
             await asyncio.sleep(choice.uniform(0.2, 1.0))
             process.send_signal(signal.SIGHUP)
-        await asyncio.sleep(choice.uniform(0.0, 3.0))
+        with suppress(TimeoutError):
+            await asyncio.wait_for(
+                soak.stop_all.wait(), choice.uniform(0.0, 4.0)
+            )
+            # All stop at once, or one after the other.
+            await asyncio.sleep(choice.choice((0.0, 1.0 + number)))
+        if choice.random() < 0.3:
+            soak.stop_all.set()
+        soak.stopped_s[callers] = time.monotonic()
         process.terminate()
         if choice.random() < 0.3:
             await asyncio.sleep(0.5)
             process.terminate()
         await asyncio.sleep(2.0)
+        soak.stop_all.clear()
         # The balancer has noticed.
         soak.ports.pop(number, None)
         try:
-            await asyncio.wait_for(process.wait(), KILL_S)
+            await asyncio.wait_for(process.wait(), grace_s + KILL_MARGIN_S)
         except TimeoutError:
             soak.check(False, f"router {number} did not end")
             process.kill()
@@ -374,8 +360,12 @@
     soak = Soak(seed=seed)
     with ExitStack() as stack, tempfile.TemporaryDirectory() as folder:
         stack.enter_context(soak.store)
-        for name, pool in (("a1", "app"), ("a2", "app"), ("e1", "llm")):
-            target = NotingTarget(id=name, soak=soak, events=3)
+        for name in ("a1", "a2", *STREAMS):
+            pool = "llm" if name in STREAMS else "app"
+            events, pause_s = STREAMS.get(name, (0, 0.0))
+            target = NotingTarget(
+                id=name, soak=soak, events=events, pause_s=pause_s
+            )
             stack.enter_context(target)
             soak.targets.append(target)
             soak.store.put("keyed.servers", name, target.entry(pool))
@@ -393,7 +383,10 @@
         soak = run_seed(seed, seconds)
         is_red |= bool(soak.violations)
         found = ", ".join(f"{k} {v}" for k, v in sorted(soak.counts.items()))
-        print(f"seed {seed}: {soak.violations[:5]} {found}", flush=True)
+        kinds = Counter(text.split(" ")[0] for text in soak.violations)
+        first = {text.split(" ")[0]: text for text in soak.violations[::-1]}
+        red = f"{dict(kinds)} {list(first.values())}" if kinds else "[]"
+        print(f"seed {seed}: {red} {found}", flush=True)
     return int(is_red)
 
 
