Drain by the grace that holds when SIGTERM comes, not by that of the start

Callers would see, where a SIGHUP has made `grace_s` shorter: the router still drains 3.0 s after SIGTERM by the old value, and ends its requests only after that; SIGKILL comes earlier and cuts them all, also those that no target has got, for which 503 is due (rule LOST).

Cause: `Daemon` took the wait before the drain as a number, when the program started; the end of all work went by the current value, but is looked at only after the drain.

Fix: the wait is a function, as the other times are. The new test fails without it: with `grace_s` 8 at the start and 2 at the signal, a request that waits for a target has no answer at 1.9 s ([503] expected, [] found). It passes now.

--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -41,8 +41,8 @@
     on_draining: Callable[[], None] = attrs.field(default=lambda: None)
     # Called on SIGHUP: the settings file may have changed.
     on_reload: Callable[[], None] = attrs.field(default=lambda: None)
-    # Time between the signal and draining, in seconds.
-    balancer_wait_s: float = 0.0
+    # Returns the time between the signal and draining, in seconds.
+    balancer_wait_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     # Returns the time between the signal and the end of all work, in seconds.
     work_s: Callable[[], float] = attrs.field(default=lambda: float("inf"))
     # Called once that time has passed, if work is in flight then.
@@ -108,7 +108,7 @@
 
     def drain_when_due(self) -> None:
         """Drain as soon as the balancer has noticed."""
-        left_s = self.balancer_wait_s - self.since_signal_s
+        left_s = self.balancer_wait_s() - self.since_signal_s
         if left_s > 0.0:
             # The clock of the timer does not count suspended time.
             delay_s = min(left_s, IDLE_CHECK_S)
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -29,7 +29,7 @@
         is_idle=shutdown.is_idle,
         on_leaving=shutdown.leave,
         on_draining=shutdown.drain,
-        balancer_wait_s=shutdown.leave_s,
+        balancer_wait_s=lambda: shutdown.leave_s,
         work_s=lambda: shutdown.work_s,
         on_ending=shutdown.end_requests,
     )
--- a/sequoiawind/router_main.py
+++ b/sequoiawind/router_main.py
@@ -28,7 +28,7 @@
         phase=program.board.phase,
         is_idle=program.is_idle,
         on_draining=program.stop_listening,
-        balancer_wait_s=options.router.balancer_wait_s,
+        balancer_wait_s=lambda: options.router.balancer_wait_s,
         work_s=lambda: work_time_s(options.router.grace_s),
         on_ending=program.end_requests,
     )
--- a/tests/test_late_in_shutdown.py
+++ b/tests/test_late_in_shutdown.py
@@ -50,6 +50,8 @@
     phase: Phase = attrs.field(factory=lambda: Phase(name="serving"))
     # For how long the process was suspended, in seconds.
     suspended_s: float = 0.0
+    # Time between SIGTERM and SIGKILL, in seconds.
+    grace_s: float = GRACE_S
     stopped_s: float = -1.0
     site: CallerSite = attrs.field(init=False)
     shutdown: ForwardShutdown = attrs.field(init=False)
@@ -74,7 +76,7 @@
             closer=closer,
         )
         self.shutdown = ForwardShutdown(
-            grace_s=lambda: GRACE_S,
+            grace_s=lambda: self.grace_s,
             forwarder=self.rig.forwarder,
             site=self.site,
             closer=closer,
@@ -85,7 +87,7 @@
             is_idle=self.shutdown.is_idle,
             on_leaving=self.shutdown.leave,
             on_draining=self.shutdown.drain,
-            balancer_wait_s=self.shutdown.leave_s,
+            balancer_wait_s=lambda: self.shutdown.leave_s,
             work_s=lambda: self.shutdown.work_s,
             on_ending=self.shutdown.end_requests,
             age_clock=lambda: clock.seconds() + self.suspended_s,
@@ -221,6 +223,18 @@
         self.assertEqual([], self.sent)
         self.assertEqual([503], statuses(caller))
 
+    def test_grace_that_has_become_shorter_before_the_signal(self) -> None:
+        fleet = self.router.rig.fleet
+        fleet.shed("p1", self.router.rig.clock.seconds() + 100.0)
+        self.router.grace_s = 2.0
+        self.router.daemon.leave()
+        caller = self.router.connect()
+        caller.protocol.dataReceived(request("book", 20_000))
+        self.router.advance_to(1.7)
+        self.assertEqual([], statuses(caller))
+        self.router.advance_to(1.9)
+        self.assertEqual([503], statuses(caller))
+
     def test_half_sent_request_at_the_end(self) -> None:
         for cut in (5, 80, len(request("book")) - 1):
             self.begin()
