--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -44,8 +44,8 @@
     on_reload: Callable[[], None] = attrs.field(default=lambda: None)
     # Called at each signal, when the drain begins, and at the end.
     on_step: Callable[[Step], None] = attrs.field(default=lambda step: None)
-    # Time between the signal and draining, in seconds.
-    balancer_wait_s: float = 0.0
+    # Returns the time between the signal and draining, in seconds.
+    balancer_wait_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     # Returns the time between the signal and the end of all work, in seconds.
     work_s: Callable[[], float] = attrs.field(default=lambda: float("inf"))
     # Called once that time has passed, if work is in flight then.
@@ -125,7 +125,7 @@
 
     def drain_when_due(self) -> None:
         """Drain as soon as the balancer has noticed."""
-        left_s = self.balancer_wait_s - self.since_signal_s
+        left_s = self.balancer_wait_s() - self.since_signal_s
         if left_s > 0.0:
             # The clock of the timer does not count suspended time.
             delay_s = min(left_s, IDLE_CHECK_S)
