Let begun streams wait for a repeat when their connections die together

Cause: a begun stream that may go on elsewhere waits for a target until its deadline, as cutting it is no better for its caller; but for a repeat that the window does not allow yet it did not wait, except after a move of ours.

It waits now, and takes a repeat as soon as the window allows one. The bound itself is unchanged, each further attempt still takes a repeat, and requests without an answer are still answered at once.

Two of the three new tests failed before: the stream was cut at once. The condition that this replaces, a run stopped for a move, only holds for begun streams.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -146,7 +146,7 @@
         self.waiting_since_s = None
         if self.reserve_attempt():
             self.send(options[0])
-        elif self.tried.stopped:
+        elif self.has_head:
             self.wait()
         else:
             self.stop(not_run(Reason.RETRY_BUDGET, messages.RETRY_BUDGET))
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -28,7 +28,7 @@
 from sequoiawind.http1_client import Http1Client, OutgoingRequest
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from tests import live
-from tests.forward_rig import KINDS, ForwardRig, state, target
+from tests.forward_rig import KINDS, FakeCaller, ForwardRig, state, target
 from tests.platform_standin import Handler, Store, Target, configuration
 from tests.silent_relay import SilentRelay
 from tests.stand_ins import Peer, accept
@@ -326,6 +326,52 @@
         self.assertEqual([True, True], self.uses_kept())
 
 
+class RepeatsUsedUpTest(TestCase):
+    """Streams beside many others whose connections die in the same moment."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig = ForwardRig()
+        self.rig.add(*(target(f"e{number}", "llm") for number in range(3)))
+        self.window = self.rig.forwarder.window
+        self.allowance = self.window.allowance
+        self.window.allowance = self.window.ratio = 0.0
+
+    def lose(self, beginning: bytes) -> FakeCaller:
+        """Submit a stream, and let its connection be lost."""
+        caller = self.rig.submit("draft")
+        lost = self.rig.port.sent[-1]
+        if beginning:
+            lost.begin(200, beginning)
+        lost.sink.failed(may_have_run(Reason.CONNECTION_LOST))
+        return caller
+
+    def test_begun_stream_waits_for_a_repeat(self) -> None:
+        caller = self.lose(BEGINNING)
+        self.rig.advance(1.0)
+        self.assertFalse(caller.is_broken)
+        self.assertEqual(1, len(self.rig.port.sent))
+        self.window.allowance = self.allowance
+        self.rig.advance(0.1)
+        rest = b"id: 2\ndata: x\n\n"
+        self.rig.port.sent[1].answer(200, rest)
+        self.assertEqual(BEGINNING + rest, caller.body)
+        self.assertTrue(caller.is_ended)
+
+    def test_begun_stream_waits_until_its_deadline(self) -> None:
+        caller = self.lose(BEGINNING)
+        self.rig.advance(4.8)
+        self.assertFalse(caller.is_broken)
+        self.rig.advance(0.4)
+        self.assertTrue(caller.is_broken)
+        self.assertEqual(1, len(self.rig.port.sent))
+
+    def test_request_without_an_answer_does_not_wait(self) -> None:
+        caller = self.lose(b"")
+        assert caller.failure is not None
+        self.assertIs(Reason.CONNECTION_LOST, caller.failure.reason)
+
+
 class SilentFleetTest(TestCase):
     """A router whose connections inside the fleet all fall silent."""
 
