Do not keep the bodies of answered requests at idle connections

What callers would see: a router that holds many kept connections grows by the body of the last request on each, which its budget of memory does not count, until its memory limit ends it with all that is open.

Cause: `ConnectionLife`, added for the lines on the ends of connections, keeps the last request for its headers, and with it the body, until the next request on the connection or its end.

The new test fails on ("[None] != [<HttpRequest>]") and passes here, as do the other tests of the file.

Why it works: only the headers are needed, so only they are kept.

--- a/sequoiawind/connection_ends.py
+++ b/sequoiawind/connection_ends.py
@@ -101,16 +101,17 @@
     """Reports how one connection ends: once, and once more for its close."""
 
     connection: "CallerConnection"
-    # The request that was passed on last, and the bytes that the connection had
-    # read and written before its answer.
-    request: "HttpRequest | None" = None
+    # Headers of the request that was passed on last; None before the first.
+    # The request itself would keep its body in memory beyond its answer.
+    request_headers: Headers | None = None
+    # Bytes that the connection had read and written before its answer.
     request_bytes: int = 0
     written_before: int = 0
     end: ConnectionEnd | None = None
 
     def begin(self, request: "HttpRequest") -> None:
         """Note a request that is passed on."""
-        self.request = request
+        self.request_headers = request.headers
         http = self.connection.http
         self.request_bytes = http.request_bytes - http.unparsed_bytes
         self.written_before = self.connection.output.written_bytes
@@ -186,7 +187,7 @@
             return RequestPhase.READING_BODY
         if connection.arrived_s is not None or connection.http.unparsed_bytes:
             return RequestPhase.READING_HEAD
-        if untaken_bytes and self.request is not None:
+        if untaken_bytes and self.request_headers is not None:
             return RequestPhase.ANSWERED
         return RequestPhase.NONE
 
@@ -195,7 +196,7 @@
         if is_reading:
             head = self.connection.head
             return list(head.headers) if head is not None else []
-        return self.request.headers if self.request is not None else []
+        return self.request_headers or []
 
     def closed(self, close: CloseEnd) -> None:
         """Report what a close in stages has lost, if anything."""
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -3,6 +3,8 @@
 Guards against cut answers and lost requests that no line explains.
 """
 
+import gc
+import weakref
 from typing import Any
 from unittest import mock
 
@@ -14,6 +16,7 @@
 from sequoiawind.caller_output import StalledCaller
 from sequoiawind.connection_ends import Cause
 from sequoiawind.end_notes import EndNotes
+from sequoiawind.http1_server import CallerConnection, HttpRequest
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.platform import callers
 from tests.stand_ins import FakeTransport
@@ -106,6 +109,20 @@
         )
         self.assertEqual(1.0, self.count(Cause.BROKEN_OFF, "answering"))
 
+    def test_idle_connection_keeps_no_body(self) -> None:
+        found: list[weakref.ref[HttpRequest]] = []
+
+        def take(request: HttpRequest, connection: CallerConnection) -> None:
+            found.append(weakref.ref(request))
+            self.router.take(request, connection)
+
+        self.router.site.on_request = take
+        caller = self.send(request("book"))
+        self.sent.pop().answer(200, b"whole")
+        gc.collect()
+        self.assertTrue(caller.protocol.is_idle)
+        self.assertEqual([None], [item() for item in found])
+
     def test_caller_that_leaves_in_each_phase(self) -> None:
         data = request("brief", 20_000)
         body = data.index(b"\r\n\r\n") + 4
