Do not let a configuration prolong a late request past the end of the process

What callers would see: a stream that a router has taken 3.5 s after its SIGTERM, as its 4 s of time end before the process does, is begun (200) and broken off at 7.5 s.

Cause: whether work ends in time is asked when a request arrives alone. One that waits for a target is planned again under a newer configuration, and since its deadline follows; nothing asked again whether that is still before the end.

The new test fails without the change ("False is not true" for the deadline that the target is told) and passes with it, as do the other tests of late, accepted, moved and withdrawn requests.

Why it works: a new plan that ends later than the last one, and later than work that is taken now ends, is refused with 503 before anything is sent. Plans that end no later than before, or in time, are used as they were, so requests of the first 2.5 s go on unless they are given more time.

--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -10,7 +10,7 @@
 
 import attrs
 import structlog
-from expression import Result
+from expression import Error, Result
 
 from sequoiawind import defaults, messages
 from sequoiawind.blackboard import RequestNote
@@ -18,7 +18,7 @@
 from sequoiawind.fleet import TargetView
 from sequoiawind.forward_attempt import ForwardAttempt
 from sequoiawind.forward_placement import ForwardPlacement
-from sequoiawind.forward_plan import ForwardRequest
+from sequoiawind.forward_plan import ForwardPlan, ForwardRequest
 from sequoiawind.forward_ports import AnswerHead, ForwardCaller, ForwardPort
 from sequoiawind.forwarding import Forwarding
 from sequoiawind.origin_registry import OriginRegistry
@@ -134,12 +134,7 @@
         plan = planned.ok
         now_s = self.clock.seconds()
         if plan.ends_s > self.latest_end_s():
-            failure = not_run(
-                Reason.SHUTTING_DOWN,
-                messages.SHUTTING_DOWN,
-                defaults.ELSEWHERE_RETRY_AFTER_S,
-            )
-            self.refuse(request, caller, failure)
+            self.refuse(request, caller, shutting_down())
             return None
         charge = self.load.charge(plan, now_s)
         if isinstance(charge, Failure):
@@ -170,6 +165,22 @@
             forwarding.give_up(may_have_run(Reason.INTERNAL_ERROR))
         return forwarding
 
+    def plan_again(self, plan: ForwardPlan) -> Result[ForwardPlan, Failure]:
+        """Return the present plan of a request that no target has got.
+
+        Args:
+          plan: The request's plan so far.
+
+        Returns:
+          The plan, or why the request is refused: a shutdown takes nothing that
+          a newer configuration lets last longer than the process.
+        """
+        planned = self.planner.plan(plan.request)
+        taken_until_s = max(plan.ends_s, self.latest_end_s())
+        if planned.is_ok() and planned.ok.ends_s > taken_until_s:
+            return Error(shutting_down())
+        return planned
+
     def refuse(
         self, request: ForwardRequest, caller: ForwardCaller, failure: Failure
     ) -> None:
@@ -350,3 +361,12 @@
             note.verdict = failure.verdict.value
             note.reason = failure.reason.value
         self.on_end(forwarding, failure)
+
+
+def shutting_down() -> Failure:
+    """Return the refusal of a request that may last longer than the process."""
+    return not_run(
+        Reason.SHUTTING_DOWN,
+        messages.SHUTTING_DOWN,
+        defaults.ELSEWHERE_RETRY_AFTER_S,
+    )
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -205,7 +205,7 @@
         if self.tried or self.has_head:
             planned = planner.renew(self.plan, has_begun=self.has_head)
         else:
-            planned = planner.plan(self.plan.request)
+            planned = self.forwarder.plan_again(self.plan)
         if planned.is_error():
             return planned.error
         self.plan = stream_reconnect.with_pool_of_origin(
--- a/tests/test_late_in_shutdown.py
+++ b/tests/test_late_in_shutdown.py
@@ -177,6 +177,36 @@
             self.assertEqual(0, len(self.sent), cut)
             self.assertEqual([503], statuses(caller), cut)
 
+    def test_late_request_that_a_configuration_prolongs(self) -> None:
+        for timeout_s, expected in ((4.0, 200), (4.2, 200), (20.0, 503)):
+            self.begin()
+            rig = self.router.rig
+            self.set_time(3, 4.0)
+            self.router.daemon.leave()
+            self.router.advance_to(LEAVE_S - 0.1)
+            data = request("brief", 20_000)
+            caller = self.send_half(data)
+            self.router.advance_to(LEAVE_S + 0.5)
+            now_s = rig.clock.seconds()
+            rig.fleet.record_notice(rig.fleet.views["e1"], False, 0.7, now_s)
+            caller.protocol.dataReceived(data[30:])
+            self.assertEqual(0, len(self.sent))
+            self.set_time(4, timeout_s)
+            self.router.advance_to(LEAVE_S + 1.5)
+            for sent in self.sent:
+                self.assertTrue(sent.order.deadline_s < END_S - LEAVE_S - 1.0)
+                sent.answer(200, b"id: 1\ndata: x\n\n")
+            self.assertEqual([expected], statuses(caller), timeout_s)
+            self.assertEqual(expected == 200, bool(self.sent), timeout_s)
+
+    def set_time(self, revision: int, timeout_s: float) -> None:
+        """Apply a configuration with another time limit."""
+        kinds = {
+            name: attrs.evolve(kind, timeout_s=timeout_s)
+            for name, kind in KINDS.items()
+        }
+        self.router.rig.configure(state(revision, kinds=kinds))
+
     def test_half_sent_request_that_ends_in_time(self) -> None:
         data = request("book", 7_000)
         caller = self.send_half(data)
