Give back every target that a router has taken away from a stream

What callers would see: a begun stream that may be resumed is cut with `max_targets`, though its router alone has ended its attempts.

Cause: `TriedTargets` kept the name of one stopped attempt. A second one (two changes of isolation, or one after a failed move) replaced it, and a target that broke off meanwhile cleared it, so the earlier targets counted again.

Why it works: all stopped targets are kept until an attempt brings an event. A target that breaks off counts again itself, and no other one does. Runs stay bounded: each event makes all targets count again, and each further attempt takes a repeat from the window.

--- a/sequoiawind/tried_targets.py
+++ b/sequoiawind/tried_targets.py
@@ -6,8 +6,8 @@
 A router stops a run to move it, and then the destination may refuse it; or it
 withdraws a begun stream that waits at a further target.  Nothing but the router
 has ended that attempt, so the stream is not ended for want of further targets:
-what proves not to have run it does not count, nor does the target of the
-stopped attempt, until another one goes on or breaks off.
+what proves not to have run it does not count, nor do the targets of the stopped
+attempts, until another one goes on.
 """
 
 import attrs
@@ -21,9 +21,9 @@
 
     # Names of those at which it may have run, in the order of the attempts.
     names: list[str] = attrs.field(factory=list)
-    # The target whose attempt this router has stopped; empty if there is none,
-    # or once another attempt has brought an event or was broken off.
-    stopped: str = ""
+    # Names of those whose attempts this router has stopped since an attempt has
+    # brought an event.
+    stopped: list[str] = attrs.field(factory=list)
 
     def __bool__(self) -> bool:
         """Whether any target counts as tried."""
@@ -37,7 +37,7 @@
     @property
     def excluded(self) -> list[str]:
         """Names of the targets that are not asked again."""
-        return [name for name in self.names if name != self.stopped]
+        return [name for name in self.names if name not in self.stopped]
 
     def sent(self, name: str) -> None:
         """Note that the request is sent to a target."""
@@ -46,15 +46,20 @@
     def moved(self, source: str) -> None:
         """Note that a run was stopped and copied; it goes on elsewhere."""
         self.names.remove(source)
-        self.stopped = source
+        self.stop(source)
 
     def withdrawn(self, name: str) -> None:
         """Note that a begun stream was withdrawn while it waited somewhere."""
-        self.stopped = name
+        self.stop(name)
+
+    def stop(self, name: str) -> None:
+        """Note a target whose attempt this router has stopped."""
+        if name not in self.stopped:
+            self.stopped.append(name)
 
     def went_on(self) -> None:
         """Note that an attempt has brought an event."""
-        self.stopped = ""
+        self.stopped.clear()
 
     def failed(self, name: str, failure: Failure, may_be_stopped: bool) -> None:
         """Note a failed attempt.
@@ -65,11 +70,14 @@
           may_be_stopped: Whether a move of its run may have stopped it.
         """
         if may_be_stopped:
-            self.stopped = name
+            self.stop(name)
         elif failure.verdict is not Verdict.NOT_RUN:
-            self.stopped = ""
+            # Its target has broken it off.
+            if name in self.stopped:
+                self.stopped.remove(name)
         elif self.stopped or failure.reason is Reason.CONNECT_FAILED:
             self.names.remove(name)
-            if self.stopped and self.stopped not in self.names:
-                # The run went on nowhere else.
-                self.names.append(self.stopped)
+            # Runs that went on nowhere else.
+            self.names += [
+                item for item in self.stopped if item not in self.names
+            ]
