Do not let a stream that waits for a repeat hold up one that has a repeat

What callers would see: a begun stream that a router has stopped to move it goes on late, or ends at its deadline, though a target is ready and its repeat has been counted. The same waits for a caller that comes back for its stream.

Cause: once a waiting request finds no target, those with the same choice of targets are not tried in that turn.

Evidence: the test fails on the code before ("7 != 6" attempts): two streams are stopped; the first has used its repeat, the second has one that reached no target, and is not sent for the whole second that is looked at.

Why it works: what groups the requests now includes whether their next attempt takes a repeat from the window.

--- a/sequoiawind/repeat_window.py
+++ b/sequoiawind/repeat_window.py
@@ -130,6 +130,12 @@
     # The pool for which a repeat was counted in advance; empty if none was.
     held_pool: str = ""
 
+    @property
+    def is_counted(self) -> bool:
+        """Whether the next attempt takes no repeat from the window."""
+        is_held = self.is_reserved or bool(self.held_pool)
+        return is_held or not self.is_first_counted
+
     def reserve(self, pool: str, now_s: float, routers: int) -> bool:
         """Count an attempt; return whether it is allowed.
 
--- a/sequoiawind/waiting_requests.py
+++ b/sequoiawind/waiting_requests.py
@@ -62,10 +62,18 @@
 
 
 def choice_key(forwarding: "Forwarding") -> tuple[object, ...]:
-    """Return what determines the targets that may take a request."""
+    """Return what determines whether a request finds a target."""
     plan = forwarding.plan
     prompt = plan.request.prompt
     model = prompt.model if prompt is not None else ""
     is_long = prompt is not None and is_long_run(prompt)
     origin = forwarding.origin
-    return (plan.pool.name, model, is_long, origin, *forwarding.tried.excluded)
+    return (
+        plan.pool.name,
+        model,
+        is_long,
+        origin,
+        # One that waits for a repeat says nothing of the targets.
+        forwarding.attempts.is_counted,
+        *forwarding.tried.excluded,
+    )
--- /dev/null
+++ b/tests/test_repeat_order.py
@@ -0,0 +1,58 @@
+"""A stream that waits for a repeat does not hold up one that has a repeat."""
+
+from expression import Ok
+from testtools import TestCase
+
+from sequoiawind.forward_state import ForwardPool
+from sequoiawind.stream_move import move_away
+from sequoiawind.verdict import Reason, may_have_run, not_run
+from tests.forward_rig import ForwardRig, Sent, state, target
+from tests.test_accepted_requests import event
+
+BUSY = not_run(Reason.TARGET_BUSY, "busy")
+LOST = may_have_run(Reason.CONNECTION_LOST, "lost")
+UNREACHABLE = not_run(Reason.CONNECT_FAILED, "refused")
+
+
+class RepeatOrderTest(TestCase):
+    """Two streams whose runs a router has stopped, in a full window."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.router = ForwardRig()
+        pools = {"llm": ForwardPool(name="llm", models=("m",), has_moves=True)}
+        self.router.configure(state(revision=1, pools=pools))
+        self.router.add(*(target(f"e{number}", "llm") for number in range(3)))
+        self.sent = self.router.port.sent
+
+    def last(self, request_id: str) -> Sent:
+        """Return the last attempt of a request."""
+        found = [
+            item
+            for item in self.sent
+            if item.order.request.request_id == request_id
+        ]
+        return found[-1]
+
+    def test_stream_that_has_a_repeat_is_sent(self) -> None:
+        callers = [self.router.submit("draft") for _ in range(2)]
+        for sent in list(self.sent):
+            sent.begin(200, event(1))
+        for forwarding in list(self.router.forwarder.open):
+            move_away(forwarding)
+        window = self.router.forwarder.window
+        window.allowance = window.ratio = 0.0
+        for answer in self.router.port.move_answers:
+            answer.callback(Ok("ip:1/h"))
+        for sent in list(self.sent):
+            sent.sink.failed(LOST)
+        # The first stream uses its repeat; the second one reaches no target.
+        for name, failure in (("q1", BUSY), ("q1", BUSY), ("q2", BUSY)):
+            self.last(name).answer(503, refusal=failure)
+        self.last("q2").sink.failed(UNREACHABLE)
+        attempts = len(self.sent)
+        self.router.advance(1.0)
+        self.assertEqual(attempts + 1, len(self.sent))
+        self.last("q2").answer(200, event(2))
+        self.assertEqual([False, True], [item.is_ended for item in callers])
+        self.assertFalse(any(item.is_broken for item in callers))
