--- a/tests/test_lost_by_move.py
+++ b/tests/test_lost_by_move.py
@@ -152,6 +152,16 @@
         self.assertTrue(caller.is_broken)
         self.assertEqual(3, len(self.sent))
 
+    def test_stream_that_went_on_is_sent_to_no_third_target(self) -> None:
+        caller = self.moving(engines=5)
+        self.stop_run(is_moved=False)
+        self.sent[1].begin(200, event(2))
+        self.report(is_loading=False)
+        # The second target falls silent.
+        self.router.advance(2.0)
+        self.assertEqual(2, len(self.sent))
+        self.assertFalse(caller.is_broken)
+
     def test_targets_that_break_off_are_not_repeated_without_end(self) -> None:
         caller = self.moving(engines=5)
         self.sent[0].sink.failed(LOST)
