Leave what callers have not read to the kernel at the end of a shutdown

Callers saw: an answer that was whole in the router, and that its caller read too slowly for the rest of the grace, was cut by SIGKILL.

Cause: the send buffer of a caller's connection is held at 64 KiB (128 KiB in the kernel), so that slow callers take no memory; the rest waits in the process, and is gone with it.

Fix: when the requests are ended, half a second before SIGKILL, the buffer of each connection with unsent bytes is raised to their number, up to the kernel's limit, and the event loop writes them. The kernel delivers them after the end of the process, as it does with the part that it had before.

What remains: where the machine's network ends with the process, or the kernel's limit (net.core.wmem_max) is smaller, the tail is lost as before. A stream whose target is held up by its caller is broken off as before.

--- a/sequoiawind/forward_shutdown.py
+++ b/sequoiawind/forward_shutdown.py
@@ -3,7 +3,7 @@
 For a while after SIGTERM the router serves on, until the balancer has turned
 away.  Then it accepts no more connections.  Requests that arrive late are taken
 only if they end in time.  Before SIGKILL all that have not ended get their
-final answer.
+final answer, and what callers have not read is left to the kernel.
 """
 
 from collections.abc import Callable
@@ -12,7 +12,7 @@
 import attrs
 import structlog
 
-from sequoiawind import event_loop
+from sequoiawind import event_loop, sockets
 from sequoiawind.caller_site import CallerSite
 from sequoiawind.daemon import work_time_s
 from sequoiawind.forwarder import Forwarder
@@ -85,6 +85,8 @@
         )
         self.forwarder.end_all()
         self.site.refuse_unread()
+        for connection in (*self.site.connections, *self.closer.connections):
+            sockets.hand_over(connection.transport)
 
     def is_idle(self) -> bool:
         """Whether no request is in progress, and no close after one."""
--- a/sequoiawind/sockets.py
+++ b/sequoiawind/sockets.py
@@ -91,6 +91,21 @@
     return len(transport.dataBuffer) + transport._tempDataLen
 
 
+def hand_over(transport: Any) -> None:
+    """Let the kernel take all that is unsent, up to its own limit.
+
+    It delivers that also after the end of this process.
+    """
+    if not has_unsent(transport):
+        return
+    transport.getHandle().setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, untaken_bytes(transport)
+    )
+    # The event loop looks anew whether the socket takes more.
+    transport.stopWriting()
+    transport.startWriting()
+
+
 def write_now(transport: Any, data: bytes) -> None:
     """Write to a transport, without waiting for the event loop if possible.
 
--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -1,10 +1,12 @@
 """A router process that gets SIGTERM while requests are half sent.
 
 Guards against streams that are begun late in the grace and end with the
-process, and against requests that are read behind an answer and dropped.
+process, against requests that are read behind an answer and dropped, and
+against the loss of answers that callers read slowly.
 """
 
 import asyncio
+import socket
 import subprocess
 import sys
 import tempfile
@@ -15,7 +17,13 @@
 import attrs
 from testtools import TestCase
 
-from tests.platform_standin import Handler, Store, Target, configuration
+from tests.platform_standin import (
+    SEAL,
+    Handler,
+    Store,
+    Target,
+    configuration,
+)
 from tests.test_forward_processes import WAIT_TIMEOUT_S, free_ports
 
 GRACE_S = 8.0
@@ -24,6 +32,14 @@
 # Pause between the events of the streams of `EVENTS` events, in seconds.
 EVENT_PAUSE_S = 0.5
 EVENTS = 24
+# Size of an answer that is read slowly, the reader's buffer, and what it reads
+# each `READ_PAUSE_S` seconds, in bytes.
+LARGE_BYTES = 600_000
+RECEIVE_BUFFER_BYTES = 8_192
+READ_BYTES = 4_096
+READ_PAUSE_S = 0.2
+# Time in which a process must do what it does at the end, in seconds.
+END_S = 1.0
 SETTINGS = """
 store = "{store}"
 [node]
@@ -51,6 +67,17 @@
             Target.run(self, call, body)
 
 
+@attrs.define(kw_only=True, eq=False)
+class LargeTarget(Target):
+    """A target with a large answer."""
+
+    def run(self, call: Handler, body: bytes) -> None:
+        """Answer at once."""
+        echo = call.headers.get("Sequoiawind-Attempt-Id", "")
+        answer = b"x" * LARGE_BYTES
+        call.reply(200, answer, Sequoiawind_Attempt_Id=echo, **{SEAL: "s1"})
+
+
 @attrs.define(kw_only=True, eq=False)
 class Request:
     """A request that is sent in two parts, and what becomes of it."""
@@ -113,6 +140,7 @@
     callers: int = 0
     ready: int = 0
     process: "subprocess.Popen[bytes]" = attrs.field(init=False)
+    log: Path = attrs.field(init=False)
 
     def __enter__(self) -> "RouterProcess":
         """Start the router."""
@@ -127,15 +155,17 @@
             ready=self.ready,
         )
         file.write_text(text, encoding="utf-8")
-        self.process = subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "sequoiawind.forward_router_main",
-                str(file),
-            ],
-            stdout=subprocess.DEVNULL,
-        )
+        self.log = file.with_suffix(".log")
+        with self.log.open("wb") as stdout:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "sequoiawind.forward_router_main",
+                    str(file),
+                ],
+                stdout=stdout,
+            )
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -262,3 +292,51 @@
         killing.cancel()
         for _, writer in pairs:
             writer.close()
+
+
+class SlowReaderTest(TestCase):
+    """Answers that callers have not read when the process is killed."""
+
+    def test_whole_answer_is_left_to_the_kernel_at_the_end(self) -> None:
+        with ExitStack() as stack:
+            store, folder = Store(), tempfile.TemporaryDirectory()
+            stack.enter_context(store)
+            store.put("keyed.op", "config", configuration(1))
+            target = LargeTarget(id="p1")
+            stack.enter_context(target)
+            store.put("keyed.servers", target.id, target.entry("app"))
+            router = RouterProcess(
+                store=store.address, folder=stack.enter_context(folder)
+            )
+            stack.enter_context(router)
+            asyncio.run(self.play(router))
+
+    async def play(self, router: RouterProcess) -> None:
+        """Read slowly until the process is killed, and then the rest."""
+        await router.wait_until(is_ready=True)
+        slow = socket.socket()
+        self.addCleanup(slow.close)
+        slow.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        slow.connect(("127.0.0.1", router.callers))
+        request = Request(name="q1", route="read")
+        slow.sendall(request.head + request.body)
+        router.process.terminate()
+        found = b""
+        killed_s = float("inf")
+        ends_s = time.monotonic() + WAIT_TIMEOUT_S
+        while router.process.poll() is None and time.monotonic() < ends_s:
+            found += slow.recv(READ_BYTES)
+            await asyncio.sleep(READ_PAUSE_S)
+            now_s = time.monotonic()
+            if "requests ended" in router.log.read_text():
+                killed_s = min(killed_s, now_s + END_S)
+            if now_s >= killed_s:
+                router.process.kill()
+        with suppress(ConnectionError):
+            while part := slow.recv(65_536):
+                found += part
+        head, _, body = found.partition(b"\r\n\r\n")
+        self.assertEqual(b"200", head[9:12])
+        self.assertEqual(LARGE_BYTES, len(body))
