Let a stream that its router has stopped pause between the targets it asks

What callers would see: beside loads of weights, one stream that all targets refuse uses up the repeats of its router, and streams that targets break off then are not resumed until the window allows a repeat again.

Other waiting streams are not held up by one that pauses.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -133,6 +133,9 @@
         if self.tried.count >= max(1, kind.max_targets):
             self.stop(not_run(Reason.MAX_TARGETS, messages.MAX_TARGETS))
             return
+        if self.now_s < self.tried.ask_again_s:
+            self.wait()
+            return
         if not (self.tried or self.probed) and self.forwarder.probe(self):
             return
         options = self.forwarder.options(self)
@@ -430,9 +433,8 @@
         self.record_verdict(failure)
         if self.charge is not None and failure.verdict is Verdict.NOT_RUN:
             self.charge.not_run()
-        self.tried.failed(
-            attempt.view.target.name, failure, attempt.may_be_stopped
-        )
+        name, may_be_stopped = attempt.view.target.name, attempt.may_be_stopped
+        self.tried.failed(name, failure, may_be_stopped, self.now_s)
         if failure.reason is not Reason.CONNECT_FAILED:
             self.attempts.use()
         if self.silence.lost(attempt):
--- a/sequoiawind/tried_targets.py
+++ b/sequoiawind/tried_targets.py
@@ -10,10 +10,20 @@
 attempts, until another one goes on.
 """
 
+from typing import Final
+
 import attrs
 
 from sequoiawind.verdict import Failure, Reason, Verdict
 
+# Refusals of a stream that this router has stopped after which it pauses before
+# it asks a further target; each of them takes a repeat that others may need.
+FREE_REFUSALS: Final = 2
+# The first of these pauses, in seconds; each further one is twice as long, up to
+# the longest, which leaves time to go on before the caller gives up.
+FIRST_PAUSE_S: Final = 0.25
+LONGEST_PAUSE_S: Final = 2.0
+
 
 @attrs.define(kw_only=True, eq=False)
 class TriedTargets:
@@ -24,6 +34,10 @@
     # Names of those whose attempts this router has stopped since an attempt has
     # brought an event.
     stopped: list[str] = attrs.field(factory=list)
+    # Refusals since then, and when a further target may be asked, in seconds of
+    # the clock.
+    refusals: int = 0
+    ask_again_s: float = float("-inf")
 
     def __bool__(self) -> bool:
         """Whether any target counts as tried."""
@@ -60,14 +74,18 @@
     def went_on(self) -> None:
         """Note that an attempt has brought an event."""
         self.stopped.clear()
+        self.refusals = 0
 
-    def failed(self, name: str, failure: Failure, may_be_stopped: bool) -> None:
+    def failed(
+        self, name: str, failure: Failure, may_be_stopped: bool, now_s: float
+    ) -> None:
         """Note a failed attempt.
 
         Args:
           name: Its target.
           failure: Why it failed.
           may_be_stopped: Whether a move of its run may have stopped it.
+          now_s: The time, in seconds of the clock.
         """
         if may_be_stopped:
             self.stop(name)
@@ -81,3 +99,13 @@
             self.names += [
                 item for item in self.stopped if item not in self.names
             ]
+            if self.stopped and failure.reason is not Reason.CONNECT_FAILED:
+                self.refused(now_s)
+
+    def refused(self, now_s: float) -> None:
+        """Note a refusal of a stopped stream; pause after some of them."""
+        self.refusals += 1
+        doublings = self.refusals - FREE_REFUSALS
+        if doublings >= 0:
+            pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**doublings)
+            self.ask_again_s = now_s + pause_s
--- a/sequoiawind/waiting_requests.py
+++ b/sequoiawind/waiting_requests.py
@@ -73,7 +73,8 @@
         model,
         is_long,
         origin,
-        # One that waits for a repeat says nothing of the targets.
+        # One that waits for a repeat, or pauses, says nothing of the targets.
         forwarding.attempts.is_counted,
+        forwarding.tried.ask_again_s,
         *forwarding.tried.excluded,
     )
