Close idle connections at the drain in stages

Callers saw: an answer is cut by a reset 3 s after a router's SIGTERM.

Cause: at the drain a connection counts as idle once its answer has left the process, and was closed at once.

The idle time-out and the closes for want of descriptors still close at once.

--- a/sequoiawind/caller_site.py
+++ b/sequoiawind/caller_site.py
@@ -86,5 +86,5 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close(Cause.DRAIN)
+            if connection.may_be_closed:
+                connection.drain()
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -455,6 +455,11 @@
         self.is_lost = True
         self.lose()
 
+    def drain(self) -> None:
+        """Close the idle connection; a further request may cross that."""
+        self.life.ended(Cause.DRAIN)
+        self.close_in_stages(holds_stop=False)
+
     def lose(self) -> None:
         """Close the connection once what was written has been sent."""
         self.output.end()
