Count the time since a signal from its arrival

What callers would see: on a busy router, requests that are open at the end of the grace get no answer before SIGKILL.

Cause: the time of SIGTERM was taken when the event loop came to handle it, so what it was held up for came on top of the times of the shutdown, and ate up the half second before SIGKILL.

The time is taken by the signal's handler now. The test fails without that (0.0 s since the signal after a loop that was held up for 0.4 s) and passes with it.

--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -70,7 +70,9 @@
             signal.signal(
                 number,
                 lambda number, _: reactor.callFromThread(
-                    self.leave, Step(signal.Signals(number).name)
+                    self.leave,
+                    Step(signal.Signals(number).name),
+                    self.age_clock(),
                 ),
             )
         signal.signal(
@@ -102,11 +104,21 @@
         self.on_step(Step.END)
         event_loop.reactor.stop()
 
-    def leave(self, step: Step = Step.SIGTERM) -> None:
-        """Start the shutdown: report not ready, later drain and stop."""
+    def leave(
+        self, step: Step = Step.SIGTERM, signalled_s: float | None = None
+    ) -> None:
+        """Start the shutdown: report not ready, later drain and stop.
+
+        Args:
+          step: The signal.
+          signalled_s: When it arrived, by `age_clock`; None for now.  The event
+            loop may be held up after that, and the platform does not wait.
+        """
         if self.phase.name in ("leaving", "draining", "stopped"):
             return
-        self.signalled_s = self.age_clock()
+        self.signalled_s = (
+            self.age_clock() if signalled_s is None else signalled_s
+        )
         self.phase.since_signal_s = lambda: self.since_signal_s
         self.on_step(step)
         self.lifecycle.shut_down()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,5 +1,8 @@
 """A daemon that stops is idle until its very end."""
 
+import signal
+from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
 import attrs
@@ -43,6 +46,34 @@
         self.assertEqual("stopped", phase.name)
 
 
+class SignalTest(TestCase):
+    """A signal that arrives while the event loop is held up."""
+
+    def test_time_held_up_counts_as_time_since_the_signal(self) -> None:
+        clock = Clock()
+        calls: list[Callable[[], Any]] = []
+        reactor = mock.Mock(wraps=clock)
+        reactor.callFromThread = lambda function, *args: calls.append(
+            lambda: function(*args)
+        )
+        with mock.patch.object(event_loop, "reactor", reactor):
+            daemon = Daemon(
+                phase=Phase(name="serving"),
+                is_idle=lambda: True,
+                balancer_wait_s=lambda: 3.0,
+                age_clock=clock.seconds,
+            )
+            daemon.lifecycle.ready()
+            with daemon:
+                handler: Any = signal.getsignal(signal.SIGTERM)
+                handler(signal.SIGTERM, None)
+                clock.advance(0.4)
+                calls.pop()()
+                self.assertEqual(0.4, daemon.since_signal_s)
+                clock.pump([IDLE_CHECK_S] * 53)
+                self.assertEqual("draining", daemon.phase.name)
+
+
 class UnfetchedAnswerTest(TestCase):
     """An agent that stops keeps an answer that its router has yet to fetch."""
 
