Rank no targets for streams that wait for a repeat

What callers would see: after many streams have broken off together, a router answers late for as long as the window of repeats is full, up to 10 s.

Cause: since begun streams wait for a repeat while targets are ready. A waiting request looks for a target at each status of one that takes work, and every 50 ms; so each status of each target ranked all targets for these streams again, to find that no repeat is allowed.

The new test fails without the change, as targets are ranked.

Why it works: in each turn the window is asked once for each pool; streams that need a repeat stay queued without further work while none is allowed. They no longer end for want of targets while they wait for a repeat.

--- a/sequoiawind/repeat_window.py
+++ b/sequoiawind/repeat_window.py
@@ -64,6 +64,19 @@
     def try_repeat(self, pool: str, now_s: float, routers: int) -> bool:
         """Count a repeat if it is allowed; return whether it is.
 
+        Args:
+          pool: The pool.
+          now_s: The time, in seconds of the clock.
+          routers: Number of routers; 0 if unknown.
+        """
+        if not self.allows(pool, now_s, routers):
+            return False
+        self.sends_of(pool, now_s).repeats_s.append(now_s)
+        return True
+
+    def allows(self, pool: str, now_s: float, routers: int) -> bool:
+        """Whether a repeat is allowed, without counting one.
+
         Args:
           pool: The pool.
           now_s: The time, in seconds of the clock.
@@ -75,10 +88,7 @@
             self.ratio * len(sends.first_s)
             + self.allowance_part(now_s, is_known=routers > 0)
         )
-        if len(sends.repeats_s) + 1 > bound:
-            return False
-        sends.repeats_s.append(now_s)
-        return True
+        return len(sends.repeats_s) + 1 <= bound
 
     def give_back(self, pool: str, now_s: float) -> None:
         """Take the last repeat back, which was counted and not sent."""
--- a/sequoiawind/waiting_requests.py
+++ b/sequoiawind/waiting_requests.py
@@ -47,11 +47,20 @@
         """Retry waiting requests in their order, the most urgent ones first.
 
         Once no target was ready for a request, the others that may go to the
-        same targets only check whether they may go on waiting.
+        same targets only check whether they may go on waiting.  A stream that
+        waits for a repeat costs nothing until one is allowed.
         """
         waiting, self.items = self.items, []
         without_target: set[tuple[object, ...]] = set()
+        without_repeat: set[str] = set()
         for forwarding in self.order(waiting):
+            pool = forwarding.plan.pool.name
+            if needs_repeat(forwarding):
+                if pool not in without_repeat and not may_repeat(forwarding):
+                    without_repeat.add(pool)
+                if pool in without_repeat:
+                    self.add(forwarding)
+                    continue
             key = choice_key(forwarding)
             if key in without_target:
                 forwarding.wait_longer()
@@ -61,6 +70,19 @@
                 without_target.add(key)
 
 
+def needs_repeat(forwarding: "Forwarding") -> bool:
+    """Whether a waiting request is a begun stream that needs a repeat."""
+    is_begun = forwarding.has_head and not forwarding.is_finished
+    return is_begun and not forwarding.attempts.is_counted
+
+
+def may_repeat(forwarding: "Forwarding") -> bool:
+    """Whether the window allows a request a repeat now."""
+    now_s, pool = forwarding.now_s, forwarding.plan.pool.name
+    routers = forwarding.forwarder.fleet.routers(now_s)
+    return forwarding.attempts.window.allows(pool, now_s, routers)
+
+
 def choice_key(forwarding: "Forwarding") -> tuple[object, ...]:
     """Return what determines whether a request finds a target."""
     plan = forwarding.plan
--- a/tests/test_repeat_order.py
+++ b/tests/test_repeat_order.py
@@ -1,8 +1,11 @@
-"""A stream that waits for a repeat does not hold up one that has a repeat."""
+"""Streams that wait for a repeat neither hold others up nor cost much."""
+
+from unittest import mock
 
 from expression import Ok
 from testtools import TestCase
 
+from sequoiawind.forward_placement import ForwardPlacement
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.stream_move import move_away
 from sequoiawind.verdict import Reason, may_have_run, not_run
@@ -34,6 +37,30 @@
         ]
         return found[-1]
 
+    def test_no_targets_are_ranked_for_streams_without_a_repeat(self) -> None:
+        callers = [self.router.submit("draft") for _ in range(20)]
+        window = self.router.forwarder.window
+        allowance = window.allowance
+        window.allowance = window.ratio = 0.0
+        begun = list(self.sent)
+        for sent in begun:
+            sent.begin(200, event(1))
+            sent.sink.failed(LOST)
+        with mock.patch.object(
+            ForwardPlacement,
+            "options",
+            autospec=True,
+            side_effect=ForwardPlacement.options,
+        ) as options:
+            for number in range(30):
+                self.router.forwarder.status_changed(f"e{number % 3}")
+            self.router.advance(1.0)
+            self.assertEqual(0, options.call_count)
+            window.allowance = allowance
+            self.router.advance(0.2)
+        self.assertTrue(len(self.sent) > len(begun))
+        self.assertFalse(any(caller.is_broken for caller in callers))
+
     def test_stream_that_has_a_repeat_is_sent(self) -> None:
         callers = [self.router.submit("draft") for _ in range(2)]
         for sent in list(self.sent):
