--- a/sequoiawind/tried_targets.py
+++ b/sequoiawind/tried_targets.py
@@ -19,8 +19,8 @@
 # Refusals of a stream that this router has stopped after which it pauses before
 # it asks a further target; each of them takes a repeat that others may need.
 FREE_REFUSALS: Final = 2
-# The first of these pauses, in seconds; each further one is twice as long, up to
-# the longest, which leaves time to go on before the caller gives up.
+# The first of these pauses, in seconds; each further one is twice as long, up
+# to the longest, which leaves time to go on before the caller gives up.
 FIRST_PAUSE_S: Final = 0.25
 LONGEST_PAUSE_S: Final = 2.0
 
