Let a stopped stream pause too while it asks beside its silent run

Cause: a run that was moved may fall silent at its destination.

Evidence: the test, 4 s with six targets, fails without the change (8 targets are asked, "False is not true : 10") and passes with it; two at once and three after the pauses are allowed.

--- a/sequoiawind/silent_attempts.py
+++ b/sequoiawind/silent_attempts.py
@@ -127,6 +127,8 @@
             return None, Reason.MAX_TARGETS.value
         if not forwarding.forwarder.crashes.may_repeat(forwarding.signature):
             return None, Reason.BLOCKED_REQUEST.value
+        if forwarding.now_s < forwarding.tried.ask_again_s:
+            return None, Reason.TARGET_BUSY.value
         chosen = forwarding.forwarder.choose(forwarding)
         if chosen is None:
             return None, Reason.NO_TARGET.value
--- a/tests/test_repeats_left.py
+++ b/tests/test_repeats_left.py
@@ -63,3 +63,24 @@
             callers, resumed = self.break_off(stopped)
             broken = sum(caller.is_broken for caller in callers)
             self.assertEqual((0, OTHERS), (broken, resumed), stopped)
+
+    def test_refusals_beside_a_silent_moved_run(self) -> None:
+        router = ForwardRig()
+        router.add(*(target(f"e{number}", "llm") for number in range(6)))
+        pools = {"llm": ForwardPool(name="llm", models=("m",), has_moves=True)}
+        router.configure(state(revision=1, pools=pools))
+        router.submit("draft")
+        sent = router.port.sent
+        sent[0].begin(200, event(1))
+        (forwarding,) = router.forwarder.open
+        move_away(forwarding)
+        router.port.move_answers[0].callback(Ok("ip:1/h"))
+        sent[0].sink.failed(LOST)
+        refused = 2
+        while router.clock.seconds() < 4.0:
+            for item in sent[refused:]:
+                item.answer(503, refusal=BUSY)
+                refused += 1
+            router.advance(0.05)
+        # Two at once, after the silence of 2 s; pauses of 0.25, 0.5 and 1 s.
+        self.assertTrue(refused - 2 <= 5, refused)
