Count the source of a moved run again only if its own destination refuses it

What callers would see: a begun stream is cut (`max_targets`) when its target breaks it off, though only one target has.

Cause: each refusal put all targets that the router has stopped back among those that count, as if the run had gone on nowhere. Beside a moved run that is silent at its destination a further target may refuse; then the run counted at its source too, and the first break-off used up both targets.

Evidence: the test fails before ("True is not false" for the stream being broken off) and passes here; those of moves, isolation, accepted requests and repeats pass.

Why it works: `TriedTargets` notes from where a run was moved to a target, and puts back that one alone, when that target proves not to have run it. An event also ends a pause between targets, which it left running.

--- a/sequoiawind/tried_targets.py
+++ b/sequoiawind/tried_targets.py
@@ -38,6 +38,10 @@
     # the clock.
     refusals: int = 0
     ask_again_s: float = float("-inf")
+    # Names of the targets from which runs were moved, by those to which.
+    sources: dict[str, str] = attrs.field(factory=dict)
+    # The target of a moved run that is sent next; empty if there is none.
+    source: str = ""
 
     def __bool__(self) -> bool:
         """Whether any target counts as tried."""
@@ -56,10 +60,14 @@
     def sent(self, name: str) -> None:
         """Note that the request is sent to a target."""
         self.names.append(name)
+        self.sources.pop(name, "")
+        if self.source:
+            self.sources[name], self.source = self.source, ""
 
     def moved(self, source: str) -> None:
         """Note that a run was stopped and copied; it goes on elsewhere."""
         self.names.remove(source)
+        self.source = source
         self.stop(source)
 
     def withdrawn(self, name: str) -> None:
@@ -75,6 +83,7 @@
         """Note that an attempt has brought an event."""
         self.stopped.clear()
         self.refusals = 0
+        self.ask_again_s = float("-inf")
 
     def failed(
         self, name: str, failure: Failure, may_be_stopped: bool, now_s: float
@@ -95,10 +104,10 @@
                 self.stopped.remove(name)
         elif self.stopped or failure.reason is Reason.CONNECT_FAILED:
             self.names.remove(name)
-            # Runs that went on nowhere else.
-            self.names += [
-                item for item in self.stopped if item not in self.names
-            ]
+            source = self.sources.pop(name, "")
+            if source and source not in self.names:
+                # The moved run went on nowhere.
+                self.names.append(source)
             if self.stopped and failure.reason is not Reason.CONNECT_FAILED:
                 self.refused(now_s)
 
--- a/tests/test_lost_by_move.py
+++ b/tests/test_lost_by_move.py
@@ -176,6 +176,23 @@
         self.assertEqual(2, len(self.sent))
         self.assertFalse(caller.is_broken)
 
+    def test_refusals_beside_a_silent_moved_run_use_up_no_targets(self) -> None:
+        caller = self.moving(engines=5)
+        self.stop_run()
+        self.report(is_loading=False)
+        while self.router.clock.seconds() < 3.0:
+            for sent in self.sent[2:]:
+                if not sent.sink.is_over:
+                    sent.answer(503, refusal=BUSY)
+            self.router.advance(0.05)
+        refused = len(self.sent) - 2
+        self.assertTrue(refused >= 2)
+        # The run goes on, and its target breaks it off.
+        self.sent[1].begin(200, event(2))
+        self.sent[1].sink.failed(LOST)
+        self.assertFalse(caller.is_broken)
+        self.assertEqual(refused + 3, len(self.sent))
+
     def test_targets_that_break_off_are_not_repeated_without_end(self) -> None:
         caller = self.moving(engines=5)
         self.sent[0].sink.failed(LOST)
