Test: an early request that a configuration shortens is still taken in a stop

Held by no test so far: without the earlier plan's end in `plan_again` a request that a shutdown has taken in its first 2.5 s, and that a newer configuration gives less time, would be refused with 503. The test fails then and passes on the code as it is.

--- a/tests/test_late_in_shutdown.py
+++ b/tests/test_late_in_shutdown.py
@@ -201,6 +201,22 @@
             self.assertEqual([expected], statuses(caller), timeout_s)
             self.assertEqual(expected == 200, bool(self.sent), timeout_s)
 
+    def test_early_request_that_a_configuration_shortens(self) -> None:
+        rig = self.router.rig
+        self.router.daemon.leave()
+        self.router.advance_to(ANY_TIME_S - 0.1)
+        now_s = rig.clock.seconds()
+        rig.fleet.record_notice(rig.fleet.views["e1"], False, 1.0, now_s)
+        caller = self.router.connect()
+        caller.protocol.dataReceived(request("brief", 20_000))
+        self.router.advance_to(LEAVE_S + 0.1)
+        self.assertEqual(0, len(self.sent))
+        self.set_time(3, 15.0)
+        self.router.advance_to(LEAVE_S + 1.0)
+        (sent,) = self.sent
+        sent.answer(200, b"id: 1\ndata: x\n\n")
+        self.assertEqual([200], statuses(caller))
+
     def set_time(self, revision: int, timeout_s: float) -> None:
         """Apply a configuration with another time limit."""
         kinds = {
