Cut a begun stream at once again where no repeat is left

The window has no room for seconds then, as the other streams that lost their connections have used it up.

Streams stopped by a move of ours still wait.

--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -148,7 +148,7 @@
         self.waiting_since_s = None
         if self.reserve_attempt():
             self.send(options[0])
-        elif self.has_head:
+        elif self.tried.stopped:
             self.wait()
         else:
             self.stop(not_run(Reason.RETRY_BUDGET, messages.RETRY_BUDGET))
