--- a/tests/test_repeat_order.py
+++ b/tests/test_repeat_order.py
@@ -9,7 +9,7 @@
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.stream_move import move_away
 from sequoiawind.verdict import Reason, may_have_run, not_run
-from tests.forward_rig import ForwardRig, Sent, state, target
+from tests.forward_rig import FakeCaller, ForwardRig, Sent, state, target
 from tests.test_accepted_requests import event
 
 BUSY = not_run(Reason.TARGET_BUSY, "busy")
@@ -23,7 +23,10 @@
     def setUp(self) -> None:
         super().setUp()
         self.router = ForwardRig()
-        pools = {"llm": ForwardPool(name="llm", models=("m",), has_moves=True)}
+        pools = {
+            "app": ForwardPool(name="app", service="plain"),
+            "llm": ForwardPool(name="llm", models=("m",), has_moves=True),
+        }
         self.router.configure(state(revision=1, pools=pools))
         self.router.add(*(target(f"e{number}", "llm") for number in range(3)))
         self.sent = self.router.port.sent
@@ -61,6 +64,34 @@
         self.assertTrue(len(self.sent) > len(begun))
         self.assertFalse(any(caller.is_broken for caller in callers))
 
+    def broken_without_repeats(self) -> FakeCaller:
+        """Let a begun stream wait for a repeat."""
+        caller = self.router.submit("draft")
+        window = self.router.forwarder.window
+        window.allowance = window.ratio = 0.0
+        self.sent[0].begin(200, event(1))
+        self.sent[0].sink.failed(LOST)
+        return caller
+
+    def test_stream_whose_caller_has_left_waits_no_longer(self) -> None:
+        self.broken_without_repeats()
+        (forwarding,) = self.router.forwarder.open
+        forwarding.caller_disconnected()
+        self.router.advance(0.2)
+        self.assertEqual([], self.router.forwarder.waiting.items)
+
+    def test_request_without_an_answer_does_not_wait_for_a_repeat(self) -> None:
+        self.router.add(target("t1"), target("t2", is_draining=True))
+        self.broken_without_repeats()
+        caller = self.router.submit("read")
+        self.sent[-1].answer(503, refusal=BUSY)
+        self.router.advance(0.1)
+        self.assertIsNone(caller.failure)
+        self.router.add(target("t2"))
+        self.router.advance(0.1)
+        self.assertIsNotNone(caller.failure)
+        self.assertEqual(2, len(self.sent))
+
     def test_stream_that_has_a_repeat_is_sent(self) -> None:
         callers = [self.router.submit("draft") for _ in range(2)]
         for sent in list(self.sent):
