Let only streams that a router has stopped wait for a repeat

What callers would see: a stream that its target has broken off, and that waits for a target, is not cut when one is ready and no repeat is left, though its caller would take it up again at once.

Cause: takes the wait for a repeat back except after a step of ours, but the queue still kept every begun stream without a repeat waiting.

--- a/sequoiawind/waiting_requests.py
+++ b/sequoiawind/waiting_requests.py
@@ -48,7 +48,7 @@
 
         Once no target was ready for a request, the others that may go to the
         same targets only check whether they may go on waiting.  A stream that
-        waits for a repeat costs nothing until one is allowed.
+        this router has stopped costs nothing until a repeat is allowed.
         """
         waiting, self.items = self.items, []
         without_target: set[tuple[object, ...]] = set()
@@ -71,9 +71,9 @@
 
 
 def needs_repeat(forwarding: "Forwarding") -> bool:
-    """Whether a waiting request is a begun stream that needs a repeat."""
-    is_begun = forwarding.has_head and not forwarding.is_finished
-    return is_begun and not forwarding.attempts.is_counted
+    """Whether a waiting request is a stopped stream that needs a repeat."""
+    is_stopped = bool(forwarding.tried.stopped) and not forwarding.is_finished
+    return is_stopped and not forwarding.attempts.is_counted
 
 
 def may_repeat(forwarding: "Forwarding") -> bool:
