--- a/sequoiawind/tried_targets.py
+++ b/sequoiawind/tried_targets.py
@@ -40,7 +40,8 @@
     ask_again_s: float = float("-inf")
     # Names of the targets from which runs were moved, by those to which.
     sources: dict[str, str] = attrs.field(factory=dict)
-    # The target of a moved run that is sent next; empty if there is none.
+    # The target from which a run was moved, until the run is sent to the one to
+    # which; empty if there is none.
     source: str = ""
 
     def __bool__(self) -> bool:
