Log for how long no target had worked on a request, and when it was read

The line gains without_target_s and read_s; the request carries read_s beside arrived_s. No decision changes.

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -44,8 +44,9 @@
     body: bytes
     # The caller's API key; empty if it sent none.
     key: str
-    # In seconds of the clock.
+    # When its first byte arrived, and its last one, in seconds of the clock.
     arrived_s: float
+    read_s: float
     # How long the caller waits from `arrived_s` on, in seconds; None if not
     # stated.
     deadline_s: float | None = None
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -44,8 +44,9 @@
     # Names in lower case.
     headers: Headers
     body: bytes
-    # Arrival of its first byte, in seconds of the clock.
+    # Arrival of its first byte, and of its last one, in seconds of the clock.
     arrived_s: float
+    read_s: float
     # The way of the answer; None for a request that no connection has brought.
     flow: AnswerFlow | None = attrs.field(default=None, eq=False, repr=False)
 
@@ -264,6 +265,7 @@
             headers=list(head.headers),
             body=bytes(self.body),
             arrived_s=self.arrived_s,
+            read_s=self.site.clock.seconds(),
             flow=self.output,
         )
         self.life.begin(request)
--- a/sequoiawind/lab/forward_soak.py
+++ b/sequoiawind/lab/forward_soak.py
@@ -349,6 +349,7 @@
             body=f"body of q{number}".encode(),
             key=self.config.random_key(),
             arrived_s=self.clock.seconds(),
+            read_s=self.clock.seconds(),
             deadline_s=kind.timeout_s,
             prompt=prompt if kind.is_stream else None,
         )
--- a/sequoiawind/platform/callers.py
+++ b/sequoiawind/platform/callers.py
@@ -30,6 +30,7 @@
         body=request.body,
         key=key(request.header(names.AUTHORIZATION)),
         arrived_s=request.arrived_s,
+        read_s=request.read_s,
         deadline_s=parse_milliseconds(request.header(names.DEADLINE_MS)),
         last_event_id=request.header(names.LAST_EVENT_ID).decode("latin-1"),
         resumes=request.header(names.RESUMES).strip().decode("latin-1"),
--- a/sequoiawind/request_execution.py
+++ b/sequoiawind/request_execution.py
@@ -32,6 +32,8 @@
     timeout_at_s: float = 0.0
     on_timeout: Callable[[], None] | None = None
     is_over: bool = False
+    # When it ended, in seconds of the clock; negative before.
+    ended_s: float = -1.0
 
     def set_timeout(
         self, timeout_s: float, on_timeout: Callable[[], None]
@@ -76,6 +78,7 @@
         if self.is_over:
             return False
         self.is_over = True
+        self.ended_s = self.clock.seconds()
         self.stop_timer()
         self.release()
         return True
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -264,6 +264,8 @@
             else -1.0,
             sent_s=round(attempt.sent_s - note.began_s, 4) if attempt else -1.0,
             seconds=round(note.ended_s - note.began_s, 4),
+            read_s=round(plan.request.read_s - note.began_s, 4),
+            without_target_s=without_target_s(forwarding),
             phase=self.board.phase.stage,
             since_signal_s=self.ends.since_signal_s,
             in_force_for_s=self.ends.in_force_for_s,
@@ -276,6 +278,20 @@
     return round(value, 4) if math.isfinite(value) else -1.0
 
 
+def without_target_s(forwarding: Forwarding) -> float:
+    """Return for how long no target had worked on a request at its end.
+
+    Returns:
+      The time in seconds; 0 if a target was at work, -1 if none ever was.
+    """
+    attempt = forwarding.current
+    if attempt is None:
+        return -1.0
+    if not attempt.is_over:
+        return 0.0
+    return round(forwarding.note.ended_s - attempt.ended_s, 4)
+
+
 def is_cut(forwarding: Forwarding, failure: Failure | None) -> bool:
     """Whether this router ended an answer before its end."""
     if failure is None or failure.reason is Reason.CANCELLED:
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -319,6 +319,7 @@
             "body": b"body of %d" % self.request_count,
             "key": KEY,
             "arrived_s": self.clock.seconds(),
+            "read_s": self.clock.seconds(),
             "deadline_s": 5.0,
             "prompt": prompt if KINDS[route].is_stream else None,
         }
--- a/tests/test_forward_ends.py
+++ b/tests/test_forward_ends.py
@@ -29,6 +29,7 @@
     body=b"",
     key="k",
     arrived_s=0.0,
+    read_s=0.0,
 )
 
 
--- a/tests/test_forward_world.py
+++ b/tests/test_forward_world.py
@@ -96,6 +96,7 @@
             body=body,
             key="k",
             arrived_s=0.0,
+            read_s=0.0,
             prompt=prompt,
         )
         order = SendOrder(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -177,6 +177,7 @@
                 headers=[(b"host", b"H.example:80"), *headers],
                 body=b"body",
                 arrived_s=1.0,
+                read_s=1.0,
             )
         )
 
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -380,6 +380,7 @@
             headers=[],
             body=b"",
             arrived_s=self.clock.seconds(),
+            read_s=self.clock.seconds(),
         )
         return 200, await pages[path.encode()](call)
 
