--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -5,7 +5,7 @@
 
 import attrs
 import structlog
-from expression import Error, Result
+from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -103,6 +103,14 @@
     move_answers: list[Deferred[Result[str, Failure]]] = attrs.field(
         factory=list
     )
+    # Answers to calls that copy a run that goes on, in the order of the calls.
+    # `reserved` is the answer to each of them; None to leave them unanswered.
+    reservations: list[Deferred[Result[str, Failure]]] = attrs.field(
+        factory=list
+    )
+    reserved: Result[str, Failure] | None = attrs.field(
+        factory=lambda: Ok("ip:1/room")
+    )
     # Locations of moved runs whose memory was released.
     released_runs: list[str] = attrs.field(factory=list)
 
@@ -114,6 +122,15 @@
         self.move_answers.append(Deferred())
         return await self.move_answers[-1]
 
+    async def reserve_move(
+        self, order: MoveOrder, timeout_s: float
+    ) -> Result[str, Failure]:
+        """Answer as set, or wait for the test's answer."""
+        self.reservations.append(Deferred())
+        if self.reserved is not None:
+            self.reservations[-1].callback(self.reserved)
+        return await self.reservations[-1]
+
     def release_moved_run(self, moved_from: str) -> None:
         """Record the release of a moved run's memory."""
         self.released_runs.append(moved_from)
--- a/tests/test_lost_by_move.py
+++ b/tests/test_lost_by_move.py
@@ -1,11 +1,11 @@
 """A stream whose run a router has stopped to move it is not cut for that."""
 
-from expression import Error, Ok
+from expression import Error, Ok, Result
 from testtools import TestCase
 
 from sequoiawind.forward_state import ForwardPool
 from sequoiawind.forwarding import Forwarding
-from sequoiawind.verdict import Reason, may_have_run, not_run
+from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 from sequoiawind.wire import TargetStatus
 from tests.forward_rig import FakeCaller, ForwardRig, state, target
 from tests.test_accepted_requests import CHANGES, event
@@ -15,15 +15,19 @@
 NOT_MOVED = may_have_run(Reason.TARGET_ERROR, "status 503")
 TIMED_OUT = may_have_run(Reason.CHUNK_TIMEOUT, "no answer")
 NO_SUCH_RUN = not_run(Reason.TARGET_ERROR, "status 404")
+RESERVED: Result[str, Failure] = Ok("ip:1/room")
 UNREACHABLE = not_run(Reason.CONNECT_FAILED, "refused")
 
 
 class LostByMoveTest(TestCase):
     """The stream goes on at some target, or waits for one."""
 
-    def moving(self, engines: int) -> FakeCaller:
+    def moving(
+        self, engines: int, reserved: Result[str, Failure] | None = RESERVED
+    ) -> FakeCaller:
         """Begin a stream, and request the move of its run."""
         self.router = ForwardRig()
+        self.router.port.reserved = reserved
         self.router.add(
             *(target(f"e{number}", "llm") for number in range(engines))
         )
