Soak of rolling stops beside model engines with agents and moves

This one runs six routers and nine engines with agents at addresses of their own, names weights, refuses moves, and judges each cut by the users' rule.

--- /dev/null
+++ b/tests/soak_of_rolls.py
@@ -0,0 +1,513 @@
+"""A soak of routers that are stopped in turn, twice, beside model engines.
+
+Six routers and nine engines with agents run as processes and in one event loop
+at addresses of their own.  Callers of several accounts use kept and new
+connections, bodies in chunks, halves, slow readers and pauses, as the form
+says.  Each stream that ends without a whole answer around the SIGTERM of its
+router is judged by the users' rule.  By hand:
+`python -m tests.soak_of_rolls FORM FIRST_SEED COUNT`.
+"""
+
+import asyncio
+import os
+import random
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter, defaultdict
+from contextlib import suppress
+from pathlib import Path
+
+import attrs
+
+from tests.model_engine import ModelEngine, Work
+from tests.platform_standin import Store, configuration
+
+GRACE_S = 8.0
+# A cut is excused if a target is at work in the last sixth of the grace, on a
+# request that was sent within a time after SIGTERM.
+LAST_S, SENT_S = GRACE_S * 5 / 6, 3.0
+# Time after SIGTERM in which a cut counts, in seconds.
+WINDOW_S = GRACE_S + 1.0
+# Time after its last byte until which a request may cross a close, in seconds.
+CROSS_S = 0.2
+ACCOUNTS = ("acme", "bolt", "crab", "dory")
+ZONES = ("za", "zb", "zc")
+ROUTER = """
+store = "{store}"
+[node]
+name = "{name}"
+ip = "{host}"
+failure_domain = "{zone}"
+agent_port = 7340
+metrics_port = 9464
+[bounds]
+grace_s = 8.0
+repeat_allowance = 58.0
+[load]
+account_limits = true
+pace = true
+admission = true
+fairness = true
+[entry]
+callers = "{host}:8782"
+ready = "{host}:8789"
+[limits]
+memory_mb = 300
+max_fds = 4100
+"""
+AGENT = """
+store = "{store}"
+target = "{target}"
+[node]
+name = "{name}"
+ip = "{host}"
+failure_domain = "{zone}"
+agent_port = 7340
+metrics_port = 9464
+"""
+
+
+@attrs.frozen(kw_only=True)
+class Form:
+    """What callers and the operator do."""
+
+    slots: int = 16
+    callers: int = 60
+    # Time between two newly named weights, in seconds; 0 for none.
+    weights_s: float = 0.0
+    # Shares of the requests.
+    slow: float = 0.0
+    # Pace of slow readers, in bytes a second.
+    slow_bytes_per_s: float = 15_000.0
+    halves: float = 0.1
+    half_closed: float = 0.0
+    # Share of the moves and streams that engines refuse for want of room.
+    refusals: float = 0.0
+    pauses: float = 0.0
+    # Time between two SIGTERMs of a round, and between two rounds, in seconds.
+    gap_s: float = 3.2
+    round_s: float = 20.0
+    # Range of the number of events of a stream.
+    events: tuple[int, int] = (20, 300)
+    event_bytes: int = 40
+
+
+FORMS = {
+    "plain": Form(),
+    "weights": Form(weights_s=3.0),
+    "full": Form(weights_s=3.0, slots=6),
+    "slow": Form(slow=0.3, event_bytes=400),
+    "pauses": Form(pauses=0.4),
+    "refused-moves": Form(
+        weights_s=2.0, slots=32, callers=50, refusals=0.5, events=(100, 400)
+    ),
+    "long": Form(events=(200, 450), slots=32),
+    "slow-large": Form(slow=0.3, event_bytes=1_000, slow_bytes_per_s=30_000.0),
+    "half-closed": Form(half_closed=0.2),
+    "mixed": Form(weights_s=4.0, slots=10, slow=0.1, pauses=0.2),
+}
+
+
+@attrs.define(kw_only=True, eq=False)
+class Sent:
+    """A request and what has become of it; times by the steady clock."""
+
+    name: str
+    route: str
+    router: str
+    shape: str
+    deadline_s: float
+    # When its first and its last byte were sent, and when its end was seen.
+    began_s: float = 0.0
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    status: int = 0
+    is_whole: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class Router:
+    """A router process that is started again after each stop."""
+
+    name: str
+    host: str
+    settings: Path
+    process: asyncio.subprocess.Process | None = None
+    stopped_s: list[float] = attrs.field(factory=list)
+    misses: int = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Roll:
+    """One run of the soak."""
+
+    form: Form
+    seed: int
+    folder: Path
+    random: "random.Random" = attrs.field(init=False)
+    store: Store = attrs.field(factory=Store)
+    routers: list[Router] = attrs.field(factory=list)
+    engines: dict[str, ModelEngine] = attrs.field(factory=dict)
+    works: dict[str, list[Work]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
+    agents: list[asyncio.subprocess.Process] = attrs.field(factory=list)
+    requests: list[Sent] = attrs.field(factory=list)
+    is_over: bool = False
+    # First two numbers of the addresses of this run.
+    net: str = attrs.field(factory=lambda: f"127.{20 + os.getpid() % 200}")
+
+    def __attrs_post_init__(self) -> None:
+        """Seed the choices."""
+        self.random = random.Random(f"rolls-{self.seed}")
+
+    async def start(self) -> None:
+        """Start the engines, agents and routers."""
+        for number in range(12):
+            zone, is_model = ZONES[number % 3], number < 9
+            engine = ModelEngine(
+                name=f"i-{number}",
+                host=f"{self.net}.2.{number + 1}",
+                zone=zone,
+                slots=self.form.slots if is_model else 6,
+                random=random.Random(f"engine-{self.seed}-{number}"),
+                peers=self.engines,
+                works=self.works,
+                pool="llm" if is_model else "app",
+                refusals=self.form.refusals,
+            )
+            await engine.listen()
+            self.store.put("keyed.servers", engine.name, engine.entry())
+            if is_model:
+                text = AGENT.format(
+                    store=self.store.address,
+                    target=engine.address,
+                    name=f"side-{number}",
+                    host=engine.host,
+                    zone=zone,
+                )
+                self.agents.append(
+                    await self.spawn("forward_agent_main", engine.name, text)
+                )
+        self.configure()
+        for number in range(6):
+            name, host = f"front-{number}", f"{self.net}.1.{number + 1}"
+            text = ROUTER.format(
+                store=self.store.address,
+                name=name,
+                host=host,
+                zone=ZONES[number % 3],
+            )
+            settings = self.folder / f"{name}.toml"
+            settings.write_text(text)
+            router = Router(name=name, host=host, settings=settings)
+            router.process = await self.spawn("forward_router_main", name, text)
+            self.routers.append(router)
+
+    async def spawn(
+        self, program: str, name: str, settings: str
+    ) -> asyncio.subprocess.Process:
+        """Start a process; its output is kept in the folder."""
+        file = self.folder / f"{name}.toml"
+        file.write_text(settings)
+        with file.with_suffix(".log").open("ab") as output:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                f"sequoiawind.{program}",
+                str(file),
+                stdout=output,
+                stderr=output,
+            )
+
+    def configure(self) -> None:
+        """Write the configuration."""
+        config = configuration(1)
+        services = config["services"]
+        assert isinstance(services, list)
+        services[1]["engine"]["moves"] = True
+        config["tenants"] = [
+            {"name": name, "api_keys": [f"key-{name}"]} for name in ACCOUNTS
+        ]
+        self.store.put("keyed.op", "config", config)
+
+    async def name_weights(self) -> None:
+        """Name newer weights at intervals."""
+        version = 1
+        while self.form.weights_s:
+            await asyncio.sleep(self.form.weights_s)
+            version += 1
+            record = {"model": "m", "version": version}
+            self.store.put("keyed.op", "version/m", record)
+
+    async def watch(self, router: Router) -> None:
+        """Ask a router each second whether it is ready, as a balancer does."""
+        while True:
+            is_ready = False
+            with suppress(OSError, asyncio.IncompleteReadError):
+                pair = await asyncio.open_connection(router.host, 8789)
+                pair[1].write(b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                head = await pair[0].readuntil(b"\r\n\r\n")
+                is_ready = head[9:12] == b"200"
+                pair[1].close()
+            router.misses = 0 if is_ready else router.misses + 1
+            await asyncio.sleep(1.0)
+
+    async def stop(self, router: Router) -> None:
+        """Stop a router, kill it if it does not end, and start it again."""
+        process = router.process
+        assert process is not None
+        router.stopped_s.append(time.monotonic())
+        process.terminate()
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+        text = router.settings.read_text()
+        router.process = await self.spawn(
+            "forward_router_main", router.name, text
+        )
+
+    async def play(self) -> None:
+        """Play two rounds of stops."""
+        with self.store:
+            await self.start()
+            tasks = [asyncio.create_task(self.watch(r)) for r in self.routers]
+            tasks.append(asyncio.create_task(self.name_weights()))
+            try:
+                while any(router.misses for router in self.routers) or not all(
+                    router.process for router in self.routers
+                ):
+                    await asyncio.sleep(0.1)
+                await asyncio.sleep(3.0)
+                callers = [
+                    asyncio.create_task(Caller(roll=self, number=n).run())
+                    for n in range(self.form.callers)
+                ]
+                await asyncio.sleep(3.0)
+                for _ in range(2):
+                    began_s = time.monotonic()
+                    stops = []
+                    for router in self.random.sample(self.routers, 6):
+                        stops.append(asyncio.create_task(self.stop(router)))
+                        await asyncio.sleep(self.form.gap_s)
+                    await asyncio.gather(*stops)
+                    left_s = began_s + self.form.round_s - time.monotonic()
+                    await asyncio.sleep(max(2.0, left_s))
+                self.is_over = True
+                await asyncio.gather(*callers)
+            finally:
+                for task in tasks:
+                    task.cancel()
+                for process in (
+                    *self.agents,
+                    *(r.process for r in self.routers),
+                ):
+                    with suppress(ProcessLookupError):
+                        process.kill()
+                        await process.wait()
+
+    def verdict(self, sent: Sent) -> str:
+        """Return how a request has ended, by the users' rule."""
+        if sent.is_whole:
+            return f"{sent.status}"
+        works = self.works[sent.name]
+        router = next(r for r in self.routers if r.name == sent.router)
+        around = [
+            stop_s
+            for stop_s in router.stopped_s
+            if stop_s <= sent.ended_s
+            and min(sent.ended_s, sent.sent_s + SENT_S) <= stop_s + WINDOW_S
+        ]
+        where = "calm" if not around else "stop"
+        if sent.ended_s - sent.sent_s >= sent.deadline_s - 0.05:
+            return "deadline"
+        if not works and sent.ended_s - sent.sent_s <= CROSS_S:
+            return "crossed"
+        for stop_s in around:
+            is_at_work = any(w.ended_s >= stop_s + LAST_S for w in works)
+            if is_at_work and sent.sent_s <= stop_s + SENT_S:
+                return "excused"
+        return f"LOST {where}"
+
+    def tell(self, sent: Sent) -> str:
+        """Return what is known of a request, with times since its sending."""
+        router = next(r for r in self.routers if r.name == sent.router)
+        stops = [f"{s - sent.sent_s:.2f}" for s in router.stopped_s]
+        works = [
+            f"{w.engine} {w.began_s - sent.sent_s:.2f}"
+            f"..{w.ended_s - sent.sent_s:.2f} {w.end}"
+            for w in self.works[sent.name]
+        ]
+        return (
+            f"{sent.name} {sent.route} {sent.shape} {sent.router} status"
+            f" {sent.status} end {sent.ended_s - sent.sent_s:.2f} stops"
+            f" {stops} works {works}"
+        )
+
+
+@attrs.define(kw_only=True, eq=False)
+class Caller:
+    """One caller, with a connection that it keeps."""
+
+    roll: Roll
+    number: int
+    random: "random.Random" = attrs.field(init=False)
+    count: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Seed the choices."""
+        self.random = random.Random(f"{self.roll.seed}-{self.number}")
+
+    async def run(self) -> None:
+        """Send requests until the end."""
+        roll = self.roll
+        while not roll.is_over:
+            ready = [r for r in roll.routers if r.misses < 2] or roll.routers
+            router = self.random.choice(ready)
+            try:
+                pair = await self.connect(router)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            uses = self.random.choice((1, 4, 20))
+            for _ in range(uses):
+                if roll.is_over or not await self.use(*pair, router):
+                    break
+                await asyncio.sleep(self.random.choice((0.0, 0.1, 0.5)))
+            with suppress(ConnectionError):
+                pair[1].close()
+
+    async def connect(
+        self, router: Router
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection; that of a slow reader has a small buffer."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        if self.roll.form.slow:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (router.host, 8782))
+        return await asyncio.open_connection(sock=sock, limit=4_096)
+
+    async def use(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        router: Router,
+    ) -> bool:
+        """Send a request; return whether the connection may be used again."""
+        roll, form, choose = self.roll, self.roll.form, self.random
+        self.count += 1
+        route = choose.choice(("draft", "draft", "draft", "brief", "book"))
+        is_chunked = choose.random() < 0.4
+        shapes = {
+            "slow": choose.random() < form.slow and route != "book",
+            "half": choose.random() < form.halves,
+            "half-closed": choose.random() < form.half_closed,
+            "pause": choose.random() < form.pauses,
+            "chunked": is_chunked,
+        }
+        sent = Sent(
+            name=f"{self.number:x}-{self.count:x}",
+            route=route,
+            router=router.name,
+            shape=",".join(name for name, holds in shapes.items() if holds),
+            deadline_s=choose.choice((15.0, 15.0, 6.0)),
+        )
+        head = [
+            f"POST /{route}/x HTTP/1.1",
+            "Host: h.example",
+            f"Authorization: Token key-{choose.choice(ACCOUNTS)}",
+            f"Sequoiawind-Attempt-Id: {sent.name}",
+            f"Sequoiawind-Deadline-Ms: {int(sent.deadline_s * 1000)}",
+            "Transfer-Encoding: chunked" if is_chunked else "Content-Length: 4",
+        ]
+        if route != "book":
+            parts = f"aa{choose.randrange(12):x}:200,{self.count:x}:600"
+            head += [
+                "Sequoiawind-Model: m",
+                "Sequoiawind-Token-Count: 800,70",
+                f"Sequoiawind-Prompt-Prefix: {parts}",
+                f"X-Events: {choose.randint(*form.events)}",
+                f"X-Step-Ms: {choose.choice((4, 10, 30))}",
+                f"X-Event-Bytes: {form.event_bytes}",
+            ]
+            if shapes["pause"]:
+                head.append(f"X-Pause-Ms: {choose.choice((500, 1500, 3500))}")
+        body = "4\r\nbody\r\n0\r\n\r\n" if is_chunked else "body"
+        data = "\r\n".join([*head, "", body]).encode()
+        sent.began_s = time.monotonic()
+        try:
+            if shapes["half"]:
+                writer.write(data[:-3])
+                await asyncio.sleep(choose.uniform(0.0, 2.0))
+                writer.write(data[-3:])
+            else:
+                writer.write(data)
+            await writer.drain()
+            if shapes["half-closed"]:
+                writer.write_eof()
+        except ConnectionError:
+            return False
+        sent.sent_s = time.monotonic()
+        roll.requests.append(sent)
+        is_kept = False
+        with suppress(
+            asyncio.IncompleteReadError, ConnectionError, TimeoutError
+        ):
+            async with asyncio.timeout(sent.deadline_s + 1.0):
+                is_kept = await self.read(reader, sent, shapes["slow"])
+        sent.ended_s = time.monotonic()
+        return is_kept and not shapes["half-closed"]
+
+    async def read(
+        self, reader: asyncio.StreamReader, sent: Sent, is_slow: bool
+    ) -> bool:
+        """Read an answer; return whether the connection is kept."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+        sent.status = int(head[9:12])
+        if "chunked" in head:
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                await reader.readexactly(size + 2)
+                if is_slow:
+                    await asyncio.sleep(size / self.roll.form.slow_bytes_per_s)
+            await reader.readexactly(2)
+        else:
+            length = int(head.partition("content-length: ")[2].split()[0])
+            await reader.readexactly(length)
+        sent.is_whole = True
+        return "connection: close" not in head
+
+
+def run_seed(form: str, seed: int, folder: Path) -> Roll:
+    """Play one seed; return the run."""
+    roll = Roll(form=FORMS[form], seed=seed, folder=folder)
+    asyncio.run(roll.play())
+    return roll
+
+
+def main() -> int:
+    """Play some seeds of a form; return 1 if any has lost an answer."""
+    form, first, count = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
+    is_red = False
+    for seed in range(first, first + count):
+        folder = Path(tempfile.mkdtemp(prefix=f"roll-{form}-{seed}-"))
+        roll = run_seed(form, seed, folder)
+        counts = Counter(roll.verdict(sent) for sent in roll.requests)
+        moves: Counter[str] = Counter()
+        for engine in roll.engines.values():
+            moves.update(engine.moves)
+        print(f"{form} {seed}: {dict(counts)} moves {dict(moves)} {folder}")
+        for sent in roll.requests:
+            if roll.verdict(sent).startswith("LOST"):
+                is_red = True
+                print("  ", roll.verdict(sent), roll.tell(sent), flush=True)
+    return int(is_red)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
