Count a request's time from its last byte, not from its first

Callers whose requests took a while to arrive, in halves or in slow chunks, were cut, or got 504, while they were still waiting: the time that they state ('how many milliseconds the client will wait') and the route's limit counted from the first byte. The class: a time limit that is counted from another moment than its owner counts it from.

Ruled out as a risk: targets are handed no more time than the caller's header says.

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -47,8 +47,7 @@
     # When its first byte arrived, and its last one, in seconds of the clock.
     arrived_s: float
     read_s: float
-    # How long the caller waits from `arrived_s` on, in seconds; None if not
-    # stated.
+    # How long the caller waits from `read_s` on, in seconds; None if not stated.
     deadline_s: float | None = None
     # Id of the last event that the caller has of a stream that it resumes;
     # empty if it has none.
@@ -87,7 +86,7 @@
         limit_s = self.kind.timeout_s
         if self.request.deadline_s is not None:
             limit_s = min(limit_s, self.request.deadline_s)
-        return self.request.arrived_s + limit_s
+        return self.request.read_s + limit_s
 
 
 @attrs.define(kw_only=True)
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -225,7 +225,7 @@
         refused = waiting.refusal(
             waiting.WaitState(
                 waited_s=now_s - self.waiting_since_s,
-                time_limit_s=self.plan.ends_s - self.plan.request.arrived_s,
+                time_limit_s=self.plan.ends_s - self.plan.request.read_s,
                 has_answer_begun=self.has_head,
                 is_resumed_stream=self.origin is not None,
                 room_in_s=self.forwarder.room_in_s(self),
