--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -47,7 +47,7 @@
     # When its first byte arrived, and its last one, in seconds of the clock.
     arrived_s: float
     read_s: float
-    # How long the caller waits from `read_s` on, in seconds; None if not stated.
+    # How long the caller waits after `read_s`, in seconds; None if unstated.
     deadline_s: float | None = None
     # Id of the last event that the caller has of a stream that it resumes;
     # empty if it has none.
--- a/sequoiawind/lab/forward_crashers.py
+++ b/sequoiawind/lab/forward_crashers.py
@@ -68,6 +68,7 @@
             self.request,
             request_id=fresh.request_id,
             arrived_s=fresh.arrived_s,
+            read_s=fresh.read_s,
         )
         soak.send(router, again)
         self.sends += 1
