Make sure of room before a run is stopped for a move

Streams were cut around a stop, or waited for seconds, because the router had stopped their run itself: the call that moves a run stops it first, and only then is it known whether the destination has room. If it has none and other targets refuse too, no target works on the stream, and a router at the end of its grace breaks it off, which the rule does not excuse. The class: what the router takes away it cannot surely give back.

The run's memory is now copied once while it goes on; the protocol keeps a slot and memory at the destination from that call on. Then the conditions of the move are checked again, and the run is stopped.

--- a/sequoiawind/forward_attempt.py
+++ b/sequoiawind/forward_attempt.py
@@ -55,8 +55,10 @@
     # When its answer was expected to begin after it was sent, in seconds;
     # negative if unknown.
     expected_s: float = -1.0
-    # The pending move of the run to another target, if any.
+    # The pending move of the run to another target, if any, and one that asks
+    # for room there while the run goes on.
     move: StreamMove | None = None
+    reserving: StreamMove | None = None
     # Whether a move that failed may have stopped the run.
     may_be_stopped: bool = False
 
--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -102,6 +102,16 @@
     def send(self, order: SendOrder, sink: ForwardSink) -> Call:
         """Send a request and deliver the answer to the sink."""
 
+    async def reserve_move(
+        self, order: MoveOrder, timeout_s: float
+    ) -> Result[str, Failure]:
+        """Copy the memory of a run that goes on, and keep room for it.
+
+        Returns:
+          Location of the memory, for `release_moved_run`; or why there is no
+          room.  The run goes on in either case.
+        """
+
     async def move(
         self, order: MoveOrder, timeout_s: float
     ) -> Result[str, Failure]:
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -327,7 +327,7 @@
         self.tried.went_on()
         if attempt.move is None:
             self.silence.expect_event(attempt)
-            if not attempt.may_be_stopped:
+            if not attempt.may_be_stopped and attempt.reserving is None:
                 self.attempts.release(self.now_s)
         if self.note.first_chunk_s < 0.0:
             self.stream_began(attempt)
--- a/sequoiawind/lab/forward_target_ports.py
+++ b/sequoiawind/lab/forward_target_ports.py
@@ -40,6 +40,13 @@
         world.clock.callLater(LATENCY_S, receiver.arrive, run)
         return run
 
+    async def reserve_move(
+        self, order: MoveOrder, timeout_s: float
+    ) -> Result[str, Failure]:
+        """Copy the memory of a run that goes on."""
+        await timing.sleep(self.world.clock, LATENCY_S)
+        return self.world.targets[order.source.name].reserve_move(order)
+
     async def move(
         self, order: MoveOrder, timeout_s: float
     ) -> Result[str, Failure]:
--- a/sequoiawind/lab/forward_targets.py
+++ b/sequoiawind/lab/forward_targets.py
@@ -224,6 +224,18 @@
         for run in list(self.runs.values()):
             run.break_off()
 
+    def reserve_move(self, order: MoveOrder) -> Result[str, Failure]:
+        """Copy a run's memory to another target while it goes on."""
+        if order.request_id not in self.runs or not self.is_up:
+            return Error(not_run(Reason.TARGET_ERROR, "no such run"))
+        goal = self.world.target_at(order.destination.address)
+        if goal is None or self.world.happens(
+            self.world.fault_rates.failed_moves
+        ):
+            self.world.counts["moves without room"] += 1
+            return Error(may_have_run(Reason.TARGET_ERROR, "no room"))
+        return Ok(f"{self.entry.address}/reserved-{order.request_id}")
+
     def move(self, order: MoveOrder) -> Result[str, Failure]:
         """Stop a run and copy its memory to another target."""
         world = self.world
--- a/sequoiawind/platform/engine.py
+++ b/sequoiawind/platform/engine.py
@@ -97,13 +97,31 @@
         decoding = DecodingSink(model=model, sink=sink)
         return self.client.call(order.target.address, outgoing, decoding)
 
+    async def reserve_move(
+        self, order: MoveOrder, timeout_s: float
+    ) -> Result[str, Failure]:
+        """Copy the memory of a run that goes on, and keep room for it."""
+        return await self.copy_run(order, timeout_s, is_last=False)
+
     async def move(
         self, order: MoveOrder, timeout_s: float
     ) -> Result[str, Failure]:
         """Stop a run and copy its memory to another target."""
+        return await self.copy_run(order, timeout_s, is_last=True)
+
+    async def copy_run(
+        self, order: MoveOrder, timeout_s: float, *, is_last: bool
+    ) -> Result[str, Failure]:
+        """Copy the memory of a run; return its location.
+
+        Args:
+          order: The run, and the targets.
+          timeout_s: Time allowed for the answer, in seconds.
+          is_last: Whether the run is stopped first.
+        """
         address = order.source.address
         record = engine_wire.MoveRecord(
-            id=order.request_id, to=order.destination.address
+            id=order.request_id, to=order.destination.address, last=is_last
         )
         request = OutgoingRequest(
             method=b"POST",
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -2,13 +2,18 @@
 
 A target has to end its runs before it loads weights, and a few long answers
 can delay that for seconds.  The memory of such a run is copied to a target with
-the same weights, which continues the stream after the last event.  If the move
-fails, the stream continues where it is, or is resumed like a broken one.
+the same weights, which continues the stream after the last event.
+
+The memory is copied once while the run goes on, which keeps room for it at the
+destination.  Only then is the run stopped, and the rest copied: a run that is
+stopped and finds no room would leave its caller without a target.  If the move
+fails all the same, the stream is resumed like a broken one.
 """
 
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from expression import Result
 from twisted.internet.defer import Deferred
 
 from sequoiawind import messages
@@ -50,19 +55,24 @@
     timer: Timer | None = None
 
     def start(self) -> None:
-        """Suspend the attempt's timeout and request the move."""
-        self.attempt.stop_timer()
-        self.attempt.move = self
+        """Ask for room at the destination, then request the move."""
+        self.attempt.reserving = self
         Deferred.fromCoroutine(self.request_move())
 
     async def request_move(self) -> None:
-        """Request the target to stop the run and copy its memory."""
+        """Request the target to copy the run's memory, then to stop it."""
         order = MoveOrder(
             request_id=self.forwarding.plan.request.request_id,
             source=self.attempt.view.target,
             destination=self.destination.view.target,
         )
         port = self.forwarding.forwarder.port
+        reserved = await port.reserve_move(order, MOVE_TIMEOUT_S)
+        self.attempt.reserving = None
+        if not self.may_stop_run(reserved):
+            return
+        self.attempt.stop_timer()
+        self.attempt.move = self
         answered = await port.move(order, MOVE_TIMEOUT_S)
         self.is_answered = True
         if answered.is_ok():
@@ -71,6 +81,28 @@
             self.failure = answered.error
         self.proceed()
 
+    def may_stop_run(self, reserved: Result[str, Failure]) -> bool:
+        """Whether there is room for the run, and it should still be moved."""
+        forwarding = self.forwarding
+        if reserved.is_error():
+            self.failure = reserved.error
+            forwarding.attempts.release(forwarding.now_s)
+            forwarding.forwarder.on_move(self)
+            return False
+        if may_move(forwarding) is self.attempt and (
+            self.attempt.view.count_request(forwarding.now_s)
+        ):
+            return True
+        forwarding.attempts.release(forwarding.now_s)
+        self.release(reserved.ok)
+        return False
+
+    def release(self, location: str) -> None:
+        """Free copied memory that will not be used."""
+        if self.attempt.view.notice.limit is None:
+            # A target with a limit frees the memory by itself, later.
+            self.forwarding.forwarder.port.release_moved_run(location)
+
     def stream_failed(self, failure: Failure) -> None:
         """Record that the stream from the source broke during the move."""
         self.source_failure = failure
@@ -89,11 +121,8 @@
         if not self.is_answered:
             return
         if self.forwarding.is_finished:
-            # A target with a limit frees the memory by itself, later.
-            if self.moved_from and self.attempt.view.notice.limit is None:
-                self.forwarding.forwarder.port.release_moved_run(
-                    self.moved_from
-                )
+            if self.moved_from:
+                self.release(self.moved_from)
             return
         if self.moved_from:
             self.complete_move()
@@ -150,25 +179,33 @@
         self.proceed()
 
 
-def move_away(forwarding: "Forwarding") -> None:
-    """Start to move a request's run to another target, if possible.
+def may_move(forwarding: "Forwarding") -> "ForwardAttempt | None":
+    """Return the attempt whose run may be moved to another target now.
 
-    Requires that the pool supports moves, that the stream has begun, that there
-    is a target to move to, and that the request may be sent to yet another one,
-    should that one refuse it.
+    Requires that the pool supports moves, that the stream has begun, and that
+    the request may be sent to yet another target, should the destination refuse
+    it.
     """
     attempt = forwarding.current
     if attempt is None or attempt.is_over or attempt.move is not None:
-        return
+        return None
+    if attempt.reserving is not None:
+        return None
     if forwarding.silence.kept or not forwarding.may_send_elsewhere():
-        return
+        return None
     if not forwarding.plan.pool.has_moves:
-        return
+        return None
     if not attempt.is_streaming or forwarding.last_event is None:
-        return
+        return None
     if attempt.view.notice.paused_until_s > forwarding.now_s:
-        return
-    if forwarding.update_plan() is not None:
+        return None
+    return None if forwarding.update_plan() is not None else attempt
+
+
+def move_away(forwarding: "Forwarding") -> None:
+    """Start to move a request's run to another target, if possible."""
+    attempt = may_move(forwarding)
+    if attempt is None:
         return
     destination = forwarding.forwarder.move_destination(
         forwarding, attempt.chosen
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -325,7 +325,7 @@
 class MoveTest(TestCase):
     """Orders to move a run's memory, and their answers."""
 
-    def move(self, reply: bytes) -> Any:
+    def move(self, reply: bytes, is_last: bool = True) -> Any:
         reactor = MemoryReactorClock()
         client = engine.EngineClient(client=Http1Client(reactor=reactor))
         order = MoveOrder(
@@ -334,7 +334,8 @@
             destination=target("e2", "llm", address="10.0.0.2:80"),
         )
         results: list[Any] = []
-        pending = client.move(order, 1.0)
+        call = client.move if is_last else client.reserve_move
+        pending = call(order, 1.0)
         Deferred.fromCoroutine(pending).addCallback(results.append)
         peer = accept(reactor)
         self.request = peer.take_sent()
@@ -364,6 +365,11 @@
             {"id": "q1", "to": "10.0.0.2:80", "last": True}, json.loads(sent)
         )
 
+    def test_room_is_reserved_without_stopping_the_run(self) -> None:
+        reserved = self.move(self.reply(200, b'{"handle":1}'), is_last=False)
+        self.assertEqual("10.0.0.1:80/1", reserved.ok)
+        self.assertIn(b'"last":false', self.request)
+
     def test_release_of_a_moved_run(self) -> None:
         reactor = MemoryReactorClock()
         engine.EngineClient(
