Leave streams that their targets have ended to the kernel in a stop

A caller that reads slowly lost the rest of its stream at the end of the grace: the router held the rest up, did not know that the target had ended long before, and broke the stream off, with no target at work. The class is that of late-in-a-stop: bytes that only this process holds.

The OpenAI interface does not hold answers up, so it has no such cut. Callers that take nothing for 2 s are ended as before.

--- a/sequoiawind/caller_output.py
+++ b/sequoiawind/caller_output.py
@@ -89,6 +89,9 @@
     # Whether more is unsent than the caller may have, so that its sources are
     # paused.
     is_choked: bool = False
+    # Whether the process ends soon, so that all that targets have sent is taken
+    # while there is memory for it.
+    is_flushing: bool = False
     # Bytes of the request, and unsent ones, that are counted in the budget.
     request_bytes: int = 0
     unsent_bytes: int = 0
@@ -112,6 +115,8 @@
             self.taken_bytes = self.count_taken() if unsent else -1
             self.taken_s = self.clock.seconds()
             self.start_timer()
+        if self.is_flushing and not self.budget.is_scarce:
+            return
         max_unsent = 0 if self.budget.is_scarce else MAX_UNSENT_BYTES
         if not self.is_choked and unsent > max_unsent:
             self.is_choked = True
@@ -128,6 +133,12 @@
             self.unsent_bytes = unsent
         return unsent
 
+    def flush(self) -> None:
+        """Hold the sources up no longer, as the process ends soon."""
+        self.is_flushing = True
+        if not self.budget.is_scarce:
+            self.end()
+
     # The memory of the request and its answer.
 
     def charge(self, size: int) -> None:
--- a/sequoiawind/caller_site.py
+++ b/sequoiawind/caller_site.py
@@ -83,6 +83,12 @@
             if connection.arrived_s is not None:
                 connection.refuse(Reason.SHUTTING_DOWN)
 
+    def flush(self) -> None:
+        """Take what targets have sent, although callers read slowly."""
+        for connection in list(self.connections):
+            if connection.is_answering:
+                connection.output.flush()
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -16,6 +16,10 @@
 # answers, in seconds, and at most as a share of the time between the signals.
 END_MARGIN_S: Final = 0.5
 END_MARGIN_SHARE: Final = 0.1
+# Time before that at which answers are held up for slow callers no longer, in
+# seconds, and at most as a share of the time for work.
+FLUSH_MARGIN_S: Final = 0.5
+FLUSH_MARGIN_SHARE: Final = 0.1
 
 
 def work_time_s(grace_s: float) -> float:
@@ -48,6 +52,8 @@
     balancer_wait_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     # Returns the time between the signal and the end of all work, in seconds.
     work_s: Callable[[], float] = attrs.field(default=lambda: float("inf"))
+    # Called shortly before that time, if work is in flight then.
+    on_flushing: Callable[[], None] = attrs.field(default=lambda: None)
     # Called once that time has passed, if work is in flight then.
     on_ending: Callable[[], None] = attrs.field(default=lambda: None)
     # Clock of these times, in seconds.  It counts suspended time, as the time
@@ -55,6 +61,7 @@
     age_clock: Callable[[], float] = suspended_clock_s
     # When the signal arrived, by that clock.
     signalled_s: float = 0.0
+    has_flushed: bool = False
     has_ended_work: bool = False
     lifecycle: Any = attrs.field(init=False)
 
@@ -135,6 +142,11 @@
         """Time left until all work must have ended, in seconds."""
         return self.work_s() - self.since_signal_s
 
+    @property
+    def flush_margin_s(self) -> float:
+        """Time before the end of work at which to flush, in seconds."""
+        return min(FLUSH_MARGIN_S, FLUSH_MARGIN_SHARE * self.work_s())
+
     def drain_when_due(self) -> None:
         """Drain as soon as the balancer has noticed."""
         left_s = self.balancer_wait_s() - self.since_signal_s
@@ -158,6 +170,9 @@
             # The last answers must still be written to their sockets.
             event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_if_idle)
             return
+        if not self.has_flushed and self.work_left_s <= self.flush_margin_s:
+            self.has_flushed = True
+            self.on_flushing()
         if not self.has_ended_work and self.work_left_s <= 0.0:
             self.has_ended_work = self.phase.has_ended_work = True
             self.on_ending()
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -39,6 +39,7 @@
         on_draining=shutdown.drain,
         balancer_wait_s=lambda: shutdown.leave_s,
         work_s=lambda: shutdown.work_s,
+        on_flushing=program.site.flush,
         on_ending=shutdown.end_requests,
         on_step=notes.note,
     )
