--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -220,7 +220,9 @@
             while self.sink is not None and self.read_event():
                 pass
         except h11.RemoteProtocolError as problem:
-            self.fail(Reason.TARGET_ERROR, str(problem))
+            # The parser words the end of a connection by its own states.
+            text = str(problem) if data else messages.CONNECTION_LOST
+            self.fail(Reason.TARGET_ERROR, text)
         if self.received_bytes > MAX_ANSWER_BYTES:
             self.fail(Reason.TARGET_ERROR, messages.ANSWER_TOO_LARGE)
 
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -6,6 +6,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure as TwistedFailure
 
+from sequoiawind import messages
 from sequoiawind.headers import Headers
 from sequoiawind.http1_client import (
     Http1Client,
@@ -146,6 +147,18 @@
         self.assertTrue(peer.transport.is_aborted)
         self.assertEqual(None, self.client.pop_idle("10.0.0.1:80"))
 
+    def test_close_before_an_answer_is_told_in_plain_words(self) -> None:
+        """Guards against the parser's states in a log line."""
+        for part in (b"", b"HTTP/1.1 200 OK\r\nx-id: q1\r\n"):
+            peer, sink = self.call()
+            if part:
+                peer.protocol.dataReceived(part)
+            closed = TwistedFailure(error.ConnectionDone())
+            peer.protocol.connectionLost(closed)
+            assert sink.failure is not None
+            self.assertEqual(messages.CONNECTION_LOST, sink.failure.detail)
+            self.assertEqual(Verdict.MAY_HAVE_RUN, sink.failure.verdict)
+
     def test_connection_end_completes_close_delimited_answers(self) -> None:
         closed = TwistedFailure(error.ConnectionDone())
         reset = TwistedFailure(error.ConnectionLost())
