Ask for room before a move only where the router stops

A run that goes on for want of room holds its engine's load up, while one that is stopped goes on elsewhere by reading its prompt again, and has the time for that: such streams wait until their deadline since.

Only a router that stops lacks that time, so it alone asks for room first.

--- a/sequoiawind/forward_shutdown.py
+++ b/sequoiawind/forward_shutdown.py
@@ -61,6 +61,7 @@
     def leave(self) -> None:
         """Close each caller's connection after its next answer."""
         self.site.is_closing = True
+        self.forwarder.is_stopping = True
         self.forwarder.latest_end_s = self.latest_end_s
 
     def latest_end_s(self) -> float:
--- a/sequoiawind/forwarder.py
+++ b/sequoiawind/forwarder.py
@@ -65,6 +65,9 @@
     latest_end_s: Callable[[], float] = attrs.field(
         default=lambda: float("inf")
     )
+    # Whether the process stops, so that a stream that loses its target may find
+    # no further one in time.
+    is_stopping: bool = False
     # Called when a move of a stream has succeeded or failed.
     on_move: Callable[[StreamMove], None] = attrs.field(
         default=lambda move: None
--- a/sequoiawind/stream_move.py
+++ b/sequoiawind/stream_move.py
@@ -4,10 +4,10 @@
 can delay that for seconds.  The memory of such a run is copied to a target with
 the same weights, which continues the stream after the last event.
 
-The memory is copied once while the run goes on, which keeps room for it at the
-destination.  Only then is the run stopped, and the rest copied: a run that is
-stopped and finds no room would leave its caller without a target.  If the move
-fails all the same, the stream is resumed like a broken one.
+If the move fails, the stream continues where it is, or is resumed like a broken
+one, which may take a while.  A router that stops has no time for that: it has
+the memory copied once while the run goes on, which keeps room for it at the
+destination, and only then is the run stopped, and the rest copied.
 """
 
 from typing import TYPE_CHECKING, Final
@@ -55,7 +55,7 @@
     timer: Timer | None = None
 
     def start(self) -> None:
-        """Ask for room at the destination, then request the move."""
+        """Request the move; a router that stops asks for room first."""
         self.attempt.reserving = self
         Deferred.fromCoroutine(self.request_move())
 
@@ -67,10 +67,12 @@
             destination=self.destination.view.target,
         )
         port = self.forwarding.forwarder.port
-        reserved = await port.reserve_move(order, MOVE_TIMEOUT_S)
+        if self.forwarding.forwarder.is_stopping:
+            reserved = await port.reserve_move(order, MOVE_TIMEOUT_S)
+            self.attempt.reserving = None
+            if not self.may_stop_run(reserved):
+                return
         self.attempt.reserving = None
-        if not self.may_stop_run(reserved):
-            return
         self.attempt.stop_timer()
         self.attempt.move = self
         answered = await port.move(order, MOVE_TIMEOUT_S)
