Read nothing more from a caller before what it sent ahead is parsed

A caller that sent 1 MB of small requests ahead and read no answer was read to its end: each answered request resumed the connection, which took another 64 kB, though more than that was waiting to be parsed. Twenty such callers took a router of 80 MB to 115 MB, and each look at the waiting bytes copied all of them. The class: a limit that is checked when bytes come, and lifted when anything else is done.

--- a/sequoiawind/caller_parser.py
+++ b/sequoiawind/caller_parser.py
@@ -36,7 +36,8 @@
     @property
     def unparsed_bytes(self) -> int:
         """Number of bytes that were received and not parsed yet."""
-        return len(self.trailing_data[0])
+        # `trailing_data` would copy them.
+        return len(self._receive_buffer)
 
     @property
     def has_whole_request(self) -> bool:
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -144,7 +144,7 @@
         self.parse()
         if not self.is_answering:
             return
-        pipelined = len(self.http.trailing_data[0])
+        pipelined = self.http.unparsed_bytes
         if pipelined > MAX_PIPELINED_BYTES or (
             pipelined and self.site.budget.is_scarce
         ):
@@ -164,6 +164,9 @@
         if not self.is_lost and not self.is_answering:
             self.begin_head()
             self.parse()
+            if not self.is_lost and not self.is_answering:
+                # The rest of the request has not been read yet.
+                self.transport.resumeProducing()
 
     def begin_head(self) -> None:
         """Record a request's arrival and start the timer for its head."""
@@ -358,17 +361,20 @@
 
     def next_request(self) -> None:
         """Wait for the next request, and parse what has arrived of it."""
-        pipelined, _ = self.http.trailing_data
-        self.output.charge(len(pipelined))
+        pipelined = self.http.unparsed_bytes
+        self.output.charge(pipelined)
         try:
             self.http.start_next_cycle()
         except h11.LocalProtocolError as error:
             self.life.ended(Cause.NOT_REUSABLE, str(error))
             self.lose()
             return
-        self.transport.resumeProducing()
         self.wait_idle()
-        if pipelined:
+        if not pipelined:
+            self.transport.resumeProducing()
+        else:
+            # Nothing more is read before what is there has been parsed.
+            self.transport.pauseProducing()
             self.site.clock.callLater(0, self.parse_pipelined)
 
     # Time-outs and refusals.
