Give freed memory back to the system

A router stayed as large as a crowd had made it after the crowd had left, so a second crowd found no room. Cause: glibc raises the size up to which blocks come from its heap each time that a larger one is freed, and a heap shrinks only from its end. Both sizes are fixed now, by mallopt, so blocks from 128 kB on are given back when they are freed. The class: memory that is free for the program and held for everybody else.

--- a/sequoiawind/command_line.py
+++ b/sequoiawind/command_line.py
@@ -8,7 +8,7 @@
 
 from expression import Result
 
-from sequoiawind import VERSION, settings
+from sequoiawind import VERSION, memory_return, settings
 from sequoiawind.settings import Fault
 
 T = TypeVar("T")
@@ -60,6 +60,7 @@
     args = daemon_parser(name, purpose).parse_args()
     options = settings_or_exit(settings.load(args.settings, kind))
     if not args.check_settings:
+        memory_return.give_back_early()
         run(options, args.settings)
 
 
