Let large answers wait for memory, and end slow callers while it is short

Answers that are held whole counted in the budget, but nothing asked before more was read: what did not fit failed as too large, and what was complete was held for callers that read 1.5 kB a second, for minutes. Sixty of them took a router of 80 MB to 214 MB.

A large answer now waits while the budget is nearly used up: its target is not read, one answer at a time goes on, and answers up to 64 kB never wait. While memory is scarce a caller for which the process holds something must take 16 kB in 2 s, or it is ended like one that takes nothing.

--- a/sequoiawind/caller_output.py
+++ b/sequoiawind/caller_output.py
@@ -27,6 +27,11 @@
 # time between two checks; in seconds.
 MAX_STALL_S: Final = 2.0
 STALL_CHECK_S: Final = 0.5
+# While memory is scarce, a caller for which this process holds something must
+# take so many bytes in that time: 8 kB a second, which any link carries.
+SCARCE_PACE_BYTES: Final = 16_384
+# Size up to which an answer that is held never waits for memory.
+SMALL_ANSWER_BYTES: Final = 65_536
 
 
 @attrs.frozen(kw_only=True)
@@ -86,9 +91,12 @@
     # Connections of the targets that answer the caller's current request.
     # There are several while a silent target competes with its successor.
     sources: list[AnswerSource] = attrs.field(factory=list)
-    # Whether more is unsent than the caller may have, so that its sources are
-    # paused.
+    # Whether more is unsent than the caller may have, and whether its answer
+    # waits for memory; its sources are paused then.
     is_choked: bool = False
+    is_starved: bool = False
+    # Bytes of its answer that are held whole.
+    held_bytes: int = 0
     # Whether the process ends soon, so that all that targets have sent is taken
     # while there is memory for it.
     is_flushing: bool = False
@@ -103,6 +111,9 @@
     # seconds of the clock.
     taken_bytes: int = 0
     taken_s: float = 0.0
+    # The same for the pace while memory is scarce.
+    paced_bytes: int = 0
+    paced_s: float = 0.0
     # The timer of the next check; None if all had been taken at the last one.
     timer: Timer | None = None
 
@@ -113,15 +124,15 @@
         if self.timer is None:
             # A short answer, which the kernel takes whole, needs no count yet.
             self.taken_bytes = self.count_taken() if unsent else -1
-            self.taken_s = self.clock.seconds()
+            self.taken_s = self.paced_s = self.clock.seconds()
+            self.paced_bytes = self.taken_bytes
             self.start_timer()
         if self.is_flushing and not self.budget.is_scarce:
             return
         max_unsent = 0 if self.budget.is_scarce else MAX_UNSENT_BYTES
         if not self.is_choked and unsent > max_unsent:
             self.is_choked = True
-            for source in self.sources:
-                source.pause()
+            self.pause_sources()
             # As a pull producer, this object is told when all is sent.
             self.transport.registerProducer(self, False)
 
@@ -159,12 +170,35 @@
         self.request_bytes = 0
 
     def hold(self, size: int) -> bool:
-        """Count a part of the answer that is held; return whether it fits."""
-        return self.budget.add_answer(size)
+        """Count a part of the answer that is held; return whether it fits.
+
+        The answer waits if memory is short.  None may exceed the whole budget.
+        """
+        if self.held_bytes + size > self.budget.limit_bytes:
+            return False
+        self.held_bytes += size
+        self.budget.add(size)
+        if (
+            self.held_bytes > SMALL_ANSWER_BYTES
+            and not self.is_starved
+            and not self.budget.may_read(self)
+        ):
+            self.is_starved = True
+            self.pause_sources()
+        return True
 
     def release(self, size: int) -> None:
         """Count a part of the answer as held no longer."""
+        self.held_bytes -= size
         self.budget.add(-size)
+        if not self.held_bytes:
+            self.is_starved = False
+            self.budget.ended(self)
+
+    def read_on(self) -> None:
+        """Read the answer on, as there is memory again."""
+        self.is_starved = False
+        self.resume_sources()
 
     def closed(self) -> None:
         """Free what is held for the caller, as its connection is lost.
@@ -173,6 +207,8 @@
         still being sent to its target.
         """
         self.is_closed = True
+        self.is_starved = False
+        self.budget.ended(self)
         self.end()
         self.count_unsent()
         if not self.sources:
@@ -208,7 +244,15 @@
         taken_bytes = self.written_bytes - untaken_bytes
         if taken_bytes != self.taken_bytes:
             self.taken_bytes, self.taken_s = taken_bytes, now_s
-        elif now_s - self.taken_s >= MAX_STALL_S:
+        if (
+            taken_bytes - self.paced_bytes >= SCARCE_PACE_BYTES
+            or not self.unsent_bytes
+        ):
+            self.paced_bytes, self.paced_s = taken_bytes, now_s
+        is_slow = now_s - self.paced_s >= MAX_STALL_S
+        if now_s - self.taken_s >= MAX_STALL_S or (
+            is_slow and self.budget.is_scarce
+        ):
             peer = self.transport.getPeer()
             self.on_stalled(
                 StalledCaller(
@@ -226,7 +270,7 @@
     def attach(self, source: AnswerSource) -> None:
         """Pause a source while the caller is choked."""
         self.sources.append(source)
-        if self.is_choked:
+        if self.is_choked or self.is_starved:
             source.pause()
 
     def detach(self, source: AnswerSource) -> None:
@@ -258,5 +302,15 @@
             return
         self.is_choked = False
         self.transport.unregisterProducer()
-        for source in list(self.sources):
-            source.resume()
+        self.resume_sources()
+
+    def pause_sources(self) -> None:
+        """Read nothing more from the answer's targets."""
+        for source in self.sources:
+            source.pause()
+
+    def resume_sources(self) -> None:
+        """Read the answer on, unless something else holds it up."""
+        if not self.is_choked and not self.is_starved:
+            for source in list(self.sources):
+                source.resume()
