Bound what one connection has parsed in a turn of the event loop

A body in single bytes, of a caller or of a target, was parsed to the end of what one read had brought: 11,000 events for 64 kB. A hundred such callers held a router up for some 25 s, in which ordinary callers got nothing. The class: work is counted in bytes, but costs by pieces.

After 128 parts of up to 512 bytes the connection is not read and goes on in the next turn. A target that sends more than 64 interim answers fails its call.

--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -25,6 +25,7 @@
 from sequoiawind.caller_output import AnswerFlow
 from sequoiawind.headers import Headers
 from sequoiawind.options import parse_port
+from sequoiawind.turn_limit import TurnLimit
 from sequoiawind.verdict import Failure, Reason, may_have_run, not_run
 
 # A handshake inside a region takes milliseconds; the peer's kernel
@@ -39,6 +40,8 @@
 # timed out, in seconds: just below the time-out that `sockets` sets.  A reset
 # cannot be told from it.
 TIMED_OUT_S: Final = 0.9 * sockets.USER_TIMEOUT_MS / 1000
+# Interim answers (status 1xx) that may precede an answer.
+MAX_INTERIM_ANSWERS: Final = 64
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 
 
@@ -101,6 +104,11 @@
         self.writer: BodyWriter | None = None
         # Whether nothing is read, as the caller of the answer reads slowly.
         self.is_paused = False
+        # Whether the rest of what was received is parsed in the next turn.
+        self.is_yielding = False
+        self.turn = TurnLimit()
+        # Interim answers since the request was sent.
+        self.interim_answers = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options and mark the connection as open."""
@@ -111,7 +119,7 @@
         """Send a request; its answer goes to the sink."""
         self.request = request
         self.sink = sink
-        self.received_bytes = 0
+        self.received_bytes = self.interim_answers = 0
         self.active_s = self.client.reactor.seconds()
         if request.flow is not None:
             request.flow.attach(self)
@@ -148,7 +156,8 @@
         """Read on."""
         if self.is_paused and self.is_open:
             self.is_paused = False
-            self.transport.resumeProducing()
+            if not self.is_yielding:
+                self.transport.resumeProducing()
 
     def end_exchange(self) -> AnswerSink | None:
         """End the exchange; return its sink."""
@@ -217,8 +226,11 @@
         self.received_bytes += len(data)
         try:
             self.http.receive_data(data)
-            while self.sink is not None and self.read_event():
-                pass
+            if not data:
+                while self.sink is not None and self.read_event():
+                    pass
+            elif not self.is_yielding:
+                self.read_events()
         except h11.RemoteProtocolError as problem:
             # The parser words the end of a connection by its own states.
             text = str(problem) if data else messages.CONNECTION_LOST
@@ -226,18 +238,45 @@
         if self.received_bytes > MAX_ANSWER_BYTES:
             self.fail(Reason.TARGET_ERROR, messages.ANSWER_TOO_LARGE)
 
+    def read_events(self) -> None:
+        """Handle the parser's events, some of them in the next turn."""
+        self.turn.begin()
+        while not self.turn.is_reached:
+            if self.sink is None or not self.read_event():
+                return
+        self.is_yielding = True
+        self.transport.pauseProducing()
+        self.client.reactor.callLater(0, self.go_on)
+
+    def go_on(self) -> None:
+        """Parse what the last turn has left."""
+        self.is_yielding = False
+        if not self.is_open or self.sink is None:
+            return
+        try:
+            self.read_events()
+        except h11.RemoteProtocolError as problem:
+            self.fail(Reason.TARGET_ERROR, str(problem))
+        if self.is_open and not self.is_yielding and not self.is_paused:
+            self.transport.resumeProducing()
+
     def read_event(self) -> bool:
         """Handle the parser's next event; return whether there was one."""
         event = self.http.next_event()
         if isinstance(event, h11.Response):
             self.handle_head(event)
         elif isinstance(event, h11.Data):
+            self.turn.handled(len(event.data))
             if not self.is_skipping and self.sink is not None:
                 self.sink.data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self.handle_end()
+        elif isinstance(event, h11.InformationalResponse):
+            self.interim_answers += 1
+            if self.interim_answers > MAX_INTERIM_ANSWERS:
+                self.fail(Reason.TARGET_ERROR, messages.INTERIM_WITHOUT_END)
         else:
-            return isinstance(event, h11.InformationalResponse)
+            return False
         return True
 
     def handle_head(self, response: h11.Response) -> None:
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -21,6 +21,7 @@
 from sequoiawind.headers import Headers
 from sequoiawind.http_request import HttpRequest
 from sequoiawind.ports import Timer
+from sequoiawind.turn_limit import TurnLimit
 from sequoiawind.verdict import Reason
 
 if TYPE_CHECKING:
@@ -58,6 +59,9 @@
         # Since when no request is being read or answered, in seconds of the
         # clock.
         self.idle_since_s = 0.0
+        # Whether the rest of what was received is parsed in the next turn.
+        self.is_yielding = False
+        self.turn = TurnLimit()
         # Whether the next request waits until the last answer is sent.
         self.is_draining = False
         # Called once if the caller disconnects before its answer is complete.
@@ -117,7 +121,8 @@
             self.output.charge(len(data))
         self.limits.received(len(data))
         self.http.receive_data(data)
-        self.parse()
+        if not self.is_yielding:
+            self.parse()
         if not self.is_answering:
             return
         pipelined = self.http.unparsed_bytes
@@ -136,13 +141,15 @@
             self.refuse_malformed(error.error_status_hint)
 
     def parse_pipelined(self) -> None:
-        """Parse a request that the caller sent during the last answer."""
-        if not self.is_lost and not self.is_answering:
-            self.begin_head()
-            self.parse()
-            if not self.is_lost and not self.is_answering:
-                # The rest of the request has not been read yet.
-                self.transport.resumeProducing()
+        """Parse what has arrived of a request and was not parsed yet."""
+        self.is_yielding = False
+        if self.is_lost or self.is_answering:
+            return
+        self.begin_head()
+        self.parse()
+        if not self.is_lost and not self.is_answering and not self.is_yielding:
+            # The rest of the request has not been read yet.
+            self.transport.resumeProducing()
 
     def begin_head(self) -> None:
         """Record a request's arrival and start the timer for its head."""
@@ -163,18 +170,25 @@
 
     def read_events(self) -> None:
         """Handle the parser's events up to the end of a request."""
-        while not self.is_answering and not self.is_lost:
+        self.turn.begin()
+        while not self.turn.is_reached:
+            if self.is_answering or self.is_lost:
+                return
             event = self.http.next_event()
             if isinstance(event, h11.Request):
                 self.handle_head(event)
             elif isinstance(event, h11.Data):
                 self.handle_body(event.data)
+                self.turn.handled(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self.dispatch_request()
                 # Its answer may be complete: `parse_pipelined` reads on.
                 return
             else:
                 return
+        self.is_yielding = True
+        self.transport.pauseProducing()
+        self.site.clock.callLater(0, self.parse_pipelined)
 
     def handle_head(self, head: h11.Request) -> None:
         """Handle a request's head.
--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -70,6 +70,8 @@
         self.transport.clear()
         for piece in pieces:
             self.transport_protocol.dataReceived(piece)
+            # A body in small chunks takes several turns.
+            self.protocol.site.clock.advance(0.0)
         return self.answered
 
     @property
