Keep the descriptors of a router below its limit

500 connections at once took a router with 300 descriptors to 426: the port accepts up to a hundred in a turn, and what is closed for them frees its descriptor only in the next turn. And 150 streams took it to 316, as each caller that is let in may need a connection to a target as well.

Once a new caller has met the limit, no other is accepted in the same turn. A request begins only while nine tenths of the descriptors are not used by connections; otherwise it is refused as not run, 503 with Retry-After 1 s, reason descriptors (a new value in the refusals' metric and in logs). Store, feed and agents have the rest.

--- a/sequoiawind/caller_site.py
+++ b/sequoiawind/caller_site.py
@@ -1,6 +1,7 @@
 """The connections of all callers at one port, and what they share."""
 
 from collections.abc import Callable
+from typing import Any
 
 from twisted.internet.protocol import Factory
 
@@ -59,10 +60,34 @@
         # Whether each connection closes after its current answer.
         self.is_closing = False
 
-    def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
-        """Return the protocol for a new connection."""
+    def buildProtocol(  # noqa: N802
+        self, addr: object
+    ) -> CallerConnection | None:
+        """Return the protocol for a new connection; None to close it."""
+        if self.descriptors is not None and not self.descriptors.accepts():
+            return None
         return CallerConnection(self)
 
+    def keeps(self, transport: Any) -> bool:
+        """Whether a new connection is kept, given the open descriptors."""
+        limit = self.descriptors
+        if limit is None:
+            return True
+        is_kept = limit.keeps(transport.fileno(), self)
+        if limit.is_short:
+            self.clock.callLater(0, limit.next_turn)
+        return is_kept
+
+    def has_room(self, other_connections: int) -> bool:
+        """Whether a request may begin that may need a connection.
+
+        Args:
+          other_connections: Connections that are not those of callers.
+        """
+        callers = len(self.connections) + len(self.closer.connections)
+        limit = self.descriptors
+        return limit is None or limit.has_room(callers + other_connections)
+
     def close_longest_idle(self) -> bool:
         """Close the longest idle connection; return whether there was one."""
         idle = [item for item in self.connections if item.may_be_closed]
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -12,7 +12,7 @@
 from sequoiawind.caller_limits import LimitsInForce
 from sequoiawind.caller_site import CallerSite
 from sequoiawind.crash_registry import CrashRegistry
-from sequoiawind.descriptor_limit import DescriptorLimit
+from sequoiawind.descriptor_limit import DescriptorLimit, no_descriptors
 from sequoiawind.feed_client import FeedClient
 from sequoiawind.feed_cover import FeedCover
 from sequoiawind.feed_reader import FeedReader
@@ -31,11 +31,7 @@
 from sequoiawind.load_metrics import LoadCollector
 from sequoiawind.memory_budget import MemoryBudget
 from sequoiawind.metrics import ForwardMetrics
-from sequoiawind.options import (
-    Address,
-    BoundsOptions,
-    ForwardRouterSettings,
-)
+from sequoiawind.options import Address, BoundsOptions, ForwardRouterSettings
 from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.pages import METRICS_PATH, Pages, metrics_page
 from sequoiawind.platform import callers, codec, names
@@ -274,6 +270,9 @@
         """Forward a caller's request."""
         caller = callers.Caller(connection=connection)
         decoded = callers.decode_request(request)
+        if not self.site.has_room(self.client.open_connections):
+            self.forwarder.refuse(decoded, caller, no_descriptors())
+            return
         forwarding = self.forwarder.submit(decoded, caller)
         if forwarding is not None and not forwarding.is_finished:
             connection.on_disconnect = forwarding.caller_disconnected
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -212,6 +212,7 @@
     ) -> None:
         """End the exchange; complete only if the answer's framing says so."""
         self.is_open = False
+        self.client.open_connections -= 1
         self.client.remove_idle(self)
         if self.sink is None:
             return
@@ -388,6 +389,8 @@
     idle: dict[str, list[TargetConnection]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
+    # Connections that are being opened or are not closed yet.
+    open_connections: int = 0
     # Called for each answer that belonged to another request.
     on_foreign_answer: Callable[[], None] = attrs.field(default=lambda: None)
     # Called before each new connection is opened.
@@ -412,6 +415,7 @@
             self.reactor.callLater(0, call.refuse, sink, refusal)
             return call
         self.on_connect()
+        self.open_connections += 1
         endpoint = TCP4ClientEndpoint(
             self.reactor, host, port, timeout=self.connect_timeout_s
         )
@@ -431,6 +435,7 @@
 
         def refused(failure: TwistedFailure) -> None:
             call.connecting = None
+            self.open_connections -= 1
             detail = failure.getErrorMessage()
             call.refuse(sink, not_run(Reason.CONNECT_FAILED, detail))
 
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -78,10 +78,7 @@
             on_stalled=self.life.stalled,
             on_drained=self.drained,
         )
-        limit = self.site.descriptors
-        if limit is not None and not limit.keeps(
-            self.transport.fileno(), self.site
-        ):
+        if not self.site.keeps(self.transport):
             self.is_lost = True
             self.life.ended(Cause.DESCRIPTORS, "new")
             self.transport.abortConnection()
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -61,6 +61,7 @@
     TARGET_LIMIT = "target_limit"
     OVERLOADED = "overloaded"
     MEMORY_LIMIT = "memory_limit"
+    DESCRIPTORS = "descriptors"
     SHUTTING_DOWN = "shutting_down"
     WRONG_WEIGHTS = "wrong_weights"
     LOG_UNAVAILABLE = "log_unavailable"
