--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -440,10 +440,10 @@
             engine.__exit__()
         self.store.__exit__()
 
-    def program(self, template: str, module: str) -> Program:
-        """Return a process with settings from a template."""
+    def program(self, template: str, module: str, store: str = "") -> Program:
+        """Return a process with settings from a template, and maybe a store."""
         settings = template.format(
-            store=self.store.address,
+            store=store or self.store.address,
             target=self.engines["llm"].address,
             memory=MEMORY_MB,
             fds=MAX_FDS,
