Bound what all collected answers of a client take together

A store that sends without end took a router of 80 MB to 82: each call keeps up to 8 MiB of its answer, and a router has several to the store, to relays and to agents at a time. The answers that one client collects count together now: while they take more than 12 MiB, one of over 1 MiB fails as too large, and smaller ones go on, so a relay or another topic is still read. What a cancelled call had collected is freed. Connections that are closed at the accept count as refusals, reason descriptors.

--- a/sequoiawind/caller_site.py
+++ b/sequoiawind/caller_site.py
@@ -65,6 +65,7 @@
     ) -> CallerConnection | None:
         """Return the protocol for a new connection; None to close it."""
         if self.descriptors is not None and not self.descriptors.accepts():
+            self.on_refusal(Reason.DESCRIPTORS)
             return None
         return CallerConnection(self)
 
--- a/sequoiawind/http1_client.py
+++ b/sequoiawind/http1_client.py
@@ -391,6 +391,8 @@
     )
     # Connections that are being opened or are not closed yet.
     open_connections: int = 0
+    # Bytes of the answers that are being collected.
+    collected_bytes: int = 0
     # Called for each answer that belonged to another request.
     on_foreign_answer: Callable[[], None] = attrs.field(default=lambda: None)
     # Called before each new connection is opened.
--- a/sequoiawind/http1_fetch.py
+++ b/sequoiawind/http1_fetch.py
@@ -18,6 +18,10 @@
 # Longest time for which an answer that keeps arriving is waited for, in
 # seconds: a peer that sends a byte now and then must not hold a caller.
 MAX_ARRIVAL_S: Final = 5.0
+# What the collected answers of one client may take together, in bytes, and the
+# size from which an answer fails for that.
+MAX_COLLECTED_BYTES: Final = 12 * 1024 * 1024
+LARGE_ANSWER_BYTES: Final = 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +44,8 @@
     headers: Headers = attrs.field(factory=list)
     body: bytearray = attrs.field(factory=bytearray)
     is_over: bool = False
+    # Counts what all answers of the client take.
+    client: Http1Client | None = None
     # Called when a part of the body has arrived.
     on_data: Callable[[], None] = attrs.field(default=lambda: None)
 
@@ -50,12 +56,20 @@
 
     def data(self, data: bytes) -> None:
         """Append a part of the body; one that is too large is a failure."""
+        if self.is_over:
+            return
         self.body += data
         self.on_data()
-        if len(self.body) > defaults.MAX_HELD_BODY_BYTES:
+        collected = 0
+        if self.client is not None:
+            self.client.collected_bytes += len(data)
+            collected = self.client.collected_bytes
+        size = len(self.body)
+        if size > defaults.MAX_HELD_BODY_BYTES or (
+            size > LARGE_ANSWER_BYTES and collected > MAX_COLLECTED_BYTES
+        ):
             text = messages.ANSWER_TOO_LARGE
             self.failed(may_have_run(Reason.TARGET_ERROR, text))
-            self.body.clear()
 
     def done(self) -> None:
         """Finish with the whole answer."""
@@ -77,8 +91,15 @@
         """Fire the Deferred with the result, at most once."""
         if not self.is_over:
             self.is_over = True
+            self.release()
             self.when_done.callback(result)
 
+    def release(self) -> None:
+        """Keep what has arrived no longer."""
+        if self.client is not None:
+            self.client.collected_bytes -= len(self.body)
+        self.body = bytearray()
+
 
 @attrs.define(kw_only=True, eq=False)
 class AnswerTimer:
@@ -136,7 +157,8 @@
     """Send a request; return its whole answer, or the failure.
 
     A call that takes too long, or whose answer is larger than
-    `defaults.MAX_HELD_BODY_BYTES`, is cancelled and fails.
+    `defaults.MAX_HELD_BODY_BYTES`, is cancelled and fails.  So does one whose
+    answer is large while all together are larger than `MAX_COLLECTED_BYTES`.
 
     Args:
       client: Makes the call.
@@ -146,7 +168,7 @@
       stall_s: Time allowed beyond that between two parts of its body, in
         seconds, so that a long answer may arrive over a thin link.
     """
-    sink = ReplySink()
+    sink = ReplySink(client=client)
     call = client.call(str(address), request, sink)
     timer = AnswerTimer(
         clock=client.reactor, call=call, sink=sink, stall_s=stall_s
@@ -158,6 +180,7 @@
         # A caller that cancels the Deferred makes it fail.
         if isinstance(result, TwistedFailure) or result.is_error():
             call.cancel()
+            sink.release()
         return result
 
     return sink.when_done.addBoth(stop)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -107,6 +107,7 @@
     link: VirtualLink
     # When kept connections became idle, in seconds of the clock, by address.
     idle_s: dict[str, list[float]] = attrs.field(factory=dict)
+    collected_bytes: int = 0
 
     @property
     def reactor(self) -> Clock:
