--- a/tests/soak_of_rolls.py
+++ b/tests/soak_of_rolls.py
@@ -23,120 +23,21 @@
 
 from tests.model_engine import ModelEngine, Work
 from tests.platform_standin import Store, configuration
-
-GRACE_S = 8.0
-# A cut is excused if a target is at work in the last sixth of the grace, on a
-# request that was sent within a time after SIGTERM.
-LAST_S, SENT_S = GRACE_S * 5 / 6, 3.0
-# Time after SIGTERM in which a cut counts, in seconds.
-WINDOW_S = GRACE_S + 1.0
-# Time after its last byte until which a request may cross a close, in seconds.
-CROSS_S = 0.2
-ACCOUNTS = ("acme", "bolt", "crab", "dory")
-ZONES = ("za", "zb", "zc")
-ROUTER = """
-store = "{store}"
-[node]
-name = "{name}"
-ip = "{host}"
-failure_domain = "{zone}"
-agent_port = 7340
-metrics_port = 9464
-[bounds]
-grace_s = 8.0
-repeat_allowance = 58.0
-[load]
-account_limits = true
-pace = true
-admission = true
-fairness = true
-[entry]
-callers = "{host}:8782"
-ready = "{host}:8789"
-[limits]
-memory_mb = 300
-max_fds = 4100
-"""
-AGENT = """
-store = "{store}"
-target = "{target}"
-[node]
-name = "{name}"
-ip = "{host}"
-failure_domain = "{zone}"
-agent_port = 7340
-metrics_port = 9464
-"""
-
-
-@attrs.frozen(kw_only=True)
-class Form:
-    """What callers and the operator do."""
-
-    slots: int = 16
-    callers: int = 60
-    # Time between two newly named weights, in seconds; 0 for none.
-    weights_s: float = 0.0
-    # Shares of the requests.
-    slow: float = 0.0
-    # Pace of slow readers, in bytes a second.
-    slow_bytes_per_s: float = 15_000.0
-    halves: float = 0.1
-    half_closed: float = 0.0
-    # Share of the moves and streams that engines refuse for want of room.
-    refusals: float = 0.0
-    pauses: float = 0.0
-    # Time between two SIGTERMs of a round, and between two rounds, in seconds.
-    gap_s: float = 3.2
-    round_s: float = 20.0
-    # Range of the number of events of a stream.
-    events: tuple[int, int] = (20, 300)
-    event_bytes: int = 40
-
-
-FORMS = {
-    "plain": Form(),
-    "weights": Form(weights_s=3.0),
-    "full": Form(weights_s=3.0, slots=6),
-    "slow": Form(slow=0.3, event_bytes=400),
-    "pauses": Form(pauses=0.4),
-    "refused-moves": Form(
-        weights_s=2.0, slots=32, callers=50, refusals=0.5, events=(100, 400)
-    ),
-    "long": Form(events=(200, 450), slots=32),
-    "slow-large": Form(slow=0.3, event_bytes=1_000, slow_bytes_per_s=30_000.0),
-    "half-closed": Form(half_closed=0.2),
-    "mixed": Form(weights_s=4.0, slots=10, slow=0.1, pauses=0.2),
-}
-
-
-@attrs.define(kw_only=True, eq=False)
-class Sent:
-    """A request and what has become of it; times by the steady clock."""
-
-    name: str
-    route: str
-    router: str
-    shape: str
-    deadline_s: float
-    # When its first and its last byte were sent, and when its end was seen.
-    began_s: float = 0.0
-    sent_s: float = 0.0
-    ended_s: float = 0.0
-    status: int = 0
-    is_whole: bool = False
-
-
-@attrs.define(kw_only=True, eq=False)
-class Router:
-    """A router process that is started again after each stop."""
-
-    name: str
-    host: str
-    settings: Path
-    process: asyncio.subprocess.Process | None = None
-    stopped_s: list[float] = attrs.field(factory=list)
-    misses: int = 0
+from tests.rolls_state import (
+    ACCOUNTS,
+    AGENT,
+    CROSS_S,
+    FORMS,
+    GRACE_S,
+    LAST_S,
+    ROUTER,
+    SENT_S,
+    WINDOW_S,
+    ZONES,
+    Form,
+    Router,
+    Sent,
+)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -153,7 +54,10 @@
     works: dict[str, list[Work]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
-    agents: list[asyncio.subprocess.Process] = attrs.field(factory=list)
+    # The agents' processes, by name, with their settings.
+    agents: dict[str, tuple[asyncio.subprocess.Process, str]] = attrs.field(
+        factory=dict
+    )
     requests: list[Sent] = attrs.field(factory=list)
     is_over: bool = False
     # First two numbers of the addresses of this run.
@@ -188,9 +92,10 @@
                     host=engine.host,
                     zone=zone,
                 )
-                self.agents.append(
-                    await self.spawn("forward_agent_main", engine.name, text)
+                process = await self.spawn(
+                    "forward_agent_main", engine.name, text
                 )
+                self.agents[engine.name] = process, text
         self.configure()
         for number in range(6):
             name, host = f"front-{number}", f"{self.net}.1.{number + 1}"
@@ -271,12 +176,25 @@
             "forward_router_main", router.name, text
         )
 
+    async def stop_agents(self) -> None:
+        """Stop agents one after the other, and start them again."""
+        while self.form.stops_agents:
+            for name in self.agents:
+                process, text = self.agents[name]
+                process.terminate()
+                await process.wait()
+                process = await self.spawn("forward_agent_main", name, text)
+                self.agents[name] = process, text
+                await asyncio.sleep(1.0)
+            await asyncio.sleep(1.0)
+
     async def play(self) -> None:
         """Play two rounds of stops."""
         with self.store:
             await self.start()
             tasks = [asyncio.create_task(self.watch(r)) for r in self.routers]
             tasks.append(asyncio.create_task(self.name_weights()))
+            tasks.append(asyncio.create_task(self.stop_agents()))
             try:
                 while any(router.misses for router in self.routers) or not all(
                     router.process for router in self.routers
@@ -303,7 +221,7 @@
                 for task in tasks:
                     task.cancel()
                 for process in (
-                    *self.agents,
+                    *(process for process, _ in self.agents.values()),
                     *(r.process for r in self.routers),
                 ):
                     with suppress(ProcessLookupError):
