Large answers that wait for memory: go on at the limit, and are not silent

The one large answer that is read on while memory is short stopped at the limit of the budget and was only read again below 0.65 of it; it goes on as soon as it is below the limit. And a target whose answer is not read for want of memory counted as silent, so another target was asked, which needs memory too; such an answer counts as held up now, like one for a slow caller.

--- a/sequoiawind/caller_output.py
+++ b/sequoiawind/caller_output.py
@@ -117,6 +117,11 @@
     # The timer of the next check; None if all had been taken at the last one.
     timer: Timer | None = None
 
+    @property
+    def is_held_up(self) -> bool:
+        """Whether the answer is not read from its targets."""
+        return self.is_choked or self.is_starved
+
     def written(self, size: int) -> None:
         """Note a write of a size; pause the sources if too much is unsent."""
         self.written_bytes += size
@@ -270,7 +275,7 @@
     def attach(self, source: AnswerSource) -> None:
         """Pause a source while the caller is choked."""
         self.sources.append(source)
-        if self.is_choked or self.is_starved:
+        if self.is_held_up:
             source.pause()
 
     def detach(self, source: AnswerSource) -> None:
@@ -311,6 +316,6 @@
 
     def resume_sources(self) -> None:
         """Read the answer on, unless something else holds it up."""
-        if not self.is_choked and not self.is_starved:
+        if not self.is_held_up:
             for source in list(self.sources):
                 source.resume()
--- a/sequoiawind/forward_ports.py
+++ b/sequoiawind/forward_ports.py
@@ -164,7 +164,7 @@
 
     @property
     def is_choked(self) -> bool:
-        """Whether targets are not read because the caller reads slowly.
+        """Whether targets are not read, for the caller or for memory.
 
         A target whose answer is not read is not silent.
         """
--- a/sequoiawind/memory_budget.py
+++ b/sequoiawind/memory_budget.py
@@ -81,8 +81,8 @@
         self.held_bytes += size
         if self.held_bytes > self.peak_bytes:
             self.peak_bytes = self.held_bytes
-        if size < 0 and self.waiting and not self.is_full:
-            self.read_all()
+        if size < 0 and self.waiting:
+            self.read_waiting()
 
     # Large answers, which are held whole.
 
@@ -106,8 +106,14 @@
                 del self.waiting[self.reading]
                 self.reading.read_on()
 
-    def read_all(self) -> None:
-        """Read all waiting answers on."""
+    def read_waiting(self) -> None:
+        """Read answers on, as memory is free again: all, or the one."""
+        reading = self.reading
+        if self.is_full:
+            if reading in self.waiting and self.held_bytes <= self.limit_bytes:
+                del self.waiting[reading]
+                reading.read_on()
+            return
         self.reading = None
         waiting, self.waiting = self.waiting, {}
         for answer in waiting:
--- a/sequoiawind/platform/callers.py
+++ b/sequoiawind/platform/callers.py
@@ -109,8 +109,8 @@
 
     @property
     def is_choked(self) -> bool:
-        """Whether targets are not read because the caller reads slowly."""
-        return self.connection.output.is_choked
+        """Whether targets are not read, for the caller or for memory."""
+        return self.connection.output.is_held_up
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Send an answer's head."""
