--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -23,6 +23,7 @@
     """Keeps the sink of its last call for a test to answer."""
 
     reactor: Clock = attrs.field(factory=Clock)
+    collected_bytes: int = 0
     sinks: list[AnswerSink] = attrs.field(factory=list)
     calls: list[FakeCall] = attrs.field(factory=list)
 
