Log what tells a killed process from one whose lines were lost

A delay of the event loop is logged, and a process that has got SIGTERM and not ended 0.35 s after the end of its work writes its call stacks to standard error, also while the event loop is held up. The lines of open and ended streams tell the last event that was sent, as the caller names it when it comes back.

--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from sequoiawind import event_loop
+from sequoiawind import event_loop, held_up
 from sequoiawind.freshness import suspended_clock_s
 from sequoiawind.lifecycle import Phase, make_lifecycle
 from sequoiawind.stop_notes import Step
@@ -20,6 +20,9 @@
 # seconds, and at most as a share of the time for work.
 FLUSH_MARGIN_S: Final = 0.5
 FLUSH_MARGIN_SHARE: Final = 0.1
+# Time after the end of all work at which a process that has not ended writes
+# its call stacks, in seconds.
+STACKS_DELAY_S: Final = 0.35
 
 
 def work_time_s(grace_s: float) -> float:
@@ -61,6 +64,8 @@
     age_clock: Callable[[], float] = suspended_clock_s
     # When the signal arrived, by that clock.
     signalled_s: float = 0.0
+    # Whether a signal to stop has arrived; it may not be handled yet.
+    is_signalled: bool = False
     has_flushed: bool = False
     has_ended_work: bool = False
     lifecycle: Any = attrs.field(init=False)
@@ -74,14 +79,7 @@
         reactor = event_loop.reactor
         self.phase.on_stopped = self.stop_reactor
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(
-                number,
-                lambda number, _: reactor.callFromThread(
-                    self.leave,
-                    Step(signal.Signals(number).name),
-                    self.age_clock(),
-                ),
-            )
+            signal.signal(number, lambda number, _: self.signalled(number))
         signal.signal(
             signal.SIGHUP,
             lambda *_: reactor.callFromThread(self.reload),
@@ -90,9 +88,19 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Restore the default signal handlers."""
+        held_up.write_no_stacks()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, signal.SIG_DFL)
 
+    def signalled(self, number: int) -> None:
+        """Note a signal to stop; the event loop handles it when it can."""
+        if not self.is_signalled:
+            self.is_signalled = True
+            held_up.write_stacks_after(self.work_s() + STACKS_DELAY_S)
+        event_loop.reactor.callFromThread(
+            self.leave, Step(signal.Signals(number).name), self.age_clock()
+        )
+
     def run(self) -> None:
         """Run until the daemon has stopped."""
         event_loop.reactor.run(installSignalHandlers=False)
--- a/sequoiawind/forward_agent_main.py
+++ b/sequoiawind/forward_agent_main.py
@@ -4,9 +4,10 @@
 
 from twisted.internet.defer import Deferred
 
-from sequoiawind import command_line, logs
+from sequoiawind import command_line, event_loop, logs
 from sequoiawind.daemon import Daemon
 from sequoiawind.forward_agent_program import ForwardAgentProgram
+from sequoiawind.held_up import HeldUpWatch
 from sequoiawind.options import ForwardAgentSettings
 from sequoiawind.stop_notes import StopNotes
 
@@ -33,6 +34,7 @@
     follower = program.settings_follower(file)
     daemon.on_reload = follower.reload
     with daemon:
+        HeldUpWatch(clock=event_loop.reactor, log=program.log).start()
         program.listen()
         program.start()
         daemon.ready()
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -4,9 +4,10 @@
 
 from twisted.internet.defer import Deferred
 
-from sequoiawind import command_line, logs, open_work
+from sequoiawind import command_line, event_loop, logs, open_work
 from sequoiawind.daemon import Daemon
 from sequoiawind.forward_router_program import ForwardRouterProgram
+from sequoiawind.held_up import HeldUpWatch
 from sequoiawind.options import ForwardRouterSettings
 from sequoiawind.stop_notes import StopNotes
 
@@ -47,6 +48,7 @@
     follower = program.settings_follower(file)
     daemon.on_reload = follower.reload
     with daemon:
+        HeldUpWatch(clock=event_loop.reactor, log=program.log).start()
         program.listen()
         program.start(on_prepared=daemon.ready)
         Deferred.fromCoroutine(follower.run())
--- a/sequoiawind/log_pipe.py
+++ b/sequoiawind/log_pipe.py
@@ -27,18 +27,33 @@
 # The lines of a process' life cycle, of which there are few.  They are never
 # left out, as a missing one tells that the process was killed.
 KEPT_EVENTS: Final = frozenset({"signal received", "drain began", "stopped"})
+# The line of a request's end, and the one that names some of those left out.
+REQUEST_EVENT: Final = "request"
+ENDS_EVENT: Final = "requests ended"
+# Requests that the latter names; together they take less than one `request`.
+MAX_NAMED_ENDS: Final = 20
 
 
 @attrs.define(kw_only=True)
 class LogBudget:
-    """Rate limiter of log lines (token bucket); a `structlog` processor."""
+    """Rate limiter of log lines (token bucket); a `structlog` processor.
+
+    It numbers the lines, so that a gap tells of lines that were lost later.
+    """
 
     now: Callable[[], float] = time.monotonic
+    # Returns the number of lines that the pipe has dropped so far.
+    count_lost: Callable[[], int] = attrs.field(default=lambda: 0)
     # Lines that may be written now; grows with time up to the largest burst.
     available: float = BURST_LINES
     updated_s: float = 0.0
     # Lines left out since the last one that was written.
     left_out: int = 0
+    # Ids and verdicts of the requests whose lines are among them.
+    ends_left_out: list[str] = attrs.field(factory=list)
+    # Lines passed on, and those that the pipe had dropped by the last one.
+    lines: int = 0
+    lost: int = 0
 
     def __call__(
         self, logger: object, method: str, event: MutableMapping[str, Any]
@@ -56,13 +71,44 @@
         required = BURST_LINES * RESERVED_SHARE if is_common else 1.0
         is_kept = event.get("event") in KEPT_EVENTS
         if self.available < required and not is_kept:
-            self.left_out += 1
-            raise structlog.DropEvent
+            event = self.leave_out(event)
         self.available = max(0.0, self.available - 1.0)
+        self.note_missing(event)
+        return event
+
+    def leave_out(
+        self, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        """Leave a line out; return the line that names the requests left out.
+
+        Each request that was passed on leaves a trace of its end, however many
+        there are.
+
+        Raises:
+          structlog.DropEvent: There are not enough requests to name yet.
+        """
+        self.left_out += 1
+        if event.get("event") == REQUEST_EVENT:
+            end = f"{event.get('request_id')} {event.get('verdict')}"
+            self.ends_left_out.append(end)
+        if len(self.ends_left_out) < MAX_NAMED_ENDS:
+            raise structlog.DropEvent
+        return {"daemon": event.get("daemon", ""), "event": ENDS_EVENT}
+
+    def note_missing(self, event: MutableMapping[str, Any]) -> None:
+        """Number a line, and add what is missing before it."""
+        self.lines += 1
+        event["line"] = self.lines
         if self.left_out:
             event["lines_left_out"] = self.left_out
             self.left_out = 0
-        return event
+        if self.ends_left_out:
+            event["ends_left_out"] = self.ends_left_out
+            self.ends_left_out = []
+        lost = self.count_lost()
+        if lost > self.lost:
+            event["lines_lost"] = lost - self.lost
+            self.lost = lost
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/sequoiawind/logs.py
+++ b/sequoiawind/logs.py
@@ -24,7 +24,7 @@
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     structlog.configure(
         processors=[
-            log_pipe.LogBudget(),
+            log_pipe.LogBudget(count_lost=lambda: pipe.lost),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/sequoiawind/open_work.py
+++ b/sequoiawind/open_work.py
@@ -35,4 +35,5 @@
         request_id=note.request_id,
         target=note.targets_tried[-1] if note.targets_tried else "",
         phase="answering" if forwarding.has_head else phase,
+        last_event=forwarding.last_event,
     )
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -258,6 +258,7 @@
             is_cut=is_cut(forwarding, failure),
             detail=failure.detail if failure else "",
             framing=answer.framing.value if answer else "",
+            last_event=forwarding.last_event,
             unfinished_bytes=len(attempt.splitter.rest) if attempt else 0,
             first_s=round(note.first_chunk_s - note.began_s, 4)
             if note.first_chunk_s >= 0.0
--- a/sequoiawind/stop_notes.py
+++ b/sequoiawind/stop_notes.py
@@ -44,6 +44,8 @@
     target: str = ""
     # What is being done with it: waiting, sent or answering.
     phase: str = ""
+    # Id of the last event that was sent to its caller; None before the first.
+    last_event: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -114,5 +116,6 @@
                 request_ids=[item.request_id for item in part],
                 targets=[item.target for item in part],
                 request_phases=[item.phase for item in part],
+                last_events=[item.last_event for item in part],
                 since_signal_s=round(self.phase.since_signal_s(), 3),
             )
