Red tests: stops that do not end by themselves; callers that take streams up

The soak of rolling stops counts each process that does not end by itself in its grace as a violation, has callers that take cut streams up at another router, forms with the record's own shape (`sparse`, short streams and little load, SIGHUP and a second SIGTERM beside stops), checks the order of events, and ends all its processes: a process that has just ended is no error.

--- a/tests/rolls_state.py
+++ b/tests/rolls_state.py
@@ -75,6 +75,15 @@
     # Range of the number of events of a stream.
     events: tuple[int, int] = (20, 300)
     event_bytes: int = 40
+    # Whether callers take up a cut stream at another router.
+    takes_up: bool = False
+    # Times that callers have for a request, in seconds.
+    deadlines_s: tuple[float, ...] = (15.0, 15.0, 6.0)
+    # Longest pause of a caller between two requests, in seconds.
+    rest_s: float = 0.5
+    # Shares of the SIGTERMs beside which SIGHUP, or SIGTERM again, is sent.
+    hups: float = 0.0
+    repeats: float = 0.0
 
 
 FORMS = {
@@ -91,6 +100,31 @@
     "slow-large": Form(slow=0.3, event_bytes=1_000, slow_bytes_per_s=30_000.0),
     "half-closed": Form(half_closed=0.2),
     "mixed": Form(weights_s=4.0, slots=10, slow=0.1, pauses=0.2),
+    # Short streams and little else, as in the records of Petra.
+    "sparse": Form(
+        callers=10,
+        events=(60, 90),
+        takes_up=True,
+        deadlines_s=(15.0, 15.0, 1.1),
+        rest_s=1.0,
+        gap_s=2.5,
+        round_s=14.0,
+        hups=0.3,
+        repeats=0.3,
+    ),
+    "taken-up": Form(takes_up=True, deadlines_s=(15.0, 6.0, 1.1), hups=0.2),
+    "taken-up-mixed": Form(
+        takes_up=True,
+        weights_s=4.0,
+        slots=10,
+        slow=0.2,
+        event_bytes=400,
+        pauses=0.2,
+        gap_s=1.0,
+        round_s=16.0,
+        hups=0.2,
+        repeats=0.2,
+    ),
 }
 
 
@@ -109,6 +143,22 @@
     ended_s: float = 0.0
     status: int = 0
     is_whole: bool = False
+    # The request that began its stream, if it takes one up, and the last event
+    # that its caller has got.
+    resumes: str = ""
+    last_event: int = 0
+    # Whether an event was missing, or came twice.
+    is_disordered: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Stop:
+    """How a router has ended after SIGTERM."""
+
+    router: str
+    seconds: float
+    # Its exit status; negative for the signal that has ended it.
+    status: int
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/soak_of_rolls.py
+++ b/tests/soak_of_rolls.py
@@ -3,15 +3,16 @@
 Six routers and nine engines with agents run as processes and in one event loop
 at addresses of their own.  Callers of several accounts use kept and new
 connections, bodies in chunks, halves, slow readers and pauses, as the form
-says.  Each stream that ends without a whole answer around the SIGTERM of its
-router is judged by the users' rule.  By hand:
+says; some take cut streams up at another router.  Each stream that ends without
+a whole answer around the SIGTERM of its router is judged by the users' rule,
+and each router must end by itself before SIGKILL.  By hand:
 `python -m tests.soak_of_rolls FORM FIRST_SEED COUNT`.
 """
 
 import asyncio
 import os
 import random
-import socket
+import signal
 import sys
 import tempfile
 import time
@@ -23,6 +24,7 @@
 
 from tests.model_engine import ModelEngine, Work
 from tests.platform_standin import Store, configuration
+from tests.rolls_caller import Caller
 from tests.rolls_state import (
     ACCOUNTS,
     AGENT,
@@ -37,8 +39,12 @@
     Form,
     Router,
     Sent,
+    Stop,
 )
 
+# Time by which SIGHUP or a further SIGTERM comes before or after SIGTERM.
+BESIDE_S = 0.3
+
 
 @attrs.define(kw_only=True, eq=False)
 class Roll:
@@ -58,7 +64,10 @@
     agents: dict[str, tuple[asyncio.subprocess.Process, str]] = attrs.field(
         factory=dict
     )
+    # All processes that may run, to be ended with the run.
+    processes: list[asyncio.subprocess.Process] = attrs.field(factory=list)
     requests: list[Sent] = attrs.field(factory=list)
+    stops: list[Stop] = attrs.field(factory=list)
     is_over: bool = False
     # First two numbers of the addresses of this run.
     net: str = attrs.field(factory=lambda: f"127.{20 + os.getpid() % 200}")
@@ -115,10 +124,11 @@
         self, program: str, name: str, settings: str
     ) -> asyncio.subprocess.Process:
         """Start a process; its output is kept in the folder."""
+        self.processes = [p for p in self.processes if p.returncode is None]
         file = self.folder / f"{name}.toml"
         file.write_text(settings)
         with file.with_suffix(".log").open("ab") as output:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 f"sequoiawind.{program}",
@@ -126,6 +136,8 @@
                 stdout=output,
                 stderr=output,
             )
+        self.processes.append(process)
+        return process
 
     def configure(self) -> None:
         """Write the configuration."""
@@ -160,17 +172,39 @@
             router.misses = 0 if is_ready else router.misses + 1
             await asyncio.sleep(1.0)
 
+    async def signal(self, router: Router, number: signal.Signals) -> None:
+        """Send a signal to a router, unless it has just ended."""
+        process = router.process
+        if process is not None and process.returncode is None:
+            with suppress(ProcessLookupError):
+                process.send_signal(number)
+
     async def stop(self, router: Router) -> None:
         """Stop a router, kill it if it does not end, and start it again."""
         process = router.process
         assert process is not None
-        router.stopped_s.append(time.monotonic())
-        process.terminate()
+        if self.random.random() < self.form.hups:
+            await self.signal(router, signal.SIGHUP)
+            await asyncio.sleep(self.random.uniform(0.0, BESIDE_S))
+        began_s = time.monotonic()
+        router.stopped_s.append(began_s)
+        await self.signal(router, signal.SIGTERM)
+        if self.random.random() < self.form.repeats:
+            await asyncio.sleep(self.random.uniform(0.0, BESIDE_S))
+            await self.signal(router, signal.SIGTERM)
         try:
-            await asyncio.wait_for(process.wait(), GRACE_S)
+            left_s = began_s + GRACE_S - time.monotonic()
+            await asyncio.wait_for(process.wait(), left_s)
         except TimeoutError:
-            process.kill()
+            with suppress(ProcessLookupError):
+                process.kill()
             await process.wait()
+        status = process.returncode
+        assert status is not None
+        seconds = time.monotonic() - began_s
+        self.stops.append(
+            Stop(router=router.name, seconds=seconds, status=status)
+        )
         text = router.settings.read_text()
         router.process = await self.spawn(
             "forward_router_main", router.name, text
@@ -181,7 +215,8 @@
         while self.form.stops_agents:
             for name in self.agents:
                 process, text = self.agents[name]
-                process.terminate()
+                with suppress(ProcessLookupError):
+                    process.terminate()
                 await process.wait()
                 process = await self.spawn("forward_agent_main", name, text)
                 self.agents[name] = process, text
@@ -220,16 +255,16 @@
             finally:
                 for task in tasks:
                     task.cancel()
-                for process in (
-                    *(process for process, _ in self.agents.values()),
-                    *(r.process for r in self.routers),
-                ):
+                await asyncio.gather(*tasks, return_exceptions=True)
+                for process in self.processes:
                     with suppress(ProcessLookupError):
                         process.kill()
-                        await process.wait()
+                    await process.wait()
 
     def verdict(self, sent: Sent) -> str:
         """Return how a request has ended, by the users' rule."""
+        if sent.is_disordered:
+            return "LOST order"
         if sent.is_whole:
             return f"{sent.status}"
         works = self.works[sent.name]
@@ -262,145 +297,12 @@
         ]
         return (
             f"{sent.name} {sent.route} {sent.shape} {sent.router} status"
-            f" {sent.status} end {sent.ended_s - sent.sent_s:.2f} stops"
+            f" {sent.status} resumes {sent.resumes or None} event"
+            f" {sent.last_event} end {sent.ended_s - sent.sent_s:.2f} stops"
             f" {stops} works {works}"
         )
 
 
-@attrs.define(kw_only=True, eq=False)
-class Caller:
-    """One caller, with a connection that it keeps."""
-
-    roll: Roll
-    number: int
-    random: "random.Random" = attrs.field(init=False)
-    count: int = 0
-
-    def __attrs_post_init__(self) -> None:
-        """Seed the choices."""
-        self.random = random.Random(f"{self.roll.seed}-{self.number}")
-
-    async def run(self) -> None:
-        """Send requests until the end."""
-        roll = self.roll
-        while not roll.is_over:
-            ready = [r for r in roll.routers if r.misses < 2] or roll.routers
-            router = self.random.choice(ready)
-            try:
-                pair = await self.connect(router)
-            except OSError:
-                await asyncio.sleep(0.1)
-                continue
-            uses = self.random.choice((1, 4, 20))
-            for _ in range(uses):
-                if roll.is_over or not await self.use(*pair, router):
-                    break
-                await asyncio.sleep(self.random.choice((0.0, 0.1, 0.5)))
-            with suppress(ConnectionError):
-                pair[1].close()
-
-    async def connect(
-        self, router: Router
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Open a connection; that of a slow reader has a small buffer."""
-        sock = socket.socket()
-        sock.setblocking(False)
-        if self.roll.form.slow:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(sock, (router.host, 8782))
-        return await asyncio.open_connection(sock=sock, limit=4_096)
-
-    async def use(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        router: Router,
-    ) -> bool:
-        """Send a request; return whether the connection may be used again."""
-        roll, form, choose = self.roll, self.roll.form, self.random
-        self.count += 1
-        route = choose.choice(("draft", "draft", "draft", "brief", "book"))
-        is_chunked = choose.random() < 0.4
-        shapes = {
-            "slow": choose.random() < form.slow and route != "book",
-            "half": choose.random() < form.halves,
-            "half-closed": choose.random() < form.half_closed,
-            "pause": choose.random() < form.pauses,
-            "chunked": is_chunked,
-        }
-        sent = Sent(
-            name=f"{self.number:x}-{self.count:x}",
-            route=route,
-            router=router.name,
-            shape=",".join(name for name, holds in shapes.items() if holds),
-            deadline_s=choose.choice((15.0, 15.0, 6.0)),
-        )
-        head = [
-            f"POST /{route}/x HTTP/1.1",
-            "Host: h.example",
-            f"Authorization: Token key-{choose.choice(ACCOUNTS)}",
-            f"Sequoiawind-Attempt-Id: {sent.name}",
-            f"Sequoiawind-Deadline-Ms: {int(sent.deadline_s * 1000)}",
-            "Transfer-Encoding: chunked" if is_chunked else "Content-Length: 4",
-        ]
-        if route != "book":
-            parts = f"aa{choose.randrange(12):x}:200,{self.count:x}:600"
-            head += [
-                "Sequoiawind-Model: m",
-                "Sequoiawind-Token-Count: 800,70",
-                f"Sequoiawind-Prompt-Prefix: {parts}",
-                f"X-Events: {choose.randint(*form.events)}",
-                f"X-Step-Ms: {choose.choice((4, 10, 30))}",
-                f"X-Event-Bytes: {form.event_bytes}",
-            ]
-            if shapes["pause"]:
-                head.append(f"X-Pause-Ms: {choose.choice((500, 1500, 3500))}")
-        body = "4\r\nbody\r\n0\r\n\r\n" if is_chunked else "body"
-        data = "\r\n".join([*head, "", body]).encode()
-        sent.began_s = time.monotonic()
-        try:
-            if shapes["half"]:
-                writer.write(data[:-3])
-                await asyncio.sleep(choose.uniform(0.0, 2.0))
-                writer.write(data[-3:])
-            else:
-                writer.write(data)
-            await writer.drain()
-            if shapes["half-closed"]:
-                writer.write_eof()
-        except ConnectionError:
-            return False
-        sent.sent_s = time.monotonic()
-        roll.requests.append(sent)
-        is_kept = False
-        with suppress(
-            asyncio.IncompleteReadError, ConnectionError, TimeoutError
-        ):
-            async with asyncio.timeout(sent.deadline_s + 1.0):
-                is_kept = await self.read(reader, sent, shapes["slow"])
-        sent.ended_s = time.monotonic()
-        return is_kept and not shapes["half-closed"]
-
-    async def read(
-        self, reader: asyncio.StreamReader, sent: Sent, is_slow: bool
-    ) -> bool:
-        """Read an answer; return whether the connection is kept."""
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-        sent.status = int(head[9:12])
-        if "chunked" in head:
-            while size := int(await reader.readuntil(b"\r\n"), 16):
-                await reader.readexactly(size + 2)
-                if is_slow:
-                    await asyncio.sleep(size / self.roll.form.slow_bytes_per_s)
-            await reader.readexactly(2)
-        else:
-            length = int(head.partition("content-length: ")[2].split()[0])
-            await reader.readexactly(length)
-        sent.is_whole = True
-        return "connection: close" not in head
-
-
 def run_seed(form: str, seed: int, folder: Path) -> Roll:
     """Play one seed; return the run."""
     roll = Roll(form=FORMS[form], seed=seed, folder=folder)
@@ -409,7 +311,11 @@
 
 
 def main() -> int:
-    """Play some seeds of a form; return 1 if any has lost an answer."""
+    """Play some seeds of a form.
+
+    Returns:
+      1 if any has lost an answer, or a router did not end by itself; else 0.
+    """
     form, first, count = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
     is_red = False
     for seed in range(first, first + count):
@@ -419,7 +325,16 @@
         moves: Counter[str] = Counter()
         for engine in roll.engines.values():
             moves.update(engine.moves)
+        ups = Counter(
+            roll.verdict(sent) for sent in roll.requests if sent.resumes
+        )
         print(f"{form} {seed}: {dict(counts)} moves {dict(moves)} {folder}")
+        slowest_s = max(stop.seconds for stop in roll.stops)
+        print(f"   taken up {dict(ups)} longest stop {slowest_s:.2f} s")
+        for stop in roll.stops:
+            if stop.status:
+                is_red = True
+                print(f"   ENDED {stop}", flush=True)
         for sent in roll.requests:
             if roll.verdict(sent).startswith("LOST"):
                 is_red = True
