Let no write to the log hold the event loop up

What callers see: streams stop in the middle and are cut when the router is killed; it does not handle SIGTERM, and no line of its log tells of it.

Cause: whether a pipe blocks is a property that all processes share which have inherited it. A router sets its standard output not to block once, at its start; a process that shares the pipe (a supervisor's shell, another program behind the same collector) may make it blocking again. Once the reader is away or slow, a write of a line waits for it, and the event loop with it.

Change: a pipe or terminal is opened anew through /proc/self/fd, so that the router has a description of its own; a socket is told with each write not to block; a file keeps its descriptor, with which its position is shared. Errors that Twisted reports went to standard error as well, which may block too; they go to the log alone.

Ruled out: files block only for the disk.

--- a/sequoiawind/log_pipe.py
+++ b/sequoiawind/log_pipe.py
@@ -7,8 +7,12 @@
 
 import os
 import select
+import socket
+import stat
 import time
 from collections.abc import Callable, MutableMapping
+from contextlib import suppress
+from functools import partial
 from typing import Any, Final
 
 import attrs
@@ -113,9 +117,15 @@
 
 @attrs.define(kw_only=True, eq=False)
 class LogPipe:
-    """Writes lines to a non-blocking file descriptor."""
+    """Writes lines to an output that does not block."""
 
     descriptor: int
+    # Writes a part of some bytes; returns its size.
+    write_part: Callable[[bytes], int] = attrs.field(
+        default=attrs.Factory(
+            lambda self: partial(os.write, self.descriptor), takes_self=True
+        )
+    )
     unwritten: bytes = b""
     # Number of lines dropped.
     lost: int = 0
@@ -139,7 +149,7 @@
         """Write the unwritten bytes, as far as the pipe has room."""
         try:
             while self.unwritten:
-                written = os.write(self.descriptor, self.unwritten)
+                written = self.write_part(self.unwritten)
                 self.unwritten = self.unwritten[written:]
         except BlockingIOError:
             # The pipe is full; the rest is written with a later line.
@@ -159,6 +169,32 @@
 
 
 def standard_output() -> LogPipe:
-    """Make standard output non-blocking and return a pipe to it."""
-    os.set_blocking(1, False)
-    return LogPipe(descriptor=1)
+    """Return a pipe to standard output that does not block."""
+    return output_to(1)
+
+
+def output_to(descriptor: int) -> LogPipe:
+    """Return a pipe to a descriptor that does not block.
+
+    Processes that share a descriptor share whether it blocks, and any of them
+    may change that.  So a pipe or a terminal is opened anew, and a socket is
+    told with each write.  A file does not block, and keeps its descriptor, with
+    which its position is shared.
+    """
+    mode = os.fstat(descriptor).st_mode
+    if stat.S_ISSOCK(mode):
+        with suppress(OSError):
+            connection = socket.socket(fileno=os.dup(descriptor))
+            options = socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL
+            return LogPipe(
+                descriptor=connection.fileno(),
+                write_part=lambda data: connection.send(data, options),
+            )
+    if stat.S_ISFIFO(mode) or stat.S_ISCHR(mode):
+        flags = os.O_WRONLY | os.O_NONBLOCK | os.O_NOCTTY
+        with suppress(OSError):
+            return LogPipe(
+                descriptor=os.open(f"/proc/self/fd/{descriptor}", flags)
+            )
+    os.set_blocking(descriptor, False)
+    return LogPipe(descriptor=descriptor)
--- a/sequoiawind/logs.py
+++ b/sequoiawind/logs.py
@@ -1,11 +1,12 @@
 """Structured logging of the daemons."""
 
 import atexit
+import functools
 import logging
 from typing import Any
 
 import structlog
-from twisted.logger import globalLogPublisher
+from twisted.logger import globalLogBeginner
 
 from sequoiawind import log_pipe
 from sequoiawind.options import LogsOptions
@@ -34,8 +35,17 @@
         logger_factory=structlog.PrintLoggerFactory(file=pipe),
         cache_logger_on_first_use=True,
     )
-    publisher: Any = globalLogPublisher
-    publisher.addObserver(log_failure)
+    report_failures()
+
+
+@functools.cache
+def report_failures() -> None:
+    """Log what Twisted reports, which it writes to standard error otherwise.
+
+    That may block, as this process does not read what it is connected to.
+    """
+    observer: Any = log_failure
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
 
 
 def log_failure(event: dict[str, Any]) -> None:
--- a/tests/test_log_pipe.py
+++ b/tests/test_log_pipe.py
@@ -1,10 +1,13 @@
 """Log output at a high rate of lines, and with a reader that stops."""
 
 import os
+import socket
+import tempfile
 
 import structlog
 from testtools import TestCase
 
+from sequoiawind import log_pipe
 from sequoiawind.log_pipe import BURST_LINES, LINES_PER_S, LogBudget, LogPipe
 
 
@@ -60,6 +63,30 @@
         lines = received.split(b"\n")
         self.assertEqual({b"x" * 99}, set(lines[:-2]))
 
+    def test_output_does_not_block_whatever_others_do_to_it(self) -> None:
+        """Guards against a write to the log that holds the process up."""
+        for reader, writer in (os.pipe(), self.socket_pair()):
+            self.addCleanup(os.close, reader)
+            self.addCleanup(os.close, writer)
+            pipe = log_pipe.output_to(writer)
+            os.set_blocking(writer, True)
+            for _ in range(10_000):
+                pipe.write("x" * 99 + "\n")
+            self.assertTrue(pipe.lost > 0)
+
+    def socket_pair(self) -> tuple[int, int]:
+        """Return the descriptors of two connected sockets."""
+        pair = socket.socketpair()
+        return pair[0].detach(), pair[1].detach()
+
+    def test_file_keeps_its_position(self) -> None:
+        with tempfile.TemporaryFile() as file:
+            file.write(b"before\n")
+            file.flush()
+            log_pipe.output_to(file.fileno()).write("line\n")
+            file.seek(0)
+            self.assertEqual(b"before\nline\n", file.read())
+
     def test_closed_pipe_raises_no_error(self) -> None:
         reader, writer = os.pipe()
         os.close(reader)
