End a stop shortly after the end of all work, whoever reads slowly

What callers see: a router that has ended all work at 7.5 s of its stop goes on, is killed at 8 s, and what is open then is cut without a line in the log.

Cause: after its last answers the stop waited until every caller had taken all that was written (StagedCloser.is_idle), though that was to be left to the kernel. A caller that reads slowly held it for up to its linger time, 3 s.

Change: 0.1 s after the end of all work (0.015 of the time for it) the process ends in any case.

Ruled out: reading out what has arrived before the close; the closes in stages do so already, and a test without it passes.

--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -20,6 +20,9 @@
 # seconds, and at most as a share of the time for work.
 FLUSH_MARGIN_S: Final = 0.5
 FLUSH_MARGIN_SHARE: Final = 0.1
+# Time after the end of all work for which a process still waits until it is
+# idle, as a share of the time for work: its last answers are written meanwhile.
+LAST_WAIT_SHARE: Final = 0.015
 # Time after the end of all work at which a process that has not ended writes
 # its call stacks, in seconds.
 STACKS_DELAY_S: Final = 0.35
@@ -150,6 +153,11 @@
         """Time left until all work must have ended, in seconds."""
         return self.work_s() - self.since_signal_s
 
+    @property
+    def last_wait_s(self) -> float:
+        """For how long to wait for idleness after the end of work, in s."""
+        return LAST_WAIT_SHARE * self.work_s()
+
     @property
     def flush_margin_s(self) -> float:
         """Time before the end of work at which to flush, in seconds."""
@@ -173,7 +181,11 @@
         self.stop_when_idle()
 
     def stop_when_idle(self) -> None:
-        """Stop the daemon as soon as no work is in flight; end it in time."""
+        """Stop the daemon as soon as no work is in flight; end it in time.
+
+        Shortly after the end of all work it stops in any case: what callers
+        have not taken by then is left to the kernel, which delivers it.
+        """
         if self.is_idle():
             # The last answers must still be written to their sockets.
             event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_if_idle)
@@ -184,6 +196,9 @@
         if not self.has_ended_work and self.work_left_s <= 0.0:
             self.has_ended_work = self.phase.has_ended_work = True
             self.on_ending()
+        elif self.has_ended_work and self.work_left_s <= -self.last_wait_s:
+            self.lifecycle.idle()
+            return
         event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_when_idle)
 
     def stop_if_idle(self) -> None:
--- a/tests/test_stop_ends_by_itself.py
+++ b/tests/test_stop_ends_by_itself.py
@@ -100,16 +100,32 @@
     """Real processes."""
 
     def test_stop_does_not_wait_for_a_caller_that_reads_slowly(self) -> None:
+        self.check_slow_reader(b"")
+
+    def test_answer_is_whole_though_its_caller_has_sent_on(self) -> None:
+        """Bytes that the router has not read would reset the connection."""
+        more = Request(name="q2", route="draft")
+        self.check_slow_reader(more.head + more.body)
+
+    def check_slow_reader(self, behind: bytes) -> None:
+        """Check that a process ends in time, and its answer arrives whole.
+
+        Args:
+          behind: What the caller sends after its request.
+        """
         with ExitStack() as stack:
             rig = Rig.start(stack)
-            found = asyncio.run(self.read_slowly(rig.router))
+            found = asyncio.run(self.read_slowly(rig.router, behind))
             self.assertEqual(b"200", found[9:12])
-            self.assertTrue(found.endswith(b"\r\n0\r\n\r\n"), len(found))
+            whole, end, rest = found.partition(b"\r\n0\r\n\r\n")
+            self.assertNotEqual(b"", end, len(whole))
+            # What was sent behind the request may be refused.
+            self.assertTrue(rest.startswith(b"HTTP/1.1 503 ") or not rest)
             lines = map(json.loads, rig.router.log.read_text().splitlines())
             (stopped,) = [line for line in lines if line["event"] == "stopped"]
             self.assertTrue(stopped["since_signal_s"] < GRACE_S, stopped)
 
-    async def read_slowly(self, router: RouterProcess) -> bytes:
+    async def read_slowly(self, router: RouterProcess, behind: bytes) -> bytes:
         """Read until the process has ended, and only then to the end."""
         await router.wait_until(is_ready=True)
         with socket.socket() as slow:
@@ -120,6 +136,7 @@
             request = Request(name="q1", route="draft")
             slow.sendall(request.head + request.body)
             found = slow.recv(READ_BYTES)
+            slow.sendall(behind)
             router.process.terminate()
             while router.process.poll() is None:
                 part = slow.recv(READ_BYTES)
