Handle one request of a connection in a turn at the OpenAI interface

What callers see: ordinary requests get no answer while a few connections send thousands of requests ahead that are answered at once.

Cause: twisted.web goes on with the next request of a connection as soon as one has been answered, within the same turn of the event loop, so that one read of a connection is handled to its end before any other connection is served.

Change: the next request of a connection is parsed in a later turn, and not before its answers are taken; nothing more is read meanwhile.

--- a/sequoiawind/http_server.py
+++ b/sequoiawind/http_server.py
@@ -122,12 +122,15 @@
 
     site: Any
     transport: Any
+    _networkProducer: Any  # noqa: N815
     # Whether the close has begun; what arrives is then no longer parsed.
     is_closing: bool = False
     # Whether no request was read or answered for too long.
     is_timed_out: bool = False
     # Id of the request that was passed on last; empty for none.
     last_request_id: str = ""
+    # Whether the rest of what has arrived is parsed in a later turn.
+    is_yielding: bool = False
 
     def __init__(self) -> None:
         """Set up the channel."""
@@ -164,6 +167,33 @@
             self.transport.write(refusal(HEADER_FIELDS_TOO_LARGE))
             self.loseConnection()
 
+    def requestDone(self, request: http.Request) -> None:  # noqa: N802
+        """Handle the next request in a later turn of the event loop.
+
+        A connection may bring thousands of requests that are answered at once.
+        """
+        self.is_yielding = self.paused = True
+        http.HTTPChannel.requestDone(self, request)
+        if self.is_closing:
+            return
+        # What is there is parsed before more is read.
+        self._networkProducer.pauseProducing()
+        reactor.callLater(0, self.go_on)
+
+    def go_on(self) -> None:
+        """Parse the next request, unless the answers are not being taken."""
+        if not self.is_yielding or self.is_closing or self._waitingForTransport:
+            return
+        self.is_yielding = self.paused = False
+        self._networkProducer.resumeProducing()
+        receive: Any = self.dataReceived
+        receive(b"")
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on, as the answers are taken again."""
+        http.HTTPChannel.resumeProducing(self)
+        self.go_on()
+
     def timeoutConnection(self) -> None:  # noqa: N802
         """Close a connection on which nothing has arrived for too long."""
         self.is_timed_out = True
