Log how old the weights were on which a request began

A request's line has the version of its last target now, and for how long newer ones had been named when its first event arrived, by this router's knowledge. New outer names: weights, old_weights_s.

--- a/sequoiawind/allowed_weights.py
+++ b/sequoiawind/allowed_weights.py
@@ -54,6 +54,19 @@
             default=0,
         )
 
+    def replaced_for_s(self, model: str, version: int) -> float:
+        """Return since when newer weights than a version are named.
+
+        Returns:
+          The time in seconds; -1 if the version is the newest one.
+        """
+        newer = [
+            item.named_s
+            for item in self.named.get(model, ())
+            if item.version > version
+        ]
+        return self.clock.seconds() - min(newer) if newer else -1.0
+
     def version_named(self, model: str, version: int, is_late: bool) -> None:
         """Record that an operator has named newer weights.
 
--- a/sequoiawind/router_notes.py
+++ b/sequoiawind/router_notes.py
@@ -245,6 +245,8 @@
             config_age_s=round(min(self.freshness.age_s, 1e6), 3),
             targets=note.targets_tried,
             software=attempt.view.target.software if attempt else "",
+            weights=attempt.chosen.version if attempt else None,
+            old_weights_s=old_weights_s(forwarding),
             resumes=plan.request.resumes,
             prompt_tokens=note.prompt_tokens,
             cached_tokens=note.cached_tokens,
@@ -293,6 +295,24 @@
     return round(forwarding.note.ended_s - attempt.ended_s, 4)
 
 
+def old_weights_s(forwarding: Forwarding) -> float:
+    """Return for how long a request's weights had been replaced as it began.
+
+    Returns:
+      The time in seconds until its last target's first event; -1 if there was
+      none, or no newer weights were named by then.
+    """
+    attempt, prompt = forwarding.current, forwarding.plan.request.prompt
+    if attempt is None or prompt is None or not attempt.has_event:
+        return -1.0
+    if attempt.chosen.version is None:
+        return -1.0
+    weights = forwarding.forwarder.weights
+    replaced_s = weights.replaced_for_s(prompt.model, attempt.chosen.version)
+    begun_s = replaced_s - (forwarding.now_s - attempt.first_event_s)
+    return round(begun_s, 3) if begun_s >= 0.0 else -1.0
+
+
 def is_cut(forwarding: Forwarding, failure: Failure | None) -> bool:
     """Whether this router ended an answer before its end."""
     if failure is None or failure.reason is Reason.CANCELLED:
