Withdraw requests that wait on weights which are too old

What callers and operators see: requests run on weights that were replaced more than the time allowed ago (VERSION).

Cause: a router sends a request to older weights for 0.75 of that time, 0.5 where requests wait, and nothing follows it after that. It may wait at its target for longer than the rest: an order is carried out late, loads slow each other down, the queue grows, or the status by which the router knows of a queue is old as the agent is lost.

Change: at 0.9 of the time a router withdraws the attempts on older weights that have not begun, also silent ones, and sends the requests again if they may be; one that may not be repeated ends with a failure that may have run. The withdrawal for changed scopes is the same code now. The routers' times follow the settings; the soak of the forwarding plays it.

--- a/sequoiawind/allowed_weights.py
+++ b/sequoiawind/allowed_weights.py
@@ -13,6 +13,9 @@
 OLD_WEIGHTS_SHARE: Final = 0.75
 # The same share at a target where requests wait, for the time in its queue.
 QUEUED_SHARE: Final = 0.5
+# Share of the time after which a request that has not begun on older weights is
+# withdrawn; the rest is for the news of the weights on its way to the router.
+WITHDRAW_SHARE: Final = 0.9
 # Share of the grace period after a router's start for which it accepts older
 # weights; the rest is for queues at the targets.
 SETTLE_SHARE: Final = 0.6
@@ -43,17 +46,38 @@
           model: The model.
           is_queued: Whether requests wait at the target.
         """
-        share = QUEUED_SHARE if is_queued else OLD_WEIGHTS_SHARE
-        due_s = self.clock.seconds() - self.weights_s * share
+        return self.oldest_after(
+            model, QUEUED_SHARE if is_queued else OLD_WEIGHTS_SHARE
+        )
+
+    def oldest_begun(self, model: str) -> int:
+        """Return the oldest version on which a waiting request may begin."""
+        return self.oldest_after(model, WITHDRAW_SHARE)
+
+    def oldest_after(self, model: str, share: float) -> int:
+        """Return the newest version named more than a share of the time ago."""
+        now_s = self.clock.seconds()
         return max(
             (
                 item.version
                 for item in self.named.get(model, ())
-                if item.named_s < due_s
+                if item.named_s + self.weights_s * share <= now_s
             ),
             default=0,
         )
 
+    def next_withdrawal_s(self) -> float | None:
+        """Return when `oldest_begun` rises next, in seconds; None if never."""
+        now_s = self.clock.seconds()
+        due_s = [
+            item.named_s + self.weights_s * WITHDRAW_SHARE
+            for named in self.named.values()
+            for item in named
+        ]
+        return min(
+            (at_s - now_s for at_s in due_s if at_s > now_s), default=None
+        )
+
     def replaced_for_s(self, model: str, version: int) -> float:
         """Return since when newer weights than a version are named.
 
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -36,7 +36,7 @@
 from sequoiawind.platform import codec, names
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.platform.targets import decode_target
-from sequoiawind.status_watcher import STATUS_PATH, STATUS_WAIT_S, AgentClient
+from sequoiawind.status_watcher import STATUS_PATH, STATUS_WAIT_S
 from sequoiawind.wire import TargetStatus
 
 # How long the store may wait for a change before it answers, in seconds, and
@@ -89,12 +89,7 @@
             clock=event_loop.reactor,
             fleet=self.fleet,
             log=self.log,
-            peers=AgentClient(
-                client=self.client,
-                agent_port=options.node.agent_port,
-                timeout_s=PEER_ANSWER_S,
-                log=self.log,
-            ),
+            peers=self.make_agents(PEER_ANSWER_S),
             weights_s=options.bounds.weights_ms / 1000,
             on_order=lambda outcome: self.metrics.orders.labels(outcome).inc(),
             on_status=self.publish_status,
--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -31,6 +31,7 @@
 from sequoiawind.relay_choice import agent_address, relays_for
 from sequoiawind.settings_follower import SettingsFollower
 from sequoiawind.staged_close import StagedCloser
+from sequoiawind.status_watcher import AgentClient
 
 Logger = structlog.typing.FilteringBoundLogger
 S = TypeVar("S", ForwardRouterSettings, ForwardAgentSettings)
@@ -152,6 +153,21 @@
             ]
         return self.known_relays
 
+    def make_agents(self, timeout_s: float, router: str = "") -> AgentClient:
+        """Return the client for the agents' statuses.
+
+        Args:
+          timeout_s: Time allowed for an answer, in seconds.
+          router: Name of this process, if it is a router.
+        """
+        return AgentClient(
+            router=router,
+            client=self.client,
+            agent_port=self.options.node.agent_port,
+            timeout_s=timeout_s,
+            log=self.log,
+        )
+
     def settings_follower(self, file: str) -> SettingsFollower[S]:
         """Return the controller that follows the settings file."""
         return SettingsFollower(
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -44,12 +44,9 @@
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.router_notes import RouterNotes
 from sequoiawind.scope_changes import ScopeChanges
-from sequoiawind.status_watcher import (
-    STATUS_WAIT_S,
-    AgentClient,
-    StatusWatcher,
-)
+from sequoiawind.status_watcher import STATUS_WAIT_S, StatusWatcher
 from sequoiawind.target_probes import TargetProbes
+from sequoiawind.weights_changes import WeightsChanges
 from sequoiawind.weights_holder import WeightsHolder
 
 # Share of the revocation bound for which the store may wait for a change before
@@ -75,9 +72,9 @@
 # The same until a relay has answered: when all VMs start, the targets register
 # one after the other.
 START_READ_PAUSE_S: Final = 1.5
-# Time allowed for an agent's answer, in seconds, beyond the time for which the
-# agent may wait for a change.
-STATUS_ANSWER_S: Final = 0.5
+# Time allowed for an agent's answer, in seconds: half a second beyond the time
+# for which the agent may wait for a change.
+STATUS_TIMEOUT_S: Final = STATUS_WAIT_S + 0.5
 
 
 @attrs.define(kw_only=True)
@@ -91,6 +88,7 @@
     forwarder: Forwarder = attrs.field(init=False)
     watcher: StatusWatcher = attrs.field(init=False)
     scopes: ScopeChanges = attrs.field(init=False)
+    weights: WeightsChanges = attrs.field(init=False)
     limits: LimitsInForce = attrs.field(init=False)
     site: CallerSite = attrs.field(init=False)
     feed: FeedClient = attrs.field(init=False)
@@ -127,6 +125,9 @@
             clock=event_loop.reactor,
             in_force_s=lambda: self.freshness.in_force_s,
         )
+        self.weights = WeightsChanges(
+            forwarder=self.forwarder, clock=event_loop.reactor
+        )
         load = self.forwarder.load
         if load.limits is not None:
             load.limits.on_share_change = self.notes.note_share
@@ -226,7 +227,7 @@
                 event_loop.reactor.seconds(),
             ),
             probes=TargetProbes(
-                port=self.make_agents(),
+                port=self.make_agents(STATUS_TIMEOUT_S, self.options.node.name),
                 fleet=self.fleet,
                 clock=event_loop.reactor,
             ),
@@ -241,21 +242,11 @@
             on_attempt_failed=notes.note_attempt_failed,
         )
 
-    def make_agents(self) -> AgentClient:
-        """Return the client for the agents' statuses."""
-        return AgentClient(
-            router=self.options.node.name,
-            client=self.client,
-            agent_port=self.options.node.agent_port,
-            timeout_s=STATUS_WAIT_S + STATUS_ANSWER_S,
-            log=self.log,
-        )
-
     def make_watcher(self) -> StatusWatcher:
         """Return the controller that polls the agents for their status."""
         return StatusWatcher(
             fleet=self.fleet,
-            agents=self.make_agents(),
+            agents=self.make_agents(STATUS_TIMEOUT_S, self.options.node.name),
             clock=event_loop.reactor,
             random=self.random,
             log=self.log,
@@ -371,7 +362,7 @@
             log=self.log,
             freshness=self.freshness,
             may_confirm=self.may_trust_records,
-            on_weights=self.forwarder.weights.version_named,
+            on_weights=self.weights.named,
             on_config=self.config_changed,
             on_confirmed=self.check_prepared,
         )
@@ -495,3 +486,4 @@
         window.ratio = bounds.repeat_ratio
         window.allowance = bounds.repeat_allowance
         window.window_s = bounds.repeat_window_s
+        self.weights.bounds_changed()
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -43,6 +43,7 @@
     AgentClient,
     StatusWatcher,
 )
+from sequoiawind.weights_changes import WeightsChanges
 from sequoiawind.wire import TargetStatus
 
 WEIGHTS_S: Final = 6.0
@@ -221,7 +222,7 @@
             codec=self.codec(),
             log=self.log,
             freshness=freshness,
-            on_weights=forwarder.weights.version_named,
+            on_weights=WeightsChanges(forwarder=forwarder, clock=clock).named,
         )
 
         def changed() -> None:
--- a/sequoiawind/messages.py
+++ b/sequoiawind/messages.py
@@ -33,6 +33,7 @@
 SCOPE_CHANGED: Final = (
     "the accounts that share cached prompts have changed since it was sent"
 )
+WEIGHTS_REPLACED: Final = "it waited until its target's weights were too old"
 DRAINING: Final = "the target is draining"
 SHUTTING_DOWN: Final = "the daemon is shutting down"
 WRONG_WEIGHTS: Final = "the target serves a different version of the weights"
--- a/sequoiawind/scope_changes.py
+++ b/sequoiawind/scope_changes.py
@@ -16,6 +16,7 @@
 from sequoiawind.forwarder import Forwarder
 from sequoiawind.ports import Clock
 from sequoiawind.verdict import Reason, may_have_run
+from sequoiawind.withdrawal import withdraw
 
 if TYPE_CHECKING:
     from sequoiawind.forward_attempt import ForwardAttempt
@@ -47,36 +48,12 @@
 
     def withdraw_all(self) -> None:
         """Withdraw what waits at targets under an outdated salt."""
+        why = may_have_run(Reason.SCOPE_CHANGED, messages.SCOPE_CHANGED)
         for forwarding in list(self.forwarder.open):
-            withdraw(forwarding)
-
-
-def withdraw(forwarding: "Forwarding") -> None:
-    """Withdraw the attempts of a request that are outdated and not begun."""
-    kept = forwarding.silence.kept
-    outdated = [item for item in kept if is_outdated(forwarding, item)]
-    for attempt in outdated:
-        kept.remove(attempt)
-        attempt.cancel()
-    current = forwarding.current
-    if current is None or not is_outdated(forwarding, current):
-        return
-    current.cancel()
-    failure = may_have_run(Reason.SCOPE_CHANGED, messages.SCOPE_CHANGED)
-    forwarding.forwarder.on_attempt_failed(forwarding, current, failure)
-    forwarding.last_failure = failure
-    forwarding.record_verdict(failure)
-    forwarding.attempts.use()
-    if forwarding.has_head:
-        forwarding.tried.withdrawn(current.view.target.name)
-    if not forwarding.silence.lost(current):
-        # Ends the request if it may not be repeated.
-        forwarding.next_target()
+            withdraw(forwarding, is_outdated, why)
 
 
 def is_outdated(forwarding: "Forwarding", attempt: "ForwardAttempt") -> bool:
-    """Whether an attempt has not begun to answer, and its salt is outdated."""
-    if attempt.is_over or attempt.answer is not None:
-        return False
+    """Whether the salt of an attempt is outdated."""
     salted = forwarding.forwarder.salted(forwarding.plan, attempt.chosen)
     return salted.salt != attempt.chosen.salt
--- a/sequoiawind/verdict.py
+++ b/sequoiawind/verdict.py
@@ -49,6 +49,7 @@
     NO_CONFIGURATION = "no_configuration"
     CONFIG_STALE = "config_stale"
     SCOPE_CHANGED = "scope_changed"
+    WEIGHTS_REPLACED = "weights_replaced"
     NO_TARGET = "no_target"
     NO_TARGET_IN_TIME = "no_target_in_time"
     TARGET_BUSY = "target_busy"
