Answer one more request on a connection whose answer announced no close

Cause: the head of the stream's answer had left before SIGTERM, so it could not announce the close, and the connection was closed right after the answer.

Change: such a connection stays open until it has carried one answer that announces the close: served if it ends in time, else refused as not run. An idle connection does not hold the stop; the last ones are closed in stages when nothing is in progress. A connection whose answer was broken off counts as lost at once. The cause 'unannounced' of connection_ends, in the log and the metric, is gone: dashboards that show it show nothing now.

Weighed: the stop lasts as long as the request that it takes, which ends before all work is ended; what is refused is answered at once.

--- a/sequoiawind/connection_ends.py
+++ b/sequoiawind/connection_ends.py
@@ -26,8 +26,6 @@
     REFUSED = "refused"
     # The last answer has announced the close.
     ANSWERED = "answered"
-    # The process shuts down; the last answer has not announced the close.
-    UNANNOUNCED = "unannounced"
     # An answer was broken off.
     BROKEN_OFF = "broken_off"
     # The parser takes no further request.
@@ -128,8 +126,7 @@
 
     def answered(self) -> None:
         """Report a close after an answer."""
-        is_open = self.connection.http.our_state is h11.DONE
-        self.ended(Cause.UNANNOUNCED if is_open else Cause.ANSWERED)
+        self.ended(Cause.ANSWERED)
 
     def stalled(self, caller: StalledCaller) -> None:
         """Report a caller that took nothing, maybe during the close."""
--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -58,6 +58,8 @@
     balancer_wait_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     # Returns the time between the signal and the end of all work, in seconds.
     work_s: Callable[[], float] = attrs.field(default=lambda: float("inf"))
+    # Called when no work is in flight, before the daemon stops.
+    on_idle: Callable[[], None] = attrs.field(default=lambda: None)
     # Called shortly before that time, if work is in flight then.
     on_flushing: Callable[[], None] = attrs.field(default=lambda: None)
     # Called once that time has passed, if work is in flight then.
@@ -187,6 +189,7 @@
         have not taken by then is left to the kernel, which delivers it.
         """
         if self.is_idle():
+            self.on_idle()
             # The last answers must still be written to their sockets.
             event_loop.reactor.callLater(IDLE_CHECK_S, self.stop_if_idle)
             return
--- a/sequoiawind/end_notes.py
+++ b/sequoiawind/end_notes.py
@@ -20,15 +20,12 @@
         Cause.REFUSED,
         Cause.CALLER_LEFT,
         Cause.ANSWERED,
-        Cause.UNANNOUNCED,
         Cause.DISCARDED,
         Cause.RESET,
     }
 )
 # Ends that are logged although no request is on the connection.
-LOGGED_CAUSES: Final = frozenset(
-    {Cause.UNANNOUNCED, Cause.DISCARDED, Cause.UNTAKEN}
-)
+LOGGED_CAUSES: Final = frozenset({Cause.DISCARDED, Cause.UNTAKEN})
 # What the event loop reports when it ends connections, too.
 LOST_CAUSES: Final = frozenset({Cause.CALLER_LEFT, Cause.RESET})
 # Longest request id in a line.
--- a/sequoiawind/forward_router_main.py
+++ b/sequoiawind/forward_router_main.py
@@ -41,6 +41,7 @@
         balancer_wait_s=lambda: shutdown.leave_s,
         work_s=lambda: shutdown.work_s,
         on_flushing=program.site.flush,
+        on_idle=program.site.close_idle,
         on_ending=shutdown.end_requests,
         on_step=notes.note,
     )
--- a/sequoiawind/http1_server.py
+++ b/sequoiawind/http1_server.py
@@ -322,12 +322,11 @@
     def must_close(self) -> bool:
         """Whether the connection closes after the answer that has ended.
 
-        While the site is closing, a request that has arrived completely is
-        still answered, unless the answer has announced the close.
+        While the site is closing, one more request is answered if this answer
+        has not announced the close: its caller may already be sending it, and
+        could not tell whether it was run.
         """
-        if self.http.our_state is not h11.DONE:
-            return True
-        return self.site.is_closing and not self.http.has_whole_request
+        return self.http.our_state is not h11.DONE
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer, a small one in one write."""
@@ -447,7 +446,6 @@
     def close(self, cause: Cause = Cause.IDLE) -> None:
         """Close the idle connection."""
         self.life.ended(cause)
-        self.is_lost = True
         self.lose()
 
     def drain(self) -> None:
@@ -457,6 +455,7 @@
 
     def lose(self) -> None:
         """Close the connection once what was written has been sent."""
+        self.is_lost = True
         self.output.end()
         self.transport.loseConnection()
 
--- a/tests/test_late_in_shutdown.py
+++ b/tests/test_late_in_shutdown.py
@@ -90,6 +90,7 @@
             on_draining=self.shutdown.drain,
             balancer_wait_s=lambda: self.shutdown.leave_s,
             work_s=lambda: self.shutdown.work_s,
+            on_idle=self.site.close_idle,
             on_ending=self.shutdown.end_requests,
             age_clock=lambda: clock.seconds() + self.suspended_s,
         )
