Move no run to a target whose weights are too old

What operators see: a request that goes on at another target runs there on weights that were replaced more than the time allowed ago (VERSION).

Cause: a run is moved to a target with the same weights, however long ago newer ones were named; the order of the source was late, and so was that of the destination.

Change: where no request may begin on the weights any more, a run is not moved. It goes on where it is, and its target's load waits for it.

--- a/sequoiawind/forward_placement.py
+++ b/sequoiawind/forward_placement.py
@@ -179,11 +179,13 @@
 
         Returns:
           The ready target with the least backlog, without a salt; None if there
-          is none.
+          is none, or if nothing may begin on these weights any more.
         """
         plan, prompt = forwarding.plan, forwarding.plan.request.prompt
         if prompt is None or chosen.version is None:
             return None
+        if chosen.version < self.weights.oldest_begun(prompt.model):
+            return None
         ready = self.fleet.ready(plan.pool.name, self.clock.seconds())
         able = [
             view
--- a/tests/test_old_weights_in_queues.py
+++ b/tests/test_old_weights_in_queues.py
@@ -6,12 +6,15 @@
 
 from testtools import TestCase
 
+from sequoiawind.forward_state import ForwardPool
+from sequoiawind.stream_move import move_away
 from sequoiawind.verdict import Reason, Verdict, may_have_run
 from sequoiawind.weights_changes import WeightsChanges
-from tests.forward_rig import FakeCaller, ForwardRig, Sent, target
+from tests.forward_rig import FakeCaller, ForwardRig, Sent, state, target
 from tests.test_accepted_requests import event
 
 LOST = may_have_run(Reason.CONNECTION_LOST, "lost")
+MOVING = {"llm": ForwardPool(name="llm", models=("m",), has_moves=True)}
 # Time in which all targets must have newly named weights, in seconds; the rig's
 # routes end requests after 5 s.
 WEIGHTS_S = 3.0
@@ -136,3 +139,16 @@
         self.assertTrue(self.is_over(self.sent[1]))
         self.assertFalse(caller.is_broken)
         self.assertEqual(2, self.sent[-1].order.version)
+
+    def test_run_is_not_moved_to_weights_that_are_too_old(self) -> None:
+        """At the destination it begins anew, by what the platform counts."""
+        self.router.configure(state(2, pools=MOVING))
+        self.router.add(target("e3", "llm"))
+        self.router.submit("draft")
+        self.sent[0].begin(200, event(1))
+        (forwarding,) = self.router.forwarder.open
+        self.weights.named("m", 2, is_late=False)
+        self.router.advance(WEIGHTS_S)
+        move_away(forwarding)
+        self.assertEqual([], self.router.port.moves)
+        self.assertFalse(self.is_over(self.sent[0]))
