--- a/sequoiawind/log_pipe.py
+++ b/sequoiawind/log_pipe.py
@@ -36,6 +36,8 @@
 ENDS_EVENT: Final = "requests ended"
 # Requests that the latter names; together they take less than one `request`.
 MAX_NAMED_ENDS: Final = 20
+# Longest request id in it, as callers choose them.
+MAX_ID_CHARACTERS: Final = 40
 
 
 @attrs.define(kw_only=True)
@@ -93,8 +95,8 @@
         """
         self.left_out += 1
         if event.get("event") == REQUEST_EVENT:
-            end = f"{event.get('request_id')} {event.get('verdict')}"
-            self.ends_left_out.append(end)
+            request_id = str(event.get("request_id"))[:MAX_ID_CHARACTERS]
+            self.ends_left_out.append(f"{request_id} {event.get('verdict')}")
         if len(self.ends_left_out) < MAX_NAMED_ENDS:
             raise structlog.DropEvent
         return {"daemon": event.get("daemon", ""), "event": ENDS_EVENT}
