--- a/sequoiawind/daemon.py
+++ b/sequoiawind/daemon.py
@@ -24,8 +24,10 @@
 # idle, as a share of the time for work: its last answers are written meanwhile.
 LAST_WAIT_SHARE: Final = 0.015
 # Time after the end of all work at which a process that has not ended writes
-# its call stacks, in seconds.
+# its call stacks, in seconds, and at most as a share of the time for work: most
+# of the time that is left until SIGKILL.
 STACKS_DELAY_S: Final = 0.35
+STACKS_DELAY_SHARE: Final = 0.075
 
 
 def work_time_s(grace_s: float) -> float:
@@ -101,7 +103,9 @@
         """Note a signal to stop; the event loop handles it when it can."""
         if not self.is_signalled:
             self.is_signalled = True
-            held_up.write_stacks_after(self.work_s() + STACKS_DELAY_S)
+            work_s = self.work_s()
+            delay_s = min(STACKS_DELAY_S, STACKS_DELAY_SHARE * work_s)
+            held_up.write_stacks_after(work_s + delay_s)
         event_loop.reactor.callFromThread(
             self.leave, Step(signal.Signals(number).name), self.age_clock()
         )
