--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -89,7 +89,7 @@
             clock=event_loop.reactor,
             fleet=self.fleet,
             log=self.log,
-            peers=self.make_agents(PEER_ANSWER_S),
+            peers=self.make_agent_client(PEER_ANSWER_S),
             weights_s=options.bounds.weights_ms / 1000,
             on_order=lambda outcome: self.metrics.orders.labels(outcome).inc(),
             on_status=self.publish_status,
--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -153,7 +153,9 @@
             ]
         return self.known_relays
 
-    def make_agents(self, timeout_s: float, router: str = "") -> AgentClient:
+    def make_agent_client(
+        self, timeout_s: float, router: str = ""
+    ) -> AgentClient:
         """Return the client for the agents' statuses.
 
         Args:
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -227,7 +227,9 @@
                 event_loop.reactor.seconds(),
             ),
             probes=TargetProbes(
-                port=self.make_agents(STATUS_TIMEOUT_S, self.options.node.name),
+                port=self.make_agent_client(
+                    STATUS_TIMEOUT_S, self.options.node.name
+                ),
                 fleet=self.fleet,
                 clock=event_loop.reactor,
             ),
@@ -246,7 +248,9 @@
         """Return the controller that polls the agents for their status."""
         return StatusWatcher(
             fleet=self.fleet,
-            agents=self.make_agents(STATUS_TIMEOUT_S, self.options.node.name),
+            agents=self.make_agent_client(
+                STATUS_TIMEOUT_S, self.options.node.name
+            ),
             clock=event_loop.reactor,
             random=self.random,
             log=self.log,
