Soak of stops: judge a cut by the work of each target

Cause: the soak kept one time for each request, the end of the target that wrote last. Where a silent target is kept beside another one, the end of one attempt hid that the other was still at work, which the users' rule excuses.

Change: each target's work has its own times; a cut is excused if one of them was at work in the last part of the grace. No bound has moved.

--- a/tests/soak_of_stops.py
+++ b/tests/soak_of_stops.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -222,12 +223,15 @@
         """
         soak = self.soak
         stopped_s = soak.stopped_s.get(port, float("nan"))
-        times_s = (
-            sent.ended_s,
-            soak.worked_s.get(sent.name, float("nan")),
-            time.monotonic(),
+        works = [
+            f"{work.target} {work.began_s - stopped_s:.2f}"
+            f"..{work.ended_s - stopped_s:.2f}"
+            for work in soak.works.get(sent.name, [])
+        ]
+        return (
+            f"{sent.ended_s - stopped_s:.2f} {works}"
+            f" {time.monotonic() - stopped_s:.2f}"
         )
-        return "/".join(f"{item - stopped_s:.2f}" for item in times_s)
 
     async def read_body(self, reader: asyncio.StreamReader, head: str) -> bool:
         """Read a body; return whether it is whole."""
@@ -278,14 +282,14 @@
                 ready=ready,
             )
         )
-        errors = file.with_suffix(".err")
-        with errors.open("wb") as stderr:
+        errors, lines = file.with_suffix(".err"), file.with_suffix(".log")
+        with errors.open("wb") as stderr, lines.open("ab") as stdout:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "sequoiawind.forward_router_main",
                 str(file),
-                stdout=asyncio.subprocess.DEVNULL,
+                stdout=stdout,
                 stderr=stderr,
             )
         soak.processes.append(process)
@@ -370,6 +374,10 @@
         soak.configure()
         soak.ends_s = time.monotonic() + seconds
         asyncio.run(play(soak, Path(folder)))
+        if soak.violations:
+            kept = tempfile.mkdtemp(prefix=f"stops-{seed}-")
+            shutil.copytree(folder, kept, dirs_exist_ok=True)
+            print(f"logs of seed {seed}: {kept}", flush=True)
     return soak
 
 
--- a/tests/stops_state.py
+++ b/tests/stops_state.py
@@ -23,6 +23,16 @@
 SENT_S = 3.0
 
 
+@attrs.define(kw_only=True, eq=False)
+class Work:
+    """What one target does for a request; times by the steady clock."""
+
+    target: str
+    began_s: float
+    # When it ended, in seconds; infinite while it goes on.
+    ended_s: float = float("inf")
+
+
 @attrs.define(kw_only=True, eq=False)
 class Soak:
     """What the processes and the operator have done, and what is wrong."""
@@ -49,8 +59,8 @@
     # When routers got SIGTERM, and the grace that they have, by port.
     stopped_s: dict[int, float] = attrs.field(factory=dict)
     graces_s: dict[int, float] = attrs.field(factory=dict)
-    # Until when requests ran, by id; infinite for those that run.
-    worked_s: dict[str, float] = attrs.field(factory=dict)
+    # What targets have done for requests, by id.
+    works: dict[str, list["Work"]] = attrs.field(factory=dict)
     # Set while all routers are to stop.
     stop_all: Event = attrs.field(factory=Event)
 
@@ -115,8 +125,9 @@
             return True
         stopped_s = self.stopped_s.get(port, float("inf"))
         last_part_s = stopped_s + (1.0 - LAST_SHARE) * self.graces_s[port]
+        works = self.works.get(sent.name, [])
         return (
-            self.worked_s.get(sent.name, 0.0) >= last_part_s
+            any(work.ended_s >= last_part_s for work in works)
             and sent.ended_s <= stopped_s + SENT_S
         )
 
@@ -136,13 +147,14 @@
     def run(self, call: Handler, body: bytes) -> None:
         """Run a request if it is meant for this target."""
         name = call.headers.get("Sequoiawind-Attempt-Id", "")
+        work = Work(target=self.id, began_s=time.monotonic())
         if call.headers.get("Sequoiawind-Expect-Instance") == self.id:
             self.soak.run_at(self, call)
-            self.soak.worked_s[name] = float("inf")
+            self.soak.works.setdefault(name, []).append(work)
         time.sleep(self.random.choice((0.0, 0.0, 0.1, 0.5, 2.0, 5.0)))
         with suppress(ConnectionError):
             Target.run(self, call, body)
-        self.soak.worked_s[name] = time.monotonic()
+        work.ended_s = time.monotonic()
 
 
 @attrs.define(kw_only=True, eq=False)
