--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,149 @@
+"""A router and an agent take turns as the holder of an engine's weights.
+
+All machines beside model engines lose power.  A router is started again
+meanwhile, so that no agent has ever answered it, and becomes the holder.  The
+machines come back, the router orders the weights that were named meanwhile,
+and the agent orders the next ones.
+"""
+
+import asyncio
+import itertools
+import sys
+import time
+from typing import Final
+
+import attrs
+from stand_ins.deployment import BOUNDS_WITHOUT_FENCES as BOUNDS
+from stand_ins.engine import Order
+from stand_ins.record import BROKEN, HELD, UNABLE, Record, play
+from stand_ins.small import Small
+from stand_ins.store import SERVERS_TOPIC
+
+LEASE_S: Final = BOUNDS["lease_ms"] / 1000
+# The store removes the entry of a silent engine after three heartbeats.
+EXPIRY_S: Final = 3.6
+# Times after all is ready, in seconds: the machines lose power; the router is
+# started again; weights are named; the machines are back; further weights are
+# named; the end.
+POWER_LOST_S: Final = 2.0
+RESTART_S: Final = 6.0
+NAMED_S: Final = 12.0
+POWER_BACK_S: Final = 17.0
+NAMED_AGAIN_S: Final = (18.0, 20.4, 22.8, 25.2)
+END_S: Final = 29.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Case:
+    """One run of the case."""
+
+    record: Record
+    small: Small
+    began_s: float = 0.0
+    orders: list[Order] = attrs.field(factory=list)
+
+    def note_order(self, order: Order) -> None:
+        """Note an order that an engine has got."""
+        self.orders.append(order)
+        self.record.note(
+            f"order  {order.engine} (start {order.born_ms}) by {order.holder}, "
+            f"fence {order.fence}: version {order.version}, "
+            f"answered {order.status}"
+        )
+
+    async def until(self, time_s: float) -> None:
+        """Wait until a time after the beginning."""
+        await asyncio.sleep(self.began_s + time_s - time.monotonic())
+
+    def name_weights(self, version: int) -> None:
+        """Name a version of the weights."""
+        self.small.name_weights(version)
+        self.record.note(f"acknowledged: version {version} of the weights")
+
+    async def lose_power(self) -> None:
+        """Let all machines beside model engines lose power."""
+        small = self.small
+        for engine, agent in zip(small.models, small.agents, strict=True):
+            engine.crash()
+            agent.kill()
+        self.record.note("all side machines have lost power")
+        await asyncio.sleep(EXPIRY_S)
+        for engine in small.models:
+            small.store.put(SERVERS_TOPIC, engine.id, None)
+        self.record.note("the entries of their engines have expired")
+
+    async def restore_power(self) -> None:
+        """Start the machines again."""
+        small = self.small
+        for engine, agent in zip(small.models, small.agents, strict=True):
+            await engine.start()
+            agent.start()
+        self.record.note("the side machines are back")
+
+    async def play(self, has_trouble: bool) -> int:
+        """Play the case; return the exit status."""
+        if not await self.small.is_up():
+            return UNABLE
+        self.began_s = time.monotonic()
+        if has_trouble:
+            await self.until(POWER_LOST_S)
+            await self.lose_power()
+            await self.until(RESTART_S)
+            (router,) = self.small.routers
+            router.kill()
+            router.start()
+            self.record.note(f"{router.name} was killed and started again")
+        await self.until(NAMED_S)
+        self.name_weights(2)
+        if has_trouble:
+            await self.until(POWER_BACK_S)
+            await self.restore_power()
+        for version, time_s in enumerate(NAMED_AGAIN_S, 3):
+            await self.until(time_s)
+            self.name_weights(version)
+        await self.until(END_S)
+        return self.judge()
+
+    def judge(self) -> int:
+        """Return the exit status by the orders that the engines have got."""
+        turns = []
+        for engine in self.small.models:
+            orders = [
+                item
+                for item in self.orders
+                if item.engine == engine.id and item.status != 421
+            ]
+            turns += [
+                (before, after)
+                for before, after in itertools.pairwise(orders)
+                if before.born_ms == after.born_ms
+                and before.holder != after.holder
+                and after.at_s - before.at_s < LEASE_S
+            ]
+        for before, after in turns:
+            self.record.note(
+                f"turn   {after.engine}: {after.holder} "
+                f"{after.at_s - before.at_s:.3f} s after {before.holder}"
+            )
+        versions = [engine.version for engine in self.small.models]
+        self.record.note(
+            f"{len(self.orders)} orders; holders took turns within {LEASE_S} s "
+            f"{len(turns)} times; versions in the end: {versions}"
+        )
+        if versions != [2 + len(NAMED_AGAIN_S)] * len(versions):
+            return UNABLE
+        return BROKEN if turns else HELD
+
+
+async def run_case(has_trouble: bool, record: Record) -> int:
+    """Start the deployment, and play the case."""
+    keys = {"desk": ["key-of-desk"]}
+    async with Small(keys=keys, bounds=BOUNDS) as small:
+        case = Case(record=record, small=small)
+        for engine in small.models:
+            engine.on_order = case.note_order
+        return await case.play(has_trouble)
+
+
+if __name__ == "__main__":
+    sys.exit(play(__file__, run_case))
