--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,9 @@
 """A router and an agent take turns as the holder of an engine's weights.
 
-All machines beside model engines lose power.  A router is started again
-meanwhile, so that no agent has ever answered it, and becomes the holder.  The
-machines come back, the router orders the weights that were named meanwhile,
-and the agent orders the next ones.
+All machines beside model engines lose power.  A router is added meanwhile, so
+that no agent has ever answered it, and becomes the holder.  The machines come
+back, the router orders the weights that were named meanwhile, and the agent
+orders the next ones.
 """
 
 import asyncio
@@ -22,11 +22,11 @@
 LEASE_S: Final = BOUNDS["lease_ms"] / 1000
 # The store removes the entry of a silent engine after three heartbeats.
 EXPIRY_S: Final = 3.6
-# Times after all is ready, in seconds: the machines lose power; the router is
-# started again; weights are named; the machines are back; further weights are
-# named; the end.
+# Times after all is ready, in seconds: the machines lose power; a router is
+# added; weights are named; the machines are back; further weights are named;
+# the end.
 POWER_LOST_S: Final = 2.0
-RESTART_S: Final = 6.0
+ADDED_S: Final = 6.0
 NAMED_S: Final = 12.0
 POWER_BACK_S: Final = 17.0
 NAMED_AGAIN_S: Final = (18.0, 20.4, 22.8, 25.2)
@@ -88,11 +88,9 @@
         if has_trouble:
             await self.until(POWER_LOST_S)
             await self.lose_power()
-            await self.until(RESTART_S)
-            (router,) = self.small.routers
-            router.kill()
-            router.start()
-            self.record.note(f"{router.name} was killed and started again")
+            await self.until(ADDED_S)
+            added = self.small.add_router()
+            self.record.note(f"{added.name} is added")
         await self.until(NAMED_S)
         self.name_weights(2)
         if has_trouble:
@@ -138,7 +136,7 @@
 async def run_case(has_trouble: bool, record: Record) -> int:
     """Start the deployment, and play the case."""
     keys = {"desk": ["key-of-desk"]}
-    async with Small(keys=keys, bounds=BOUNDS) as small:
+    async with Small(keys=keys, bounds=BOUNDS, spare_count=1) as small:
         case = Case(record=record, small=small)
         for engine in small.models:
             engine.on_order = case.note_order
--- a/review/stand_ins/small.py
+++ b/review/stand_ins/small.py
@@ -27,12 +27,15 @@
     model_engines: int = 2
     booking_engines: int = 2
     router_count: int = 1
+    # Routers that may be added later.
+    spare_count: int = 0
     bounds: Mapping[str, Any] = attrs.field(factory=lambda: dict(BOUNDS))
     store: Store = attrs.field(init=False)
     models: list[Engine] = attrs.field(init=False)
     bookings: list[Engine] = attrs.field(init=False)
     agents: list[Machine] = attrs.field(factory=list)
     routers: list[Machine] = attrs.field(init=False)
+    spares: list[Machine] = attrs.field(init=False)
     stack: AsyncExitStack = attrs.field(factory=AsyncExitStack)
 
     def __attrs_post_init__(self) -> None:
@@ -59,15 +62,17 @@
             for number in range(self.booking_engines)
         ]
         port = free_port(f"{net}.10")
-        self.routers = [
+        fronts = [
             Machine(
                 name=f"front-{number}",
                 role="router",
                 host=f"{net}.{90 + number}",
                 agent_port=port,
             )
-            for number in range(self.router_count)
+            for number in range(self.router_count + self.spare_count)
         ]
+        self.routers = fronts[: self.router_count]
+        self.spares = fronts[self.router_count :]
         self.agents = [
             Machine(
                 name=f"side-{number}",
@@ -87,12 +92,19 @@
             await self.stack.enter_async_context(engine)
         for engine, agent in zip(self.models, self.agents, strict=True):
             agent.app = engine.server.address
-        for machine in self.machines:
+        for machine in (*self.machines, *self.spares):
             machine.store = self.store.server.address
             machine.bounds = self.bounds
+        for machine in self.machines:
             self.stack.enter_context(machine)
         return self
 
+    def add_router(self) -> Machine:
+        """Start one more router; return it."""
+        machine = self.spares.pop(0)
+        self.routers.append(self.stack.enter_context(machine))
+        return machine
+
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop all parts."""
         await self.stack.aclose()
