--- a/review/stand_ins/config.py
+++ b/review/stand_ins/config.py
@@ -43,7 +43,16 @@
         "routes": [
             route("book", "non_idempotent", "dispatch-app"),
             route("read", "idempotent", "dispatch-app"),
-            route("draft", "streaming", "brief-llm", sticky=True),
+            route(
+                "draft",
+                "streaming",
+                "brief-llm",
+                sticky=True,
+                resumable=True,
+                gap_aim_ms=400,
+                timeout_ms=12_000,
+                max_attempts=2,
+            ),
         ],
         "services": [
             {"name": "dispatch-app"},
--- a/review/stand_ins/engine.py
+++ b/review/stand_ins/engine.py
@@ -3,12 +3,12 @@
 import asyncio
 import json
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
 import attrs
 
-from stand_ins.http import HttpServer, Reply, Request
+from stand_ins.http import Answer, HttpServer, Reply, Request, Stream
 from stand_ins.store import SERVERS_TOPIC, Store
 
 MODEL: Final = "m1"
@@ -66,6 +66,12 @@
     sequence: int = 0
     orders: int = 0
     version: int = 1
+    # Version of its software, and whether it is leaving.
+    software: str = "v1"
+    is_leaving: bool = False
+    # Events of a stream, and the time between two, in seconds.
+    events_count: int = 24
+    event_s: float = 0.25
     is_busy: bool = False
     loads: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -105,9 +111,9 @@
             "service": self.service,
             "address": self.server.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.software,
             "slots": self.slots,
-            "state": "ready",
+            "state": "draining" if self.is_leaving else "ready",
             "cold_left_ms": 0,
             "seq": self.sequence,
             "born": self.born_ms,
@@ -129,7 +135,15 @@
         """Return its models with the versions of their weights."""
         return [{"name": MODEL, "version": self.version, "adapters": []}]
 
-    async def answer(self, request: Request) -> Reply:
+    async def answer(self, request: Request) -> Answer:
+        """Answer a call; one that leaves says so in all its answers."""
+        answer = await self.answer_call(request)
+        if not self.is_leaving:
+            return answer
+        headers = {**answer.headers, "Server-Leaving": "1"}
+        return attrs.evolve(answer, headers=headers)
+
+    async def answer_call(self, request: Request) -> Answer:
         """Answer a call."""
         if request.path == "/api/report":
             return self.report()
@@ -153,7 +167,7 @@
             "kv_used": 0,
             "kv_total": 90_000,
             "handles": 0,
-            "state": "ready",
+            "state": "draining" if self.is_leaving else "ready",
             "next_token": 0,
             "runs": [],
             "born": self.born_ms,
@@ -205,13 +219,17 @@
         self.version = version
         self.is_busy = False
 
-    async def run(self, request: Request) -> Reply:
-        """Run a request, unless it expects another engine."""
+    async def run(self, request: Request) -> Answer:
+        """Run a request, unless it expects another engine or weights."""
         headers = request.headers
         echo = {
             "Sequoiawind-Attempt-Id": headers.get("sequoiawind-attempt-id", "")
         }
-        if headers.get("sequoiawind-expect-instance", self.id) != self.id:
+        weights = str(self.version)
+        if (
+            headers.get("sequoiawind-expect-instance", self.id) != self.id
+            or headers.get("sequoiawind-expect-version", weights) != weights
+        ):
             refused = {**echo, "Sequoiawind-Not-Executed": "1"}
             return Reply(status=421, headers=refused)
         self.on_run(
@@ -224,6 +242,17 @@
                 at_s=time.monotonic(),
             )
         )
-        await asyncio.sleep(self.work_s)
         sealed = {**echo, "Sequoiawind-Server-Seal": f"{self.id}.1"}
+        if "sequoiawind-model" in headers:
+            sealed["Content-Type"] = "text/event-stream"
+            sealed["Sequoiawind-Weight-Versions"] = weights
+            after = int(headers.get("last-event-id", "0"))
+            return Stream(headers=sealed, chunks=self.events_after(after))
+        await asyncio.sleep(self.work_s)
         return Reply(status=200, headers=sealed, body=b"x" * 800)
+
+    async def events_after(self, after: int) -> AsyncIterator[bytes]:
+        """Make the events of a stream; each names the engine's software."""
+        for number in range(after + 1, self.events_count + 1):
+            await asyncio.sleep(self.event_s)
+            yield f"id: {number}\ndata: {self.software}\n\n".encode()
--- a/review/stand_ins/http.py
+++ b/review/stand_ins/http.py
@@ -1,7 +1,7 @@
 """A small HTTP/1.1 server and client for the stand-ins, on asyncio streams."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
 
@@ -47,6 +47,34 @@
         lines.append(f"Content-Length: {len(self.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + self.body
 
+    async def write(self, writer: asyncio.StreamWriter) -> None:
+        """Write the answer."""
+        writer.write(self.encode())
+        await writer.drain()
+
+
+@attrs.frozen(kw_only=True)
+class Stream:
+    """An answer in chunks, each written as it is made."""
+
+    headers: Mapping[str, str]
+    chunks: AsyncIterator[bytes]
+
+    async def write(self, writer: asyncio.StreamWriter) -> None:
+        """Write the answer."""
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [f"{name}: {value}" for name, value in self.headers.items()]
+        lines.append("Transfer-Encoding: chunked")
+        writer.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        async for chunk in self.chunks:
+            writer.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+Answer = Reply | Stream
+
 
 async def read_head(
     reader: asyncio.StreamReader,
@@ -87,7 +115,7 @@
     return Request(method=method, target=target, headers=headers, body=body)
 
 
-Handler = Callable[[Request], Awaitable[Reply]]
+Handler = Callable[[Request], Awaitable[Answer]]
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -137,9 +165,8 @@
         try:
             while True:
                 request = await read_request(reader)
-                reply = await self.handler(request)
-                writer.write(reply.encode())
-                await writer.drain()
+                answer = await self.handler(request)
+                await answer.write(writer)
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
         finally:
--- a/review/stand_ins/small.py
+++ b/review/stand_ins/small.py
@@ -27,8 +27,9 @@
     model_engines: int = 2
     booking_engines: int = 2
     router_count: int = 1
-    # Routers that may be added later.
+    # Routers, and model engines with their agents, that may be added later.
     spare_count: int = 0
+    spare_engines: int = 0
     bounds: Mapping[str, Any] = attrs.field(factory=lambda: dict(BOUNDS))
     store: Store = attrs.field(init=False)
     models: list[Engine] = attrs.field(init=False)
@@ -50,7 +51,7 @@
                 store=self.store,
                 has_model=True,
             )
-            for number in range(self.model_engines)
+            for number in range(self.model_engines + self.spare_engines)
         ]
         self.bookings = [
             Engine(
@@ -88,17 +89,32 @@
         await self.stack.enter_async_context(self.store.server)
         self.configure(FIRST_VERSION, self.keys)
         self.name_weights(1)
-        for engine in (*self.models, *self.bookings):
-            await self.stack.enter_async_context(engine)
-        for engine, agent in zip(self.models, self.agents, strict=True):
-            agent.app = engine.server.address
         for machine in (*self.machines, *self.spares):
             machine.store = self.store.server.address
             machine.bounds = self.bounds
-        for machine in self.machines:
+        for engine in (*self.models[: self.model_engines], *self.bookings):
+            await self.stack.enter_async_context(engine)
+        for engine, agent in self.beside(self.model_engines):
+            agent.app = engine.server.address
+        for machine in (*self.agents[: self.model_engines], *self.routers):
             self.stack.enter_context(machine)
         return self
 
+    def beside(self, count: int) -> list[tuple[Engine, Machine]]:
+        """Return the first model engines, each with its agent."""
+        return list(zip(self.models, self.agents, strict=True))[:count]
+
+    async def add_engine(self, software: str) -> Engine:
+        """Start a further model engine, at a version of its software."""
+        engine, agent = next(
+            pair for pair in self.beside(len(self.models)) if not pair[1].app
+        )
+        engine.software = software
+        agent.app = engine.server.address
+        await self.stack.enter_async_context(engine)
+        self.stack.enter_context(agent)
+        return engine
+
     def add_router(self) -> Machine:
         """Start one more router; return it."""
         machine = self.spares.pop(0)
@@ -116,7 +132,7 @@
 
     async def is_up(self) -> bool:
         """Wait until all processes work; return whether they do."""
-        for machine in self.machines:
+        for machine in (*self.agents[: self.model_engines], *self.routers):
             event = "ready" if machine.role == "router" else "listening"
             if not await machine.wait_for(event, START_TIMEOUT_S):
                 return False
