--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Plays the case; exit 1: the rule was broken, 0: it held, 2: it couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:review exec python3 review/9/case.py
+export PYTHONPATH=target/deps:review
+python3 -c "import stand_ins.clients, stand_ins.record, stand_ins.small" || exit 2
+exec python3 review/9/case.py
--- a/review/stand_ins/record.py
+++ b/review/stand_ins/record.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Final
@@ -55,8 +56,9 @@
 
     try:
         status = asyncio.run(run())
-    except OSError as error:
-        record.note(f"the case could not run: {error}")
+    except Exception:
+        # A fault of the script must not pass for a broken rule.
+        record.note(f"the case could not run: {traceback.format_exc()}")
         status = UNABLE
     record.note(f"exit status {status}")
     record.write()
