--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,17 +6,14 @@
 """
 
 import asyncio
-import random
 import sys
 import time
 from typing import Final
 
-import attrs
-from stand_ins.config import HOST
-from stand_ins.http import read_head
 from stand_ins.record import BROKEN, HELD, UNABLE, Record, play
 from stand_ins.small import Small
 from stand_ins.store import SERVERS_TOPIC
+from stand_ins.streams import StreamClient
 
 KEY: Final = "key-of-desk"
 STREAMS: Final = 6
@@ -32,83 +29,10 @@
 KILLED_S: Final = 3.1
 STARTED_S: Final = 3.6
 END_S: Final = 13.0
-# A client comes back so long after its connection has broken, and again after
-# each refusal, within the time that it waits for its stream; in seconds.
-COME_BACK_S: Final = 1.0
-AGAIN_S: Final = 0.5
+EVENTS: Final = 24
 DEADLINE_MS: Final = 12_000
 
 
-@attrs.define(kw_only=True, eq=False)
-class Client:
-    """A client of one stream, which it takes up again when it breaks."""
-
-    small: Small
-    record: Record
-    number: int
-    first_id: str = ""
-    last_event: int = 0
-    # Software versions of the engines whose events it has.
-    versions: list[str] = attrs.field(factory=list)
-
-    async def run(self) -> None:
-        """Get the stream; come back until it is whole."""
-        ends_s = time.monotonic() + DEADLINE_MS / 1000
-        while time.monotonic() < ends_s:
-            router = random.choice(self.small.routers)
-            try:
-                status = await self.read(router.front)
-            except (OSError, EOFError, ValueError):
-                status = 0
-            self.record.note(
-                f"client {self.number} at {router.name}: status {status}, "
-                f"events up to {self.last_event}, of {set(self.versions)}"
-            )
-            if status == 200 and self.last_event == 24:
-                return
-            await asyncio.sleep(COME_BACK_S if status == 0 else AGAIN_S)
-
-    async def read(self, front: str) -> int:
-        """Send the request, and read events to the end; return the status."""
-        host, _, port = front.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        request_id = f"{random.getrandbits(64):016x}"
-        lines = [
-            "POST /draft/1 HTTP/1.1",
-            f"Host: {HOST}",
-            f"Sequoiawind-Attempt-Id: {request_id}",
-            f"Sequoiawind-Deadline-Ms: {DEADLINE_MS}",
-            f"Authorization: Token {KEY}",
-            "Sequoiawind-Model: m1",
-            "Sequoiawind-Token-Count: 600,49",
-            f"Sequoiawind-Prompt-Prefix: 5c1e07a2:198,{request_id}:402",
-            "Content-Length: 3",
-        ]
-        if self.last_event:
-            lines.append(f"Last-Event-Id: {self.last_event}")
-            lines.append(f"Resumes: {self.first_id}")
-        try:
-            writer.write("\r\n".join([*lines, "", "abc"]).encode())
-            first, _ = await read_head(reader)
-            status = int(first.split(" ")[1])
-            while status == 200:
-                size = int(await reader.readline(), 16)
-                if not size:
-                    break
-                self.take(await reader.readexactly(size), request_id)
-                await reader.readexactly(2)
-        finally:
-            writer.close()
-        return status
-
-    def take(self, event: bytes, request_id: str) -> None:
-        """Keep an event."""
-        lines = event.decode().split("\n")
-        self.first_id = self.first_id or request_id
-        self.last_event = int(lines[0].removeprefix("id: "))
-        self.versions.append(lines[1].removeprefix("data: "))
-
-
 async def until(at_s: float) -> None:
     """Wait until a time of the steady clock."""
     await asyncio.sleep(at_s - time.monotonic())
@@ -152,9 +76,18 @@
     ) as small:
         if not await small.is_up():
             return UNABLE
+        for engine in small.models:
+            engine.events_count = EVENTS
         await asyncio.sleep(1.0)
         clients = [
-            Client(small=small, record=record, number=number)
+            StreamClient(
+                name=str(number),
+                key=KEY,
+                routers=small.routers,
+                record=record,
+                events_count=EVENTS,
+                deadline_ms=DEADLINE_MS,
+            )
             for number in range(STREAMS)
         ]
         began_s = time.monotonic()
@@ -175,7 +108,7 @@
         for client in mixed:
             place = client.versions.index("v2")
             record.note(
-                f"mixed  client {client.number}: events 1 to {place} of v1, "
+                f"mixed  client {client.name}: events 1 to {place} of v1, "
                 f"then {len(client.versions) - place} of v2"
             )
         record.note(
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,5 @@
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review/stand_ins review/6 review/7 review/8 \
   review/9 review/10
-PYTHONPATH=target/deps:review python3 -c "import stand_ins.small, stand_ins.clients, stand_ins.record"
+PYTHONPATH=target/deps:review python3 -c \
+  "import stand_ins.clients, stand_ins.record, stand_ins.small, stand_ins.streams"
