--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -5,6 +5,7 @@
 import os
 import re
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -113,8 +114,9 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """End the process."""
+        """End the process, and remove its files."""
         self.kill()
+        shutil.rmtree(self.folder)
 
     @property
     def settings_file(self) -> Path:
