--- a/review/stand_ins/deployment.py
+++ b/review/6/stand_ins/deployment.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-ROOT: Final = Path(__file__).resolve().parents[2]
+ROOT: Final = Path(__file__).resolve().parents[3]
 DEPLOY: Final = tomllib.loads((ROOT / "deploy/system.toml").read_text())
 SETTINGS_VARIABLE: Final = "SEQUOIAWIND_CONFIG"
 # The bounds of the sheet of Nordlys.
@@ -97,9 +97,8 @@
     ready: str = ""
     metrics_port: int = 0
     bounds: Mapping[str, Any] = attrs.field(factory=lambda: dict(BOUNDS))
-    folder: Path = attrs.field(
-        factory=lambda: Path(tempfile.mkdtemp(prefix="review-"))
-    )
+    # For the settings file and the log, while it runs.
+    folder: Path = Path()
     process: subprocess.Popen[bytes] | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -110,6 +109,7 @@
 
     def __enter__(self) -> "Machine":
         """Start the process."""
+        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.start()
         return self
 
--- a/review/stand_ins/record.py
+++ b/review/6/stand_ins/record.py
@@ -1,8 +1,8 @@
 """What a case writes down, and its exit status."""
 
 import asyncio
-import os
 import signal
+import sys
 import time
 import traceback
 from collections.abc import Awaitable, Callable
@@ -14,6 +14,8 @@
 HELD: Final = 0
 BROKEN: Final = 1
 UNABLE: Final = 2
+# A case that takes longer has not run, in seconds.
+LIMIT_S: Final = 110.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -34,25 +36,32 @@
         self.file.write_text("\n".join(self.lines) + "\n")
 
 
-def play(script: str, case: Callable[[bool, Record], Awaitable[int]]) -> int:
+def play(
+    script: str,
+    case: Callable[[bool, Record], Awaitable[int]],
+    *,
+    has_trouble: bool,
+) -> int:
     """Play a case once, and write its record.
 
     Args:
       script: The case's file; the record is written beside it.
       case: Plays the case, given whether there is trouble and the record, and
         returns the exit status.
+      has_trouble: Whether the disruption takes place.
 
     Returns:
       The exit status.
     """
     record = Record(file=Path(script).with_name("record.txt"))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     # Programs inherit whether a signal is ignored; a platform ignores none.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    # A script that is ended ends what it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(UNABLE))
 
     async def run() -> int:
-        return await case(has_trouble, record)
+        return await asyncio.wait_for(case(has_trouble, record), LIMIT_S)
 
     try:
         status = asyncio.run(run())
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -120,4 +121,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(__file__, run_case))
+    # With TROUBLE=0 the disruption is left out.
+    has_trouble = os.environ.get("TROUBLE") != "0"
+    sys.exit(play(__file__, run_case, has_trouble=has_trouble))
