--- a/review/6/stand_ins/engine.py
+++ b/review/6/stand_ins/engine.py
@@ -97,6 +97,11 @@
         self.register()
         self.beats = asyncio.create_task(self.beat())
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether it has started, and has not ended."""
+        return self.beats is not None and not self.beats.done()
+
     def crash(self) -> None:
         """Stop without a word."""
         if self.beats is not None:
--- a/review/6/stand_ins/small.py
+++ b/review/6/stand_ins/small.py
@@ -104,14 +104,23 @@
         """Return the first model engines, each with its agent."""
         return list(zip(self.models, self.agents, strict=True))[:count]
 
-    async def add_engine(self, software: str) -> Engine:
-        """Start a further model engine, at a version of its software."""
+    async def add_engine(self, software: str, weights: int = 1) -> Engine:
+        """Start a further model engine and its agent.
+
+        Args:
+          software: The version of its software.
+          weights: That of its weights.
+
+        Returns:
+          The engine.
+        """
         engine, agent = next(
             pair for pair in self.beside(len(self.models)) if not pair[1].app
         )
-        engine.software = software
-        agent.app = engine.server.address
+        engine.software, engine.version = software, weights
         await self.stack.enter_async_context(engine)
+        # The address is known once the engine serves.
+        agent.app = engine.server.address
         self.stack.enter_context(agent)
         return engine
 
