Software versions are recorded before they are needed

Cause: a router that has just started took an empty log of origins for proof that one version had served. Nothing was written when a second one came, only when a resumable stream began or broke after that.

Now each router records the versions that it sees in a keyed topic, from the first one on, and the streams that are open when a second version comes. A router that starts goes by the records and the targets that there are, and takes absence for proof only if the records are marked as kept from the beginning.

Ruled out: a wrong record (the log was empty), a stale fleet (it named v2 alone). Refusing for 30 s after each start was weighed and not taken: streams of one version would be refused after each restart.

--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -17,6 +17,7 @@
 from sequoiawind.freshness import Freshness, suspended_clock_s
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import KeyedRecord
+from sequoiawind.software_memory import SoftwareKey, software_key
 from sequoiawind.wire import WireError
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -205,6 +206,8 @@
     log: Logger
     # Called after an entry has been applied or removed.
     on_change: Callable[[], None] = attrs.field(default=lambda: None)
+    # Called when the software versions that serve may be others than before.
+    on_software: Callable[[], None] = attrs.field(default=lambda: None)
     # Called with a target's name when the fleet has a new incarnation of it.
     on_incarnation: Callable[[str], None] = attrs.field(
         default=lambda name: None
@@ -284,6 +287,7 @@
         """Add or update a target."""
         before = self.fleet.views.get(target.name)
         was_draining = before is not None and before.target.is_draining
+        software = self.software_of(target.name)
         if self.fleet.put(target):
             self.on_incarnation(target.name)
         if before is None or was_draining != target.is_draining:
@@ -296,8 +300,15 @@
                 software=target.software,
                 draining=target.is_draining,
             )
+        if software != self.software_of(target.name):
+            self.on_software()
         self.on_change()
 
+    def software_of(self, name: str) -> SoftwareKey | None:
+        """Return the pool and software version of a target, if it is known."""
+        view = self.fleet.views.get(name)
+        return None if view is None else software_key(view.target)
+
     def remove(self, name: str) -> None:
         """Remove an entry; after an outage the fleet keeps it for a while."""
         if name not in self.fleet.views:
@@ -312,6 +323,7 @@
                 max(0.0, self.fleet.missing_dropped_at_s - now_s), 3
             ),
         )
+        self.on_software()
         self.on_change()
 
     def confirmed(self, request_time_s: float) -> None:
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -32,13 +32,12 @@
 from sequoiawind.memory_budget import MemoryBudget
 from sequoiawind.metrics import ForwardMetrics
 from sequoiawind.options import Address, BoundsOptions, ForwardRouterSettings
-from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.pages import METRICS_PATH, Pages, metrics_page
 from sequoiawind.platform import callers, codec, names
 from sequoiawind.platform.crashes import CrashLog
 from sequoiawind.platform.engine import EngineClient
 from sequoiawind.platform.leases import LeaseClient
-from sequoiawind.platform.origins import OriginLog
+from sequoiawind.platform.origins import make_origin_registry
 from sequoiawind.platform.targets import decode_target
 from sequoiawind.record_cover import RecordCover
 from sequoiawind.repeat_window import RepeatWindow
@@ -192,8 +191,9 @@
                 random=self.random,
                 log=self.log,
             ),
-            origins=OriginRegistry(
-                port=OriginLog(store=self.store),
+            origins=make_origin_registry(
+                store=self.store,
+                board=self.board,
                 fleet=self.fleet,
                 freshness=self.freshness,
                 clock=event_loop.reactor,
@@ -310,6 +310,7 @@
             self.limits.put(state.limits)
             self.scopes.configured(state)
             self.forwarder.load.configured(state)
+        self.forwarder.origins.targets_changed()
         self.check_prepared()
 
     def totals_changed(
@@ -376,6 +377,7 @@
             clock=event_loop.reactor,
             log=self.log,
             on_change=self.targets_changed,
+            on_software=self.forwarder.origins.targets_changed,
             on_incarnation=self.forwarder.incarnation_began,
         )
         self.feed_reader = FeedReader(
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -165,6 +165,18 @@
             if isinstance(account, ForwardAccount) and account.limit
         )
 
+    @cached_property
+    def resumable_pools(self) -> frozenset[str]:
+        """Names of the pools whose broken streams callers may resume."""
+        found: set[str] = set()
+        for route in self.routes.values():
+            kind = self.kinds.get(route.kind)
+            if not isinstance(route, ForwardRoute):
+                continue
+            if isinstance(kind, ForwardKind) and kind.is_resumable:
+                found |= {route.pool, *(share.pool for share in route.shares)}
+        return frozenset(found)
+
     @cached_property
     def prompt_objectives_s(self) -> dict[str, float]:
         """Shortest latency objective of streams by pool of engines."""
--- a/sequoiawind/lab/forward_processes.py
+++ b/sequoiawind/lab/forward_processes.py
@@ -34,10 +34,12 @@
 from sequoiawind.lab.forward_world import MODEL, World
 from sequoiawind.lab.memory_network import Node, NodeClock
 from sequoiawind.lab.memory_origin_log import MemoryOriginLog
+from sequoiawind.lab.memory_software_log import MemorySoftwareLog
 from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.record_follower import RecordFollower, RecordReader
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import NamedVersion
+from sequoiawind.software_records import SoftwareRecords
 from sequoiawind.status_watcher import (
     STATUS_WAIT_S,
     AgentClient,
@@ -110,6 +112,10 @@
     routers: dict[str, SoakRouter] = attrs.field(factory=dict)
     agents: dict[str, SoakAgent] = attrs.field(factory=dict)
     origin_log: MemoryOriginLog = attrs.field(factory=MemoryOriginLog)
+    # The soak's store may delete entries of earlier targets.
+    software_log: MemorySoftwareLog = attrs.field(
+        factory=lambda: MemorySoftwareLog(past=None)
+    )
 
     def __attrs_post_init__(self) -> None:
         """Create a logger whose output is discarded."""
@@ -172,6 +178,15 @@
             ),
             origins=OriginRegistry(
                 port=self.origin_log,
+                software=SoftwareRecords(
+                    port=self.software_log,
+                    board=board,
+                    fleet=fleet,
+                    freshness=freshness,
+                    clock=clock,
+                    log=self.log,
+                    random=self.rng,
+                ),
                 fleet=fleet,
                 freshness=freshness,
                 clock=clock,
@@ -235,6 +250,7 @@
             clock=clock,
             log=self.log,
             on_change=changed,
+            on_software=forwarder.origins.targets_changed,
             on_incarnation=forwarder.incarnation_began,
         )
         self.follow(node, "operator", operator, 1.1)
--- a/sequoiawind/lab/memory_origin_log.py
+++ b/sequoiawind/lab/memory_origin_log.py
@@ -5,7 +5,11 @@
 import attrs
 from expression import Error, Ok, Result
 
-from sequoiawind.origin_registry import OriginPage, OriginRecord
+from sequoiawind.origin_registry import (
+    ForgottenOrigin,
+    OriginPage,
+    OriginRecord,
+)
 from sequoiawind.record_ports import RecordsLost
 from sequoiawind.verdict import Failure, Reason, not_run
 
@@ -16,7 +20,7 @@
 class MemoryOriginLog:
     """Answers at once; implements `origin_registry.OriginPort`."""
 
-    records: list[OriginRecord] = attrs.field(factory=list)
+    records: list[OriginRecord | ForgottenOrigin] = attrs.field(factory=list)
     # Offset of the first record that is left, and the era.
     first: int = 0
     era: int = 0
@@ -25,7 +29,9 @@
     appends: int = 0
 
     async def append(
-        self, records: Sequence[OriginRecord], timeout_s: float
+        self,
+        records: Sequence[OriginRecord | ForgottenOrigin],
+        timeout_s: float,
     ) -> Result[None, Failure]:
         """Append records."""
         self.appends += 1
--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -5,10 +5,13 @@
 there are several, each router records the streams that it has begun in a log,
 and a router that is asked to continue a stream that it does not know looks it
 up there.  A stream whose origin cannot be found out is refused as not run.
+
+A router that has just started does not know whether there is, and was, only one
+version; `software_records` tells it.
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Final, Protocol
 
 import attrs
@@ -22,6 +25,7 @@
 from sequoiawind.ports import Clock, Timer
 from sequoiawind.record_ports import RecordsLost
 from sequoiawind.software_memory import SOFTWARE_MEMORY_S
+from sequoiawind.software_records import SoftwareRecords
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure, Reason, not_run
 
@@ -60,11 +64,18 @@
     origin: StreamOrigin
 
 
+@attrs.frozen(kw_only=True)
+class ForgottenOrigin:
+    """No caller resumes a stream any more that an earlier record names."""
+
+    origin: StreamOrigin
+
+
 @attrs.frozen(kw_only=True)
 class OriginPage:
     """Consecutive records of the log."""
 
-    records: Sequence[OriginRecord]
+    records: Sequence[OriginRecord | ForgottenOrigin]
     # Offset of the next read.
     end: int
     has_more: bool
@@ -76,7 +87,9 @@
     """The log in which routers record origins."""
 
     async def append(
-        self, records: Sequence[OriginRecord], timeout_s: float
+        self,
+        records: Sequence[OriginRecord | ForgottenOrigin],
+        timeout_s: float,
     ) -> Result[None, Failure]:
         """Append records."""
 
@@ -104,12 +117,11 @@
     """The origins that one router knows, and its access to those of others."""
 
     port: OriginPort
+    software: SoftwareRecords
     fleet: Fleet
     freshness: Freshness
     clock: Clock
     log: Logger
-    # When this router began to follow the fleet, in seconds of the clock.
-    started_s: float = attrs.field(init=False)
     # By request id, the oldest first.
     begun: OrderedDict[str, BegunStream] = attrs.field(factory=OrderedDict)
     # What was read from the log, by request id, the oldest first.
@@ -119,13 +131,29 @@
     next_offset: int = 0
     era: int = 0
     timer: Timer | None = None
+    # Pools of which several versions were known last.
+    mixed_pools: frozenset[str] = frozenset()
 
     def __attrs_post_init__(self) -> None:
-        """Note the start."""
-        self.started_s = self.clock.seconds()
+        """Follow the versions that are forgotten."""
+        self.software.on_forgotten = lambda origins: Deferred.fromCoroutine(
+            self.forget(origins)
+        )
 
     # Streams of this router.
 
+    def targets_changed(self) -> None:
+        """Adapt to targets of other versions, or to other pools.
+
+        The open streams of a pool that gets a second version are recorded:
+        their callers may resume them at routers that do not know them.
+        """
+        self.software.changed()
+        mixed = frozenset(filter(self.is_mixed, self.software.pools))
+        if mixed - self.mixed_pools and self.begun:
+            self.record_in(self.record_delay_s)
+        self.mixed_pools = mixed
+
     def began(self, request_id: str, origin: StreamOrigin) -> None:
         """Note the origin of a stream that begins here."""
         now_s = self.clock.seconds()
@@ -208,6 +236,19 @@
         )
         self.record_in(RETRY_PAUSE_S)
 
+    async def forget(self, origins: Collection[StreamOrigin]) -> None:
+        """Record that no stream of some versions is resumed any more.
+
+        Without that, earlier records of them count for routers that start.
+        """
+        forgotten = [ForgottenOrigin(origin=item) for item in origins]
+        answered = await self.port.append(forgotten, APPEND_TIMEOUT_S)
+        if answered.is_error():
+            self.log.warning(
+                "cannot record forgotten versions",
+                detail=answered.error.detail,
+            )
+
     # Streams that callers resume.
 
     def known(self, request_id: str, pool: str) -> StreamOrigin | None:
@@ -222,11 +263,25 @@
             return stream.origin
         if request_id in self.found:
             return self.found[request_id]
-        age_s = self.clock.seconds() - self.started_s
-        if age_s < SOFTWARE_MEMORY_S:
+        if not self.software.has_followed:
             return None
         return self.only_origin(pool, frozenset())
 
+    async def proven(self, pool: str) -> StreamOrigin | None:
+        """Return the only origin that a recent stream of a pool can have.
+
+        A router that has just started asks the store which versions served
+        before.  None if there were several, or if that is not known.
+        """
+        if self.software.has_followed:
+            return self.only_origin(pool, self.recorded(pool))
+        if self.software.versions(pool) is None:
+            await self.software.check()
+        earlier = self.software.versions(pool)
+        if earlier is None:
+            return None
+        return self.only_origin(pool, self.recorded(pool) | earlier)
+
     def only_origin(
         self, pool: str, recorded: frozenset[str | None]
     ) -> StreamOrigin | None:
@@ -276,7 +331,7 @@
             if request_id in self.found:
                 return Ok(self.found[request_id])
             if has_read:
-                origin = self.only_origin(pool, self.recorded(pool))
+                origin = await self.proven(pool)
                 if origin is not None:
                     return Ok(origin)
             wait_s = ends_s - self.clock.seconds() - READ_PAUSE_S
@@ -327,6 +382,9 @@
         """Add the records of a page."""
         now_s = self.clock.seconds()
         for record in page.records:
+            if isinstance(record, ForgottenOrigin):
+                self.read_s.pop(record.origin, None)
+                continue
             self.found[record.request_id] = record.origin
             self.read_s[record.origin] = now_s
         while len(self.found) > MAX_ORIGINS:
--- a/sequoiawind/platform/names.py
+++ b/sequoiawind/platform/names.py
@@ -82,6 +82,8 @@
 TARGETS_TOPIC: Final = "keyed.servers"
 # Our own: which software version began which stream.
 ORIGINS_TOPIC: Final = "stream-origins"
+# Our own: which software versions may have begun streams.
+SOFTWARE_TOPIC: Final = "keyed.software"
 # Our own: crashes of targets, and the parts of prompts that they cleared.
 CRASHES_TOPIC: Final = "keyed.prompt-crashes"
 CONFIG_KEY: Final = "config"
--- a/tests/forward_rig.py
+++ b/tests/forward_rig.py
@@ -36,10 +36,12 @@
 from sequoiawind.headers import Headers
 from sequoiawind.lab.memory_crash_log import MemoryCrashLog
 from sequoiawind.lab.memory_origin_log import MemoryOriginLog
+from sequoiawind.lab.memory_software_log import MemorySoftwareLog
 from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.prompt_cache import Prompt, PromptPart
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.rollout import TargetReport
+from sequoiawind.software_records import SoftwareRecords
 from sequoiawind.tokens import token_digest
 from sequoiawind.verdict import Failure, Reason, not_run
 
@@ -251,6 +253,7 @@
     fleet: Fleet = attrs.field(factory=lambda: Fleet(random=random.Random(1)))
     port: FakePort = attrs.field(factory=FakePort)
     origin_log: MemoryOriginLog = attrs.field(factory=MemoryOriginLog)
+    software_log: MemorySoftwareLog = attrs.field(factory=MemorySoftwareLog)
     crash_log: MemoryCrashLog = attrs.field(factory=MemoryCrashLog)
     freshness: Freshness = attrs.field(init=False)
     forwarder: Forwarder = attrs.field(init=False)
@@ -279,6 +282,15 @@
             ),
             origins=OriginRegistry(
                 port=self.origin_log,
+                software=SoftwareRecords(
+                    port=self.software_log,
+                    board=self.board,
+                    fleet=self.fleet,
+                    freshness=self.freshness,
+                    clock=self.clock,
+                    log=structlog.get_logger(),
+                    random=random.Random(1),
+                ),
                 fleet=self.fleet,
                 freshness=self.freshness,
                 clock=self.clock,
@@ -313,6 +325,7 @@
         """Register targets."""
         for item in targets:
             self.fleet.put(item)
+        self.forwarder.origins.targets_changed()
 
     def request(self, route: str, **fields: Any) -> ForwardRequest:
         """Return a request for a route."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -137,6 +137,11 @@
     def append(self, topic: str, body: bytes) -> bytes:
         """Append the records of a call to a topic of the system's own."""
         with self.changed:
+            if topic.startswith("keyed."):
+                records = self.topics.setdefault(topic, [])
+                records += map(keyed, contents(body))
+                self.changed.notify_all()
+                return json.dumps({"end": len(records)}).encode()
             self.logs[topic] = self.logs.get(topic, b"") + body
             self.log_ends[topic] = self.log_ends.get(topic, 0) + count(body)
             return json.dumps({"end": self.log_ends[topic]}).encode()
@@ -185,16 +190,26 @@
         return out
 
 
-def count(body: bytes) -> int:
-    """Return how many records a body has."""
-    records = 0
+def contents(body: bytes) -> list[bytes]:
+    """Return the records of a body."""
+    records: list[bytes] = []
     while body:
         (length,) = struct.unpack_from(">I", body)
+        records.append(body[4 : 4 + length])
         body = body[4 + length :]
-        records += 1
     return records
 
 
+def count(body: bytes) -> int:
+    """Return how many records a body has."""
+    return len(contents(body))
+
+
+def keyed(content: bytes) -> tuple[str, bytes]:
+    """Return the key and the value of a keyed record."""
+    return content[1 : 1 + content[0]].decode(), content[1 + content[0] :]
+
+
 @attrs.define(kw_only=True, eq=False)
 class Target(StandIn):
     """A model engine, or a plain service if it has no weights."""
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -299,6 +299,35 @@
         self.assertEqual((200, 4), (status, body.count(b"\n\n")))
         self.assertEqual(name, other.ran[-1].get("resumes"))
 
+    def test_stream_does_not_go_on_at_the_version_that_follows(self) -> None:
+        # Guards against a stream of two software versions after all routers
+        # have been killed while the targets were replaced.
+        self.store.put(
+            "keyed.servers", "e1", self.engine.entry("llm", version="v1")
+        )
+        self.engine.pause_s = 0.4
+        response = self.begin_stream("s")
+        self.assertEqual(b"id: 1\ndata: x\n\n", response.read(15))
+        with Target(id="e2") as other:
+            self.store.put(
+                "keyed.servers", "e2", other.entry("llm", version="v2")
+            )
+            self.store.put("keyed.servers", "e1", None)
+            time.sleep(1.0)
+            self.router.kill()
+            self.callers, self.ready, metrics = free_ports(3)
+            entry = ENTRY.format(callers=self.callers, ready=self.ready)
+            self.start("router", metrics, "", entry)
+            self.wait_until(lambda: self.ready_status() == 200)
+            status, _, _ = self.submit(
+                "/draft/x",
+                **self.next_prompt(),
+                **{"Last-Event-Id": "1", "Resumes": "s"},
+            )
+            self.assertEqual((503, []), (status, other.ran))
+            # A stream that begins is served.
+            self.assertTrue(self.prompt_runs_at(other, 0))
+
     def test_router_that_is_ready_has_a_confirmed_configuration(self) -> None:
         # Guards against callers being sent to a router that refuses them.
         self.store.pauses_s["keyed.op"] = 0.7
