Whether requests need a key is a fact of the configuration

Cause: a configuration without any key was taken for one that needs none, as its accounts are kept by key. The record's own field was lost when it was decoded.

Now it is decoded to `needs_keys`, which is true unless the record has no field for accounts. It decides about new requests, accepted requests that are sent again, and the scope of cached parts. An account without keys keeps its rate limit's debt, and an empty key has no holder.

Ruled out: a configuration that is not in force (the log names its revision), keys that are kept (one that was never held passed too).

--- a/sequoiawind/forward_plan.py
+++ b/sequoiawind/forward_plan.py
@@ -148,10 +148,10 @@
         """Return the account of an accepted request, as it is configured now.
 
         Returns:
-          The account; None if the request needs a key, and its key is no longer
-          good.
+          The account; None if the request needs a key now, and has none that
+          is good.
         """
-        if not plan.account.name:
+        if not plan.account.name and not self.needs_key(plan):
             return plan.account
         known = tokens.holder_of(
             plan.request.key, self.board.accounts_by_digest
@@ -160,6 +160,17 @@
             return known
         return None
 
+    def needs_key(self, plan: ForwardPlan) -> bool:
+        """Whether an accepted request would need a key if it came now.
+
+        A route that has been removed since counts as it was.
+        """
+        state, request = self.board.state, plan.request
+        if not isinstance(state, ForwardState):
+            return True
+        route = state.match(request.host, request.path) or plan.route
+        return state.needs_keys and not route.is_public
+
     def cache_scope(self, plan: ForwardPlan) -> str:
         """Return the scope in which a request may use and cache parts now.
 
@@ -171,7 +182,7 @@
             return cache_scope.key_scope(plan.request.key)
         if name:
             return state.cache_scope_of(name)
-        if self.trusts_keys and not (plan.request.key and state.accounts):
+        if self.trusts_keys and not (plan.request.key and state.needs_keys):
             return state.shared_scope
         # The key may be that of an isolated account, or the configuration may
         # not know yet which accounts are.
@@ -213,7 +224,7 @@
     ) -> Result[ForwardAccount, Failure]:
         """Return the client account of a request, or why it is refused."""
         known = tokens.holder_of(request.key, self.board.accounts_by_digest)
-        if route.is_public or not state.accounts:
+        if route.is_public or not state.needs_keys:
             # A key that may have been revoked counts as no key.
             if isinstance(known, ForwardAccount) and self.trusts_keys:
                 return Ok(known)
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -141,6 +141,7 @@
             replaced=old,
             routes=len(state.routes),
             keys=len(state.accounts),
+            needs_keys=state.needs_keys,
             isolated=len(state.isolated_accounts),
             source=self.source,
             config_age_s=age_s,
--- a/sequoiawind/forward_state.py
+++ b/sequoiawind/forward_state.py
@@ -141,9 +141,14 @@
     """The configuration from one version of the operator's file."""
 
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    # Whether requests on routes that are not public need a key, also while no
+    # account has one.
+    needs_keys: bool = True
     # Names of the client accounts that share no cached prompts, with keys or
     # without.
     isolated_accounts: frozenset[str] = frozenset()
+    # Names of those whose rate is limited and that have no key now.
+    limited_without_key: frozenset[str] = frozenset()
 
     @cached_property
     def shared_scope(self) -> str:
@@ -159,11 +164,12 @@
     @cached_property
     def limited_accounts(self) -> frozenset[str]:
         """Names of the client accounts whose rate is limited."""
-        return frozenset(
+        with_key = {
             account.name
             for account in self.accounts.values()
             if isinstance(account, ForwardAccount) and account.limit
-        )
+        }
+        return self.limited_without_key | with_key
 
     @cached_property
     def resumable_pools(self) -> frozenset[str]:
--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decoding of the operator's records to the product's configuration."""
 
+from collections.abc import Mapping
 from functools import lru_cache
 from typing import Final
 
@@ -110,7 +111,8 @@
     routes: list[RouteRecord] = []
     services: list[ServiceRecord] = []
     limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
-    tenants: list[TenantRecord] = []
+    # Without this field, requests need no keys.
+    tenants: list[TenantRecord] | None = None
 
 
 class WeightsRecord(msgspec.Struct):
@@ -135,6 +137,8 @@
       WireError: The record is not a configuration.
     """
     record = wire.decode(value, ConfigRecord)
+    tenants = record.tenants or []
+    limits = {tenant.name: account_limit(tenant) for tenant in tenants}
     return ForwardState(
         revision=record.version,
         limits=CallerLimits(
@@ -143,9 +147,15 @@
             header_timeout_s=record.limits.header_timeout_ms * S_PER_MS,
             idle_timeout_s=record.limits.idle_timeout_ms * S_PER_MS,
         ),
-        accounts=accounts(record.tenants),
+        needs_keys=record.tenants is not None,
+        accounts=accounts(tenants, limits),
         isolated_accounts=frozenset(
-            tenant.name for tenant in record.tenants if tenant.isolated
+            tenant.name for tenant in tenants if tenant.isolated
+        ),
+        limited_without_key=frozenset(
+            tenant.name
+            for tenant in tenants
+            if limits[tenant.name] is not None and not tenant.api_keys
         ),
         kinds={item.name: kind(item) for item in record.routes},
         routes={item.name: route(item) for item in record.routes},
@@ -163,9 +173,10 @@
     return NamedWeights(model=record.model, version=record.version)
 
 
-def accounts(tenants: list[TenantRecord]) -> dict[str, ForwardAccount]:
+def accounts(
+    tenants: list[TenantRecord], limits: Mapping[str, LimitedAccount | None]
+) -> dict[str, ForwardAccount]:
     """Return an account for each API key, under a unique name."""
-    limits = {tenant.name: account_limit(tenant) for tenant in tenants}
     return {
         f"{tenant.name}/{number}": ForwardAccount(
             name=tenant.name,
--- a/sequoiawind/tokens.py
+++ b/sequoiawind/tokens.py
@@ -18,8 +18,11 @@
 def holder_of(token: str, by_digest: Mapping[str, Holder]) -> Holder | None:
     """Return the holder of a bearer token; None if the token is unknown.
 
-    The look-up is by digest; the comparison is in constant time.
+    The empty token has no holder.  The look-up is by digest; the comparison is
+    in constant time.
     """
+    if not token:
+        return None
     digest = token_digest(token)
     holder = by_digest.get(digest)
     if holder is None:
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -210,6 +210,24 @@
         self.wait_until(lambda: bool(self.engine.orders))
         self.assertEqual(401, self.submit("/read/x")[0])
 
+    def test_no_key_is_good_once_the_last_one_is_revoked(self) -> None:
+        # Guards against a configuration without keys counting as one that needs
+        # none, also at a router that starts then.
+        self.assertEqual(200, self.submit("/read/x")[0])
+        without = configuration(9) | {"tenants": [{"name": "acme"}]}
+        self.store.put("keyed.op", "config", without)
+        self.wait_until(lambda: self.submit("/read/x")[0] == 401)
+        self.router.kill()
+        self.callers, self.ready, metrics = free_ports(3)
+        entry = ENTRY.format(callers=self.callers, ready=self.ready)
+        self.start("router", metrics, "", entry)
+        self.wait_until(lambda: self.ready_status() == 200)
+        for key in ("k1", "never", ""):
+            self.assertEqual(401, self.submit("/read/x", key=key)[0])
+        self.assertEqual(200, self.submit("/open/x")[0])
+        self.store.put("keyed.op", "config", configuration(10))
+        self.wait_until(lambda: self.submit("/read/x")[0] == 200)
+
     def test_limit_on_heads_is_raised_for_kept_connections(self) -> None:
         # Guards against heads within the limit in force being refused by the
         # one at the connection's beginning.
