--- a/sequoiawind/platform/configuration.py
+++ b/sequoiawind/platform/configuration.py
@@ -1,24 +1,26 @@
 """Decoding of the operator's records to the product's configuration."""
 
-from collections.abc import Mapping
 from functools import lru_cache
 from typing import Final
 
 import attrs
 import msgspec
 
-from sequoiawind import tokens, wire
+from sequoiawind import wire
 from sequoiawind.forward_state import (
-    ForwardAccount,
     ForwardKind,
     ForwardPool,
     ForwardRoute,
     ForwardState,
-    LimitedAccount,
     PoolShare,
 )
 from sequoiawind.headers import CallerLimits
 from sequoiawind.platform import names
+from sequoiawind.platform.accounts import (
+    TenantRecord,
+    accounts,
+    limited_without_key,
+)
 from sequoiawind.platform.numbers import Count
 
 S_PER_MS: Final = 0.001
@@ -89,21 +91,6 @@
     idle_timeout_ms: float = 15_000
 
 
-class TenantRecord(msgspec.Struct):
-    """A client account as the operator writes it."""
-
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-    isolated: bool = False
-    # Limit over all routers; without a rate there is none.
-    rate_per_s: float | None = None
-    burst: float | None = None
-    unit: str | None = None
-    # Cost of a request that specifies no tokens.
-    plain_tokens: float | None = None
-
-
 class ConfigRecord(msgspec.Struct):
     """The whole configuration."""
 
@@ -138,7 +125,6 @@
     """
     record = wire.decode(value, ConfigRecord)
     tenants = record.tenants or []
-    limits = {tenant.name: account_limit(tenant) for tenant in tenants}
     return ForwardState(
         revision=record.version,
         limits=CallerLimits(
@@ -148,15 +134,11 @@
             idle_timeout_s=record.limits.idle_timeout_ms * S_PER_MS,
         ),
         needs_keys=record.tenants is not None,
-        accounts=accounts(tenants, limits),
+        accounts=accounts(tenants),
         isolated_accounts=frozenset(
             tenant.name for tenant in tenants if tenant.isolated
         ),
-        limited_without_key=frozenset(
-            tenant.name
-            for tenant in tenants
-            if limits[tenant.name] is not None and not tenant.api_keys
-        ),
+        limited_without_key=limited_without_key(tenants),
         kinds={item.name: kind(item) for item in record.routes},
         routes={item.name: route(item) for item in record.routes},
         pools={item.name: pool(item) for item in record.services},
@@ -173,38 +155,6 @@
     return NamedWeights(model=record.model, version=record.version)
 
 
-def accounts(
-    tenants: list[TenantRecord], limits: Mapping[str, LimitedAccount | None]
-) -> dict[str, ForwardAccount]:
-    """Return an account for each API key, under a unique name."""
-    return {
-        f"{tenant.name}/{number}": ForwardAccount(
-            name=tenant.name,
-            token_digest=tokens.token_digest(key),
-            priority=tenant.priority,
-            limit=limits[tenant.name],
-        )
-        for tenant in tenants
-        for number, key in enumerate(tenant.api_keys)
-    }
-
-
-def account_limit(tenant: TenantRecord) -> LimitedAccount | None:
-    """Return the rate limit of a client account; None if it has none."""
-    rate_per_s = tenant.rate_per_s or 0.0
-    if rate_per_s <= 0.0:
-        return None
-    burst = tenant.burst or 0.0
-    return LimitedAccount(
-        name=tenant.name,
-        rate_per_s=rate_per_s,
-        # A bucket that holds nothing would admit nothing.
-        burst=burst if burst > 0.0 else rate_per_s,
-        plain_cost=max(0.0, tenant.plain_tokens or 0.0),
-        is_in_tokens=tenant.unit == names.TOKEN_UNIT,
-    )
-
-
 @lru_cache(maxsize=MAX_KEPT_ROUTES)
 def kind(record: RouteRecord) -> ForwardKind:
     """Return the rules for a route's requests: priority, repeats, times."""
