Streams are recorded again when the store has lost their records

Cause: a record that was written once counted as kept. The store came back from a copy without it and nobody wrote it again, not even the router that broke the stream off; and a reader whose offset was gone took the 410 for a failure.

Now each process knows the store's era, from any answer and from relays, and records count for the era in which they were written. When it rises, a router records its streams again, within its share of the store's rate. It records what it breaks off whatever was recorded before, and all open streams at SIGTERM, and ends after that. Streams that are open for more than 30 s stay known. The reader begins anew where a 410 or a greater era says so.

Ruled out: a lookup that ends too soon (the topic was empty for 10 s).

--- a/sequoiawind/crash_registry.py
+++ b/sequoiawind/crash_registry.py
@@ -28,7 +28,12 @@
 )
 from sequoiawind.fleet import TargetView, is_leaving
 from sequoiawind.ports import Clock
-from sequoiawind.record_ports import KeyedPage, KeyedRecord, ReadFailure
+from sequoiawind.record_ports import (
+    Appended,
+    KeyedPage,
+    KeyedRecord,
+    ReadFailure,
+)
 from sequoiawind.request_signature import RequestSignature, digest, is_whole
 from sequoiawind.verdict import Failure, Reason, not_run
 
@@ -110,7 +115,7 @@
         records: Sequence[KeyedRecord],
         timeout_s: float,
         at: int | None = None,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records; those without a value delete their keys.
 
         Args:
--- a/sequoiawind/feed_messages.py
+++ b/sequoiawind/feed_messages.py
@@ -90,6 +90,8 @@
     has_more: bool = False
     # For how long the request was held before the reply was made, in seconds.
     held_s: float = 0.0
+    # Greatest era of the store that the relay has seen; 0 if unknown.
+    store_era: int = 0
 
     def operator_as_of_s(self, sent_s: float) -> float:
         """Return the time as of which the operator's records are known.
--- a/sequoiawind/feed_reader.py
+++ b/sequoiawind/feed_reader.py
@@ -14,6 +14,7 @@
 from sequoiawind.ports import Clock
 from sequoiawind.record_follower import RecordReader
 from sequoiawind.record_ports import KeyedRecord
+from sequoiawind.store_era import StoreEra
 
 # Age of the targets' entries at a relay, in seconds, up to which a target that
 # it does not have is taken as removed.
@@ -47,6 +48,7 @@
         [Mapping[str, float], Mapping[str, float], float], None
     ] = attrs.field(default=lambda totals, stated, sent_s: None)
     age_clock: Callable[[], float] = suspended_clock_s
+    era: StoreEra = attrs.field(factory=StoreEra)
     # Times as of which the operator's records and the targets' entries are
     # known, in seconds of the age clock.
     operator_as_of_s: float = float("-inf")
@@ -69,6 +71,7 @@
           reply: The reply.
           sent_s: When its request was sent, in seconds of the age clock.
         """
+        self.era.seen(reply.store_era)
         self.take_records(reply, sent_s)
         self.note_ages(reply, sent_s)
         now_s = self.clock.seconds()
--- a/sequoiawind/feed_relay.py
+++ b/sequoiawind/feed_relay.py
@@ -33,6 +33,7 @@
     ranked,
     relay_count,
 )
+from sequoiawind.store_era import StoreEra
 from sequoiawind.wire import TargetStatus
 
 # How long changes that are not urgent are gathered for one reply, in seconds.
@@ -107,11 +108,21 @@
     # the targets' entries are known; None if they are not.
     operator_as_of_s: float | None = None
     targets_as_of_s: float | None = None
+    era: StoreEra = attrs.field(factory=StoreEra)
     # Called with the records that another process has sent.
     on_records: Callable[[FeedReply], None] = attrs.field(
         default=lambda reply: None
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Tell the readers at once that the store has returned from a copy."""
+        self.era.listeners.append(lambda era: self.end_all_waits())
+
+    def end_all_waits(self) -> None:
+        """End the waits of all readers."""
+        for waiting in self.waiting[:]:
+            self.end_wait(waiting)
+
     # Publishing.
 
     def put(
@@ -243,6 +254,7 @@
             routers=total.routers,
             demand_per_s=total.demand_per_s,
             has_more=changes.has_more,
+            store_era=self.era.number,
         )
         feed_messages.add_entries(reply, changes)
         self.totals.add_to(reply, query, self.clock.seconds())
@@ -353,6 +365,7 @@
         self, reply: FeedReply, sent_s: float, source: str, level: Level
     ) -> None:
         """Store what another process has replied."""
+        self.era.seen(reply.store_era)
         at_level = Level.DOMAIN if level is Level.OWN else Level.ALL
         self.totals.take(reply, source, at_level, self.clock.seconds())
         if level is Level.DOMAIN:
@@ -375,6 +388,7 @@
 
     def take_records(self, reply: FeedReply, sent_s: float) -> None:
         """Use the store's records that another process has sent."""
+        self.era.seen(reply.store_era)
         self.on_records(reply)
         if reply.operator_age_s >= 0.0:
             self.note_operator(reply.operator_as_of_s(sent_s))
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -106,6 +106,7 @@
             age_clock=suspended_clock_s,
             table=FeedTable(run=self.run_id, clock=event_loop.reactor),
             make_client=self.make_feed_client,
+            era=self.store.era,
         )
         self.feed = self.make_feed_client(
             level=Level.DOMAIN,
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -390,6 +390,7 @@
             on_totals=self.totals_changed,
             caches=self.forwarder.caches,
             clock=event_loop.reactor,
+            era=self.store.era,
             capacity_of=self.forwarder.memory_of,
             on_status=self.forwarder.status_changed,
         )
--- a/sequoiawind/forward_shutdown.py
+++ b/sequoiawind/forward_shutdown.py
@@ -62,6 +62,7 @@
         """Close each caller's connection after its next answer."""
         self.site.is_closing = True
         self.forwarder.is_stopping = True
+        self.forwarder.origins.stop()
         self.forwarder.latest_end_s = self.latest_end_s
 
     def latest_end_s(self) -> float:
@@ -90,7 +91,9 @@
             sockets.hand_over(connection.transport)
 
     def is_idle(self) -> bool:
-        """Whether no request is in progress, and no close after one."""
+        """Whether no request is in progress, and nothing is left after one."""
         if self.forwarder.open_requests or not self.closer.is_idle:
             return False
+        if not self.forwarder.origins.is_idle:
+            return False
         return all(item.is_idle for item in self.site.connections)
--- a/sequoiawind/forwarding.py
+++ b/sequoiawind/forwarding.py
@@ -494,6 +494,6 @@
         self.attempts.release(self.now_s)
         if self.charge is not None:
             self.charge.ended(self.now_s)
-        if failure is None and self.has_head:
-            self.forwarder.origins.completed(self.stream_id)
+        is_whole = failure is None and self.has_head
+        self.forwarder.origins.finished(self.stream_id, is_whole)
         self.forwarder.finished(self, failure)
--- a/sequoiawind/lab/forward_store.py
+++ b/sequoiawind/lab/forward_store.py
@@ -10,6 +10,7 @@
 from sequoiawind.lab.forward_world import LATENCY_S, World
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import (
+    Appended,
     KeyedPage,
     KeyedRecord,
     ReadFailure,
@@ -78,13 +79,14 @@
         records: Sequence[KeyedRecord],
         timeout_s: float,
         at: int | None = None,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records, unless they are to be at another offset."""
         await timing.sleep(self.clock, LATENCY_S)
         topic = self.world.topics.setdefault(CRASHES, [])
         is_refused = self.node in self.world.refused_nodes
         if is_refused or at not in (None, len(topic)):
             return Error(STORE_REFUSED)
+        offset = len(topic)
         for record in records:
             topic.append(attrs.evolve(record, stamp=(0, len(topic))))
-        return Ok(None)
+        return Ok(Appended(offset=offset))
--- a/sequoiawind/lab/memory_crash_log.py
+++ b/sequoiawind/lab/memory_crash_log.py
@@ -6,7 +6,12 @@
 import attrs
 from expression import Error, Ok, Result
 
-from sequoiawind.record_ports import KeyedPage, KeyedRecord, ReadFailure
+from sequoiawind.record_ports import (
+    Appended,
+    KeyedPage,
+    KeyedRecord,
+    ReadFailure,
+)
 from sequoiawind.verdict import Failure, Reason, not_run
 
 UNAVAILABLE: Final = not_run(Reason.LOG_UNAVAILABLE, "refused by the log")
@@ -34,11 +39,12 @@
         records: Sequence[KeyedRecord],
         timeout_s: float,
         at: int | None = None,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records, unless they are to be at another offset."""
         if not self.is_available or at not in (None, len(self.records)):
             return Error(UNAVAILABLE)
+        offset = len(self.records)
         for record in records:
             stamp = (0, len(self.records))
             self.records.append(attrs.evolve(record, stamp=stamp))
-        return Ok(None)
+        return Ok(Appended(offset=offset))
--- a/sequoiawind/lab/memory_origin_log.py
+++ b/sequoiawind/lab/memory_origin_log.py
@@ -10,7 +10,7 @@
     OriginPage,
     OriginRecord,
 )
-from sequoiawind.record_ports import RecordsLost
+from sequoiawind.record_ports import Appended, RecordsLost
 from sequoiawind.verdict import Failure, Reason, not_run
 
 UNAVAILABLE = not_run(Reason.LOG_UNAVAILABLE, "refused by the log")
@@ -32,13 +32,13 @@
         self,
         records: Sequence[OriginRecord | ForgottenOrigin],
         timeout_s: float,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records."""
         self.appends += 1
         if not self.is_available:
             return Error(UNAVAILABLE)
         self.records += records
-        return Ok(None)
+        return Ok(Appended(era=self.era))
 
     async def read(
         self, start: int, wait_s: float, timeout_s: float
@@ -47,7 +47,7 @@
         self.reads += 1
         if not self.is_available:
             return Error(UNAVAILABLE)
-        if start < self.first:
+        if not self.first <= start <= self.first + len(self.records):
             return Error(RecordsLost(era=self.era, first=self.first))
         records = self.records[start - self.first :]
         return Ok(
--- a/sequoiawind/lab/memory_software_log.py
+++ b/sequoiawind/lab/memory_software_log.py
@@ -5,6 +5,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from sequoiawind.record_ports import Appended
 from sequoiawind.software_records import Origins, RecordedSoftware
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure, Reason, not_run
@@ -44,7 +45,7 @@
         removed: Collection[StreamOrigin],
         is_whole: bool,
         timeout_s: float,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Add and delete records; set the mark with `is_whole`."""
         self.writes += 1
         if not self.is_available:
@@ -52,7 +53,7 @@
         self.origins |= set(added)
         self.origins -= set(removed)
         self.is_whole |= is_whole
-        return Ok(None)
+        return Ok(Appended(era=self.era))
 
     async def history(
         self, timeout_s: float
--- a/sequoiawind/origin_registry.py
+++ b/sequoiawind/origin_registry.py
@@ -5,6 +5,8 @@
 there are several, each router records the streams that it has begun in a log,
 and a router that is asked to continue a stream that it does not know looks it
 up there.  A stream whose origin cannot be found out is refused as not run.
+What a router has recorded it records again when the log has returned from a
+copy, which may lack it.
 
 A router that has just started does not know whether there is, and was, only one
 version; `software_records` tells it.
@@ -23,9 +25,10 @@
 from sequoiawind.fleet import Fleet
 from sequoiawind.freshness import Freshness
 from sequoiawind.ports import Clock, Timer
-from sequoiawind.record_ports import RecordsLost
+from sequoiawind.record_ports import Appended, RecordsLost
 from sequoiawind.software_memory import SOFTWARE_MEMORY_S
 from sequoiawind.software_records import SoftwareRecords
+from sequoiawind.store_era import StoreEra
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure, Reason, not_run
 
@@ -52,6 +55,11 @@
 # for records, in seconds.
 APPEND_TIMEOUT_S: Final = 1.0
 READ_TIMEOUT_S: Final = 0.4
+# Reads after which a lookup gives up, should the log's answers contradict each
+# other.
+MAX_RESTARTS: Final = 5
+# Era of a stream that the log does not have.
+NOT_RECORDED: Final = -1
 # Retry-after of a stream whose origin is not known, in seconds.
 UNKNOWN_RETRY_AFTER_S: Final = 0.4
 
@@ -90,7 +98,7 @@
         self,
         records: Sequence[OriginRecord | ForgottenOrigin],
         timeout_s: float,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records."""
 
     async def read(
@@ -107,9 +115,10 @@
     """A stream that this router has begun and not completed."""
 
     origin: StreamOrigin
-    # In seconds of the clock.
-    began_s: float
-    is_recorded: bool = False
+    # When this router ended its answer, in seconds of the clock.
+    ended_s: float = float("inf")
+    # Era of the log in which it was recorded.
+    recorded_era: int = NOT_RECORDED
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -118,12 +127,16 @@
 
     port: OriginPort
     software: SoftwareRecords
+    # Era of the log as it is known by any way; that of what was read is `era`.
+    log_era: StoreEra = attrs.field(factory=StoreEra)
     fleet: Fleet
     freshness: Freshness
     clock: Clock
     log: Logger
-    # By request id, the oldest first.
+    # Open streams by request id, the oldest first, and those that ended before
+    # their end, in that order.
     begun: OrderedDict[str, BegunStream] = attrs.field(factory=OrderedDict)
+    ended: OrderedDict[str, BegunStream] = attrs.field(factory=OrderedDict)
     # What was read from the log, by request id, the oldest first.
     found: OrderedDict[str, StreamOrigin] = attrs.field(factory=OrderedDict)
     # When records of an origin were read last, in seconds of the clock.
@@ -133,9 +146,14 @@
     timer: Timer | None = None
     # Pools of which several versions were known last.
     mixed_pools: frozenset[str] = frozenset()
+    # Whether the process stops, so that it will end the streams that are open.
+    is_stopping: bool = False
+    # Streams that the stopping process has ended and not recorded yet.
+    unrecorded: set[str] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        """Follow the versions that are forgotten."""
+        """Follow the era of the log, and the versions that are forgotten."""
+        self.log_era.listeners.append(self.log_rewound)
         self.software.on_forgotten = lambda origins: Deferred.fromCoroutine(
             self.forget(origins)
         )
@@ -156,17 +174,17 @@
 
     def began(self, request_id: str, origin: StreamOrigin) -> None:
         """Note the origin of a stream that begins here."""
-        now_s = self.clock.seconds()
-        self.begun[request_id] = BegunStream(origin=origin, began_s=now_s)
-        while self.begun and (
-            len(self.begun) > MAX_ORIGINS
-            or next(iter(self.begun.values())).began_s
-            < now_s - SOFTWARE_MEMORY_S
-        ):
+        self.ended.pop(request_id, None)
+        self.begun[request_id] = BegunStream(origin=origin)
+        while len(self.begun) > MAX_ORIGINS:
             self.begun.popitem(last=False)
-        if self.is_mixed(origin.pool):
+        if self.is_to_record(origin.pool):
             self.record_in(self.record_delay_s)
 
+    def is_to_record(self, pool: str) -> bool:
+        """Whether the streams of a pool may need records."""
+        return self.is_stopping or self.is_mixed(pool)
+
     @property
     def record_delay_s(self) -> float:
         """Delay after which streams are recorded, in seconds.
@@ -176,18 +194,68 @@
         routers = self.fleet.routers(self.clock.seconds())
         return max(RECORD_DELAY_S, routers / RECORD_CALLS_PER_S)
 
-    def completed(self, request_id: str) -> None:
-        """Forget a stream that its caller has got to its end."""
-        self.begun.pop(request_id, None)
+    def finished(self, request_id: str, is_whole: bool) -> None:
+        """Note that an answer has ended.
+
+        Args:
+          request_id: The request that began the stream.
+          is_whole: Whether the caller has got it to its end; otherwise it may
+            resume it.
+        """
+        stream = self.begun.pop(request_id, None)
+        if stream is None or is_whole:
+            return
+        now_s = self.clock.seconds()
+        stream.ended_s = now_s
+        self.ended[request_id] = stream
+        while self.ended and (
+            len(self.ended) > MAX_ORIGINS
+            or next(iter(self.ended.values())).ended_s
+            < now_s - SOFTWARE_MEMORY_S
+        ):
+            self.ended.popitem(last=False)
 
     def broken(self, request_id: str) -> None:
-        """Record a stream at once, as its caller may resume it."""
+        """Record a stream that this router breaks off, as it may be resumed.
+
+        That it was recorded before does not tell that the log still has it.
+        """
         stream = self.begun.get(request_id)
-        if stream is None or stream.is_recorded:
+        if stream is None or not self.is_to_record(stream.origin.pool):
             return
-        if self.is_mixed(stream.origin.pool):
+        is_urgent = self.is_stopping or not self.is_recorded(stream)
+        stream.recorded_era = NOT_RECORDED
+        if self.is_stopping:
+            self.unrecorded.add(request_id)
+        self.record_in(0.0 if is_urgent else self.record_delay_s)
+
+    def is_recorded(self, stream: BegunStream) -> bool:
+        """Whether the log has a stream, as far as its era is known."""
+        return stream.recorded_era >= self.log_era.number
+
+    def log_rewound(self, era: int) -> None:
+        """Record streams again, as the log may have lost them."""
+        streams = [
+            stream
+            for stream in (*self.begun.values(), *self.ended.values())
+            if stream.recorded_era != NOT_RECORDED
+        ]
+        if not streams:
+            return
+        self.log.warning("stream origins lost", era=era, streams=len(streams))
+        self.record_in(self.software.random.uniform(0.0, self.record_delay_s))
+
+    def stop(self) -> None:
+        """Record the open streams, which the process may soon break off."""
+        self.is_stopping = True
+        if self.begun:
             self.record_in(0.0)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether a stopping process has recorded the streams that it ended."""
+        return not self.unrecorded
+
     def is_mixed(self, pool: str) -> bool:
         """Whether targets of several versions serve a pool, or did lately."""
         now_s = self.clock.seconds()
@@ -202,15 +270,15 @@
         self.timer = self.clock.callLater(delay_s, self.record)
 
     def record(self) -> None:
-        """Record the open streams of all pools with several versions."""
-        is_mixed: dict[str, bool] = {}
+        """Record the streams that may need it and are not recorded."""
+        is_wanted: dict[str, bool] = {}
         batch: list[OriginRecord] = []
-        for request_id, stream in self.begun.items():
+        for request_id, stream in (*self.begun.items(), *self.ended.items()):
             pool = stream.origin.pool
-            if pool not in is_mixed:
-                is_mixed[pool] = self.is_mixed(pool)
-            if is_mixed[pool] and not stream.is_recorded:
-                stream.is_recorded = True
+            if pool not in is_wanted:
+                is_wanted[pool] = self.is_to_record(pool)
+            if is_wanted[pool] and not self.is_recorded(stream):
+                stream.recorded_era = self.log_era.number
                 batch.append(
                     OriginRecord(request_id=request_id, origin=stream.origin)
                 )
@@ -223,12 +291,18 @@
     async def append(self, batch: Sequence[OriginRecord]) -> None:
         """Append records; if that fails, they are appended again later."""
         answered = await self.port.append(batch, APPEND_TIMEOUT_S)
-        if answered.is_ok():
-            return
+        era = answered.ok.era if answered.is_ok() else NOT_RECORDED
         for record in batch:
-            stream = self.begun.get(record.request_id)
+            name = record.request_id
+            stream = self.begun.get(name) or self.ended.get(name)
             if stream is not None:
-                stream.is_recorded = False
+                stream.recorded_era = era
+            if answered.is_ok():
+                self.unrecorded.discard(name)
+        if answered.is_ok():
+            if era < self.log_era.number:
+                self.record_in(self.record_delay_s)
+            return
         self.log.warning(
             "cannot record stream origins",
             streams=len(batch),
@@ -258,7 +332,7 @@
           request_id: The request that began the stream; empty if not named.
           pool: The pool to which its caller would be sent now.
         """
-        stream = self.begun.get(request_id)
+        stream = self.begun.get(request_id) or self.ended.get(request_id)
         if stream is not None:
             return stream.origin
         if request_id in self.found:
@@ -348,33 +422,53 @@
 
     async def read(self, wait_s: float) -> bool:
         """Read what the log has; return whether all of it was read."""
-        while True:
+        restarts = 0
+        while restarts < MAX_RESTARTS:
+            start = self.next_offset
             answered = await self.port.read(
-                self.next_offset, wait_s, wait_s + READ_TIMEOUT_S
+                start, wait_s, wait_s + READ_TIMEOUT_S
             )
-            if answered.is_ok():
-                page = answered.ok
-                if page.era != self.era:
+            if answered.is_error():
+                lost = answered.error
+                if not isinstance(lost, RecordsLost):
+                    self.log.warning(
+                        "cannot read stream origins",
+                        offset=start,
+                        detail=lost.detail,
+                    )
+                    return False
+                restarts += 1
+                if lost.era >= self.era:
+                    self.restart(lost.era, lost.first)
+                continue
+            page = answered.ok
+            if page.era != self.era:
+                # An answer of an earlier era may have been under way.
+                restarts += 1
+                if page.era > self.era:
                     self.restart(page.era, 0)
+                if page.era < self.era or start:
                     continue
-                self.add(page)
-                if page.has_more:
-                    wait_s = 0.0
-                    continue
+            self.add(page)
+            if not page.has_more:
                 return True
-            lost = answered.error
-            if isinstance(lost, RecordsLost) and lost.first > self.next_offset:
-                self.restart(lost.era, lost.first)
-                continue
-            self.log.warning(
-                "cannot read stream origins",
-                offset=self.next_offset,
-                detail="" if isinstance(lost, RecordsLost) else lost.detail,
-            )
-            return False
+            wait_s = 0.0
+        self.log.warning(
+            "cannot read stream origins",
+            offset=self.next_offset,
+            detail="the log has no records there",
+        )
+        return False
 
     def restart(self, era: int, offset: int) -> None:
         """Continue to read at an offset of an era of the log."""
+        self.log.info(
+            "stream origins read anew",
+            era=era,
+            known_era=self.era,
+            offset=offset,
+            known_offset=self.next_offset,
+        )
         self.era = era
         self.next_offset = offset
 
--- a/sequoiawind/platform/crashes.py
+++ b/sequoiawind/platform/crashes.py
@@ -8,7 +8,12 @@
 from sequoiawind.platform import names
 from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.store_pages import encode_record
-from sequoiawind.record_ports import KeyedPage, KeyedRecord, ReadFailure
+from sequoiawind.record_ports import (
+    Appended,
+    KeyedPage,
+    KeyedRecord,
+    ReadFailure,
+)
 from sequoiawind.verdict import Failure
 
 
@@ -29,7 +34,7 @@
         records: Sequence[KeyedRecord],
         timeout_s: float,
         at: int | None = None,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records; those without a value delete their keys."""
         return await self.store.append(
             names.CRASHES_TOPIC,
--- a/sequoiawind/platform/origins.py
+++ b/sequoiawind/platform/origins.py
@@ -23,7 +23,7 @@
 from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.store_pages import RawPage
 from sequoiawind.ports import Clock
-from sequoiawind.record_ports import RecordsLost
+from sequoiawind.record_ports import Appended, RecordsLost
 from sequoiawind.software_records import SoftwareRecords
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure
@@ -70,7 +70,7 @@
         self,
         records: Sequence[OriginRecord | ForgottenOrigin],
         timeout_s: float,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records."""
         return await self.store.append(
             names.ORIGINS_TOPIC,
@@ -158,9 +158,11 @@
         clock=clock,
         log=log,
     )
+    store.era.listeners.append(software.store_rewound)
     return OriginRegistry(
         port=OriginLog(store=store),
         software=software,
+        log_era=store.era,
         fleet=fleet,
         freshness=freshness,
         clock=clock,
--- a/sequoiawind/platform/software.py
+++ b/sequoiawind/platform/software.py
@@ -13,7 +13,7 @@
 from sequoiawind.platform.store import StoreClient
 from sequoiawind.platform.store_pages import encode_record
 from sequoiawind.platform.targets import decode_target
-from sequoiawind.record_ports import KeyedRecord, RecordsLost
+from sequoiawind.record_ports import Appended, KeyedRecord, RecordsLost
 from sequoiawind.software_records import Origins, RecordedSoftware
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure, Reason, may_have_run
@@ -65,7 +65,7 @@
         removed: Collection[StreamOrigin],
         is_whole: bool,
         timeout_s: float,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Add and delete records; set the mark with `is_whole`."""
         records = [
             KeyedRecord(
--- a/sequoiawind/platform/store.py
+++ b/sequoiawind/platform/store.py
@@ -24,10 +24,12 @@
     keyed_page,
 )
 from sequoiawind.record_ports import (
+    Appended,
     KeyedPage,
     KeyedRecord,
     ReadFailure,
 )
+from sequoiawind.store_era import StoreEra
 from sequoiawind.verdict import Failure, Reason, may_have_run
 
 NEWEST: Final = "/api/log-newest"
@@ -59,12 +61,20 @@
     end: int = 0
 
 
+class AppendAnswer(msgspec.Struct):
+    """The answer to an append."""
+
+    # Offset of the first record.
+    offset: int = 0
+
+
 @attrs.define(kw_only=True)
 class StoreClient:
     """Reads keyed records; implements `record_ports.RecordPort`."""
 
     client: Http1Client
     address: Address
+    era: StoreEra = attrs.field(factory=StoreEra)
 
     async def newest(
         self, topic: str, after: str, timeout_s: float
@@ -144,7 +154,7 @@
         contents: Sequence[bytes],
         timeout_s: float,
         at: int | None = None,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Append records to a topic of our own.
 
         Args:
@@ -166,10 +176,21 @@
         answered = await fetch(self.client, self.address, request, timeout_s)
         if answered.is_error():
             return Error(answered.error)
+        era = self.note_era(answered.ok)
         if answered.ok.status != 200:
             text = f"status {answered.ok.status}"
             return Error(may_have_run(Reason.TARGET_ERROR, text))
-        return Ok(None)
+        try:
+            answer = wire.decode(answered.ok.body, AppendAnswer)
+        except wire.WireError:
+            answer = AppendAnswer()
+        return Ok(Appended(era=era, offset=answer.offset))
+
+    def note_era(self, reply: HttpReply) -> int:
+        """Note the era that an answer states, and return it."""
+        era = decode_era(reply.headers)
+        self.era.seen(era)
+        return era
 
     async def post(
         self, path: str, record: msgspec.Struct, timeout_s: float
@@ -185,6 +206,8 @@
             body=msgspec.json.encode(record),
         )
         answered = await fetch(self.client, self.address, request, timeout_s)
+        if answered.is_ok():
+            self.note_era(answered.ok)
         if answered.is_ok() and answered.ok.status != 200:
             text = f"status {answered.ok.status}"
             return Error(may_have_run(Reason.TARGET_ERROR, text))
@@ -204,6 +227,7 @@
         )
         if answered.is_error():
             return Error(answered.error)
+        self.note_era(answered.ok)
         status = answered.ok.status
         if status == GONE:
             return Error(decode_lost(answered.ok))
--- a/sequoiawind/record_ports.py
+++ b/sequoiawind/record_ports.py
@@ -41,6 +41,15 @@
     first: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class Appended:
+    """Where records were appended."""
+
+    era: int = 0
+    # Offset of the first of them.
+    offset: int = 0
+
+
 ReadFailure = Failure | RecordsLost
 
 
--- a/sequoiawind/software_records.py
+++ b/sequoiawind/software_records.py
@@ -26,6 +26,7 @@
 from sequoiawind.forward_state import ForwardState
 from sequoiawind.freshness import Freshness
 from sequoiawind.ports import Clock, Timer
+from sequoiawind.record_ports import Appended
 from sequoiawind.software_memory import SOFTWARE_MEMORY_S
 from sequoiawind.stream_origins import StreamOrigin
 from sequoiawind.verdict import Failure
@@ -74,7 +75,7 @@
         removed: Collection[StreamOrigin],
         is_whole: bool,
         timeout_s: float,
-    ) -> Result[None, Failure]:
+    ) -> Result[Appended, Failure]:
         """Add and delete records.
 
         Args:
@@ -181,7 +182,7 @@
         self.note_unserved(self.recorded.origins)
         self.plan_next()
 
-    def store_rewound(self) -> None:
+    def store_rewound(self, era: int) -> None:
         """Read the records again, as the store may have lost some."""
         if self.recorded is not None:
             self.check_in(self.delay_s)
--- a/tests/test_software_records.py
+++ b/tests/test_software_records.py
@@ -162,7 +162,7 @@
         first.advance(1.0)
         self.software.origins, self.software.is_whole = set(), False
         self.software.past, self.software.era = None, 1
-        first.forwarder.origins.software.store_rewound()
+        first.forwarder.origins.software.store_rewound(1)
         first.advance(0.5)
         self.assertEqual({V1, V2}, self.software.origins)
 
