Records of crashes are written again when the store has lost them

After a drill of the store, a router that starts would let a request through that crashes targets and that all other routers refuse.

Cause: `store_rewound` only logged; nobody wrote lost reports, answers and tests again. Besides, records that the copy has were applied again in the new era, and an old answer cleared the crashes that had come after it.

Now records tell when they were first written, which is their order, and routers write again what the store lacks: their own at once, those of routers that are gone 2.5 s later, within the store's rate.

--- a/sequoiawind/crash_registry.py
+++ b/sequoiawind/crash_registry.py
@@ -3,7 +3,8 @@
 A router reports the crashes that it sees, and the complete answers that clear
 what was suspected, as records of a topic that all routers follow.  What they
 add up to is in `crash_evidence`.  Without the store a router goes by what it
-has seen and read.
+has seen and read.  When the store has returned from a copy, routers write again
+what it lacks.
 
 What is suspected are whole requests and parts of their prompts, all called
 parts here.  `request_signature` tells their names.
@@ -26,6 +27,18 @@
     Incarnation,
     Suspect,
 )
+from sequoiawind.crash_records import (
+    ANSWER,
+    CRASH,
+    TEST,
+    CrashBody,
+    Order,
+    PartBody,
+    decode_body,
+    order_of,
+    reading_order,
+)
+from sequoiawind.crash_rewrites import CrashRewrites
 from sequoiawind.fleet import TargetView, is_leaving
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import (
@@ -35,6 +48,7 @@
     ReadFailure,
 )
 from sequoiawind.request_signature import RequestSignature, digest, is_whole
+from sequoiawind.store_era import StoreEra
 from sequoiawind.verdict import Failure, Reason, not_run
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -72,34 +86,13 @@
 RECORD_LIFETIME_MS: Final = 24 * 3_600 * 1_000
 MAX_DELETED: Final = 100
 
-# Less than the stamp of any record.
-NO_STAMP: Final = (-1, -1)
-# Beginnings of the records' keys.
-CRASH: Final = "crash"
-ANSWER: Final = "answer"
-TEST: Final = "test"
-
-
-@attrs.frozen(kw_only=True)
-class CrashBody:
-    """A router's record of a crash."""
-
-    # Time of writing, in milliseconds since the epoch.
-    at_ms: int
-    target: str
-    born_ms: int
-    # Digest, depth and whether it has answered before, of each part.
-    suspects: list[tuple[str, int, bool]]
-
 
 @attrs.frozen(kw_only=True)
-class PartBody:
-    """A record of a complete answer with a part, or of a test of a part."""
+class AppliedRecord:
+    """The last record of a key that was applied."""
 
+    order: Order
     at_ms: int
-    part: str
-    # Which test of the part this is, from 1; 0 for an answer.
-    number: int = 0
 
 
 class CrashPort(Protocol):
@@ -156,16 +149,25 @@
     is_writing: bool = False
     # Until when one request may test a part, in seconds of the age clock.
     permits_s: dict[str, float] = attrs.field(factory=dict)
-    # Stamps of the records of answers and tests that were applied, by key:
-    # applied again, they would clear later crashes.
-    applied: OrderedDict[str, tuple[int, int]] = attrs.field(
-        factory=OrderedDict
-    )
+    # The records of answers and tests that were applied, by key: applied again,
+    # they would clear later crashes.
+    applied: OrderedDict[str, AppliedRecord] = attrs.field(factory=OrderedDict)
+    # The store's era; when it rises, records are written again.
+    era: StoreEra = attrs.field(factory=StoreEra)
+    # Returns the number of active routers; 0 if unknown.
+    routers: Callable[[], int] = attrs.field(default=lambda: 0)
+    rewrites: CrashRewrites = attrs.field(init=False)
     # Parts whose block has been logged.
     logged_blocks: frozenset[str] = frozenset()
     # Parts for which a permission is being asked for.
     asking: set[str] = attrs.field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        """Create the part that writes records again."""
+        self.rewrites = CrashRewrites(
+            registry=self, era=self.era, clock=self.clock, log=self.log
+        )
+
     # What this router sees.
 
     def attempt_broken(
@@ -240,6 +242,7 @@
                 (item.part, item.depth, item.is_proven)
                 for item in list(known)[:MAX_SUSPECTS]
             ],
+            era=self.era.number,
         )
         name = f"{target.name}\n{target.born_ms}\n{self.node}"
         self.write(f"{CRASH}/{digest(name)}", wire.encode(body))
@@ -251,7 +254,9 @@
             if part in self.evidence.suspected:
                 self.evidence.answered(part)
                 self.log_blocks()
-                body = PartBody(at_ms=self.wall_ms(), part=part)
+                body = PartBody(
+                    at_ms=self.wall_ms(), part=part, era=self.era.number
+                )
                 self.write(f"{ANSWER}/{part}", wire.encode(body))
 
     def note_proven(self, signature: RequestSignature) -> None:
@@ -294,7 +299,7 @@
         """Apply the newest records, and delete those that are very old."""
         oldest_ms = self.wall_ms() - RECORD_LIFETIME_MS
         deleted = 0
-        for record in sorted(records, key=lambda item: item.stamp):
+        for record in sorted(records, key=reading_order):
             at_ms = self.apply(record)
             if at_ms is not None and at_ms < oldest_ms:
                 deleted += 1
@@ -314,33 +319,35 @@
     def decode(self, record: KeyedRecord) -> int | None:
         """Decode a record and add it to the evidence; see `apply`."""
         if record.value is None:
+            self.rewrites.forget(record.key)
             return None
-        kind = record.key.partition("/")[0]
         try:
-            if kind == CRASH:
-                crash = wire.decode(record.value, CrashBody)
-                suspects = [
-                    Suspect(part=part, depth=depth, is_proven=is_proven)
-                    for part, depth, is_proven in crash.suspects
-                ]
-                incarnation = (crash.target, crash.born_ms)
-                self.crashed(incarnation, suspects, crash.at_ms)
-                return crash.at_ms
-            body = wire.decode(record.value, PartBody)
+            body = decode_body(record.key, record.value)
         except wire.WireError as error:
             self.log.warning(
                 "cannot decode record", key=record.key, error=str(error)
             )
             return None
-        if record.stamp <= self.applied.get(record.key, NO_STAMP):
+        now_s = self.clock.seconds()
+        self.rewrites.note_read(record, body)
+        if isinstance(body, CrashBody):
+            suspects = [
+                Suspect(part=part, depth=depth, is_proven=is_proven)
+                for part, depth, is_proven in body.suspects
+            ]
+            self.crashed((body.target, body.born_ms), suspects, body.at_ms)
+            return body.at_ms
+        order = order_of(body, record.stamp)
+        known = self.applied.get(record.key)
+        if known and (order <= known.order or body.at_ms == known.at_ms):
             return body.at_ms
-        self.applied[record.key] = record.stamp
+        self.applied[record.key] = AppliedRecord(order=order, at_ms=body.at_ms)
         if len(self.applied) > MAX_PROVEN:
             self.applied.popitem(last=False)
+        kind = record.key.partition("/")[0]
         if kind == ANSWER and self.evidence.is_suspected(body.part):
             self.evidence.answered(body.part)
         elif kind == TEST:
-            now_s = self.clock.seconds()
             self.evidence.tested(body.part, body.number, now_s)
         return body.at_ms
 
@@ -356,8 +363,8 @@
         self.log.info("store regained", topic="crashes")
 
     def store_rewound(self, era: int) -> None:
-        """Log that the store has lost its latest reports."""
-        self.log.warning("store rewound", topic="crashes", era=era)
+        """Write again what the store may have lost."""
+        self.rewrites.store_rewound(era)
 
     # Decisions.
 
@@ -413,12 +420,18 @@
                 return
             known = self.evidence.tests.get(part)
             number = known.number + 1 if known else 1
-            body = PartBody(at_ms=self.wall_ms(), part=part, number=number)
+            body = PartBody(
+                at_ms=self.wall_ms(),
+                part=part,
+                number=number,
+                era=self.era.number,
+            )
             record = KeyedRecord(key=f"{TEST}/{part}", value=wire.encode(body))
             written = await self.port.write([record], CALL_TIMEOUT_S, end)
             if written.is_ok():
                 self.evidence.tested(part, number, now_s)
                 self.permits_s[part] = asked_s + PERMIT_S
+                self.rewrites.note_written([record], written.ok)
             self.log.info(
                 "test of a blocked part",
                 part=part,
@@ -437,7 +450,7 @@
             if result.is_error():
                 return None
             page = result.ok
-            for record in sorted(page.records, key=lambda item: item.stamp):
+            for record in sorted(page.records, key=reading_order):
                 self.apply(record)
             end = page.end if end is None else end
             if not page.has_more or not page.records:
@@ -466,6 +479,7 @@
             ]
             written = await self.port.write(records, CALL_TIMEOUT_S)
             if written.is_ok():
+                self.rewrites.note_written(records, written.ok)
                 continue
             # What was written again meanwhile is newer.
             self.unwritten = OrderedDict({**batch, **self.unwritten})
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -202,6 +202,10 @@
             crashes=CrashRegistry(
                 node=self.options.node.name,
                 port=CrashLog(store=self.store),
+                era=self.store.era,
+                routers=lambda: self.fleet.routers(
+                    event_loop.reactor.seconds()
+                ),
                 clock=event_loop.reactor,
                 age_clock=suspended_clock_s,
                 log=self.log,
--- a/sequoiawind/lab/memory_crash_log.py
+++ b/sequoiawind/lab/memory_crash_log.py
@@ -22,6 +22,8 @@
     """Answers at once; implements `crash_registry.CrashPort`."""
 
     records: list[KeyedRecord] = attrs.field(factory=list)
+    # The era; rises when the log returns from a copy.
+    era: int = 0
     is_available: bool = True
 
     async def newest(
@@ -31,8 +33,12 @@
         if not self.is_available:
             return Error(UNAVAILABLE)
         newest = {record.key: record for record in self.records}
-        kept = [item for item in newest.values() if item.value is not None]
-        return Ok(KeyedPage(records=kept, end=len(self.records)))
+        kept = [
+            attrs.evolve(item, stamp=(self.era, item.stamp[1]))
+            for item in newest.values()
+            if item.value is not None
+        ]
+        return Ok(KeyedPage(records=kept, end=len(self.records), era=self.era))
 
     async def write(
         self,
@@ -45,6 +51,6 @@
             return Error(UNAVAILABLE)
         offset = len(self.records)
         for record in records:
-            stamp = (0, len(self.records))
+            stamp = (self.era, len(self.records))
             self.records.append(attrs.evolve(record, stamp=stamp))
-        return Ok(Appended(offset=offset))
+        return Ok(Appended(era=self.era, offset=offset))
--- a/tests/test_store_drills.py
+++ b/tests/test_store_drills.py
@@ -1,24 +1,36 @@
 """The store returns from a copy and lacks what it acknowledged last."""
 
+import itertools
+import json
 import random
 
 import attrs
 from testtools import TestCase
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
+from sequoiawind.fleet import TargetView
 from sequoiawind.http1_client import Http1Client
+from sequoiawind.lab.memory_crash_log import MemoryCrashLog
 from sequoiawind.lab.memory_origin_log import MemoryOriginLog
 from sequoiawind.options import Address
 from sequoiawind.origin_registry import OriginRecord
 from sequoiawind.platform.store import StoreClient
+from sequoiawind.record_ports import KeyedRecord
 from sequoiawind.software_memory import SOFTWARE_MEMORY_S
 from sequoiawind.store_era import StoreEra
 from sequoiawind.stream_origins import StreamOrigin
 from tests.forward_rig import KINDS, FakeCaller, ForwardRig, state, target
 from tests.stand_ins import accept
+from tests.test_crashing_parts import (
+    CRASHES_TO_BLOCK,
+    prompt_of,
+    refuses,
+    signature_of,
+)
 from tests.test_feed import FeedRig
-from tests.test_software_versions import begin, events, make_rig
+from tests.test_software_versions import LOST, begin, events, make_rig
 
 V1 = StreamOrigin(pool="llm", software="v1")
 V2 = StreamOrigin(pool="llm", software="v2")
@@ -205,6 +217,148 @@
         self.assertFalse(self.finds("a"))
 
 
+class CrashTest(TestCase):
+    """What routers know of requests that crash targets."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = Clock()
+        self.log = MemoryCrashLog(era=1)
+        self.routers: list[ForwardRig] = []
+
+    def router(self, name: str) -> ForwardRig:
+        """Return a router that shares the log, and follows it."""
+        rig = ForwardRig(clock=self.clock, crash_log=self.log)
+        crashes = rig.forwarder.crashes
+        crashes.node = name
+        crashes.era.seen(1)
+        rig.add(target("e0", "llm"), target("e1", "llm"))
+        self.routers.append(rig)
+        self.follow()
+        return rig
+
+    def follow(self) -> None:
+        """Let all routers read what is new."""
+        for rig in self.routers:
+            Deferred.fromCoroutine(rig.forwarder.crashes.read_all())
+
+    def crash(self, rig: ForwardRig, *born_ms: int) -> None:
+        """Let a router see a target crash under a part, a few times."""
+        for number in born_ms:
+            view = TargetView(target=target("e9", "llm", born_ms=number))
+            rig.forwarder.crashes.attempt_broken(
+                view, signature_of(prompt_of("new", "bad", "own")), -1.0, LOST
+            )
+            rig.advance(0.6)
+        self.follow()
+
+    def answer(self, rig: ForwardRig) -> None:
+        """Let a router get a complete answer with that part."""
+        rig.forwarder.crashes.answered(
+            signature_of(prompt_of("new", "bad", "own"))
+        )
+        rig.advance(0.1)
+        self.follow()
+
+    def drill(self, kept: int = 0) -> None:
+        """Let the log lose all but its first records."""
+        del self.log.records[kept:]
+        self.log.era += 1
+        for rig in self.routers:
+            rig.forwarder.crashes.era.seen(self.log.era)
+
+    def blocks(self, rig: ForwardRig) -> bool:
+        """Whether a router refuses requests with the part."""
+        return refuses(rig, "new", "bad")
+
+    def test_router_that_starts_after_a_drill_knows_the_part(self) -> None:
+        # Guards against crashes under a part that all others block.
+        first = self.router("r1")
+        self.crash(first, *range(CRASHES_TO_BLOCK))
+        for _ in range(2):
+            self.drill()
+            self.clock.advance(0.2)
+            self.assertTrue(self.blocks(self.router("r9")))
+
+    def test_records_of_a_router_that_is_gone_are_written_again(self) -> None:
+        first = self.router("r1")
+        second = self.router("r2")
+        self.crash(first, *range(CRASHES_TO_BLOCK))
+        self.assertTrue(self.blocks(second))
+        self.routers.remove(first)
+        self.drill()
+        self.clock.advance(0.2)
+        self.assertEqual([], self.log.records)
+        self.clock.advance(2.6)
+        self.assertTrue(self.blocks(self.router("r9")))
+
+    def test_nothing_is_written_again_that_the_copy_has(self) -> None:
+        first = self.router("r1")
+        self.router("r2")
+        self.crash(first, *range(CRASHES_TO_BLOCK))
+        self.routers.remove(first)
+        self.drill(kept=len(self.log.records))
+        before = len(self.log.records)
+        self.clock.advance(5.0)
+        self.assertEqual(before, len(self.log.records))
+
+    def test_order_of_crashes_and_answers_is_kept(self) -> None:
+        # Guards against an answer that clears later crashes as it is written
+        # again after them, and the other way round.
+        for answers_last, is_reversed in itertools.product(
+            (False, True), repeat=2
+        ):
+            self.log = MemoryCrashLog(era=1)
+            self.routers = []
+            first, second = self.router("r1"), self.router("r2")
+            self.crash(first, 100)
+            if not answers_last:
+                self.answer(second)
+            self.crash(first, *range(CRASHES_TO_BLOCK))
+            if answers_last:
+                self.answer(second)
+            expected = [self.blocks(rig) for rig in self.routers]
+            self.assertEqual([not answers_last] * 2, expected)
+            self.drill(kept=1)
+            # The one that crashed writes first, or the other one.
+            order = reversed(self.routers) if is_reversed else self.routers
+            for rig in order:
+                rig.forwarder.crashes.rewrites.write_lost(own_only=True)
+            self.follow()
+            self.assertEqual(expected, [self.blocks(r) for r in self.routers])
+            self.assertEqual(expected[0], self.blocks(self.router("r9")))
+
+    def test_answer_that_the_copy_has_clears_no_later_crash(self) -> None:
+        # Guards against records counting as new that are read in a new era.
+        first, second = self.router("r1"), self.router("r2")
+        self.crash(first, 100)
+        self.answer(second)
+        kept = len(self.log.records)
+        self.crash(first, *range(CRASHES_TO_BLOCK))
+        self.drill(kept=kept)
+        self.clock.advance(3.0)
+        self.follow()
+        for rig in (first, second, self.router("r9")):
+            self.assertTrue(self.blocks(rig))
+
+    def test_records_of_an_earlier_release_count(self) -> None:
+        first = self.router("r1")
+        for number in range(CRASHES_TO_BLOCK):
+            body = {
+                "at_ms": 1_000 * number,
+                "target": "e9",
+                "born_ms": number,
+                "suspects": [["part", 1, False]],
+            }
+            value = json.dumps(body)
+            record = KeyedRecord(key=f"crash/{number}", value=value.encode())
+            self.log.records.append(
+                attrs.evolve(record, stamp=(1, len(self.log.records)))
+            )
+        self.follow()
+        self.assertTrue(first.forwarder.crashes.evidence.crashes)
+
+
 class EraTest(TestCase):
     """How a router learns that the store has returned from a copy."""
 
