An answer that ends before its request is taken is not whole

Cause: the end of the connection ended the answer, whatever had become of the request. Besides, `write_now` dropped the news of a reset, which the kernel tells once, so that the next read saw an ordinary end.

Ruled out: resets and closes with unread bytes, which were told as failures before, but for one on a kept connection (test_on_a_kept_connection).

--- a/sequoiawind/sockets.py
+++ b/sequoiawind/sockets.py
@@ -125,13 +125,26 @@
     transport.startWriting()
 
 
-def write_now(transport: Any, data: bytes) -> None:
+def has_error(transport: Any) -> bool:
+    """Whether an error, such as a reset, has arrived and was not read yet."""
+    if not isinstance(transport, tcp.Connection) or not transport.connected:
+        return False
+    handle = transport.getHandle()
+    return bool(handle.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
+def write_now(transport: Any, data: bytes) -> bool:
     """Write to a transport, without waiting for the event loop if possible.
 
     `transport.write` only buffers: the bytes leave in the loop's next turn,
     which takes three more system calls.  That matters for streams, which are
     passed on event by event.
+
+    Returns:
+      False if the connection was found to be lost.  The kernel tells a reset
+      once: what reads next sees an ordinary end.
     """
+    is_lost = False
     if (
         isinstance(transport, tcp.Connection)
         and transport.connected
@@ -140,7 +153,10 @@
         and not transport._tempDataLen
     ):
         sent = transport.writeSomeData(data)
-        if isinstance(sent, int) and sent > 0:
+        if not isinstance(sent, int):
+            is_lost = True
+        elif sent > 0:
             data = data[sent:]
     if data:
         transport.write(data)
+    return not is_lost
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -8,11 +8,8 @@
 
 from sequoiawind import messages
 from sequoiawind.headers import Headers
-from sequoiawind.http1_client import (
-    Http1Client,
-    OutgoingRequest,
-    parse_keep_alive,
-)
+from sequoiawind.http1_client import Http1Client, OutgoingRequest
+from sequoiawind.http1_connection import parse_keep_alive
 from sequoiawind.verdict import Failure, Verdict
 from tests.stand_ins import Peer, accept
 
