Answers with statuses that are not valid are failures

Statuses 000, 099, 1000 and 20 from targets were told as 502 before.

Cause: the parser takes any three digits from 100 on, and `JsonClient` everything below 400.

Now a status outside of 200 to 599 is a failure of work that may have run, 502 to the caller, and calls to agents and the log take statuses from 200 to 399 (RFC 9110, section 15).

--- a/sequoiawind/http1_connection.py
+++ b/sequoiawind/http1_connection.py
@@ -40,6 +40,9 @@
 # Interim answers (status 1xx) that may precede an answer.
 MAX_INTERIM_ANSWERS: Final = 64
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+# Statuses that an answer may have (RFC 9110, section 15).
+LEAST_STATUS: Final = 200
+MAX_STATUS: Final = 599
 # Time after the end of an answer without a length in which the reset of a long
 # request may follow, in seconds.
 RESET_WAIT_S: Final = 0.025
@@ -307,6 +310,9 @@
         """Pass on an answer's head unless it belongs to another request."""
         headers = list(response.headers)
         status = response.status_code
+        if not LEAST_STATUS <= status <= MAX_STATUS:
+            self.fail(Reason.TARGET_ERROR, f"status {status}")
+            return
         self.ends_with_connection = (
             framing(status, headers) is Framing.CONNECTION
         )
--- a/sequoiawind/http_client.py
+++ b/sequoiawind/http_client.py
@@ -41,6 +41,8 @@
 # Largest event: one with a whole body in Base64, which adds a third.
 MAX_EVENT_BYTES: Final = defaults.MAX_HELD_BODY_BYTES * 3 // 2
 
+# Lowest status of an answer; Twisted also takes lower ones.
+LEAST_STATUS: Final = 200
 # Errors raised before a connection was open, so before anything was sent.
 NOT_SENT: Final = (
     error.ConnectError,
@@ -137,7 +139,7 @@
         except Exception as problem:
             # Whatever the error, the other side may have processed the call.
             return Error(may_have_run(Reason.CONNECTION_LOST, repr(problem)))
-        if response.code >= 400:
+        if not LEAST_STATUS <= response.code < 400:
             return Error(error_of(response.code, content))
         try:
             return Ok(wire.decode(content, kind))
--- a/tests/test_answers_before_their_request.py
+++ b/tests/test_answers_before_their_request.py
@@ -20,7 +20,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure as TwistedFailure
 
-from sequoiawind import event_loop, sockets
+from sequoiawind import event_loop, http_client, sockets
 from sequoiawind.http1_client import Http1Client, OutgoingRequest
 from sequoiawind.http1_fetch import fetch
 from sequoiawind.verdict import Verdict, forwarded_status
@@ -33,6 +33,12 @@
     CloseDelimitedRig,
     events,
 )
+from tests.test_target_ports import (
+    ATTEMPT,
+    RawTarget,
+    RecordingSink,
+    open_port,
+)
 
 LINGER_NONE: Final = struct.pack("ii", 1, 0)
 UPLOADS: Final = (100_000, 900_000, 4_000_000)
@@ -303,3 +309,67 @@
 
     connecting = endpoint.connect(Factory.forProtocol(lambda: protocol))
     return connecting.addCallback(connected)
+
+
+class OwnInterfaceStatusTest(TestCase):
+    """Services, agents and the log behind the OpenAI interface."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        live.start_reactor_thread()
+
+    def target(self, status: bytes) -> RawTarget:
+        """Return a target that answers with a status."""
+        head = b"HTTP/1.1 %s No\r\ncontent-length: 2\r\n\r\n" % status
+        return RawTarget(answer=head + b"{}")
+
+    def test_answers_of_services_and_engines(self) -> None:
+        for service, status in itertools.product(
+            ("plain", "engine"), (b"000", b"099", b"600", b"999")
+        ):
+            sink = RecordingSink()
+            client = Http1Client(reactor=event_loop.reactor)
+            port = open_port(service, client)
+            with self.target(status) as found:
+                live.in_reactor(port.open, found.address, ATTEMPT, sink)
+                self.assertTrue(sink.has_ended.wait(5.0))
+            (end,) = sink.ends
+            assert end.failure is not None, (service, status)
+            self.assertEqual(Verdict.MAY_HAVE_RUN, end.failure.verdict)
+
+    def test_answers_of_the_log(self) -> None:
+        client = live.in_reactor(http_client.make_client)
+        calls = http_client.JsonClient(client=client)
+        for status, is_ok in (
+            (b"200", True),
+            (b"000", False),
+            (b"099", False),
+            (b"600", False),
+        ):
+            with self.target(status) as log:
+                url = f"http://{log.address}/a"
+                result = live.in_reactor(calls.call, "POST", url, dict, {})
+            self.assertEqual(is_ok, result.is_ok(), status)
+
+
+class StatusTest(CloseDelimitedRig):
+    """Statuses that are no answer's (RFC 9110, section 15)."""
+
+    def test_status_that_is_not_valid_is_a_failure(self) -> None:
+        for status in (b"600", b"999", b"000", b"099", b"1000", b"20", b"101"):
+            for route in ("book", "brief"):
+                self.make_router()
+                line = b"HTTP/1.1 %s No\r\ncontent-length: 0\r\n\r\n" % status
+                _, caller = self.begin(route, line)
+                if caller.failure is None:
+                    self.fail(f"{status!r} on {route}: {caller.statuses}")
+                self.assertEqual(502, forwarded_status(caller.failure))
+                self.assertEqual([], caller.statuses)
+
+    def test_valid_statuses_are_passed_on(self) -> None:
+        for status in (200, 204, 299, 404, 500, 599):
+            self.make_router()
+            _, caller = self.begin(
+                "book", b"HTTP/1.1 %d x\r\ncontent-length: 0\r\n\r\n" % status
+            )
+            self.assertEqual([status], caller.statuses)
