Tests import the idle time of connections from its new module

`tests/virtual_fleet` took it from `http1_client`, from which had moved it, so the tests that use the rig were not collected; `make check` does not cover tests.

--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -33,11 +33,11 @@
 from sequoiawind.forward_router_program import ForwardRouterProgram
 from sequoiawind.http1_client import (
     CONNECT_TIMEOUT_S,
-    DEFAULT_KEEP_ALIVE_S,
     AnswerSink,
     Http1Client,
     OutgoingRequest,
 )
+from sequoiawind.http1_connection import DEFAULT_KEEP_ALIVE_S
 from sequoiawind.http_request import HttpRequest
 from sequoiawind.options import (
     Address,
