Entries that lack fields, or move a living target, name no target

Cause: the decoder had default values for fields that every entry has and did not know two of them, so that a foreign entry counted as sound.

Now all of them are required, and an entry of the same start with another pool or address takes the target out of use until its own is back.

--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -18,6 +18,7 @@
 from sequoiawind.ports import Clock
 from sequoiawind.record_ports import KeyedRecord
 from sequoiawind.software_memory import SoftwareKey, software_key
+from sequoiawind.target_identities import TargetIdentities
 from sequoiawind.wire import WireError
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -220,6 +221,11 @@
     # which the age of records is counted.
     received_s: dict[str, float] = attrs.field(factory=dict)
     age_clock: Callable[[], float] = suspended_clock_s
+    identities: TargetIdentities = attrs.field(
+        default=attrs.Factory(
+            lambda self: TargetIdentities(clock=self.clock), takes_self=True
+        )
+    )
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Apply all entries; targets without one are removed."""
@@ -282,6 +288,15 @@
             )
             self.remove(record.key)
             return
+        if not self.identities.is_own(decoded.ok):
+            self.log.warning(
+                "target entry of another writer",
+                target=record.key,
+                pool=decoded.ok.pool,
+                address=decoded.ok.address,
+            )
+            self.remove(record.key)
+            return
         self.apply(decoded.ok)
 
     def apply(self, target: ForwardTarget) -> None:
--- a/sequoiawind/platform/targets.py
+++ b/sequoiawind/platform/targets.py
@@ -20,15 +20,22 @@
 
 
 class TargetRecord(msgspec.Struct):
-    """A target's entry as the target writes it."""
+    """A target's entry as the target writes it.
+
+    One that lacks a field without a default comes from another writer.
+    """
 
     service: str
     address: str
     state: str
-    zone: str = ""
+    zone: str
     # Version of the target's software.
-    version: str = ""
-    slots: Count = 1
+    version: str
+    slots: Count
+    # How much longer the target is slow after its start, in milliseconds.
+    cold_left_ms: float
+    # Counts the entries that the target writes.
+    seq: Count
     # Start of the target, in milliseconds since the epoch.
     born: Count = 0
     models: list[ModelVersion] = []
--- a/tests/model_engine.py
+++ b/tests/model_engine.py
@@ -89,6 +89,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": "ready",
+            "cold_left_ms": 0,
             "seq": 1,
             "born": self.born_ms,
             "models": models if self.pool == "llm" else [],
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import structlog
 from expression import Result
 from structlog.testing import capture_logs
 from testtools import TestCase
@@ -16,6 +17,8 @@
 from twisted.internet.task import Clock
 
 from sequoiawind import claims, commands, config_fold, defaults, http_client
+from sequoiawind.fleet import Fleet
+from sequoiawind.forward_readers import TargetReader
 from sequoiawind.http1_client import Http1Client, OutgoingRequest
 from sequoiawind.http1_fetch import fetch
 from sequoiawind.load_slots import SlotQueue
@@ -23,6 +26,7 @@
 from sequoiawind.platform import names
 from sequoiawind.platform.engine_wire import EventsRecord, ReportRecord
 from sequoiawind.platform.targets import decode_target
+from sequoiawind.record_ports import KeyedRecord
 from sequoiawind.verdict import Failure, Verdict
 from sequoiawind.wire import WireError, decode
 from tests.virtual_fleet import STORE, VirtualFleet
@@ -34,9 +38,22 @@
     "zone": "d0",
     "version": "v1",
     "slots": 8,
+    "cold_left_ms": 0,
+    "seq": 3,
     "born": 1,
     "models": [{"name": "m", "version": 1}],
 }
+# The fields that each entry has; those of `REQUIRED[4:]` decide nothing.
+REQUIRED = (
+    "service",
+    "address",
+    "state",
+    "slots",
+    "zone",
+    "version",
+    "cold_left_ms",
+    "seq",
+)
 HUGE = 10**400
 NESTED = b"[" * 100_000 + b"]" * 100_000
 ODD_ADDRESSES = (
@@ -84,13 +101,25 @@
     return json.dumps({**ENTRY, **fields}).encode()
 
 
+def without(*names: str) -> bytes:
+    """Return an entry that lacks some fields."""
+    kept = {name: item for name, item in ENTRY.items() if name not in names}
+    return json.dumps(kept).encode()
+
+
 def odd_entries() -> Iterator[bytes]:
     """Yield entries that name no usable target."""
     yield from (entry(address=address) for address in ODD_ADDRESSES)
     yield NESTED
     yield entry()[:-1] + b', "more": ' + NESTED + b"}"
     yield entry(models=None).replace(b"null", NESTED)
-    for name in ("slots", "born"):
+    for name in REQUIRED:
+        # Another writer may leave out any field, or several.
+        yield entry(**{name: None})
+        yield entry(**{name: {}})
+        yield without(name)
+        yield without(*(other for other in REQUIRED[4:] if other != name))
+    for name in ("slots", "born", "seq"):
         yield entry(**{name: HUGE})
         yield entry(**{name: 2**64})
         yield entry(**{name: -(2**63)})
@@ -126,6 +155,56 @@
             self.assertRaises(WireError, decode, body, EventsRecord)
 
 
+class IdentityTest(TestCase):
+    """Entries of another writer that lack nothing."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = Clock()
+        self.fleet = Fleet()
+        self.reader = TargetReader(
+            fleet=self.fleet,
+            decode=decode_target,
+            clock=self.clock,
+            log=structlog.get_logger(),
+        )
+        self.offset = 0
+
+    def write(self, **fields: object) -> None:
+        """Write an entry under the target's name."""
+        self.offset += 1
+        stamp = (1, self.offset)
+        value = entry(**fields)
+        self.reader.changed(KeyedRecord(key="i-1", value=value, stamp=stamp))
+
+    def pools(self) -> list[str]:
+        """Return the pools that the target serves."""
+        return [view.target.pool for view in self.fleet.views.values()]
+
+    def test_target_is_not_used_for_another_service(self) -> None:
+        # Guards against calls at a model engine, until its next heartbeat.
+        self.write()
+        for fields in ({"service": "app"}, {"address": "10.9.9.8:8080"}):
+            for _ in range(3):
+                self.write(**fields)
+                self.assertEqual([], self.pools())
+                self.clock.advance(0.4)
+            self.write()
+            self.assertEqual(["llm"], self.pools())
+
+    def test_first_entry_may_be_the_foreign_one(self) -> None:
+        self.write(service="app")
+        for _ in range(5):
+            self.write()
+            self.clock.advance(1.2)
+        self.assertEqual(["llm"], self.pools())
+
+    def test_another_start_may_serve_another_pool(self) -> None:
+        self.write()
+        self.write(service="app", born=2)
+        self.assertEqual(["app"], self.pools())
+
+
 class ReadersTest(TestCase):
     """Routers, agents and relays go on following the store."""
 
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -319,6 +319,8 @@
             "zone": domain,
             "version": "v1",
             "slots": 8,
+            "cold_left_ms": 0,
+            "seq": 1,
             "born": 1,
             "models": [{"name": "m", "version": 1}],
         }
