Routers and agents take no turns at an engine within a lease

Cause: an agent ordered without regard to orders of others, and a router left the work to agents only once one had answered it.

Now an agent waits a lease after orders that are not its own, which the target's count shows, and a router asks for the agent beside an engine directly before it orders it.

--- a/sequoiawind/forward_agent.py
+++ b/sequoiawind/forward_agent.py
@@ -13,6 +13,7 @@
 
 from sequoiawind import rollout, supervise, timing
 from sequoiawind.fleet import Fleet
+from sequoiawind.foreign_orders import ForeignOrders
 from sequoiawind.forward_state import ForwardTarget
 from sequoiawind.ports import Clock
 from sequoiawind.rollout import (
@@ -102,6 +103,13 @@
     is_reachable: bool = False
     # Consecutive report requests without an answer.
     misses: int = 0
+    # Duration of a lease of the holders of weights, in seconds.
+    lease_s: float = 0.0
+    foreign: ForeignOrders = attrs.field(
+        default=attrs.Factory(
+            lambda self: ForeignOrders(lease_s=self.lease_s), takes_self=True
+        )
+    )
     on_order: Callable[[str], None] = attrs.field(default=lambda outcome: None)
     # Called with each published status, and with the current one at intervals.
     on_status: Callable[[TargetStatus], None] = attrs.field(
@@ -162,6 +170,7 @@
             self.is_reachable = True
             self.log.info("target reachable", orders=answered.ok.orders)
         self.publish_report(answered.ok)
+        self.note_orders(answered.ok)
         for model in self.named:
             due = await self.due(answered.ok, model)
             if due is None:
@@ -172,6 +181,15 @@
             return
         self.winding_down_since_s = None
 
+    def note_orders(self, report: TargetReport) -> None:
+        """Note the orders that the target has accepted from others."""
+        if self.foreign.note(report, self.clock.seconds()):
+            self.log.info(
+                "orders of another holder",
+                orders=report.orders,
+                waits_s=self.lease_s,
+            )
+
     def report_missed(self, failure: Failure) -> None:
         """Count an unanswered report request.
 
@@ -261,6 +279,8 @@
         lacked = rollout.lacking(report.versions.get(model), self.named[model])
         if report.is_busy or target is None or not lacked:
             return None
+        if not self.foreign.may_order(self.clock.seconds()):
+            return None
         newest = lacked[-1].version
         now_s = self.clock.seconds()
         if rollout.is_overdue(lacked, self.weights_s, now_s):
@@ -313,6 +333,10 @@
             return
         began_s = self.clock.seconds()
         report = await self.drain_queue(report)
+        self.note_orders(report)
+        if not self.foreign.may_order(self.clock.seconds()):
+            self.loading_until_s = -1.0
+            return
         if report.is_busy or report.versions.get(model, 0) >= version:
             # An order that had no answer is being carried out after all.
             await self.watch_load(model, version)
@@ -328,6 +352,8 @@
             self.address, target.name, order, ORDER_TIMEOUT_S
         )
         outcome = "unanswered"
+        if answered.is_error() or answered.ok is OrderOutcome.ACCEPTED:
+            self.foreign.sent()
         if answered.is_ok():
             outcome = answered.ok.value
         elif answered.error.verdict is Verdict.NOT_RUN:
--- a/sequoiawind/forward_agent_program.py
+++ b/sequoiawind/forward_agent_program.py
@@ -91,6 +91,7 @@
             log=self.log,
             peers=self.make_agent_client(PEER_ANSWER_S),
             weights_s=options.bounds.weights_ms / 1000,
+            lease_s=options.lease.lease_ms / 1000,
             on_order=lambda outcome: self.metrics.orders.labels(outcome).inc(),
             on_status=self.publish_status,
         )
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -357,11 +357,7 @@
         self.log.info("listening", port=entry.callers.port)
 
     def start(self, on_prepared: Callable[[], None]) -> None:
-        """Start the controllers.
-
-        Args:
-          on_prepared: Called once a request can be served.
-        """
+        """Start the controllers; call back once a request can be served."""
         self.on_prepared = on_prepared
         self.started_s = event_loop.reactor.seconds()
         event_loop.reactor.callLater(UNCONFIRMED_READY_S, self.check_prepared)
@@ -461,6 +457,7 @@
             weights_s=self.options.bounds.weights_ms / 1000,
             named=self.forwarder.weights.named,
             has_agents=self.may_have_agents,
+            has_agent_at=self.make_agent_client(STATUS_TIMEOUT_S).is_present,
             log=self.log,
         )
 
--- a/sequoiawind/options.py
+++ b/sequoiawind/options.py
@@ -215,6 +215,7 @@
     # Address of the agent's target.
     target: Address
     bounds: BoundsOptions = attrs.field(factory=BoundsOptions)
+    lease: LeaseOptions = attrs.field(factory=LeaseOptions)
     closing: ClosingOptions = attrs.field(factory=ClosingOptions)
     logs: LogsOptions = attrs.field(factory=LogsOptions)
 
--- a/sequoiawind/status_watcher.py
+++ b/sequoiawind/status_watcher.py
@@ -7,14 +7,16 @@
 
 import attrs
 import structlog
+from expression import Result
 from twisted.internet.defer import Deferred
 
 from sequoiawind import supervise, timing, wire
 from sequoiawind.feed_cover import FeedCover
 from sequoiawind.fleet import Fleet
 from sequoiawind.http1_client import Http1Client, OutgoingRequest
-from sequoiawind.http1_fetch import fetch
+from sequoiawind.http1_fetch import HttpReply, fetch
 from sequoiawind.ports import Clock
+from sequoiawind.verdict import Failure, Reason
 from sequoiawind.wire import TargetStatus
 
 Logger = structlog.typing.FilteringBoundLogger
@@ -26,6 +28,8 @@
 # RETRY_CAP_S, in seconds.
 RETRY_BASE_S: Final = 0.1
 RETRY_CAP_S: Final = 1.0
+# Time allowed for an agent's answer to whether it is there, in seconds.
+PRESENCE_S: Final = 0.3
 
 
 @attrs.define(kw_only=True)
@@ -56,6 +60,16 @@
         query = f"?after={after}&router={quote(self.router)}"
         return await self.fetch_status(address, query, self.timeout_s)
 
+    async def is_present(self, address: str) -> bool:
+        """Return whether an agent listens beside the target at an address.
+
+        One that accepts connections and answers nothing may be suspended.
+        """
+        answered = await self.send(address, "?now=1", PRESENCE_S)
+        if answered.is_ok():
+            return True
+        return answered.error.reason is not Reason.CONNECT_FAILED
+
     async def current_status(
         self, address: str, timeout_s: float
     ) -> TargetStatus | None:
@@ -73,24 +87,36 @@
     async def fetch_status(
         self, address: str, query: str, timeout_s: float
     ) -> TargetStatus | None:
-        """Send a request to the agent beside a target."""
-        agent = f"{address.rpartition(':')[0]}:{self.agent_port}"
-        request = OutgoingRequest(
-            method=b"GET",
-            request_target=STATUS_PATH + query.encode(),
-            headers=[(b"host", agent.encode())],
-        )
-        result = await fetch(self.client, agent, request, timeout_s)
+        """Return the status that the agent beside a target answers."""
+        result = await self.send(address, query, timeout_s)
         if result.is_error() or result.ok.status != 200:
             return None
         try:
             return wire.decode(result.ok.body, TargetStatus)
         except wire.WireError as error:
             self.log.warning(
-                "cannot decode status", agent=agent, error=str(error)
+                "cannot decode status",
+                agent=self.agent_of(address),
+                error=str(error),
             )
             return None
 
+    def agent_of(self, address: str) -> str:
+        """Return the address of the agent beside a target."""
+        return f"{address.rpartition(':')[0]}:{self.agent_port}"
+
+    def send(
+        self, address: str, query: str, timeout_s: float
+    ) -> Deferred[Result[HttpReply, Failure]]:
+        """Send a request to the agent beside a target."""
+        agent = self.agent_of(address)
+        request = OutgoingRequest(
+            method=b"GET",
+            request_target=STATUS_PATH + query.encode(),
+            headers=[(b"host", agent.encode())],
+        )
+        return fetch(self.client, agent, request, timeout_s)
+
 
 @attrs.define(kw_only=True)
 class WatchedAgent:
--- a/sequoiawind/weights_holder.py
+++ b/sequoiawind/weights_holder.py
@@ -8,7 +8,7 @@
 as an agent has answered, a router leaves this work to the agents for good.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Final, Protocol
 
 import attrs
@@ -61,6 +61,11 @@
         return self.era * GENERATIONS + self.generation
 
 
+async def no_agent(address: str) -> bool:
+    """Return that no agent listens at an address."""
+    return False
+
+
 class LeasePort(Protocol):
     """Leases the partitions of a topic of the store."""
 
@@ -101,6 +106,13 @@
     # Whether agents may exist, so that the work is theirs.
     has_agents: Callable[[], bool]
     log: Logger
+    # Returns whether an agent listens beside the target at an address; asked
+    # directly before an order.
+    has_agent_at: Callable[[str], Awaitable[bool]] = attrs.field(
+        default=no_agent
+    )
+    # Whether such an agent was met, so that the work is the agents'.
+    has_met_agent: bool = False
     lease: Lease | None = None
     # When the last answered request for the lease was sent, and since when each
     # partition is held, in seconds of `age_clock`.
@@ -121,7 +133,7 @@
 
     async def step(self) -> None:
         """Renew the lease if needed, and order what is due."""
-        if self.has_agents():
+        if self.has_met_agent or self.has_agents():
             await self.give_up()
             return
         if self.age_clock() - self.renewed_s >= self.lease_s * RENEW_SHARE:
@@ -226,7 +238,11 @@
         view.seen_versions[model] = max(view.seen_versions.get(model, 0), has)
         if report.is_busy or has >= version:
             return
-        # The report may have taken long, or this process was suspended.
+        if await self.has_agent_at(target.address):
+            self.has_met_agent = True
+            self.log.info("agent found before an order", target=target.name)
+            return
+        # The answers may have taken long, or this process was suspended.
         if self.lease is None or not self.may_order(view):
             return
         order = LoadOrder(
