A router that starts knows of no relay before it has read the targets

Cause: it trusted the store at once while it knew of no relay, and relays are known from the targets' entries, which arrive after the configuration. The list of relays was kept for half a second besides.

Now no relay counts only once those entries have been read, and a new target makes the list anew. Readiness moves to a module of its own.

--- a/sequoiawind/forward_program.py
+++ b/sequoiawind/forward_program.py
@@ -153,6 +153,10 @@
             ]
         return self.known_relays
 
+    def forget_relays(self) -> None:
+        """Make the list of relays anew at its next use."""
+        self.relays_made_s = float("-inf")
+
     def make_agent_client(
         self, timeout_s: float, router: str = ""
     ) -> AgentClient:
--- a/sequoiawind/forward_readers.py
+++ b/sequoiawind/forward_readers.py
@@ -221,6 +221,8 @@
     # which the age of records is counted.
     received_s: dict[str, float] = attrs.field(factory=dict)
     age_clock: Callable[[], float] = suspended_clock_s
+    # Whether all entries have been read once.
+    has_read: bool = False
     identities: TargetIdentities = attrs.field(
         default=attrs.Factory(
             lambda self: TargetIdentities(clock=self.clock), takes_self=True
@@ -243,6 +245,7 @@
           records: The entries.
           as_of_s: The time, in seconds of `age_clock`.
         """
+        self.has_read = True
         present = {record.key for record in records if record.value}
         for record in records:
             self.changed(record)
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -39,6 +39,7 @@
 from sequoiawind.platform.leases import LeaseClient
 from sequoiawind.platform.origins import make_origin_registry
 from sequoiawind.platform.targets import decode_target
+from sequoiawind.readiness import Readiness
 from sequoiawind.record_cover import RecordCover
 from sequoiawind.repeat_window import RepeatWindow
 from sequoiawind.router_notes import RouterNotes
@@ -59,9 +60,6 @@
 # only once a relay has answered too: the store may just have returned from an
 # old copy.
 START_CHECK_S: Final = 1.0
-# Time after its start, in seconds, from which a router is ready though nobody
-# has confirmed its configuration.
-UNCONFIRMED_READY_S: Final = 2.0
 # Time after its start, in seconds, from which a router to which no agent has
 # answered takes part in ordering weights.
 AGENTLESS_S: Final = 5.0
@@ -92,12 +90,10 @@
     site: CallerSite = attrs.field(init=False)
     feed: FeedClient = attrs.field(init=False)
     feed_reader: FeedReader = attrs.field(init=False)
+    targets: TargetReader = attrs.field(init=False)
     holder: WeightsHolder = attrs.field(init=False)
-    # When the controllers were started, in seconds of the clock.
-    started_s: float = 0.0
     shutdown: ForwardShutdown = attrs.field(init=False)
-    # Called once a request can be served; None afterwards.
-    on_prepared: Callable[[], None] | None = None
+    readiness: Readiness = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the components."""
@@ -117,6 +113,13 @@
             clock=event_loop.reactor,
             request_id=callers.request_id,
         )
+        self.readiness = Readiness(
+            board=self.board,
+            fleet=self.fleet,
+            freshness=self.freshness,
+            clock=event_loop.reactor,
+            log=self.log,
+        )
         self.fleet.on_restart = self.notes.note_restart
         self.forwarder = self.make_forwarder()
         self.scopes = ScopeChanges(
@@ -289,23 +292,6 @@
         """Whether this router can serve requests."""
         return self.board.phase.is_ready
 
-    def check_prepared(self) -> None:
-        """Become ready once requests can be served.
-
-        That takes a configuration that keys may be checked by, and a target.
-        Public routes need no keys, so a router without the store becomes ready
-        too, after a while.
-        """
-        if self.on_prepared is None or not self.fleet.views:
-            return
-        if not isinstance(self.board.state, ForwardState):
-            return
-        age_s = event_loop.reactor.seconds() - self.started_s
-        if self.freshness.may_trust_keys or age_s >= UNCONFIRMED_READY_S:
-            self.on_prepared()
-            self.on_prepared = None
-            self.log.info("ready", revision=self.board.state.revision)
-
     def config_changed(self) -> None:
         """Adapt to a configuration; become ready if it is the first."""
         state = self.board.state
@@ -315,7 +301,7 @@
             self.scopes.configured(state)
             self.forwarder.load.configured(state)
         self.forwarder.origins.targets_changed()
-        self.check_prepared()
+        self.readiness.check()
 
     def totals_changed(
         self,
@@ -358,9 +344,7 @@
 
     def start(self, on_prepared: Callable[[], None]) -> None:
         """Start the controllers; call back once a request can be served."""
-        self.on_prepared = on_prepared
-        self.started_s = event_loop.reactor.seconds()
-        event_loop.reactor.callLater(UNCONFIRMED_READY_S, self.check_prepared)
+        self.readiness.start(on_prepared)
         operator = OperatorReader(
             board=self.board,
             codec=codec.OPERATOR,
@@ -369,21 +353,21 @@
             may_confirm=self.may_trust_records,
             on_weights=self.weights.named,
             on_config=self.config_changed,
-            on_confirmed=self.check_prepared,
+            on_confirmed=self.readiness.check,
         )
-        targets = TargetReader(
+        self.targets = TargetReader(
             fleet=self.fleet,
             decode=decode_target,
             clock=event_loop.reactor,
             log=self.log,
             on_change=self.targets_changed,
-            on_software=self.forwarder.origins.targets_changed,
+            on_software=self.software_changed,
             on_incarnation=self.forwarder.incarnation_began,
         )
         self.feed_reader = FeedReader(
             fleet=self.fleet,
             operator=operator,
-            targets=targets,
+            targets=self.targets,
             crashes=self.forwarder.crashes,
             own_demand_per_s=lambda: self.feed.stated_demand_per_s,
             own_statement=lambda: self.feed.stated,
@@ -426,7 +410,7 @@
         )
         self.follow_records(
             names.TARGETS_TOPIC,
-            targets,
+            self.targets,
             TARGETS_WAIT_SHARE * bounds.drain_ms / 1000,
             self.targets_read_pause_s,
             records.targets_left_s,
@@ -463,8 +447,7 @@
 
     def may_have_agents(self) -> bool:
         """Whether an agent has answered since the start, or still may soon."""
-        age_s = event_loop.reactor.seconds() - self.started_s
-        return age_s < AGENTLESS_S or self.feed.has_replied
+        return self.readiness.age_s < AGENTLESS_S or self.feed.has_replied
 
     def targets_read_pause_s(self) -> float:
         """Return the pause between two reads of changed targets, in seconds."""
@@ -473,12 +456,19 @@
 
     def may_trust_records(self) -> bool:
         """Whether the store's records may be taken as current."""
-        age_s = event_loop.reactor.seconds() - self.started_s
-        return age_s >= START_CHECK_S or self.feed.is_live or not self.relays()
+        if self.readiness.age_s >= START_CHECK_S or self.feed.is_live:
+            return True
+        # Relays are known from the targets' entries.
+        return self.targets.has_read and not self.relays()
+
+    def software_changed(self) -> None:
+        """Adapt to targets that are new, have gone, or have other software."""
+        self.forget_relays()
+        self.forwarder.origins.targets_changed()
 
     def targets_changed(self) -> None:
         """Follow the agents of new targets, and serve waiting requests."""
-        self.check_prepared()
+        self.readiness.check()
         self.watcher.follow()
         self.forwarder.forget_targets()
         self.forwarder.waiting.serve()
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -3,6 +3,7 @@
 The stand-ins are a store and two targets; the agent belongs to the engine.
 """
 
+import contextlib
 import http.client
 import os
 import signal
@@ -228,6 +229,35 @@
         self.store.put("keyed.op", "config", configuration(10))
         self.wait_until(lambda: self.submit("/read/x")[0] == 200)
 
+    def test_router_that_starts_does_not_trust_an_old_copy(self) -> None:
+        # Guards against a revoked key that the store, back from a copy, has
+        # again: an agent knows better, and is known from the targets' entries.
+        self.store.put("keyed.op", "config", configuration(9, key="k9"))
+        self.wait_until(lambda: self.submit("/read/x")[0] == 401)
+        self.wait_until(self.agent_knows_the_new_key)
+        with self.store.changed:
+            del self.store.topics["keyed.op"][1:]
+        self.store.pauses_s["keyed.servers"] = 0.3
+        self.router.kill()
+        self.callers, self.ready, metrics = free_ports(3)
+        entry = ENTRY.format(callers=self.callers, ready=self.ready)
+        self.start("router", metrics, "", entry)
+        statuses: list[int] = []
+
+        def router_knows_the_new_key() -> bool:
+            with contextlib.suppress(OSError):
+                statuses.append(self.submit("/read/x")[0])
+                return self.submit("/read/x", key="k9")[0] == 200
+            return False
+
+        self.wait_until(router_knows_the_new_key)
+        self.assertNotIn(200, statuses)
+
+    def agent_knows_the_new_key(self) -> bool:
+        """Whether the agent has the configuration with the key k9."""
+        feed = self.get(self.agent_port, "/agent/feed?reader=t&level=1", {})
+        return b'"k9"' in feed[1]
+
     def test_limit_on_heads_is_raised_for_kept_connections(self) -> None:
         # Guards against heads within the limit in force being refused by the
         # one at the connection's beginning.
