--- a/tests/test_feed_mutants.py
+++ b/tests/test_feed_mutants.py
@@ -10,9 +10,10 @@
 import attrs
 from testtools import TestCase
 
-from sequoiawind import crash_registry, target_limit
+from sequoiawind import target_limit
 from sequoiawind.crash_evidence import CrashEvidence
 from sequoiawind.crash_registry import CrashRegistry
+from sequoiawind.crash_rewrites import CrashRewrites
 from sequoiawind.feed_client import FeedClient
 from sequoiawind.feed_reader import FeedReader
 from sequoiawind.feed_relay import FeedRelay
@@ -21,6 +22,8 @@
 from sequoiawind.feed_totals import RelayTotals
 from sequoiawind.fleet import Fleet
 from sequoiawind.forward_readers import OperatorReader, TargetReader
+from sequoiawind.lab.memory_software_log import MemorySoftwareLog
+from sequoiawind.origin_registry import OriginRegistry
 from sequoiawind.platform import engine_wire
 from sequoiawind.record_follower import RecordFollower
 from sequoiawind.weights_holder import Lease, WeightsHolder
@@ -32,6 +35,8 @@
     test_forwarding,
     test_platform,
     test_record_followers,
+    test_software_records,
+    test_store_drills,
     test_target_limit,
     test_weights_holder,
 )
@@ -145,12 +150,36 @@
     ),
     FeedMutant(
         name="complete answers at other routers are not read",
-        owner=crash_registry,
-        attribute="NO_STAMP",
-        replacement=(9_999, 0),
+        owner=CrashEvidence,
+        attribute="is_suspected",
+        replacement=lambda self, part: False,
         case=test_crashing_parts.ManyRoutersTest,
         test="test_complete_answer_at_any_router_clears_the_part",
     ),
+    FeedMutant(
+        name="records of crashes are not written again after a drill",
+        owner=CrashRewrites,
+        attribute="write_lost",
+        replacement=lambda self, own_only: None,
+        case=test_store_drills.CrashTest,
+        test="test_router_that_starts_after_a_drill_knows_the_part",
+    ),
+    FeedMutant(
+        name="streams are not recorded again after a drill",
+        owner=OriginRegistry,
+        attribute="log_rewound",
+        replacement=lambda self, era: None,
+        case=test_store_drills.StreamTest,
+        test="test_streams_are_recorded_again",
+    ),
+    FeedMutant(
+        name="a router that starts takes its first records for all",
+        owner=MemorySoftwareLog,
+        attribute="is_whole",
+        replacement=property(lambda self: True, lambda self, value: None),
+        case=test_software_records.StartTest,
+        test="test_records_that_are_not_whole_prove_nothing",
+    ),
     FeedMutant(
         name="a part is blocked after one group of crashes",
         owner=CrashEvidence,
--- a/tests/test_feed_sums.py
+++ b/tests/test_feed_sums.py
@@ -491,8 +491,9 @@
         data = feed_messages.encode(reply)
         old = msgspec.msgpack.Decoder(previous).decode(data)
         self.assertEqual(0.0, old.demand_per_s)
+        # Each release appends its fields.
         added = ["has_totals", "counted", "totals", "has_more", "held_s"]
-        self.assertEqual(added, names[OLD_FIELDS:])
+        self.assertEqual([*added, "store_era"], names[OLD_FIELDS:])
         self.assertFalse(feed_messages.decode(as_old(data)).has_totals)
 
 
