--- a/sequoiawind/agent_program.py
+++ b/sequoiawind/agent_program.py
@@ -1,6 +1,6 @@
 """The components of an agent, and how they are connected.
 
-``agent_main`` runs it as a process; tests run several in one process.
+``agent_daemon`` runs it as a process; tests run several in one process.
 """
 
 import random
--- a/sequoiawind/router_program.py
+++ b/sequoiawind/router_program.py
@@ -1,6 +1,6 @@
 """The components of a router, and how they are connected.
 
-``router_main`` runs it as a process; tests run several in one process.
+``router_daemon`` runs it as a process; tests run several in one process.
 """
 
 import random
