A router is ready once it knows which requests crash targets

A router that had just started could let a request through that crashes targets and that all other routers refused, as it was ready before it had read their records.

--- a/sequoiawind/crash_registry.py
+++ b/sequoiawind/crash_registry.py
@@ -147,6 +147,10 @@
     broken: dict[Incarnation, BrokenTarget] = attrs.field(factory=dict)
     unwritten: OrderedDict[str, bytes | None] = attrs.field(factory=OrderedDict)
     is_writing: bool = False
+    # Whether the records of all routers have been read once, and what is called
+    # each time that they have.
+    has_read: bool = False
+    on_read: Callable[[], None] = attrs.field(default=lambda: None)
     # Until when one request may test a part, in seconds of the age clock.
     permits_s: dict[str, float] = attrs.field(factory=dict)
     # The records of answers and tests that were applied, by key: applied again,
@@ -297,6 +301,7 @@
 
     def replaced(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the newest records, and delete those that are very old."""
+        self.has_read = True
         oldest_ms = self.wall_ms() - RECORD_LIFETIME_MS
         deleted = 0
         for record in sorted(records, key=reading_order):
@@ -306,6 +311,7 @@
                 if deleted <= MAX_DELETED:
                     self.write(record.key, None)
         self.log_blocks()
+        self.on_read()
 
     def changed(self, record: KeyedRecord) -> None:
         """Apply a newly written record."""
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -119,6 +119,7 @@
             freshness=self.freshness,
             clock=event_loop.reactor,
             log=self.log,
+            knows_crashes=lambda: self.forwarder.crashes.has_read,
         )
         self.fleet.on_restart = self.notes.note_restart
         self.forwarder = self.make_forwarder()
@@ -345,6 +346,7 @@
     def start(self, on_prepared: Callable[[], None]) -> None:
         """Start the controllers; call back once a request can be served."""
         self.readiness.start(on_prepared)
+        self.forwarder.crashes.on_read = self.readiness.check
         operator = OperatorReader(
             board=self.board,
             codec=codec.OPERATOR,
--- a/sequoiawind/readiness.py
+++ b/sequoiawind/readiness.py
@@ -1,8 +1,8 @@
 """When a router that has started can serve requests.
 
-That takes a configuration that keys may be checked by, and a target.  Public
-routes need no keys, so a router without the store becomes ready too, after a
-while.
+That takes a configuration that keys may be checked by, a target, and the
+records of requests that crash targets.  Public routes need no keys, so a router
+without the store becomes ready too, after a while.
 """
 
 from collections.abc import Callable
@@ -33,6 +33,8 @@
     freshness: Freshness
     clock: Clock
     log: Logger
+    # Returns whether it is known which requests crash targets.
+    knows_crashes: Callable[[], bool]
     # When the controllers were started, in seconds of the clock.
     started_s: float = 0.0
     # Called once a request can be served; None afterwards.
@@ -55,8 +57,8 @@
             return
         if not isinstance(self.board.state, ForwardState):
             return
-        is_late = self.age_s >= UNCONFIRMED_READY_S
-        if self.freshness.may_trust_keys or is_late:
+        is_prepared = self.freshness.may_trust_keys and self.knows_crashes()
+        if is_prepared or self.age_s >= UNCONFIRMED_READY_S:
             self.on_prepared()
             self.on_prepared = None
             self.log.info("ready", revision=self.board.state.revision)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -107,6 +107,8 @@
     changed: threading.Condition = attrs.field(factory=threading.Condition)
     # Whether all calls are refused with status 503.
     is_unavailable: bool = False
+    # Topics whose newest records have been sent.
+    sent: list[str] = attrs.field(factory=list)
     # Time before the newest records of a topic are sent, in seconds.
     pauses_s: dict[str, float] = attrs.field(factory=dict)
 
@@ -124,7 +126,9 @@
         if self.is_unavailable:
             call.reply(503, b"")
         elif url.path == "/api/log-newest":
-            call.reply(200, self.newest(query["topic"]))
+            newest = self.newest(query["topic"])
+            self.sent.append(query["topic"])
+            call.reply(200, newest)
         elif url.path == "/api/log-append":
             call.reply(200, self.append(query["topic"], body))
         elif url.path == "/api/log-read" and query["topic"] in self.topics:
--- a/tests/test_forward_path.py
+++ b/tests/test_forward_path.py
@@ -421,6 +421,19 @@
         """Return what the routers have recorded in the store."""
         return self.store.logs.get("stream-origins", b"")
 
+    def test_router_that_is_ready_knows_what_crashes_targets(self) -> None:
+        # Guards against requests that all other routers keep from targets.
+        self.store.pauses_s["keyed.prompt-crashes"] = 0.7
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.agent_port, self.callers, self.ready, metrics = free_ports(4)
+        entry = ENTRY.format(callers=self.callers, ready=self.ready)
+        self.store.sent.clear()
+        self.start("router", metrics, "", entry)
+        self.wait_until(lambda: self.ready_status() == 200)
+        self.assertIn("keyed.prompt-crashes", self.store.sent)
+
     def test_request_that_comes_late_in_a_stop_is_answered(self) -> None:
         # Guards against requests being passed on that are cut by SIGKILL.
         self.engine.pause_s = 2.0
