A router asks a relay as soon as it knows of one

Requests were refused as `config_stale` for 0.25 to 0.4 s after each start of a router, since: it trusts its configuration once a relay has answered, and a router that knows of none pauses before it looks again.

Now a new target ends the pause.

--- a/sequoiawind/feed_client.py
+++ b/sequoiawind/feed_client.py
@@ -8,6 +8,7 @@
 
 import attrs
 import structlog
+from twisted.internet.defer import Deferred
 
 from sequoiawind import feed_messages, feed_statement, supervise, timing
 from sequoiawind.feed_messages import FEED_PATH, FeedReply
@@ -177,6 +178,8 @@
     # Times until which addresses are avoided, in seconds of the clock.
     avoided_until_s: dict[str, float] = attrs.field(factory=dict)
     is_stopped: bool = False
+    # Fires at the end of the pause in which no process answers; None otherwise.
+    pause: Deferred[None] | None = None
 
     @property
     def live_s(self) -> float:
@@ -197,6 +200,12 @@
         """Read until the client is stopped."""
         await supervise.repeat(self.step, "feed", self.clock, self.log)
 
+    def wake(self) -> None:
+        """End a pause, as there may be a process to read from now."""
+        pause, self.pause = self.pause, None
+        if pause is not None:
+            pause.callback(None)
+
     def stop(self) -> None:
         """Stop after the request in progress."""
         self.is_stopped = True
@@ -215,7 +224,11 @@
         if not address:
             self.lose("no process to read from")
             pause_s = timing.jittered(RETRY_S, RETRY_JITTER, self.random)
-            await timing.sleep(self.clock, pause_s)
+            pause = self.pause = Deferred()
+            timer = self.clock.callLater(pause_s, self.wake)
+            await pause
+            if timer.active():
+                timer.cancel()
             return not self.is_stopped
         if address != self.address:
             self.after, self.has_more = -1, False
--- a/sequoiawind/forward_router_program.py
+++ b/sequoiawind/forward_router_program.py
@@ -466,6 +466,8 @@
     def software_changed(self) -> None:
         """Adapt to targets that are new, have gone, or have other software."""
         self.forget_relays()
+        # All entries of a read are known by then.
+        event_loop.reactor.callLater(0, self.feed.wake)
         self.forwarder.origins.targets_changed()
 
     def targets_changed(self) -> None:
