--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -186,6 +186,7 @@
     timeout_ms: int = 12_000,
     tenants: list[dict[str, object]] | None = None,
     plain: str = "app",
+    gap_aim_ms: int = 400,
 ) -> dict[str, object]:
     """Return a configuration with a route for each kind of request."""
 
@@ -201,7 +202,7 @@
             "service": service,
             "max_attempts": 2,
             "public": False,
-            "gap_aim_ms": 400,
+            "gap_aim_ms": gap_aim_ms,
             **more,
         }
 
