review: show answers that a planned stop cuts for slow clients

Clients of a router that has got SIGTERM take their answers in three parts, 2.5 s apart. The router cuts them 2 s after a pause has begun, though it has the whole answers and 5.5 s of the grace are left.

--- a/review/lib3/client.py
+++ b/review/lib3/client.py
@@ -52,6 +52,7 @@
         body: bytes = b"body",
         deadline_ms: int = 5_000,
         headers: tuple[str, ...] = (),
+        chunk_bytes: int = 0,
     ) -> Answer:
         """Send a request and return the answer."""
         await self.begin(
@@ -61,6 +62,7 @@
             body=body,
             deadline_ms=deadline_ms,
             headers=headers,
+            chunk_bytes=chunk_bytes,
         )
         return await self.finish(request_id)
 
@@ -73,8 +75,9 @@
         body: bytes = b"body",
         deadline_ms: int = 5_000,
         headers: tuple[str, ...] = (),
+        chunk_bytes: int = 0,
     ) -> None:
-        """Send a request."""
+        """Send a request, its body in chunks of a size unless that is 0."""
         if self.writer is None or self.writer.is_closing():
             host, _, port = self.address.rpartition(":")
             self.reader, self.writer = await asyncio.open_connection(
@@ -86,12 +89,20 @@
             f"Sequoiawind-Attempt-Id: {request_id}",
             f"Sequoiawind-Deadline-Ms: {deadline_ms}",
             f"Authorization: Token {KEY}",
-            f"Content-Length: {len(body)}",
+            "Transfer-Encoding: chunked"
+            if chunk_bytes
+            else f"Content-Length: {len(body)}",
             *headers,
         ]
         self.record.write("sent", request=request_id, path=path)
-        data = "\r\n".join([*lines, "", ""]).encode() + body
-        self.writer.write(data)
+        self.writer.write("\r\n".join([*lines, "", ""]).encode())
+        step = chunk_bytes or len(body) or 1
+        for place in range(0, len(body), step):
+            part = body[place : place + step]
+            self.writer.write(http.chunk(part) if chunk_bytes else part)
+            await self.writer.drain()
+        if chunk_bytes:
+            self.writer.write(b"0\r\n\r\n")
         await self.writer.drain()
 
     async def finish(self, request_id: str) -> Answer:
--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -118,7 +118,7 @@
         ):
             is_kept = True
             while is_kept:
-                call = await http.read_request(reader)
+                call = await http.read_request(reader, self.note_head)
                 extra = self.extra.pop(writer, b"")
                 if extra:
                     self.record.write("second copy sent", engine=self.name)
@@ -131,6 +131,11 @@
         with suppress(ConnectionError):
             writer.close()
 
+    def note_head(self, headers: dict[str, str]) -> None:
+        """Record that a client's request has begun to arrive."""
+        if request_id := headers.get("sequoiawind-attempt-id"):
+            self.record.write("arrives", engine=self.name, request=request_id)
+
     async def serve_api(
         self, writer: asyncio.StreamWriter, call: http.Request
     ) -> None:
--- a/review/lib3/http.py
+++ b/review/lib3/http.py
@@ -1,7 +1,7 @@
 """Minimal HTTP/1.1 messages over asyncio streams."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -28,9 +28,13 @@
     return first, {name.lower(): value.strip() for name, _, value in pairs}
 
 
-async def read_request(reader: asyncio.StreamReader) -> Request:
-    """Read a request whose body has a length."""
+async def read_request(
+    reader: asyncio.StreamReader,
+    on_head: Callable[[dict[str, str]], None] = lambda headers: None,
+) -> Request:
+    """Read a request whose body has a length; call back after its head."""
     first, headers = parse_head(await reader.readuntil(b"\r\n\r\n"))
+    on_head(headers)
     method, target, _ = first.split(" ")
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return Request(method=method, target=target, headers=headers, body=body)
