--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # programs themselves are built by the `build` line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/lib3 tests
+python3 -m compileall -q review/11/lib3 tests
 for folder in review/1[1-5]; do
   if [ -d "$folder" ]; then
     python3 -m compileall -q "$folder"
